--- /dev/null
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/Main.kt
@@ -0,0 +1,11 @@
+package io.lavenderhinge.experiments
+
+import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.core.subcommands
+
+fun main(arguments: Array<String>) =
+    ExperimentsCommand()
+        .subcommands(
+            // One line for each experiment.
+        )
+        .main(arguments)
--- /dev/null
+++ b/http/src/main/kotlin/io/lavenderhinge/http/ClientConnection.kt
@@ -0,0 +1,127 @@
+package io.lavenderhinge.http
+
+import io.netty.buffer.ByteBufUtil
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpResponse as NettyResponse
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+import java.net.InetSocketAddress
+import java.util.concurrent.atomic.AtomicInteger
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.channels.ClosedReceiveChannelException
+
+/** What a connection delivers for the request in service. */
+internal sealed interface ClientEvent {
+    class Head(val response: NettyResponse) : ClientEvent
+
+    class Chunk(val bytes: ByteArray) : ClientEvent
+
+    class End(val reusable: Boolean) : ClientEvent
+}
+
+/** One client connection, serving one request at a time. */
+internal class ClientConnection : ChannelInboundHandlerAdapter() {
+    private lateinit var context: ChannelHandlerContext
+    private val bufferedBytes = AtomicInteger()
+    private var keepAlive = true
+    @Volatile private var events = Channel<ClientEvent>(Channel.UNLIMITED)
+
+    override fun handlerAdded(ctx: ChannelHandlerContext) {
+        context = ctx
+    }
+
+    suspend fun send(request: HttpRequest, address: InetSocketAddress) {
+        events = Channel(Channel.UNLIMITED)
+        val message =
+            DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                HttpMethod.valueOf(request.method),
+                request.target,
+                Unpooled.wrappedBuffer(request.body),
+            )
+        message.headers().set(request.headers)
+        message.headers().set(HttpHeaderNames.HOST, "${address.hostString}:${address.port}")
+        message.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, request.body.size)
+        try {
+            context.writeAndFlush(message).await()
+        } catch (e: java.io.IOException) {
+            throw HttpCallException.OutcomeUnknown("the connection broke while sending", e)
+        }
+    }
+
+    /** The next event; null when the connection closed before the answer was whole. */
+    suspend fun next(): ClientEvent? {
+        val event =
+            try {
+                events.receive()
+            } catch (_: ClosedReceiveChannelException) {
+                return null
+            }
+        if (event is ClientEvent.Chunk) consumed(event.bytes.size)
+        return event
+    }
+
+    fun close() {
+        context.close()
+    }
+
+    override fun channelRead(ctx: ChannelHandlerContext, message: Any) {
+        try {
+            if (message is HttpObject) accept(message)
+        } finally {
+            ReferenceCountUtil.release(message)
+        }
+    }
+
+    override fun channelInactive(ctx: ChannelHandlerContext) {
+        events.close()
+    }
+
+    @Deprecated("Netty's callback for errors of the pipeline")
+    override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
+        events.close()
+        ctx.close()
+    }
+
+    private fun accept(message: HttpObject) {
+        if (message.decoderResult().isFailure) {
+            events.close()
+            context.close()
+            return
+        }
+        if (message is NettyResponse) {
+            keepAlive = HttpUtil.isKeepAlive(message)
+            events.trySend(ClientEvent.Head(message))
+        }
+        if (message is HttpContent && message.content().isReadable) deliver(message)
+        if (message is LastHttpContent) events.trySend(ClientEvent.End(keepAlive))
+    }
+
+    private fun deliver(content: HttpContent) {
+        val bytes = ByteBufUtil.getBytes(content.content())
+        if (bufferedBytes.addAndGet(bytes.size) > HIGH_WATER_BYTES) {
+            context.channel().config().isAutoRead = false
+        }
+        events.trySend(ClientEvent.Chunk(bytes))
+    }
+
+    private fun consumed(sizeBytes: Int) {
+        if (bufferedBytes.addAndGet(-sizeBytes) < LOW_WATER_BYTES) {
+            context.channel().config().isAutoRead = true
+        }
+    }
+
+    private companion object {
+        const val HIGH_WATER_BYTES = 262_144
+        const val LOW_WATER_BYTES = 65_536
+    }
+}
--- /dev/null
+++ b/http/src/main/kotlin/io/lavenderhinge/http/HttpClient.kt
@@ -0,0 +1,133 @@
+package io.lavenderhinge.http
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.HttpClientCodec
+import java.net.InetSocketAddress
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ConcurrentLinkedDeque
+import kotlin.coroutines.cancellation.CancellationException
+import kotlinx.coroutines.TimeoutCancellationException
+import kotlinx.coroutines.withTimeout
+
+/** Why a call got no whole answer. */
+sealed class HttpCallException(message: String, cause: Throwable? = null) :
+    Exception(message, cause) {
+    /** Nothing was sent: the request certainly did not run. */
+    class NotSent(message: String, cause: Throwable? = null) : HttpCallException(message, cause)
+
+    /** The request was sent, in part or whole: it may have run. */
+    class OutcomeUnknown(message: String, cause: Throwable? = null) :
+        HttpCallException(message, cause)
+}
+
+/** Timeouts of one call. [progressMillis] bounds the silence before the head and between chunks. */
+data class CallTimeouts(val connectMillis: Long = 1_000, val progressMillis: Long = 30_000)
+
+/** An HTTP/1.1 client on Netty with keep-alive connections and streamed responses. */
+class HttpClient(private val group: EventLoopGroup) {
+    private val idle = ConcurrentHashMap<InetSocketAddress, ConcurrentLinkedDeque<IdleConnection>>()
+
+    private class IdleConnection(val channel: Channel, val sinceNanos: Long)
+
+    /**
+     * Sends [request] to [address] and returns when the response head is there.
+     *
+     * With [reuseConnection] false a new connection is made, so that a connection that has gone
+     * silent cannot leave the outcome unknown.
+     */
+    suspend fun send(
+        address: InetSocketAddress,
+        request: HttpRequest,
+        timeouts: CallTimeouts = CallTimeouts(),
+        reuseConnection: Boolean = true,
+    ): ClientResponse {
+        val channel = pooled(address).takeIf { reuseConnection } ?: connect(address, timeouts)
+        val handler = channel.pipeline().get(ClientConnection::class.java)
+        val response = ClientResponse(handler, timeouts) { release(address, channel) }
+        try {
+            handler.send(request, address)
+            response.awaitHead()
+            return response
+        } catch (e: Exception) {
+            response.abort()
+            throw e
+        }
+    }
+
+    /** Sends [request] and reads the whole body. */
+    suspend fun call(
+        address: InetSocketAddress,
+        request: HttpRequest,
+        timeouts: CallTimeouts = CallTimeouts(),
+        reuseConnection: Boolean = true,
+    ): HttpResponse {
+        val response = send(address, request, timeouts, reuseConnection)
+        val body = response.readAll()
+        val fields = response.headers.map { HttpField(it.key, it.value) }
+        return HttpResponse(response.status, body, fields, response.headers.get("content-type"))
+    }
+
+    /** Closes the pooled connections. */
+    fun close() {
+        idle.values.forEach { connections -> connections.forEach { it.channel.close() } }
+        idle.clear()
+    }
+
+    private fun pooled(address: InetSocketAddress): Channel? {
+        val connections = idle[address] ?: return null
+        while (true) {
+            val candidate = connections.pollLast() ?: return null
+            val ageNanos = System.nanoTime() - candidate.sinceNanos
+            if (candidate.channel.isActive && ageNanos < REUSE_NANOS) return candidate.channel
+            candidate.channel.close()
+        }
+    }
+
+    private fun release(address: InetSocketAddress, channel: Channel) {
+        if (!channel.isActive) return
+        val connections = idle.computeIfAbsent(address) { ConcurrentLinkedDeque() }
+        if (connections.size >= IDLE_CONNECTIONS) channel.close()
+        else connections.addLast(IdleConnection(channel, System.nanoTime()))
+    }
+
+    private suspend fun connect(address: InetSocketAddress, timeouts: CallTimeouts): Channel {
+        val future =
+            Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel::class.java)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeouts.connectMillis.toInt())
+                .handler(
+                    object : ChannelInitializer<SocketChannel>() {
+                        override fun initChannel(channel: SocketChannel) {
+                            channel.pipeline().addLast(HttpClientCodec(), ClientConnection())
+                        }
+                    }
+                )
+                .connect(address)
+        try {
+            withTimeout(timeouts.connectMillis + CONNECT_GRACE_MILLIS) { future.await() }
+        } catch (e: TimeoutCancellationException) {
+            future.channel().close()
+            throw HttpCallException.NotSent("$address did not accept a connection in time", e)
+        } catch (e: CancellationException) {
+            future.channel().close()
+            throw e
+        } catch (e: Exception) {
+            throw HttpCallException.NotSent("$address refused the connection: ${e.message}", e)
+        }
+        return future.channel()
+    }
+
+    private companion object {
+        const val IDLE_CONNECTIONS = 64
+        const val CONNECT_GRACE_MILLIS = 100L
+        const val REUSE_NANOS = 10_000_000_000L
+    }
+}
--- /dev/null
+++ b/http/src/main/kotlin/io/lavenderhinge/http/HttpMessages.kt
@@ -0,0 +1,30 @@
+package io.lavenderhinge.http
+
+import io.netty.handler.codec.http.HttpHeaders
+
+/** A request with its whole body. [path] carries no query; [query] is empty when there was none. */
+class HttpRequest(
+    val method: String,
+    val path: String,
+    val query: String,
+    val headers: HttpHeaders,
+    val body: ByteArray,
+) {
+    /** The path with its query, as sent on the wire. */
+    val target: String
+        get() = if (query.isEmpty()) path else "$path?$query"
+
+    /** The first value of header [name], or null. */
+    fun header(name: String): String? = headers.get(name)
+}
+
+/** A complete response. */
+class HttpResponse(
+    val status: Int,
+    val body: ByteArray,
+    val headers: List<HttpField> = emptyList(),
+    val contentType: String? = null,
+)
+
+/** One header line. */
+data class HttpField(val name: String, val value: String)
--- /dev/null
+++ b/http/src/main/kotlin/io/lavenderhinge/http/HttpServer.kt
@@ -0,0 +1,91 @@
+package io.lavenderhinge.http
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.group.DefaultChannelGroup
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.util.concurrent.GlobalEventExecutor
+import java.net.InetSocketAddress
+import java.util.concurrent.atomic.AtomicInteger
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
+
+/**
+ * An HTTP/1.1 listener on Netty: keep-alive, pipelining in order, chunked streaming and [limits].
+ *
+ * Handlers run as coroutines on the event loop of their connection and must not block.
+ */
+class HttpServer(
+    private val group: EventLoopGroup,
+    private val handler: HttpHandler,
+    private val limits: HttpLimits = HttpLimits(),
+    private val faults: HttpFaultRenderer = ProblemRenderer,
+) {
+    private val channels = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
+    private val connections = AtomicInteger()
+    private val supervisor = SupervisorJob()
+    private lateinit var listener: Channel
+
+    /** The port in use; of interest when 0 was asked for. */
+    val port: Int
+        get() = (listener.localAddress() as InetSocketAddress).port
+
+    /** Binds [address] and starts to accept connections. */
+    fun start(address: InetSocketAddress): HttpServer = apply {
+        listener =
+            ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel::class.java)
+                .option(ChannelOption.SO_BACKLOG, LISTEN_BACKLOG)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(
+                    object : ChannelInitializer<SocketChannel>() {
+                        override fun initChannel(channel: SocketChannel) = initialize(channel)
+                    }
+                )
+                .bind(address)
+                .sync()
+                .channel()
+    }
+
+    /** Stops accepting connections; those that are open go on. */
+    fun stopAccepting() {
+        listener.close().sync()
+    }
+
+    /** Closes the listener and every connection. */
+    fun close() {
+        listener.close().sync()
+        supervisor.cancel()
+        channels.close().sync()
+    }
+
+    private fun initialize(channel: SocketChannel) {
+        val decoder =
+            HttpDecoderConfig()
+                .setMaxInitialLineLength(limits.requestLineBytes)
+                .setMaxHeaderSize(limits.headBytes)
+        channel.pipeline().addLast(HttpServerCodec(decoder))
+        if (connections.incrementAndGet() > limits.connections) {
+            connections.decrementAndGet()
+            channel.pipeline().addLast(RefusingConnection(faults))
+            return
+        }
+        channel.closeFuture().addListener { connections.decrementAndGet() }
+        channels.add(channel)
+        val scope = CoroutineScope(supervisor + channel.eventLoop().asCoroutineDispatcher())
+        channel.pipeline().addLast(ServerConnection(scope, limits, handler, faults))
+    }
+
+    private companion object {
+        const val LISTEN_BACKLOG = 1_024
+    }
+}
--- /dev/null
+++ b/http/src/main/kotlin/io/lavenderhinge/http/NettyExchange.kt
@@ -0,0 +1,89 @@
+package io.lavenderhinge.http
+
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.handler.codec.http.DefaultHttpContent
+import kotlinx.coroutines.CompletableDeferred
+
+/** Suspends writers while a channel's send buffer is over its high-water mark. */
+internal class Writability {
+    @Volatile private var gate: CompletableDeferred<Unit>? = null
+
+    /** Called on the event loop when writability changes. */
+    fun signal(writable: Boolean) {
+        if (writable) gate?.complete(Unit)
+    }
+
+    suspend fun awaitWritable(context: ChannelHandlerContext) {
+        if (context.channel().isWritable) return
+        val waiting = CompletableDeferred<Unit>()
+        gate = waiting
+        if (context.channel().isWritable) return
+        val onClose = ChannelFutureListener { waiting.complete(Unit) }
+        context.channel().closeFuture().addListener(onClose)
+        waiting.await()
+        context.channel().closeFuture().removeListener(onClose)
+    }
+}
+
+/** One exchange on a server connection. */
+internal class NettyExchange(
+    private val context: ChannelHandlerContext,
+    private val pending: PendingRequest,
+    private val writability: Writability,
+) : HttpExchange {
+    private enum class State {
+        UNANSWERED,
+        STREAMING,
+        ANSWERED,
+    }
+
+    @Volatile private var state = State.UNANSWERED
+
+    override val request: HttpRequest
+        get() = pending.request
+
+    override suspend fun respond(response: HttpResponse) {
+        check(state == State.UNANSWERED) { "the request is answered already" }
+        state = State.ANSWERED
+        if (!pending.keepAlive) return sendAndClose(context, response)
+        context.writeAndFlush(fullResponse(response, keepAlive = true)).await()
+    }
+
+    override suspend fun startStream(
+        status: Int,
+        contentType: String,
+        headers: List<HttpField>,
+    ): HttpBodyWriter {
+        check(state == State.UNANSWERED) { "the request is answered already" }
+        state = State.STREAMING
+        context.writeAndFlush(streamHead(status, contentType, headers, pending.keepAlive)).await()
+        return Writer()
+    }
+
+    /** Answers with [response] if nothing was sent yet, else closes without the body's end. */
+    fun fail(response: HttpResponse) {
+        if (state == State.UNANSWERED) sendAndClose(context, response) else context.close()
+        state = State.ANSWERED
+    }
+
+    /** Closes a connection whose handler returned without a whole answer. */
+    fun closeUnfinished() {
+        if (state != State.ANSWERED) context.close()
+    }
+
+    private inner class Writer : HttpBodyWriter {
+        override suspend fun write(bytes: ByteArray) {
+            context.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
+            writability.awaitWritable(context)
+        }
+
+        override suspend fun end() {
+            state = State.ANSWERED
+            val sent = context.writeAndFlush(lastContent())
+            if (!pending.keepAlive) sent.addListener { context.close() }
+            sent.await()
+        }
+    }
+}
--- /dev/null
+++ b/http/src/main/kotlin/io/lavenderhinge/http/ServerConnection.kt
@@ -0,0 +1,249 @@
+package io.lavenderhinge.http
+
+import io.netty.buffer.ByteBufUtil
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.TooLongFrameException
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.DefaultLastHttpContent
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.handler.codec.http.TooLongHttpHeaderException
+import io.netty.handler.codec.http.TooLongHttpLineException
+import io.netty.util.ReferenceCountUtil
+import io.netty.util.concurrent.ScheduledFuture
+import java.io.ByteArrayOutputStream
+import java.util.concurrent.TimeUnit
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.launch
+import org.slf4j.LoggerFactory
+
+private typealias NettyRequest = io.netty.handler.codec.http.HttpRequest
+
+/**
+ * Reads requests of one connection and answers them in order.
+ *
+ * Requests that a caller pipelines wait in [pending] until the one before is answered, so that
+ * answers never cross. All state is confined to the channel's event loop.
+ */
+internal class ServerConnection(
+    private val scope: CoroutineScope,
+    private val limits: HttpLimits,
+    private val handler: HttpHandler,
+    private val faults: HttpFaultRenderer,
+) : ChannelInboundHandlerAdapter() {
+    private lateinit var context: ChannelHandlerContext
+    private val pending = ArrayDeque<PendingRequest>()
+    private var head: NettyRequest? = null
+    private var body = ByteArrayOutputStream()
+    private var active: Job? = null
+    private var timer: ScheduledFuture<*>? = null
+    private var closing = false
+
+    override fun handlerAdded(ctx: ChannelHandlerContext) {
+        context = ctx
+    }
+
+    override fun channelActive(ctx: ChannelHandlerContext) {
+        armTimer(limits.headMillis) { refuse(HttpFault.HEAD_TIMEOUT) }
+        ctx.fireChannelActive()
+    }
+
+    override fun channelInactive(ctx: ChannelHandlerContext) {
+        timer?.cancel(false)
+        active?.cancel(CancellationException("the caller disconnected"))
+        pending.clear()
+        ctx.fireChannelInactive()
+    }
+
+    override fun channelRead(ctx: ChannelHandlerContext, message: Any) {
+        try {
+            if (!closing && message is HttpObject) accept(message)
+        } finally {
+            ReferenceCountUtil.release(message)
+        }
+    }
+
+    override fun channelWritabilityChanged(ctx: ChannelHandlerContext) {
+        writability.signal(ctx.channel().isWritable)
+        ctx.fireChannelWritabilityChanged()
+    }
+
+    @Deprecated("Netty's callback for errors of the pipeline")
+    override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
+        log.debug("http: connection failed: {}", cause.toString())
+        ctx.close()
+    }
+
+    private val writability = Writability()
+
+    private fun accept(message: HttpObject) {
+        if (message.decoderResult().isFailure)
+            return refuse(faultOf(message.decoderResult().cause()))
+        if (message is NettyRequest) startRequest(message)
+        if (message is HttpContent && head != null) appendBody(message)
+        if (message is LastHttpContent && head != null) finishRequest()
+    }
+
+    private fun startRequest(request: NettyRequest) {
+        head = request
+        body = ByteArrayOutputStream()
+        armTimer(limits.bodyMillis) { refuse(HttpFault.BODY_TIMEOUT) }
+        if (HttpUtil.getContentLength(request, 0L) > limits.bodyBytes) {
+            return refuse(HttpFault.BODY_TOO_LARGE)
+        }
+        if (HttpUtil.is100ContinueExpected(request)) {
+            context.writeAndFlush(
+                DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE)
+            )
+        }
+    }
+
+    private fun appendBody(content: HttpContent) {
+        if (body.size() + content.content().readableBytes() > limits.bodyBytes) {
+            return refuse(HttpFault.BODY_TOO_LARGE)
+        }
+        body.write(ByteBufUtil.getBytes(content.content()))
+    }
+
+    private fun finishRequest() {
+        val request = head ?: return
+        head = null
+        timer?.cancel(false)
+        if (pending.size >= limits.pipelinedRequests) return refuse(HttpFault.TOO_MANY_PIPELINED)
+        pending.addLast(PendingRequest(toRequest(request), HttpUtil.isKeepAlive(request)))
+        startNext()
+    }
+
+    private fun toRequest(request: NettyRequest): HttpRequest {
+        val path = request.uri().substringBefore('?')
+        val query = request.uri().substringAfter('?', "")
+        return HttpRequest(
+            request.method().name(),
+            path,
+            query,
+            request.headers(),
+            body.toByteArray(),
+        )
+    }
+
+    private fun startNext() {
+        if (active != null || closing) return
+        val next = pending.removeFirstOrNull() ?: return awaitNextRequest()
+        val exchange = NettyExchange(context, next, writability)
+        val job =
+            scope.launch(start = CoroutineStart.LAZY) {
+                try {
+                    handler.handle(exchange)
+                    exchange.closeUnfinished()
+                } catch (e: CancellationException) {
+                    context.close()
+                    throw e
+                } catch (e: Exception) {
+                    log.error("http: handler failed for {}", next.request.path, e)
+                    exchange.fail(faults.render(HttpFault.HANDLER_FAILED))
+                }
+            }
+        active = job
+        job.invokeOnCompletion { context.executor().execute { finishExchange(next.keepAlive) } }
+        job.start()
+    }
+
+    private fun finishExchange(keepAlive: Boolean) {
+        active = null
+        if (!keepAlive) {
+            closing = true
+            return
+        }
+        startNext()
+    }
+
+    private fun awaitNextRequest() {
+        if (head == null) armTimer(limits.idleMillis) { context.close() }
+    }
+
+    private fun refuse(fault: HttpFault) {
+        if (closing) return
+        closing = true
+        head = null
+        timer?.cancel(false)
+        pending.clear()
+        // The answer to a request in service keeps its place; the connection then closes.
+        val current = active
+        if (current == null) sendRefusal(fault)
+        else current.invokeOnCompletion { context.executor().execute { sendRefusal(fault) } }
+    }
+
+    private fun sendRefusal(fault: HttpFault) {
+        sendAndClose(context, faults.render(fault))
+    }
+
+    private fun armTimer(delayMillis: Long, action: () -> Unit) {
+        timer?.cancel(false)
+        timer = context.executor().schedule(action, delayMillis, TimeUnit.MILLISECONDS)
+    }
+
+    private fun faultOf(cause: Throwable): HttpFault =
+        when (cause) {
+            is TooLongHttpLineException -> HttpFault.LINE_TOO_LONG
+            is TooLongHttpHeaderException -> HttpFault.HEAD_TOO_LARGE
+            is TooLongFrameException -> HttpFault.HEAD_TOO_LARGE
+            else -> HttpFault.MALFORMED
+        }
+
+    private companion object {
+        val log = LoggerFactory.getLogger(ServerConnection::class.java)
+    }
+}
+
+/** A request whose answer is due; the connection closes after it unless [keepAlive]. */
+internal class PendingRequest(val request: HttpRequest, val keepAlive: Boolean)
+
+internal fun fullResponse(response: HttpResponse, keepAlive: Boolean): DefaultFullHttpResponse {
+    val message =
+        DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1,
+            HttpResponseStatus.valueOf(response.status),
+            Unpooled.wrappedBuffer(response.body),
+        )
+    message.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, response.body.size)
+    response.contentType?.let { message.headers().set(HttpHeaderNames.CONTENT_TYPE, it) }
+    addFields(message.headers(), response.headers, keepAlive)
+    return message
+}
+
+internal fun streamHead(
+    status: Int,
+    contentType: String,
+    fields: List<HttpField>,
+    keepAlive: Boolean,
+): DefaultHttpResponse {
+    val message = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
+    message.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType)
+    HttpUtil.setTransferEncodingChunked(message, true)
+    addFields(message.headers(), fields, keepAlive)
+    return message
+}
+
+private fun addFields(headers: HttpHeaders, fields: List<HttpField>, keepAlive: Boolean) {
+    fields.forEach { headers.add(it.name, it.value) }
+    if (!keepAlive) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+}
+
+internal fun sendAndClose(context: ChannelHandlerContext, response: HttpResponse) {
+    context.writeAndFlush(fullResponse(response, keepAlive = false)).addListener { context.close() }
+}
+
+internal fun lastContent(): LastHttpContent = DefaultLastHttpContent(Unpooled.EMPTY_BUFFER)
--- /dev/null
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/control/ControlThread.kt
@@ -0,0 +1,73 @@
+package io.lavenderhinge.instance.control
+
+import java.time.InstantSource
+import java.util.concurrent.ScheduledThreadPoolExecutor
+import java.util.concurrent.TimeUnit
+import kotlin.random.Random
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.slf4j.LoggerFactory
+
+/**
+ * The one thread that owns control state: queues, membership, settings, ledger and rollouts.
+ *
+ * Traffic threads hand work over with [scope]; state machines of the core run nowhere else.
+ */
+class ControlThread(
+    private val clock: InstantSource = InstantSource.system(),
+    val random: Random = Random.Default,
+) : AutoCloseable {
+    private val executor =
+        ScheduledThreadPoolExecutor(1) { task -> Thread(task, "control").apply { isDaemon = true } }
+
+    /** Coroutines started here run on the control thread. */
+    val scope = CoroutineScope(SupervisorJob() + executor.asCoroutineDispatcher())
+
+    /** Wall-clock time in epoch milliseconds. */
+    fun nowMillis(): Long = clock.millis()
+
+    /** Runs [action] soon, on the control thread. */
+    fun execute(action: () -> Unit) = executor.execute { guarded(action) }
+
+    /** Runs [action] once after [delayMillis]. */
+    fun after(delayMillis: Long, action: () -> Unit) {
+        executor.schedule({ guarded(action) }, delayMillis, TimeUnit.MILLISECONDS)
+    }
+
+    /** Runs [action] every [periodMillis], with up to a tenth of jitter to spread instances. */
+    fun every(periodMillis: Long, action: suspend () -> Unit) {
+        scope.launch {
+            while (true) {
+                delay(periodMillis + random.nextLong(periodMillis / JITTER_DIVISOR + 1))
+                try {
+                    action()
+                } catch (e: kotlinx.coroutines.CancellationException) {
+                    throw e
+                } catch (e: Exception) {
+                    log.error("control: a periodic task failed", e)
+                }
+            }
+        }
+    }
+
+    override fun close() {
+        scope.cancel()
+        executor.shutdownNow()
+    }
+
+    private fun guarded(action: () -> Unit) =
+        try {
+            action()
+        } catch (e: Exception) {
+            log.error("control: a task failed", e)
+        }
+
+    private companion object {
+        const val JITTER_DIVISOR = 10
+        val log = LoggerFactory.getLogger(ControlThread::class.java)
+    }
+}
