Add adapters for the platform and engines, and stand-ins that take faults

Each port of the core has one HTTP adapter. The stand-ins keep a record of what ran and take faults over /admin, so that tests can compare what callers were told with what happened.

--- /dev/null
+++ b/adapters/src/main/kotlin/io/lavenderhinge/adapters/HttpKeyValueStore.kt
@@ -0,0 +1,221 @@
+package io.lavenderhinge.adapters
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import com.fasterxml.jackson.databind.JsonNode
+import io.lavenderhinge.core.port.KeyValueStore
+import io.lavenderhinge.core.port.Lease
+import io.lavenderhinge.core.port.StoreFault
+import io.lavenderhinge.core.port.VersionedValue
+import io.lavenderhinge.core.port.WatchResult
+import io.lavenderhinge.http.CallTimeouts
+import io.lavenderhinge.http.HttpClient
+import java.net.InetSocketAddress
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.toImmutableList
+
+/**
+ * The key-value service over HTTP and JSON.
+ *
+ * A call that was not sent, or that the service refused with 429 or 503, is
+ * [StoreFault.Unavailable]; any other loss of the answer is [StoreFault.OutcomeUnknown].
+ */
+class HttpKeyValueStore(
+    client: HttpClient,
+    address: InetSocketAddress,
+    private val reads: CallBudget,
+    private val writes: CallBudget,
+    private val timeoutMillis: Long = 2_000,
+) : KeyValueStore {
+    private val http =
+        JsonClient(client, address, CallTimeouts(timeoutMillis, progressMillis = timeoutMillis))
+
+    override suspend fun get(key: String): Either<StoreFault, VersionedValue?> {
+        val response =
+            call(reads, "GET", "/v1/kv/${encode(key)}")
+                .fold(
+                    {
+                        return it.left()
+                    },
+                    { it },
+                )
+        if (response.status == STATUS_NOT_FOUND) return null.right()
+        return value(response.body).map { it }
+    }
+
+    override suspend fun list(prefix: String): Either<StoreFault, ImmutableList<VersionedValue>> {
+        val response =
+            call(reads, "GET", "/v1/kv", "prefix=${encode(prefix)}")
+                .fold(
+                    {
+                        return it.left()
+                    },
+                    { it },
+                )
+        return values(response.body?.get("entries"))
+    }
+
+    override suspend fun compareAndSwap(
+        key: String,
+        expectedVersion: Long,
+        value: String,
+        leaseId: String?,
+    ): Either<StoreFault, Long> {
+        val bytes = value.toByteArray()
+        if (bytes.size > VALUE_BYTES) return StoreFault.TooLarge(bytes.size).left()
+        val lease = leaseId?.let { "&lease=${encode(it)}" }.orEmpty()
+        val response =
+            call(writes, "PUT", "/v1/kv/${encode(key)}", "expected=$expectedVersion$lease", bytes)
+                .fold(
+                    {
+                        return it.left()
+                    },
+                    { it },
+                )
+        return when (response.status) {
+            STATUS_OK -> long(response.body, "version")
+            STATUS_CONFLICT -> conflict(response.body).left()
+            STATUS_TOO_LARGE -> StoreFault.TooLarge(bytes.size).left()
+            else -> malformed().left()
+        }
+    }
+
+    override suspend fun watch(
+        prefix: String,
+        afterRevision: Long,
+        waitMillis: Long,
+    ): Either<StoreFault, WatchResult> {
+        val query = "prefix=${encode(prefix)}&after=$afterRevision&wait=$waitMillis"
+        val timeouts = CallTimeouts(timeoutMillis, waitMillis + timeoutMillis)
+        val response =
+            call(reads, "GET", "/v1/watch", query, timeouts = timeouts)
+                .fold(
+                    {
+                        return it.left()
+                    },
+                    { it },
+                )
+        val revision =
+            long(response.body, "revision")
+                .fold(
+                    {
+                        return it.left()
+                    },
+                    { it },
+                )
+        return values(response.body?.get("changes")).map { WatchResult(it, revision) }
+    }
+
+    override suspend fun grantLease(timeToLiveMillis: Long): Either<StoreFault, Lease> {
+        val response =
+            call(writes, "POST", "/v1/leases", "ttl=$timeToLiveMillis")
+                .fold(
+                    {
+                        return it.left()
+                    },
+                    { it },
+                )
+        return lease(response)
+    }
+
+    override suspend fun renewLease(leaseId: String): Either<StoreFault, Lease> {
+        val response =
+            call(writes, "POST", "/v1/leases/${encode(leaseId)}/renew")
+                .fold(
+                    {
+                        return it.left()
+                    },
+                    { it },
+                )
+        if (response.status == STATUS_NOT_FOUND) return StoreFault.Conflict(null).left()
+        return lease(response)
+    }
+
+    private suspend fun call(
+        budget: CallBudget,
+        method: String,
+        path: String,
+        query: String = "",
+        body: ByteArray = ByteArray(0),
+        timeouts: CallTimeouts = CallTimeouts(timeoutMillis, timeoutMillis),
+    ): Either<StoreFault, JsonResponse> {
+        val waitMillis = budget.takeOrWaitMillis()
+        if (waitMillis > 0) return StoreFault.BudgetExhausted(waitMillis).left()
+        val response =
+            http
+                .call(method, path, query, body, timeouts)
+                .fold(
+                    {
+                        return fault(it).left()
+                    },
+                    { it },
+                )
+        return when (response.status) {
+            STATUS_TOO_MANY,
+            STATUS_UNAVAILABLE ->
+                StoreFault.Unavailable("the key-value service refused the call; retry later").left()
+            in SERVER_ERRORS -> malformed().left()
+            else -> response.right()
+        }
+    }
+
+    private fun fault(fault: CallFault): StoreFault =
+        when (fault) {
+            is CallFault.NotSent -> StoreFault.Unavailable(fault.message)
+            is CallFault.Unknown -> StoreFault.OutcomeUnknown(fault.message)
+        }
+
+    private fun conflict(body: JsonNode?): StoreFault {
+        val current = body?.get("current")?.takeUnless { it.isNull }
+        return StoreFault.Conflict(value(current).getOrNull())
+    }
+
+    private fun value(node: JsonNode?): Either<StoreFault, VersionedValue> {
+        val key = node?.get("key")?.textValue()
+        val text = node?.get("value")?.textValue()
+        val version = node?.get("version")?.takeIf { it.isIntegralNumber }?.longValue()
+        if (key == null || text == null || version == null) return malformed().left()
+        return VersionedValue(key, text, version).right()
+    }
+
+    private fun values(node: JsonNode?): Either<StoreFault, ImmutableList<VersionedValue>> {
+        if (node == null || !node.isArray) return malformed().left()
+        return node
+            .map { entry ->
+                value(entry)
+                    .fold(
+                        {
+                            return it.left()
+                        },
+                        { it },
+                    )
+            }
+            .toImmutableList()
+            .right()
+    }
+
+    private fun lease(response: JsonResponse): Either<StoreFault, Lease> {
+        val id = response.body?.get("id")?.textValue() ?: return malformed().left()
+        return long(response.body, "ttlMillis").map { Lease(id, it) }
+    }
+
+    private fun long(node: JsonNode?, field: String): Either<StoreFault, Long> =
+        node?.get(field)?.takeIf { it.isIntegralNumber }?.longValue()?.right() ?: malformed().left()
+
+    private fun malformed(): StoreFault =
+        StoreFault.OutcomeUnknown(
+            "the key-value service sent a malformed answer; read the key back"
+        )
+
+    private companion object {
+        const val VALUE_BYTES = 1_000_000
+        const val STATUS_OK = 200
+        const val STATUS_NOT_FOUND = 404
+        const val STATUS_CONFLICT = 409
+        const val STATUS_TOO_LARGE = 413
+        const val STATUS_TOO_MANY = 429
+        const val STATUS_UNAVAILABLE = 503
+        val SERVER_ERRORS = 500..599
+    }
+}
--- /dev/null
+++ b/adapters/src/main/kotlin/io/lavenderhinge/adapters/HttpLiveList.kt
@@ -0,0 +1,50 @@
+package io.lavenderhinge.adapters
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import com.fasterxml.jackson.module.kotlin.treeToValue
+import io.lavenderhinge.core.port.ListedMember
+import io.lavenderhinge.core.port.LiveList
+import io.lavenderhinge.core.port.LiveListFault
+import io.lavenderhinge.http.CallTimeouts
+import io.lavenderhinge.http.HttpClient
+import java.net.InetSocketAddress
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.toImmutableList
+
+/** The platform's live list over HTTP and JSON. */
+class HttpLiveList(
+    client: HttpClient,
+    address: InetSocketAddress,
+    private val reads: CallBudget,
+    timeoutMillis: Long = 2_000,
+) : LiveList {
+    private val http = JsonClient(client, address, CallTimeouts(timeoutMillis, timeoutMillis))
+
+    override suspend fun fetch(): Either<LiveListFault, ImmutableList<ListedMember>> {
+        if (reads.takeOrWaitMillis() > 0) return LiveListFault("the call budget is used up").left()
+        val response =
+            http
+                .call("GET", "/v1/members")
+                .fold(
+                    {
+                        return LiveListFault(it.message).left()
+                    },
+                    { it },
+                )
+        val body = response.body
+        if (response.status != STATUS_OK || body == null || !body.isArray) {
+            return LiveListFault("the live list answered with status ${response.status}").left()
+        }
+        // One malformed member must not hide the others.
+        return body
+            .mapNotNull { runCatching { Json.mapper.treeToValue<ListedMember>(it) }.getOrNull() }
+            .toImmutableList()
+            .right()
+    }
+
+    private companion object {
+        const val STATUS_OK = 200
+    }
+}
--- /dev/null
+++ b/adapters/src/main/kotlin/io/lavenderhinge/adapters/HttpWeightStore.kt
@@ -0,0 +1,43 @@
+package io.lavenderhinge.adapters
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.lavenderhinge.core.port.WeightStore
+import io.lavenderhinge.core.port.WeightStoreFault
+import io.lavenderhinge.http.CallTimeouts
+import io.lavenderhinge.http.HttpClient
+import java.net.InetSocketAddress
+
+/** The weight store over HTTP. */
+class HttpWeightStore(client: HttpClient, address: InetSocketAddress, timeoutMillis: Long = 2_000) :
+    WeightStore {
+    private val http = JsonClient(client, address, CallTimeouts(timeoutMillis, timeoutMillis))
+
+    override suspend fun has(model: String, version: String): Either<WeightStoreFault, Boolean> {
+        val path = "/v1/weights/${encode(model)}/${encode(version)}"
+        val response =
+            http
+                .call("GET", path)
+                .fold(
+                    {
+                        return WeightStoreFault(it.message, null).left()
+                    },
+                    { it },
+                )
+        return when (response.status) {
+            STATUS_OK -> true.right()
+            STATUS_NOT_FOUND -> false.right()
+            STATUS_TOO_MANY ->
+                WeightStoreFault("the weight store is over its rate", RETRY_MILLIS).left()
+            else -> WeightStoreFault("the weight store answered ${response.status}", null).left()
+        }
+    }
+
+    private companion object {
+        const val STATUS_OK = 200
+        const val STATUS_NOT_FOUND = 404
+        const val STATUS_TOO_MANY = 429
+        const val RETRY_MILLIS = 1_000L
+    }
+}
--- /dev/null
+++ b/adapters/src/main/kotlin/io/lavenderhinge/adapters/JsonClient.kt
@@ -0,0 +1,51 @@
+package io.lavenderhinge.adapters
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import com.fasterxml.jackson.databind.JsonNode
+import io.lavenderhinge.http.CallTimeouts
+import io.lavenderhinge.http.HttpCallException
+import io.lavenderhinge.http.HttpClient
+import io.lavenderhinge.http.HttpRequest
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import java.net.InetSocketAddress
+import java.net.URLEncoder
+
+/** A JSON response; [body] is null when the response carried no JSON. */
+internal data class JsonResponse(val status: Int, val body: JsonNode?)
+
+/** Why a call gave no response. */
+internal sealed interface CallFault {
+    val message: String
+
+    data class NotSent(override val message: String) : CallFault
+
+    data class Unknown(override val message: String) : CallFault
+}
+
+/** Calls one HTTP endpoint that speaks JSON. */
+internal class JsonClient(
+    private val client: HttpClient,
+    private val address: InetSocketAddress,
+    private val timeouts: CallTimeouts,
+) {
+    suspend fun call(
+        method: String,
+        path: String,
+        query: String = "",
+        body: ByteArray = ByteArray(0),
+        timeouts: CallTimeouts = this.timeouts,
+    ): Either<CallFault, JsonResponse> =
+        try {
+            val request = HttpRequest(method, path, query, DefaultHttpHeaders(), body)
+            val response = client.call(address, request, timeouts)
+            JsonResponse(response.status, Json.parseOrNull(response.body)).right()
+        } catch (e: HttpCallException.NotSent) {
+            CallFault.NotSent(e.message.orEmpty()).left()
+        } catch (e: HttpCallException.OutcomeUnknown) {
+            CallFault.Unknown(e.message.orEmpty()).left()
+        }
+}
+
+internal fun encode(text: String): String = URLEncoder.encode(text, Charsets.UTF_8)
--- /dev/null
+++ b/standins/src/main/kotlin/io/lavenderhinge/standins/FaultInjector.kt
@@ -0,0 +1,77 @@
+package io.lavenderhinge.standins
+
+import io.lavenderhinge.http.HttpBodyWriter
+import io.lavenderhinge.http.HttpExchange
+import io.lavenderhinge.http.HttpField
+import io.lavenderhinge.http.HttpHandler
+import io.lavenderhinge.http.HttpResponse
+import java.util.concurrent.atomic.AtomicInteger
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+
+/**
+ * Faults in force at a stand-in.
+ * - [outage]: every call is refused with 503 before it takes effect.
+ * - [delayMillis]: every call waits before it takes effect.
+ * - [loseAnswers]: that many of the next calls take effect and get no answer.
+ * - [silent]: calls take effect and the connection then stays open without an answer.
+ */
+data class Faults(
+    val outage: Boolean = false,
+    val delayMillis: Long = 0,
+    val loseAnswers: Int = 0,
+    val silent: Boolean = false,
+)
+
+/** Applies [Faults] to all paths but `/admin/...`; `POST /admin/faults` replaces those in force. */
+internal class FaultInjector(private val inner: HttpHandler) : HttpHandler {
+    @Volatile private var faults = Faults()
+    private val answersToLose = AtomicInteger()
+
+    override suspend fun handle(exchange: HttpExchange) {
+        if (exchange.request.path == "/admin/faults") return configure(exchange)
+        if (exchange.request.path.startsWith("/admin/")) return inner.handle(exchange)
+        val current = faults
+        if (current.delayMillis > 0) delay(current.delayMillis)
+        if (current.outage) return exchange.respondJson(mapOf("error" to "outage"), OUTAGE_STATUS)
+        if (current.silent) {
+            inner.handle(DroppingExchange(exchange))
+            awaitCancellation()
+        }
+        if (answersToLose.getAndUpdate { (it - 1).coerceAtLeast(0) } > 0) {
+            return inner.handle(DroppingExchange(exchange))
+        }
+        inner.handle(exchange)
+    }
+
+    private suspend fun configure(exchange: HttpExchange) {
+        if (exchange.request.method == "POST") {
+            faults = json.treeToValue(exchange.jsonBody(), Faults::class.java)
+            answersToLose.set(faults.loseAnswers)
+        }
+        exchange.respondJson(faults)
+    }
+
+    private companion object {
+        const val OUTAGE_STATUS = 503
+    }
+}
+
+/** Lets a call take effect and drops its answer. */
+private class DroppingExchange(private val inner: HttpExchange) : HttpExchange {
+    override val request
+        get() = inner.request
+
+    override suspend fun respond(response: HttpResponse) = Unit
+
+    override suspend fun startStream(
+        status: Int,
+        contentType: String,
+        headers: List<HttpField>,
+    ): HttpBodyWriter =
+        object : HttpBodyWriter {
+            override suspend fun write(bytes: ByteArray) = Unit
+
+            override suspend fun end() = Unit
+        }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/io/lavenderhinge/standins/Main.kt
@@ -0,0 +1,12 @@
+package io.lavenderhinge.standins
+
+import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.core.subcommands
+import io.lavenderhinge.standins.engine.EngineCommand
+import io.lavenderhinge.standins.platform.PlatformCommand
+import io.lavenderhinge.standins.service.ServiceCommand
+
+fun main(arguments: Array<String>) =
+    StandinsCommand()
+        .subcommands(PlatformCommand(), EngineCommand(), ServiceCommand())
+        .main(arguments)
--- /dev/null
+++ b/standins/src/main/kotlin/io/lavenderhinge/standins/engine/EngineHandler.kt
@@ -0,0 +1,153 @@
+package io.lavenderhinge.standins.engine
+
+import com.fasterxml.jackson.databind.JsonNode
+import io.lavenderhinge.http.HttpExchange
+import io.lavenderhinge.http.HttpField
+import io.lavenderhinge.http.HttpHandler
+import io.lavenderhinge.standins.json
+import io.lavenderhinge.standins.jsonBody
+import io.lavenderhinge.standins.parameter
+import io.lavenderhinge.standins.respondJson
+import kotlin.random.Random
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.flow.first
+
+/**
+ * A model engine with the chat-completions interface, streams that can be resumed and cancelled,
+ * load reports and orders.
+ *
+ * Token `i` of an answer is `<first word of the last message>:<i>`, so that a caller can tell that
+ * the whole answer is its own. `POST /admin/engine` sets [EngineFaults]; `GET /admin/record` tells
+ * what ran.
+ */
+class EngineHandler(
+    speed: EngineSpeed = EngineSpeed(),
+    version: String = "1",
+    private val checksOrders: Boolean = true,
+) : HttpHandler {
+    private val state = EngineState(speed, version)
+
+    override suspend fun handle(exchange: HttpExchange) {
+        val path = exchange.request.path
+        when {
+            path == "/admin/record" -> exchange.respondJson(state.record.all())
+            path == "/admin/engine" -> configure(exchange)
+            path == "/v1/load" -> load(exchange)
+            path == "/v1/orders" -> order(exchange)
+            path == "/v1/cache-events" -> exchange.respondJson(emptyList<Any>())
+            path == "/v1/chat/completions" -> complete(exchange)
+            path.startsWith("/v1/streams/") -> stream(exchange)
+            else -> exchange.respondJson(mapOf("error" to "no such path"), NOT_FOUND)
+        }
+    }
+
+    private suspend fun configure(exchange: HttpExchange) {
+        state.faults = json.treeToValue(exchange.jsonBody(), EngineFaults::class.java)
+        exchange.respondJson(state.faults)
+    }
+
+    private suspend fun load(exchange: HttpExchange) =
+        exchange.respondJson(
+            mapOf(
+                "running" to state.running.get(),
+                "waiting" to 0,
+                "contextTokens" to state.contextTokens.get(),
+                "version" to state.versions.joinToString(","),
+                "ageMillis" to 0,
+            )
+        )
+
+    private suspend fun order(exchange: HttpExchange) {
+        val body = exchange.jsonBody()
+        val number = body.path("fencingNumber").asLong()
+        val current =
+            state.order(
+                body.path("action").asText(),
+                body.path("version").asText(),
+                number,
+                checksOrders,
+            )
+        if (current != null) {
+            return exchange.respondJson(mapOf("currentFencingNumber" to current), FENCED)
+        }
+        exchange.respondJson(mapOf("done" to true))
+    }
+
+    private suspend fun complete(exchange: HttpExchange) {
+        val body = exchange.jsonBody()
+        val version = exchange.request.header("X-Model-Version") ?: state.versions.first()
+        val fault = state.faults.versions[version]
+        when {
+            state.faults.draining -> exchange.respondJson(mapOf("draining" to true), UNAVAILABLE)
+            version !in state.versions ->
+                exchange.respondJson(mapOf("error" to "version $version is not loaded"), NOT_FOUND)
+            fault != null && Random.nextDouble() < fault.errorFraction ->
+                exchange.respondJson(mapOf("error" to "model failed"), SERVER_ERROR)
+            else -> generate(exchange, body, version)
+        }
+    }
+
+    private suspend fun generate(exchange: HttpExchange, body: JsonNode, version: String) {
+        val requestId = exchange.request.header("X-Request-Id").orEmpty()
+        val messages = body.path("messages").map { it.path("content").asText() }
+        val marker = messages.lastOrNull()?.substringBefore(' ').orEmpty()
+        val tokens = body.path("max_tokens").asInt(DEFAULT_TOKENS)
+        val generation = Generation(requestId, marker, tokens)
+        state.start(generation, version, messages.sumOf { it.split(' ').size })
+        if (body.path("stream").asBoolean(false)) send(exchange, generation, from = 0)
+        else respondWhole(exchange, generation)
+    }
+
+    private suspend fun respondWhole(exchange: HttpExchange, generation: Generation) {
+        generation.produced.first { it >= generation.tokens }
+        val text = (0 until generation.tokens).joinToString(" ") { "${generation.marker}:$it" }
+        val choice =
+            mapOf("index" to 0, "message" to mapOf("role" to "assistant", "content" to text))
+        exchange.respondJson(mapOf("id" to generation.requestId, "choices" to listOf(choice)))
+    }
+
+    private suspend fun stream(exchange: HttpExchange) {
+        val requestId = exchange.request.path.removePrefix("/v1/streams/")
+        if (exchange.request.method == "DELETE") {
+            state.cancel(requestId)
+            return exchange.respondJson(mapOf("cancelled" to true))
+        }
+        val generation =
+            state.generations[requestId]
+                ?: return exchange.respondJson(mapOf("error" to "no such stream"), NOT_FOUND)
+        send(exchange, generation, exchange.parameter("from")?.toIntOrNull() ?: 0)
+    }
+
+    private suspend fun send(exchange: HttpExchange, generation: Generation, from: Int) {
+        val writer =
+            exchange.startStream(OK, "text/event-stream", listOf(HttpField("X-Resumable", "true")))
+        for (index in from until generation.tokens) {
+            generation.produced.first { it > index }
+            // A resumed stream is not cut again, so that one fault can be recovered from.
+            if (from == 0 && state.faults.dropAfterTokens == index) return
+            if (from == 0 && state.faults.stallAfterTokens == index) awaitCancellation()
+            writer.write(event(generation, index))
+        }
+        writer.write("data: [DONE]\n\n".toByteArray())
+        writer.end()
+    }
+
+    private fun event(generation: Generation, index: Int): ByteArray {
+        val text = "${generation.marker}:$index "
+        val choice = mapOf("index" to 0, "delta" to mapOf("content" to text))
+        val data =
+            json.writeValueAsString(
+                mapOf("id" to generation.requestId, "choices" to listOf(choice))
+            )
+        return "id: $index\ndata: $data\n\n".toByteArray()
+    }
+
+    private companion object {
+        const val OK = 200
+        const val NOT_FOUND = 404
+        const val FENCED = 412
+        const val SERVER_ERROR = 500
+        const val UNAVAILABLE = 503
+        const val DEFAULT_TOKENS = 16
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/io/lavenderhinge/standins/engine/EngineState.kt
@@ -0,0 +1,102 @@
+package io.lavenderhinge.standins.engine
+
+import io.lavenderhinge.standins.RunRecord
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.launch
+
+/** Speed of a fake engine; [knee] is the batch size from which a step takes twice as long. */
+data class EngineSpeed(
+    val prefillTokensPerSecond: Double = 20_000.0,
+    val stepMillis: Long = 10,
+    val knee: Int = 32,
+)
+
+/** How a version misbehaves. */
+data class VersionFault(val errorFraction: Double = 0.0, val slowFactor: Double = 1.0)
+
+/** Faults of one engine beyond those of its connections. */
+data class EngineFaults(
+    val slowFactor: Double = 1.0,
+    val draining: Boolean = false,
+    val dropAfterTokens: Int? = null,
+    val stallAfterTokens: Int? = null,
+    val versions: Map<String, VersionFault> = emptyMap(),
+)
+
+/** A generation; it goes on without a reader for a while, so that a stream can be resumed. */
+internal class Generation(val requestId: String, val marker: String, val tokens: Int) {
+    val produced = MutableStateFlow(0)
+    @Volatile var cancelled = false
+    var job: Job? = null
+}
+
+/** State of the fake engine; thread safe. */
+internal class EngineState(private val speed: EngineSpeed, initialVersion: String) {
+    val record = RunRecord()
+    val running = AtomicInteger()
+    val contextTokens = AtomicLong()
+    val versions: MutableSet<String> = ConcurrentHashMap.newKeySet()
+    val generations = ConcurrentHashMap<String, Generation>()
+    @Volatile var faults = EngineFaults()
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private var fencingNumber = 0L
+
+    init {
+        versions.add(initialVersion)
+    }
+
+    fun start(generation: Generation, version: String, promptTokens: Int) {
+        generations[generation.requestId] = generation
+        record.started(generation.requestId, null, version)
+        generation.job = scope.launch { generate(generation, version, promptTokens) }
+    }
+
+    fun cancel(requestId: String) {
+        val generation = generations.remove(requestId) ?: return
+        generation.cancelled = true
+        generation.job?.cancel()
+    }
+
+    /** Applies an order; returns the current fencing number when [number] is an old one. */
+    @Synchronized
+    fun order(action: String, version: String, number: Long, checks: Boolean): Long? {
+        if (checks && number < fencingNumber) return fencingNumber
+        fencingNumber = maxOf(fencingNumber, number)
+        if (action == "LOAD") versions.add(version) else versions.remove(version)
+        return null
+    }
+
+    private suspend fun generate(generation: Generation, version: String, promptTokens: Int) {
+        val slow = faults.slowFactor * (faults.versions[version]?.slowFactor ?: 1.0)
+        val context = promptTokens + generation.tokens.toLong()
+        running.incrementAndGet()
+        contextTokens.addAndGet(context)
+        try {
+            delay((promptTokens / speed.prefillTokensPerSecond * MILLIS_PER_SECOND * slow).toLong())
+            repeat(generation.tokens) {
+                val load = 1.0 + running.get().toDouble() / speed.knee
+                delay((speed.stepMillis * load * slow).toLong())
+                generation.produced.value = it + 1
+            }
+            record.finished(generation.requestId)
+        } finally {
+            running.decrementAndGet()
+            contextTokens.addAndGet(-context)
+        }
+        delay(RESUME_WINDOW_MILLIS)
+        generations.remove(generation.requestId)
+    }
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1_000.0
+        const val RESUME_WINDOW_MILLIS = 10_000L
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/io/lavenderhinge/standins/platform/KeyValueState.kt
@@ -0,0 +1,84 @@
+package io.lavenderhinge.standins.platform
+
+/** A stored value; [revision] is the store-wide number of the write. */
+internal data class Entry(
+    val key: String,
+    val value: String,
+    val version: Long,
+    val revision: Long,
+    val lease: String?,
+)
+
+/** Result of a compare-and-swap. */
+internal sealed interface SwapResult {
+    data class Written(val entry: Entry) : SwapResult
+
+    data class Conflict(val current: Entry?) : SwapResult
+}
+
+/** State of the fake key-value service; thread safe. */
+internal class KeyValueState(private val nowMillis: () -> Long = System::currentTimeMillis) {
+    private val entries = sortedMapOf<String, Entry>()
+    private val leases = mutableMapOf<String, LeaseState>()
+    private var revision = 0L
+    private var leaseCount = 0L
+
+    private class LeaseState(val timeToLiveMillis: Long, var expiresMillis: Long)
+
+    @Synchronized
+    fun get(key: String): Entry? {
+        expire()
+        return entries[key]
+    }
+
+    @Synchronized
+    fun list(prefix: String): List<Entry> {
+        expire()
+        return entries.tailMap(prefix).values.takeWhile { it.key.startsWith(prefix) }
+    }
+
+    @Synchronized
+    fun changes(prefix: String, after: Long): Pair<List<Entry>, Long> {
+        val changed = list(prefix).filter { it.revision > after }.sortedBy { it.revision }
+        return changed to revision
+    }
+
+    @Synchronized
+    fun swap(key: String, expectedVersion: Long, value: String, lease: String?): SwapResult {
+        expire()
+        val current = entries[key]
+        if ((current?.version ?: 0L) != expectedVersion) return SwapResult.Conflict(current)
+        if (lease != null && lease !in leases) return SwapResult.Conflict(current)
+        revision++
+        // The version comes from the store-wide revision, so it rises even when a key is
+        // re-created.
+        val entry = Entry(key, value, revision, revision, lease)
+        entries[key] = entry
+        return SwapResult.Written(entry)
+    }
+
+    @Synchronized
+    fun grantLease(timeToLiveMillis: Long): String {
+        val id = "lease-${++leaseCount}"
+        leases[id] = LeaseState(timeToLiveMillis, nowMillis() + timeToLiveMillis)
+        return id
+    }
+
+    /** Renews a lease and returns its time to live, or null when it has lapsed. */
+    @Synchronized
+    fun renewLease(id: String): Long? {
+        expire()
+        val lease = leases[id] ?: return null
+        lease.expiresMillis = nowMillis() + lease.timeToLiveMillis
+        return lease.timeToLiveMillis
+    }
+
+    private fun expire() {
+        val now = nowMillis()
+        val lapsed = leases.filterValues { it.expiresMillis <= now }.keys.toSet()
+        if (lapsed.isEmpty()) return
+        leases.keys.removeAll(lapsed)
+        entries.values.removeIf { it.lease in lapsed }
+        revision++
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/io/lavenderhinge/standins/service/ServiceHandler.kt
@@ -0,0 +1,56 @@
+package io.lavenderhinge.standins.service
+
+import io.lavenderhinge.http.HttpExchange
+import io.lavenderhinge.http.HttpHandler
+import io.lavenderhinge.standins.RunRecord
+import io.lavenderhinge.standins.respondJson
+import java.util.concurrent.atomic.AtomicInteger
+import kotlinx.coroutines.delay
+
+/**
+ * A plain service: every POST takes effect once more and counts up; a GET looks up the count.
+ *
+ * `GET /admin/record` tells what ran; `POST /admin/draining?on=true` makes it refuse new work.
+ */
+class ServiceHandler(private val workMillis: Long = 5) : HttpHandler {
+    private val record = RunRecord()
+    private val count = AtomicInteger()
+    private val running = AtomicInteger()
+    @Volatile private var draining = false
+
+    override suspend fun handle(exchange: HttpExchange) {
+        val request = exchange.request
+        when {
+            request.path == "/admin/record" -> exchange.respondJson(record.all())
+            request.path == "/admin/draining" -> {
+                draining = request.query == "on=true"
+                exchange.respondJson(mapOf("draining" to draining))
+            }
+            request.path == "/v1/load" ->
+                exchange.respondJson(mapOf("running" to running.get(), "waiting" to 0))
+            draining -> exchange.respondJson(mapOf("draining" to true), UNAVAILABLE)
+            else -> serve(exchange)
+        }
+    }
+
+    private suspend fun serve(exchange: HttpExchange) {
+        val request = exchange.request
+        val requestId = request.header("X-Request-Id").orEmpty()
+        running.incrementAndGet()
+        try {
+            record.started(requestId, request.header("Idempotency-Key"), request.path)
+            delay(workMillis)
+            val number = if (request.method == "GET") count.get() else count.incrementAndGet()
+            record.finished(requestId)
+            exchange.respondJson(
+                mapOf("number" to number, "path" to request.path, "echo" to String(request.body))
+            )
+        } finally {
+            running.decrementAndGet()
+        }
+    }
+
+    private companion object {
+        const val UNAVAILABLE = 503
+    }
+}
