--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/routing/EntryEffect.kt
@@ -0,0 +1,19 @@
+package io.lavenderhinge.core.routing
+
+import io.lavenderhinge.core.scheduling.HomeEvent
+
+/** What the router of an entry wants done. */
+sealed interface EntryEffect {
+    /** Sends [event] to the home of [serverId] on the instance [homeId]. */
+    data class Send(val homeId: String, val serverId: String, val event: HomeEvent) : EntryEffect
+
+    /** The request may be dispatched to [server] now, once. */
+    data class Granted(val requestId: String, val server: ServerView, val cachedPrefixTokens: Int) :
+        EntryEffect
+
+    /** The request gets no slot. */
+    data class Refused(val requestId: String, val refusal: SlotRefusal) : EntryEffect
+
+    /** The request in service must be suspended or cancelled. */
+    data class Preempted(val requestId: String) : EntryEffect
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/routing/EntryEvent.kt
@@ -0,0 +1,40 @@
+package io.lavenderhinge.core.routing
+
+import io.lavenderhinge.core.scheduling.HomeEffect
+import io.lavenderhinge.core.scheduling.HomeSummary
+import io.lavenderhinge.core.scheduling.SlotResult
+import kotlinx.collections.immutable.ImmutableList
+
+/** What can happen to the router of an entry. */
+sealed interface EntryEvent {
+    /** A caller's request needs a slot. */
+    data class Requested(val request: SlotRequest) : EntryEvent
+
+    /** The caller went away, or no longer needs the slot that it waits for or holds unused. */
+    data class Released(val requestId: String) : EntryEvent
+
+    /** The request that held the slot ended. */
+    data class Finished(val requestId: String, val result: SlotResult) : EntryEvent
+
+    /** A home answered. */
+    data class HomeAnswered(val homeId: String, val serverId: String, val message: HomeEffect) :
+        EntryEvent
+
+    /** The link to an instance broke, or a message to it could not be sent. */
+    data class LinkLost(val instanceId: String) : EntryEvent
+
+    /** The live instances or backend servers changed. */
+    data class ViewChanged(
+        val instances: ImmutableList<InstanceView>,
+        val servers: ImmutableList<ServerView>,
+    ) : EntryEvent
+
+    /** Gossip brought summaries of homes. */
+    data class SummariesReceived(val summaries: ImmutableList<HomeSummary>) : EntryEvent
+
+    /** Time passed; sent at least every 100 ms. */
+    data object Tick : EntryEvent
+
+    /** This instance shuts down: waiting requests are refused. */
+    data object Closed : EntryEvent
+}
