--- /dev/null
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/caller/Problem.kt
@@ -0,0 +1,89 @@
+package io.lavenderhinge.instance.caller
+
+import io.lavenderhinge.adapters.Json
+import io.lavenderhinge.core.routing.SlotRefusal
+import io.lavenderhinge.core.routing.SlotRefusalReason
+import io.lavenderhinge.http.HttpField
+import io.lavenderhinge.http.HttpResponse
+
+/** Whether a request that got an error can have run. */
+enum class Outcome(val text: String) {
+    NOT_RUN("not-run"),
+    UNKNOWN("unknown"),
+}
+
+/** An error told to a caller. [code] is stable; [remedy] says what the caller can do. */
+data class Problem(
+    val status: Int,
+    val code: String,
+    val remedy: String,
+    val outcome: Outcome,
+    val retryAfterMillis: Long? = null,
+) {
+    /** The body of the `application/problem+json` document. */
+    fun body(requestId: String): ByteArray =
+        Json.render(
+            mapOf(
+                "status" to status,
+                "code" to code,
+                "remedy" to remedy,
+                "outcome" to outcome.text,
+                "requestId" to requestId,
+            )
+        )
+
+    /** The response that carries this problem. */
+    fun response(requestId: String): HttpResponse {
+        val retryAfter = retryAfterMillis?.let { HttpField("Retry-After", seconds(it).toString()) }
+        return HttpResponse(
+            status,
+            body(requestId),
+            listOfNotNull(HttpField("X-Request-Id", requestId), retryAfter),
+            "application/problem+json",
+        )
+    }
+
+    private fun seconds(millis: Long): Long = (millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND
+
+    companion object {
+        private const val MILLIS_PER_SECOND = 1_000L
+
+        fun notRun(status: Int, code: String, remedy: String, retryAfterMillis: Long? = null) =
+            Problem(status, code, remedy, Outcome.NOT_RUN, retryAfterMillis)
+
+        fun unknown(status: Int, code: String, remedy: String) =
+            Problem(status, code, remedy, Outcome.UNKNOWN)
+
+        val INVALID_REQUEST_ID =
+            notRun(400, "invalid-request-id", "use 1 to 128 visible ASCII characters")
+        val UNKNOWN_CREDENTIAL =
+            notRun(401, "unknown-credential", "send the workspace's token as Authorization: Bearer")
+        val NO_ROUTE = notRun(404, "no-route", "check the path and the model against the settings")
+        val INVALID_BODY =
+            notRun(400, "invalid-body", "send a JSON object with a messages array of text contents")
+        val INVALID_DEADLINE =
+            notRun(400, "invalid-deadline", "send X-Deadline-Ms as a whole number from 1 to 3600000")
+        val METHOD_NOT_ALLOWED = notRun(405, "method-not-allowed", "use POST on a model route")
+        val NOT_READY =
+            notRun(503, "not-ready", "retry; this instance has no settings in force yet", 1_000)
+        val ENGINE_UNKNOWN =
+            unknown(502, "answer-lost", "the backend server's answer was lost; check before repeating")
+        val PREEMPTED =
+            unknown(503, "preempted", "urgent requests needed the backend server; repeat later")
+        val TIMEOUT =
+            unknown(504, "deadline-exceeded", "the request may have run; check before repeating")
+
+        /** The problem of a request that got no slot. */
+        fun of(refusal: SlotRefusal): Problem {
+            val code =
+                when (refusal.reason) {
+                    SlotRefusalReason.NO_SERVER -> "no-backend-server"
+                    SlotRefusalReason.DEADLINE -> "deadline-infeasible"
+                    SlotRefusalReason.OVERLOADED -> "overloaded"
+                    SlotRefusalReason.RETRY_BUDGET -> "retry-budget-exhausted"
+                    SlotRefusalReason.SHUTDOWN -> "shutting-down"
+                }
+            return notRun(503, code, refusal.message, refusal.retryAfterMillis)
+        }
+    }
+}
