Add the public types of the ledger and its entry point

Cause: the request path and other parts need the ledger's signature before its logic exists. Compiled; no tests yet.

--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/ledger/LedgerAnswer.kt
@@ -0,0 +1,15 @@
+package io.lavenderhinge.core.ledger
+
+/** A backend server's answer to a non-idempotent request, kept for repeats of its key. */
+class LedgerAnswer(val status: Int, val contentType: String, val body: ByteArray) {
+    override fun equals(other: Any?): Boolean =
+        other is LedgerAnswer &&
+            status == other.status &&
+            contentType == other.contentType &&
+            body.contentEquals(other.body)
+
+    override fun hashCode(): Int =
+        (status * 31 + contentType.hashCode()) * 31 + body.contentHashCode()
+
+    override fun toString(): String = "LedgerAnswer($status, $contentType, ${body.size} bytes)"
+}
--- /dev/null
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/ledger/Ledger.kt
@@ -0,0 +1,20 @@
+package io.lavenderhinge.instance.ledger
+
+import io.lavenderhinge.core.ledger.DispatchOutcome
+import io.lavenderhinge.core.ledger.LedgerRequest
+import io.lavenderhinge.core.ledger.LedgerResult
+
+/** Runs non-idempotent requests at most once. Safe to call from any thread. */
+interface Ledger {
+    /**
+     * Reserves the key of [request] and, if it is new, runs [dispatch] once.
+     *
+     * [dispatch] must return [DispatchOutcome.NeverSent] only when nothing was sent; an exception
+     * or cancellation counts as [DispatchOutcome.Lost]. Cancelling the call before the dispatch
+     * abandons the attempt.
+     */
+    suspend fun execute(
+        request: LedgerRequest,
+        dispatch: suspend () -> DispatchOutcome,
+    ): LedgerResult
+}
