--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/Bootstrap.kt
@@ -0,0 +1,45 @@
+package io.lavenderhinge.core.settings
+
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.persistentListOf
+
+/** An IP address and a port. */
+data class Address(val ip: String, val port: Int) {
+    override fun toString(): String = if (':' in ip) "[$ip]:$port" else "$ip:$port"
+}
+
+/** Who an instance is. */
+data class InstanceIdentity(val id: String, val failureDomain: String, val region: String)
+
+/** Where an instance listens. */
+data class ListenAddresses(val caller: Address, val peer: Address, val operator: Address)
+
+/** Where the platform's services are, and the instance's budget of calls to the key-value one. */
+data class PlatformSettings(
+    val keyValue: Address,
+    val liveList: Address,
+    val weightStore: Address?,
+    val readsPerSecond: Double,
+    val writesPerSecond: Double,
+)
+
+/** Bounds of the HTTP listeners. */
+data class ListenerLimits(
+    val requestLineBytes: Int,
+    val headBytes: Int,
+    val bodyBytes: Int,
+    val headMillis: Long,
+    val bodyMillis: Long,
+    val idleMillis: Long,
+    val connections: Int,
+    val pipelinedRequests: Int,
+)
+
+/** What an instance reads from its own file when it starts. */
+data class Bootstrap(
+    val identity: InstanceIdentity,
+    val listen: ListenAddresses,
+    val platform: PlatformSettings,
+    val limits: ListenerLimits,
+    val seedPeers: ImmutableList<Address> = persistentListOf(),
+)
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/BootstrapParser.kt
@@ -0,0 +1,72 @@
+package io.lavenderhinge.core.settings
+
+import arrow.core.Either
+import arrow.core.NonEmptyList
+import arrow.core.left
+import arrow.core.nonEmptyListOf
+import arrow.core.right
+import arrow.core.toNonEmptyListOrNull
+import kotlinx.collections.immutable.persistentListOf
+
+/** Parses an instance's own file. */
+object BootstrapParser {
+    private val nowhere = Address("0.0.0.0", 0)
+
+    /** Returns the settings in [text], or all its faults. [file] is named in the faults. */
+    fun parse(text: String, file: String): Either<NonEmptyList<SettingsFault>, Bootstrap> {
+        val sections =
+            IniText.read(text, file)
+                .fold(
+                    {
+                        return nonEmptyListOf(it).left()
+                    },
+                    { it },
+                )
+        val document = SettingsDocument(file, sections, BootstrapSchema.sections)
+        val bootstrap =
+            Bootstrap(
+                identity(document.single("instance")),
+                listen(document.single("listen")),
+                platform(document.single("platform")),
+                limits(document.single("limits")),
+                document.single("seeds").value(BootstrapSchema.seeds) ?: persistentListOf(),
+            )
+        return document.faults.toNonEmptyListOrNull()?.left() ?: bootstrap.right()
+    }
+
+    // A missing value has been reported as a fault, so its placeholder is never returned.
+    private fun identity(section: SectionReader) =
+        InstanceIdentity(
+            section.value(BootstrapSchema.id).orEmpty(),
+            section.value(BootstrapSchema.domain).orEmpty(),
+            section.value(BootstrapSchema.region).orEmpty(),
+        )
+
+    private fun listen(section: SectionReader) =
+        ListenAddresses(
+            section.value(BootstrapSchema.caller) ?: nowhere,
+            section.value(BootstrapSchema.peer) ?: nowhere,
+            section.value(BootstrapSchema.operator) ?: nowhere,
+        )
+
+    private fun platform(section: SectionReader) =
+        PlatformSettings(
+            section.value(BootstrapSchema.keyValue) ?: nowhere,
+            section.value(BootstrapSchema.liveList) ?: nowhere,
+            section.value(BootstrapSchema.weightStore),
+            section.value(BootstrapSchema.reads) ?: 0.0,
+            section.value(BootstrapSchema.writes) ?: 0.0,
+        )
+
+    private fun limits(section: SectionReader) =
+        ListenerLimits(
+            section.value(BootstrapSchema.requestLine) ?: 0,
+            section.value(BootstrapSchema.head) ?: 0,
+            section.value(BootstrapSchema.body) ?: 0,
+            section.value(BootstrapSchema.headTime) ?: 0,
+            section.value(BootstrapSchema.bodyTime) ?: 0,
+            section.value(BootstrapSchema.idleTime) ?: 0,
+            section.value(BootstrapSchema.connections) ?: 0,
+            section.value(BootstrapSchema.pipelined) ?: 0,
+        )
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/BootstrapSchema.kt
@@ -0,0 +1,67 @@
+package io.lavenderhinge.core.settings
+
+/** Sections and keys of an instance's own file. */
+internal object BootstrapSchema {
+    // The defaults give 320 instances 1,600 of the platform's 2,000 reads and 320 of its writes.
+    private val callRate = NumberType(minimum = 0.1, maximum = 2_000.0)
+    private val connectionCount = CountType(minimum = 1, maximum = 65_536)
+    private val pipelineCount = CountType(minimum = 1, maximum = 256)
+    private val listenerTime = DurationType("100ms", "10m")
+
+    val id = Key("id", NameType, "name of the instance, unique in the fleet", required = true)
+    val domain = Key("failure-domain", NameType, "failure domain", required = true)
+    val region = Key("region", NameType, "region", required = true)
+
+    val caller = Key("caller", AddressType, "listener for callers", required = true)
+    val peer = Key("peer", AddressType, "listener for other instances", required = true)
+    val operator = Key("operator", AddressType, "listener for operators", required = true)
+
+    val keyValue = Key("key-value", UrlType, "key-value service", required = true)
+    val liveList = Key("live-list", UrlType, "list of live members", required = true)
+    val weightStore = Key("weight-store", UrlType, "weight store; absent: no weights are checked")
+    val reads = Key("reads-per-second", callRate, "budget of reads of the key-value service", "5")
+    val writes =
+        Key("writes-per-second", callRate, "budget of writes of the key-value service", "1")
+
+    val seeds = Key("peers", AddressListType, "peer ports to ask when the list is away", "")
+
+    val requestLine =
+        Key("request-line", SizeType("256B", "64KB"), "largest request line", default = "4KB")
+    val head = Key("head", SizeType("1KB", "1MB"), "largest request head", default = "16KB")
+    val body = Key("body", SizeType("1KB", "256MB"), "largest request body", default = "4MB")
+    val headTime = Key("head-time", listenerTime, "time to send the head", default = "10s")
+    val bodyTime = Key("body-time", listenerTime, "time to send the body", default = "30s")
+    val idleTime = Key("idle-time", listenerTime, "idle time of a connection", default = "75s")
+    val connections =
+        Key("connections", connectionCount, "open connections of a listener", default = "4096")
+    val pipelined =
+        Key("pipelined-requests", pipelineCount, "requests waiting on a connection", "16")
+
+    val sections =
+        listOf(
+            SectionSchema("instance", named = false, required = true, listOf(id, domain, region)),
+            SectionSchema("listen", named = false, required = true, listOf(caller, peer, operator)),
+            SectionSchema(
+                "platform",
+                named = false,
+                required = true,
+                listOf(keyValue, liveList, weightStore, reads, writes),
+            ),
+            SectionSchema("seeds", named = false, required = false, listOf(seeds)),
+            SectionSchema(
+                "limits",
+                named = false,
+                required = false,
+                listOf(
+                    requestLine,
+                    head,
+                    body,
+                    headTime,
+                    bodyTime,
+                    idleTime,
+                    connections,
+                    pipelined,
+                ),
+            ),
+        )
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/OneRolloutForTarget.kt
@@ -0,0 +1,19 @@
+package io.lavenderhinge.core.settings
+
+/** A target is in one rollout at a time, so that traffic is split between two versions only. */
+internal object OneRolloutForTarget : CrossCheck {
+    override fun faults(settings: TeamSettings, document: SettingsDocument): List<SettingsFault> =
+        settings.rollouts.mapIndexedNotNull { index, rollout ->
+            val earlier = settings.rollouts.take(index).firstOrNull { it.target == rollout.target }
+            earlier?.let {
+                document
+                    .named("rollout", rollout.name)
+                    .fault(
+                        FaultKind.NOT_UNIQUE,
+                        TeamSchema.rolloutTarget,
+                        "is the target of [rollout.${it.name}] too",
+                        "keep one of the two rollouts",
+                    )
+            }
+        }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/PathType.kt
@@ -0,0 +1,17 @@
+package io.lavenderhinge.core.settings
+
+import arrow.core.Either
+import arrow.core.right
+
+/** A path of a request target, without query and without a slash at the end. */
+internal object PathType : ValueType<String>() {
+    private val form = Regex("(/[A-Za-z0-9._~-]+)+")
+
+    override val unit = "path"
+    override val range = "/ and segments of letters, digits and . _ ~ -"
+
+    override fun read(text: String): Either<ValueProblem, String> {
+        if (!form.matches(text)) return problem("is no path", "write it as /v1/chat/completions")
+        return text.right()
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/ShareType.kt
@@ -0,0 +1,28 @@
+package io.lavenderhinge.core.settings
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.right
+
+/** A share written in percent, read to a fraction. */
+internal class ShareType(private val minimumPercent: Double, private val maximumPercent: Double) :
+    ValueType<Double>() {
+    override val unit = "share (%)"
+    override val range = "${trimmed(minimumPercent)}% to ${trimmed(maximumPercent)}%"
+
+    override fun read(text: String): Either<ValueProblem, Double> {
+        val quantity = Quantity.read(text) ?: return problem("is no share", "write it as 5%")
+        if (quantity.unit != "%") return problem("has no percent sign", "write a share as 5%")
+        return checkRange(quantity.amount, minimumPercent, maximumPercent, range).flatMap {
+            (it / PERCENT).right()
+        }
+    }
+
+    private companion object {
+        const val PERCENT = 100.0
+    }
+}
+
+/** Renders a number without a trailing `.0`. */
+internal fun trimmed(number: Double): String =
+    if (number % 1.0 == 0.0) number.toLong().toString() else number.toString()
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/ValueType.kt
@@ -0,0 +1,47 @@
+package io.lavenderhinge.core.settings
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+
+/** Why a value cannot be used, and what to write in its place. */
+internal data class ValueProblem(val reason: String, val remedy: String)
+
+/** Reads one type of value from its text. */
+internal sealed class ValueType<T : Any> {
+    /** Unit or form of the value, for the reference page. */
+    abstract val unit: String
+
+    /** Permitted values, for the reference page and for remedies. */
+    abstract val range: String
+
+    /** Returns the value, or why [text] is none. */
+    abstract fun read(text: String): Either<ValueProblem, T>
+
+    protected fun problem(reason: String, remedy: String) = ValueProblem(reason, remedy).left()
+}
+
+/** A quantity: digits with an optional fraction, then a unit. */
+internal data class Quantity(val amount: Double, val unit: String) {
+    companion object {
+        private val form = Regex("""(\d+(?:\.\d+)?)\s*([A-Za-z%]*)""")
+
+        fun read(text: String): Quantity? =
+            form.matchEntire(text)?.let {
+                Quantity(it.groupValues[1].toDouble(), it.groupValues[2])
+            }
+    }
+}
+
+/** Checks that [value] lies in [minimum]..[maximum]. */
+internal fun <T : Comparable<T>> checkRange(
+    value: T,
+    minimum: T,
+    maximum: T,
+    range: String,
+): Either<ValueProblem, T> =
+    when {
+        value < minimum -> ValueProblem("is too small", "write a value in $range").left()
+        value > maximum -> ValueProblem("is too large", "write a value in $range").left()
+        else -> value.right()
+    }
