Declare the interfaces of rollouts and server health

The request path and the status page need the signatures before the state machines exist. The lease is kept for each target, not for each rollout, so that one rollout at a time for each target follows from one mover.

--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/rollout/RolloutPlan.kt
@@ -0,0 +1,61 @@
+package io.lavenderhinge.core.rollout
+
+import io.lavenderhinge.core.settings.RolloutSettings
+import io.lavenderhinge.core.settings.Target
+
+/** A target of one team; names of targets are unique only within a team. */
+data class TeamTarget(val team: String, val target: Target) {
+    private val kind: String
+        get() =
+            when (target) {
+                is Target.Model -> "model"
+                is Target.Service -> "service"
+            }
+
+    /** Key of the mover's lease. One lease for each target allows one rollout at a time. */
+    val leaseKey: String
+        get() = "rollout-lease/$team/$kind.${target.name}"
+}
+
+/** A declared move of one target, as the settings in force state it. */
+data class RolloutPlan(
+    val team: String,
+    val name: String,
+    val target: Target,
+    val fromVersion: String,
+    val toVersion: String,
+    val deadlineMillis: Long,
+    val unprovedShareFraction: Double,
+) {
+    /**
+     * Identifies the move. The deadline and the unproved share may change while it is under way; a
+     * change of target or versions makes it another move.
+     */
+    val rolloutId: String
+        get() = "$team/$name/${target.name}/$fromVersion-$toVersion"
+
+    /** Key of the record that survives the mover. */
+    val recordKey: String
+        get() = "rollout/$team/$name"
+
+    /** Key of the statement for operators. */
+    val statusKey: String
+        get() = "status/rollout/$team/$name"
+
+    val teamTarget: TeamTarget
+        get() = TeamTarget(team, target)
+
+    companion object {
+        /** The plan that [settings] of [team] declare. */
+        fun of(team: String, settings: RolloutSettings): RolloutPlan =
+            RolloutPlan(
+                team = team,
+                name = settings.name,
+                target = settings.target,
+                fromVersion = settings.fromVersion,
+                toVersion = settings.toVersion,
+                deadlineMillis = settings.deadlineMillis,
+                unprovedShareFraction = settings.unprovedShareFraction,
+            )
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/rollout/RolloutRecord.kt
@@ -0,0 +1,55 @@
+package io.lavenderhinge.core.rollout
+
+import kotlinx.collections.immutable.ImmutableMap
+import kotlinx.collections.immutable.persistentMapOf
+
+/** Where a rollout stands. */
+enum class RolloutPhase {
+    PLANNED,
+    WARMING,
+    MOVING,
+    DONE,
+    UNDONE;
+
+    /** True when the mover has nothing left to decide. */
+    val terminal: Boolean
+        get() = this == DONE || this == UNDONE
+}
+
+/** What decided that a rollout was undone. */
+enum class UndoReason {
+    /** The mover's sequential test rejected the new version. */
+    TEST,
+    /** An instance stopped the version on its own observations. */
+    STOP_FLAG,
+    /** The deadline passed before every step was proved. */
+    DEADLINE,
+    /** The settings no longer declare the rollout, or declare different versions. */
+    WITHDRAWN,
+}
+
+/** The evidence that decided. [detail] is one plain sentence with the figures. */
+data class Evidence(val reason: UndoReason, val detail: String)
+
+/**
+ * The authoritative state of one rollout, kept by compare-and-swap under [RolloutPlan.recordKey].
+ *
+ * [step] indexes the shares of [RolloutSteps]; the share in force is [shareFraction]. [logEvidence]
+ * carries the test's state over a change of step or of mover, by test name. [moverId] and
+ * [writeNumber] identify the write, so that a lost answer is resolved by reading back.
+ */
+data class RolloutRecord(
+    val plan: RolloutPlan,
+    val phase: RolloutPhase,
+    val step: Int = 0,
+    val shareFraction: Double = 0.0,
+    val startedAtMillis: Long,
+    val stepSinceMillis: Long,
+    val logEvidence: ImmutableMap<String, Double> = persistentMapOf(),
+    val evidence: Evidence? = null,
+    val moverId: String = "",
+    val writeNumber: Long = 0,
+)
+
+/** A record with its version at the key-value service, which is the fencing number. */
+data class StoredRecord(val record: RolloutRecord, val version: Long)
