--- /dev/null
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/caller/AnswerWriter.kt
@@ -0,0 +1,97 @@
+package io.lavenderhinge.instance.caller
+
+import com.fasterxml.jackson.databind.JsonNode
+import io.lavenderhinge.adapters.Json
+import io.lavenderhinge.http.HttpBodyWriter
+import io.lavenderhinge.http.HttpExchange
+import io.lavenderhinge.http.HttpField
+import io.lavenderhinge.http.HttpResponse
+
+/** Writes a chat completion to its caller, streamed or whole. */
+internal abstract class AnswerWriter(
+    protected val exchange: HttpExchange,
+    protected val context: RequestContext,
+) {
+    /** Time of the first event in epoch milliseconds; 0 before it. */
+    var firstEventMillis = 0L
+        private set
+
+    /** Takes the data of the next event. */
+    suspend fun event(data: String) {
+        if (firstEventMillis == 0L) firstEventMillis = System.currentTimeMillis()
+        write(data)
+    }
+
+    protected abstract suspend fun write(data: String)
+
+    /** Ends a whole answer. */
+    abstract suspend fun finish()
+
+    /** Ends the answer with [problem], in a way that cannot pass for a whole answer. */
+    abstract suspend fun fail(problem: Problem)
+
+    companion object {
+        fun of(exchange: HttpExchange, context: RequestContext, body: JsonNode): AnswerWriter =
+            if (body.path("stream").asBoolean(false)) StreamedAnswer(exchange, context)
+            else WholeAnswer(exchange, context)
+    }
+}
+
+private class StreamedAnswer(exchange: HttpExchange, context: RequestContext) :
+    AnswerWriter(exchange, context) {
+    private var writer: HttpBodyWriter? = null
+
+    override suspend fun write(data: String) = open().write("data: $data\n\n".toByteArray())
+
+    override suspend fun finish() {
+        val stream = open()
+        stream.write("data: [DONE]\n\n".toByteArray())
+        stream.end()
+    }
+
+    override suspend fun fail(problem: Problem) {
+        val stream = writer ?: return exchange.respond(problem.response(context.requestId))
+        val body = String(problem.body(context.requestId))
+        // Without the end mark and the last chunk the caller can tell that the answer is cut.
+        stream.write("event: error\ndata: $body\n\n".toByteArray())
+    }
+
+    private suspend fun open(): HttpBodyWriter =
+        writer
+            ?: exchange
+                .startStream(
+                    STATUS_OK,
+                    "text/event-stream",
+                    listOf(HttpField("X-Request-Id", context.requestId)),
+                )
+                .also { writer = it }
+}
+
+private class WholeAnswer(exchange: HttpExchange, context: RequestContext) :
+    AnswerWriter(exchange, context) {
+    private val text = StringBuilder()
+
+    override suspend fun write(data: String) {
+        val choice = Json.parseOrNull(data.toByteArray())?.path("choices")?.path(0)
+        text.append(choice?.path("delta")?.path("content")?.asText().orEmpty())
+    }
+
+    override suspend fun finish() {
+        val message = mapOf("role" to "assistant", "content" to text.toString())
+        val choice = mapOf("index" to 0, "message" to message, "finish_reason" to "stop")
+        val body = mapOf("id" to context.requestId, "choices" to listOf(choice))
+        exchange.respond(
+            HttpResponse(
+                STATUS_OK,
+                Json.render(body),
+                listOf(HttpField("X-Request-Id", context.requestId)),
+                "application/json",
+            )
+        )
+    }
+
+    override suspend fun fail(problem: Problem) =
+        exchange.respond(problem.response(context.requestId))
+}
+
+private const val STATUS_OK = 200
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/caller/Problem.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/caller/Problem.kt
@@ -62,12 +62,20 @@
         val INVALID_BODY =
             notRun(400, "invalid-body", "send a JSON object with a messages array of text contents")
         val INVALID_DEADLINE =
-            notRun(400, "invalid-deadline", "send X-Deadline-Ms as a whole number from 1 to 3600000")
+            notRun(
+                400,
+                "invalid-deadline",
+                "send X-Deadline-Ms as a whole number from 1 to 3600000",
+            )
         val METHOD_NOT_ALLOWED = notRun(405, "method-not-allowed", "use POST on a model route")
         val NOT_READY =
             notRun(503, "not-ready", "retry; this instance has no settings in force yet", 1_000)
         val ENGINE_UNKNOWN =
-            unknown(502, "answer-lost", "the backend server's answer was lost; check before repeating")
+            unknown(
+                502,
+                "answer-lost",
+                "the backend server's answer was lost; check before repeating",
+            )
         val PREEMPTED =
             unknown(503, "preempted", "urgent requests needed the backend server; repeat later")
         val TIMEOUT =
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/dispatch/EngineStream.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/dispatch/EngineStream.kt
@@ -157,7 +157,8 @@
             val parser = SseParser()
             try {
                 while (true) {
-                    val chunk = response.readChunk() ?: return "the stream ended without its end mark"
+                    val chunk =
+                        response.readChunk() ?: return "the stream ended without its end mark"
                     for (event in parser.feed(chunk)) {
                         if (event.data == END_MARK) {
                             response.readAll()
--- /dev/null
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/metrics/RequestMetrics.kt
@@ -0,0 +1,91 @@
+package io.lavenderhinge.instance.metrics
+
+import io.lavenderhinge.core.Tier
+import io.micrometer.core.instrument.MeterRegistry
+import io.micrometer.core.instrument.Timer
+import java.time.Duration
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
+
+/**
+ * Histograms and counters of requests.
+ *
+ * Each tier has every histogram. Each workspace has one, of the whole time; workspaces beyond
+ * [WORKSPACES] share the label `other`, so that 4,800 workspaces cannot fill the memory.
+ */
+class RequestMetrics(private val registry: MeterRegistry) {
+    private val workspaces = ConcurrentHashMap.newKeySet<String>()
+
+    /** Time from arrival to the grant of a slot. */
+    fun queueWait(tier: Tier, millis: Long) = record("lavenderhinge.queue.wait", tier, millis)
+
+    /** Time from arrival to the first token, as the caller sees it. */
+    fun firstToken(tier: Tier, millis: Long) = record("lavenderhinge.first.token", tier, millis)
+
+    /** Mean time between tokens of one answer. */
+    fun betweenTokens(tier: Tier, micros: Long) =
+        timer("lavenderhinge.between.tokens", "tier", label(tier), SHORT_BUCKETS)
+            .record(micros, TimeUnit.MICROSECONDS)
+
+    /** Whole time of a request that was answered. */
+    fun answered(tier: Tier, workspace: String, millis: Long, metTargets: Boolean) {
+        record("lavenderhinge.request", tier, millis)
+        timer("lavenderhinge.workspace.request", "workspace", bounded(workspace), LONG_BUCKETS)
+            .record(millis, TimeUnit.MILLISECONDS)
+        if (metTargets) registry.counter("lavenderhinge.goodput", "tier", label(tier)).increment()
+    }
+
+    /** A request that got a problem document instead of an answer. */
+    fun refused(tier: Tier?, code: String, outcome: String) =
+        registry
+            .counter(
+                "lavenderhinge.problems",
+                "tier",
+                tier?.let(::label) ?: "none",
+                "code",
+                code,
+                "outcome",
+                outcome,
+            )
+            .increment()
+
+    /** Outcome of a non-idempotent request at the ledger. */
+    fun ledger(result: String) =
+        registry.counter("lavenderhinge.ledger.results", "result", result).increment()
+
+    /** Prompt tokens whose prefill brought no answer. */
+    fun wastedPrefill(tier: Tier, tokens: Int) =
+        registry
+            .counter("lavenderhinge.prefill.wasted.tokens", "tier", label(tier))
+            .increment(tokens.toDouble())
+
+    /** Requests sent to a version of a target. */
+    fun dispatched(target: String, version: String) =
+        registry
+            .counter("lavenderhinge.dispatched", "target", target, "version", version)
+            .increment()
+
+    private fun record(name: String, tier: Tier, millis: Long) =
+        timer(name, "tier", label(tier), LONG_BUCKETS).record(millis, TimeUnit.MILLISECONDS)
+
+    private fun timer(name: String, tag: String, value: String, buckets: Array<Duration>): Timer =
+        Timer.builder(name).tag(tag, value).serviceLevelObjectives(*buckets).register(registry)
+
+    private fun bounded(workspace: String): String {
+        if (workspace in workspaces) return workspace
+        if (workspaces.size >= WORKSPACES) return "other"
+        workspaces.add(workspace)
+        return workspace
+    }
+
+    private fun label(tier: Tier) = tier.name.lowercase()
+
+    private companion object {
+        const val WORKSPACES = 512
+        val LONG_BUCKETS = buckets(5, 20, 50, 100, 250, 500, 1_000, 2_500, 5_000, 15_000, 60_000)
+        val SHORT_BUCKETS = buckets(5, 10, 20, 30, 46, 60, 100, 250, 1_000)
+
+        fun buckets(vararg millis: Long): Array<Duration> =
+            millis.map { Duration.ofMillis(it) }.toTypedArray()
+    }
+}
--- /dev/null
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/operator/OperatorHandler.kt
@@ -0,0 +1,78 @@
+package io.lavenderhinge.instance.operator
+
+import io.lavenderhinge.adapters.Json
+import io.lavenderhinge.http.HttpExchange
+import io.lavenderhinge.http.HttpHandler
+import io.lavenderhinge.http.HttpResponse
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+
+/** What the operator port tells. Functions may be called on any thread. */
+class OperatorView(
+    /** Null when the instance is ready for traffic, else why it is not. */
+    val notReadyReason: () -> String?,
+    /** Plain statements of what is in force and under way, as JSON-compatible values. */
+    val status: () -> Map<String, Any?>,
+    /** Where a request of a team, route and workspace would go, and why. */
+    val explain: suspend (team: String, route: String, workspace: String) -> Map<String, Any?>,
+)
+
+/** Serves `/healthz`, `/readyz`, `/metrics`, `/status` and `/explain`. */
+class OperatorHandler(
+    private val view: OperatorView,
+    private val registry: PrometheusMeterRegistry,
+) : HttpHandler {
+    override suspend fun handle(exchange: HttpExchange) {
+        when (exchange.request.path) {
+            "/healthz" -> respond(exchange, STATUS_OK, mapOf("healthy" to true))
+            "/readyz" -> ready(exchange)
+            "/metrics" ->
+                exchange.respond(
+                    HttpResponse(
+                        STATUS_OK,
+                        registry.scrape().toByteArray(),
+                        contentType = "text/plain; version=0.0.4; charset=utf-8",
+                    )
+                )
+            "/status" -> respond(exchange, STATUS_OK, view.status())
+            "/explain" -> explain(exchange)
+            else -> respond(exchange, STATUS_NOT_FOUND, mapOf("code" to "no-such-path"))
+        }
+    }
+
+    private suspend fun ready(exchange: HttpExchange) {
+        val reason = view.notReadyReason()
+        if (reason == null) respond(exchange, STATUS_OK, mapOf("ready" to true))
+        else respond(exchange, STATUS_UNAVAILABLE, mapOf("ready" to false, "reason" to reason))
+    }
+
+    private suspend fun explain(exchange: HttpExchange) {
+        val parameters = parameters(exchange.request.query)
+        val team = parameters["team"]
+        val route = parameters["route"]
+        val workspace = parameters["workspace"]
+        if (team == null || route == null || workspace == null) {
+            val remedy = "give team, route and workspace"
+            return respond(exchange, STATUS_BAD_REQUEST, mapOf("remedy" to remedy))
+        }
+        respond(exchange, STATUS_OK, view.explain(team, route, workspace))
+    }
+
+    private fun parameters(query: String): Map<String, String> =
+        query
+            .split('&')
+            .filter { '=' in it }
+            .associate {
+                val value = it.substringAfter('=')
+                it.substringBefore('=') to java.net.URLDecoder.decode(value, Charsets.UTF_8)
+            }
+
+    private suspend fun respond(exchange: HttpExchange, status: Int, value: Map<String, Any?>) =
+        exchange.respond(HttpResponse(status, Json.render(value), contentType = "application/json"))
+
+    private companion object {
+        const val STATUS_OK = 200
+        const val STATUS_BAD_REQUEST = 400
+        const val STATUS_NOT_FOUND = 404
+        const val STATUS_UNAVAILABLE = 503
+    }
+}
--- /dev/null
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/peer/GrpcPeerLinks.kt
@@ -0,0 +1,125 @@
+package io.lavenderhinge.instance.peer
+
+import io.grpc.Server
+import io.grpc.netty.NettyServerBuilder
+import io.grpc.stub.StreamObserver
+import io.lavenderhinge.instance.control.ControlThread
+import io.lavenderhinge.protocol.v1.Frame
+import io.lavenderhinge.protocol.v1.Hello
+import io.lavenderhinge.protocol.v1.PeerGrpc
+import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
+import org.slf4j.LoggerFactory
+
+/** Who this instance is towards its peers. */
+data class PeerIdentity(val id: String, val failureDomain: String, val region: String)
+
+/**
+ * Links over gRPC. Each instance dials its own stream to every peer that it sends to, and receives
+ * on the streams that peers dial; a pair that talks both ways holds two streams.
+ *
+ * [addressOf] gives the peer port of a live instance, or null when it is unknown.
+ */
+class GrpcPeerLinks(
+    private val identity: PeerIdentity,
+    private val control: ControlThread,
+    private val addressOf: (instanceId: String) -> InetSocketAddress?,
+) : PeerLinks, AutoCloseable {
+    private val receivers = mutableListOf<FrameReceiver>()
+    private val lossListeners = mutableListOf<(String) -> Unit>()
+    private val links = mutableMapOf<String, OutboundLink>()
+    private lateinit var server: Server
+
+    override val selfId: String
+        get() = identity.id
+
+    /** The port in use; of interest when 0 was asked for. */
+    val port: Int
+        get() = server.port
+
+    /** Starts to accept streams of peers and to watch the links of this instance. */
+    fun start(address: InetSocketAddress) {
+        server =
+            NettyServerBuilder.forAddress(address)
+                .addService(PeerEndpoint())
+                .maxInboundMessageSize(MESSAGE_BYTES)
+                .permitKeepAliveTime(KEEPALIVE_SECONDS, TimeUnit.SECONDS)
+                .keepAliveTime(KEEPALIVE_SECONDS, TimeUnit.SECONDS)
+                .build()
+                .start()
+        control.every(CHECK_MILLIS) { checkLinks() }
+    }
+
+    override fun send(instanceId: String, frame: Frame): Boolean {
+        if (instanceId == selfId) {
+            control.execute { deliver(selfId, frame) }
+            return true
+        }
+        val link = links[instanceId] ?: open(instanceId) ?: return false
+        return link.send(frame)
+    }
+
+    override fun onFrame(receiver: FrameReceiver) {
+        receivers.add(receiver)
+    }
+
+    override fun onLinkLost(listener: (instanceId: String) -> Unit) {
+        lossListeners.add(listener)
+    }
+
+    override fun close() {
+        server.shutdownNow()
+        links.values.forEach { it.close() }
+    }
+
+    private fun open(instanceId: String): OutboundLink? {
+        val address = addressOf(instanceId) ?: return null
+        val hello =
+            Hello.newBuilder()
+                .setInstanceId(identity.id)
+                .setFailureDomain(identity.failureDomain)
+                .setRegion(identity.region)
+                .build()
+        val link = OutboundLink(address, hello, control) { lost(instanceId, it) }
+        links[instanceId] = link
+        link.connect()
+        return link
+    }
+
+    private fun lost(instanceId: String, link: OutboundLink) {
+        if (!links.remove(instanceId, link)) return
+        log.info("peer: link to {} was lost", instanceId)
+        lossListeners.forEach { it(instanceId) }
+    }
+
+    private fun checkLinks() {
+        val nowMillis = control.nowMillis()
+        links.entries.toList().forEach { (instanceId, link) ->
+            when (link.check(nowMillis)) {
+                LinkState.LIVE -> Unit
+                LinkState.SILENT -> {
+                    link.close()
+                    lost(instanceId, link)
+                }
+                LinkState.IDLE -> {
+                    links.remove(instanceId)
+                    link.close()
+                }
+            }
+        }
+    }
+
+    private fun deliver(from: String, frame: Frame) = receivers.forEach { it.receive(from, frame) }
+
+    private inner class PeerEndpoint : PeerGrpc.PeerImplBase() {
+        override fun link(responses: StreamObserver<Frame>): StreamObserver<Frame> =
+            InboundLink(responses, control) { from, frame -> deliver(from, frame) }
+    }
+
+    private companion object {
+        const val MESSAGE_BYTES = 2_097_152
+        const val KEEPALIVE_SECONDS = 20L
+        const val CHECK_MILLIS = 500L
+        val log = LoggerFactory.getLogger(GrpcPeerLinks::class.java)
+    }
+}
