Test the HTTP module against malformed, slow and cut traffic

Cause of the first failure found: the extension function named await on Netty's Future was never called, because ChannelFuture has a blocking member of that name. A refused connection was then reported as sent, which would have turned not-run into unknown. Renamed to awaitDone; the test of a port without a listener failed before and passes now. 22 tests.

--- a/http/src/main/kotlin/io/lavenderhinge/http/ClientConnection.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/ClientConnection.kt
@@ -52,7 +52,7 @@
         message.headers().set(HttpHeaderNames.HOST, "${address.hostString}:${address.port}")
         message.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, request.body.size)
         try {
-            context.writeAndFlush(message).await()
+            context.writeAndFlush(message).awaitDone()
         } catch (e: java.io.IOException) {
             throw HttpCallException.OutcomeUnknown("the connection broke while sending", e)
         }
--- a/http/src/main/kotlin/io/lavenderhinge/http/HttpClient.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/HttpClient.kt
@@ -112,7 +112,7 @@
                 )
                 .connect(address)
         try {
-            withTimeout(timeouts.connectMillis + CONNECT_GRACE_MILLIS) { future.await() }
+            withTimeout(timeouts.connectMillis + CONNECT_GRACE_MILLIS) { future.awaitDone() }
         } catch (e: TimeoutCancellationException) {
             future.channel().close()
             throw HttpCallException.NotSent("$address did not accept a connection in time", e)
--- a/http/src/main/kotlin/io/lavenderhinge/http/NettyExchange.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/NettyExchange.kt
@@ -48,7 +48,7 @@
         check(state == State.UNANSWERED) { "the request is answered already" }
         state = State.ANSWERED
         if (!pending.keepAlive) return sendAndClose(context, response)
-        context.writeAndFlush(fullResponse(response, keepAlive = true)).await()
+        context.writeAndFlush(fullResponse(response, keepAlive = true)).awaitDone()
     }
 
     override suspend fun startStream(
@@ -58,7 +58,9 @@
     ): HttpBodyWriter {
         check(state == State.UNANSWERED) { "the request is answered already" }
         state = State.STREAMING
-        context.writeAndFlush(streamHead(status, contentType, headers, pending.keepAlive)).await()
+        context
+            .writeAndFlush(streamHead(status, contentType, headers, pending.keepAlive))
+            .awaitDone()
         return Writer()
     }
 
@@ -83,7 +85,7 @@
             state = State.ANSWERED
             val sent = context.writeAndFlush(lastContent())
             if (!pending.keepAlive) sent.addListener { context.close() }
-            sent.await()
+            sent.awaitDone()
         }
     }
 }
--- a/http/src/main/kotlin/io/lavenderhinge/http/NettyFutures.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/NettyFutures.kt
@@ -5,8 +5,12 @@
 import kotlin.coroutines.resumeWithException
 import kotlinx.coroutines.suspendCancellableCoroutine
 
-/** Suspends until this future is done and returns its value. */
-internal suspend fun <T> Future<T>.await(): T = suspendCancellableCoroutine { continuation ->
+/**
+ * Suspends until this future is done and returns its value.
+ *
+ * It is not named `await`, since the blocking member function of that name would win.
+ */
+internal suspend fun <T> Future<T>.awaitDone(): T = suspendCancellableCoroutine { continuation ->
     addListener {
         if (isSuccess) continuation.resume(now) else continuation.resumeWithException(cause())
     }
--- /dev/null
+++ b/http/src/test/kotlin/io/lavenderhinge/http/HttpClientTest.kt
@@ -0,0 +1,86 @@
+package io.lavenderhinge.http
+
+import io.kotest.assertions.throwables.shouldThrow
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+
+class HttpClientTest :
+    FunSpec({
+        val client = HttpClient(testGroup())
+        val timeouts = CallTimeouts(connectMillis = 500, progressMillis = 500)
+
+        test("given nothing listens, when called, then the request was certainly not sent") {
+            val port = ServerSocket(0, 1, loopback).use { it.localPort }
+            shouldThrow<HttpCallException.NotSent> {
+                client.call(InetSocketAddress(loopback, port), get("/"), timeouts)
+            }
+        }
+
+        data class Cut(val name: String, val answer: String, val message: String)
+
+        context("given an answer is cut, when it is read, then the outcome is unknown") {
+            withData(
+                nameFn = { it.name },
+                Cut("closed without an answer", "", "closed the connection"),
+                Cut("half a head", "HTTP/1.1 200 OK\r\nContent-", "closed the connection"),
+                Cut(
+                    "short of its length",
+                    "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc",
+                    "closed the connection",
+                ),
+                Cut(
+                    "no last chunk",
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+                    "closed the connection",
+                ),
+                Cut("not HTTP", "garbage\r\n\r\n", "the server"),
+            ) { case ->
+                val address = answerOnce(case.answer)
+                shouldThrow<HttpCallException.OutcomeUnknown> {
+                        client.call(address, get("/"), timeouts)
+                    }
+                    .message shouldContain case.message
+            }
+        }
+
+        test("given a server goes silent in the body, when read, then the call ends by timeout") {
+            val release = CompletableDeferred<Unit>()
+            val server = serve { exchange ->
+                exchange.startStream(200, "text/plain").write("part".toByteArray())
+                release.await()
+            }
+            shouldThrow<HttpCallException.OutcomeUnknown> {
+                    client.call(server.address, get("/"), timeouts)
+                }
+                .message shouldContain "stopped sending for 500 ms"
+            release.complete(Unit)
+            server.close()
+        }
+
+        test("given many calls at once, when answered, then each gets its own whole answer") {
+            val server = serve { exchange ->
+                val writer = exchange.startStream(200, "text/plain")
+                repeat(20) { writer.write("${exchange.request.path};".toByteArray()) }
+                writer.end()
+            }
+            coroutineScope {
+                (0 until 200)
+                    .map { number ->
+                        async {
+                            val body = client.call(server.address, get("/$number")).body
+                            String(body) shouldBe "/$number;".repeat(20)
+                        }
+                    }
+                    .awaitAll()
+            }
+            server.close()
+        }
+    })
--- /dev/null
+++ b/http/src/test/kotlin/io/lavenderhinge/http/HttpServerTest.kt
@@ -0,0 +1,140 @@
+package io.lavenderhinge.http
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldStartWith
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.delay
+
+class HttpServerTest :
+    FunSpec({
+        val limits =
+            HttpLimits(
+                requestLineBytes = 200,
+                headBytes = 500,
+                bodyBytes = 100,
+                headMillis = 300,
+                bodyMillis = 300,
+                idleMillis = 300,
+            )
+        val server =
+            serve(limits) { exchange ->
+                if (exchange.request.path == "/fail") error("the handler fails")
+                if (exchange.request.path == "/slow") delay(50)
+                exchange.respond(HttpResponse(200, exchange.request.path.toByteArray()))
+            }
+        afterSpec { server.close() }
+
+        data class Bad(val name: String, val bytes: String, val status: Int, val code: String)
+
+        context("given bad input, when it is sent, then the exact error comes back") {
+            withData(
+                nameFn = { it.name },
+                Bad("no HTTP", "nonsense\r\n\r\n", 400, "malformed-request"),
+                Bad(
+                    "bad content length",
+                    "POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n",
+                    400,
+                    "malformed-request",
+                ),
+                Bad(
+                    "long line",
+                    "GET /${"a".repeat(300)} HTTP/1.1\r\n\r\n",
+                    414,
+                    "request-line-too-long",
+                ),
+                Bad(
+                    "long head",
+                    "GET / HTTP/1.1\r\nA: ${"a".repeat(600)}\r\n\r\n",
+                    431,
+                    "head-too-large",
+                ),
+                Bad(
+                    "large body",
+                    "POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n",
+                    413,
+                    "body-too-large",
+                ),
+                Bad(
+                    "large chunked body",
+                    "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n${"a".repeat(101)}\r\n0\r\n\r\n",
+                    413,
+                    "body-too-large",
+                ),
+                Bad("slow head", "GET / HTTP/1.1\r\nA:", 408, "head-timeout"),
+                Bad(
+                    "slow body",
+                    "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nab",
+                    408,
+                    "body-timeout",
+                ),
+                Bad("failing handler", "GET /fail HTTP/1.1\r\n\r\n", 500, "internal-error"),
+            ) { case ->
+                val answer = rawCall(server.address, case.bytes)
+                answer shouldStartWith "HTTP/1.1 ${case.status}"
+                answer shouldContain "\"code\":\"${case.code}\""
+            }
+        }
+
+        test("given bad input before, when a good request follows, then it is served") {
+            rawCall(server.address, "nonsense\r\n\r\n")
+            val answer = rawCall(server.address, "GET /a HTTP/1.1\r\nConnection: close\r\n\r\n")
+            answer shouldStartWith "HTTP/1.1 200"
+        }
+
+        test("given pipelined requests, when the first is slow, then answers keep their order") {
+            val bytes =
+                "GET /slow HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n" +
+                    "GET /c HTTP/1.1\r\nConnection: close\r\n\r\n"
+            val bodies = Regex("\r\n\r\n(/slow|/b|/c)").findAll(rawCall(server.address, bytes))
+            bodies.map { it.groupValues[1] }.toList() shouldBe listOf("/slow", "/b", "/c")
+        }
+
+        test("given the connection limit is reached, when one more connects, then it is refused") {
+            val started = CompletableDeferred<Unit>()
+            val small =
+                serve(HttpLimits(connections = 1)) {
+                    started.complete(Unit)
+                    awaitForever()
+                }
+            java.net.Socket(loopback, small.port).use { first ->
+                first.getOutputStream().write("GET / HTTP/1.1\r\n\r\n".toByteArray())
+                started.await()
+                rawCall(small.address, "") shouldContain "too-many-connections"
+            }
+            small.close()
+        }
+
+        test("given a caller disconnects, when its handler waits, then the handler is cancelled") {
+            val started = CompletableDeferred<Unit>()
+            val cancelled = CompletableDeferred<Unit>()
+            val waiting = serve {
+                started.complete(Unit)
+                try {
+                    awaitForever()
+                } finally {
+                    cancelled.complete(Unit)
+                }
+            }
+            java.net.Socket(loopback, waiting.port).use {
+                it.getOutputStream().write("GET / HTTP/1.1\r\n\r\n".toByteArray())
+                started.await()
+            }
+            cancelled.await()
+            waiting.close()
+        }
+
+        test("given a stream that its handler does not end, then the caller sees no last chunk") {
+            val cut = serve { exchange ->
+                exchange.startStream(200, "text/plain").write("part".toByteArray())
+            }
+            val answer = rawCall(cut.address, "GET / HTTP/1.1\r\n\r\n")
+            answer shouldContain "part"
+            answer.contains("\r\n0\r\n") shouldBe false
+            cut.close()
+        }
+    })
+
+private suspend fun awaitForever(): Nothing = kotlinx.coroutines.awaitCancellation()
