Run the key-value contract suite against the HTTP adapter and its stand-in

The suite takes any store and its faults: outage, lost answer, silence, lapsed lease. 11 cases. A first run failed with a 500 ms timeout while the machine was busy with other builds; the bound is a safety net and not what the cases test, so it is 3 s now.

--- /dev/null
+++ b/e2e/src/test/kotlin/io/lavenderhinge/e2e/contract/HttpKeyValueStoreTest.kt
@@ -0,0 +1,32 @@
+package io.lavenderhinge.e2e.contract
+
+import io.lavenderhinge.adapters.CallBudget
+import io.lavenderhinge.adapters.HttpKeyValueStore
+import io.lavenderhinge.e2e.fleet.Api
+import io.lavenderhinge.http.HttpClient
+import io.lavenderhinge.standins.Faults
+import io.lavenderhinge.standins.platform.PlatformHandler
+import io.lavenderhinge.standins.startStandin
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import java.net.InetSocketAddress
+
+/** Guards the HTTP adapter and the stand-in of the key-value service by the same suite. */
+class HttpKeyValueStoreTest : KeyValueStoreContract({ createStore() })
+
+private fun createStore(): Pair<HttpKeyValueStore, StoreFaults> {
+    val server = startStandin("127.0.0.1:0", PlatformHandler())
+    val client = HttpClient(MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()))
+    val address = InetSocketAddress("127.0.0.1", server.port)
+    val budget = CallBudget(callsPerSecond = 1_000.0, burst = 1_000.0)
+    val api = Api(address)
+    val faults =
+        object : StoreFaults {
+            override suspend fun outage(on: Boolean) = api.faults(Faults(outage = on))
+
+            override suspend fun loseNextAnswer() = api.faults(Faults(loseAnswers = 1))
+
+            override suspend fun silent(on: Boolean) = api.faults(Faults(silent = on))
+        }
+    return HttpKeyValueStore(client, address, budget, budget, timeoutMillis = 3_000) to faults
+}
--- /dev/null
+++ b/e2e/src/test/kotlin/io/lavenderhinge/e2e/contract/KeyValueStoreContract.kt
@@ -0,0 +1,112 @@
+package io.lavenderhinge.e2e.contract
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import io.lavenderhinge.core.port.KeyValueStore
+import io.lavenderhinge.core.port.StoreFault
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+
+/** Faults that a contract suite can put a store into. */
+interface StoreFaults {
+    suspend fun outage(on: Boolean)
+
+    suspend fun loseNextAnswer()
+
+    suspend fun silent(on: Boolean)
+}
+
+/** What every [KeyValueStore] must do, whatever its adapter. */
+abstract class KeyValueStoreContract(create: suspend () -> Pair<KeyValueStore, StoreFaults>) :
+    FunSpec({
+        lateinit var store: KeyValueStore
+        lateinit var faults: StoreFaults
+        beforeTest {
+            val created = create()
+            store = created.first
+            faults = created.second
+        }
+
+        test("given no value, when read, then there is none") {
+            store.get("a/b c").getOrNull() shouldBe null
+            store.get("a/b c").isRight() shouldBe true
+        }
+
+        test("given a value, when swapped on its version, then the new one is read back") {
+            val first = store.compareAndSwap("k", 0, "one").getOrNull()!!
+            val second = store.compareAndSwap("k", first, "two ü\n").getOrNull()!!
+            (second > first) shouldBe true
+            store.get("k").getOrNull()!!.value shouldBe "two ü\n"
+        }
+
+        test("given another version, when swapped, then nothing is written and it is named") {
+            store.compareAndSwap("k", 0, "one")
+            val fault = store.compareAndSwap("k", 0, "two").leftOrNull()
+            fault.shouldBeInstanceOf<StoreFault.Conflict>().current?.value shouldBe "one"
+            store.get("k").getOrNull()!!.value shouldBe "one"
+        }
+
+        test("given two writers at once, when both swap, then exactly one wins") {
+            val results = coroutineScope {
+                (0 until 10)
+                    .map { async { store.compareAndSwap("k", 0, "$it") } }
+                    .map { it.await() }
+            }
+            results.count { it.isRight() } shouldBe 1
+        }
+
+        test("given keys, when listed by prefix, then those keys come in order") {
+            listOf("p/b", "p/a", "q/a").forEach { store.compareAndSwap(it, 0, it) }
+            store.list("p/").getOrNull()!!.map { it.key } shouldBe listOf("p/a", "p/b")
+        }
+
+        test("given a watch, when a key changes, then the watch shows it once") {
+            val start = store.watch("w/", 0, 0).getOrNull()!!.revision
+            coroutineScope {
+                val watch = async { store.watch("w/", start, 5_000) }
+                store.compareAndSwap("w/a", 0, "new")
+                val result = watch.await().getOrNull()!!
+                result.changes.map { it.value } shouldBe listOf("new")
+                store.watch("w/", result.revision, 50).getOrNull()!!.changes.size shouldBe 0
+            }
+        }
+
+        test("given a lease that lapsed, when its key is read, then the key is gone") {
+            val lease = store.grantLease(100).getOrNull()!!
+            store.compareAndSwap("held", 0, "x", lease.id)
+            while (store.get("held").getOrNull() != null) kotlinx.coroutines.delay(20)
+            store.renewLease(lease.id).leftOrNull().shouldBeInstanceOf<StoreFault.Conflict>()
+        }
+
+        test("given an outage, when written, then nothing was written") {
+            faults.outage(true)
+            store
+                .compareAndSwap("k", 0, "one")
+                .leftOrNull()
+                .shouldBeInstanceOf<StoreFault.Unavailable>()
+            faults.outage(false)
+            store.get("k").getOrNull() shouldBe null
+        }
+
+        test("given a lost answer, when written, then the outcome is unknown and was written") {
+            faults.loseNextAnswer()
+            store
+                .compareAndSwap("k", 0, "one")
+                .leftOrNull()
+                .shouldBeInstanceOf<StoreFault.OutcomeUnknown>()
+            store.get("k").getOrNull()!!.value shouldBe "one"
+        }
+
+        test("given a silent service, when read, then the call ends by itself") {
+            faults.silent(true)
+            store.get("k").leftOrNull().shouldBeInstanceOf<StoreFault.OutcomeUnknown>()
+        }
+
+        test("given a value over 1 MB, when written, then it is refused") {
+            store
+                .compareAndSwap("k", 0, "x".repeat(1_000_001))
+                .leftOrNull()
+                .shouldBeInstanceOf<StoreFault.TooLarge>()
+        }
+    })
--- /dev/null
+++ b/e2e/src/test/kotlin/io/lavenderhinge/e2e/fleet/Fleet.kt
@@ -0,0 +1,203 @@
+package io.lavenderhinge.e2e.fleet
+
+import io.lavenderhinge.adapters.Json
+import io.lavenderhinge.core.port.ListedMember
+import io.lavenderhinge.core.port.MemberKind
+import io.lavenderhinge.http.HttpCallException
+import java.net.InetAddress
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeout
+
+/** Waits until [condition] holds; fails the test after [atMost]. */
+suspend fun await(what: String, atMost: Duration = 30.seconds, condition: suspend () -> Boolean) {
+    try {
+        withTimeout(atMost) { while (!condition()) delay(20) }
+    } catch (e: kotlinx.coroutines.TimeoutCancellationException) {
+        throw AssertionError("after $atMost still not: $what", e)
+    }
+}
+
+internal fun freePort(): Int =
+    ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+
+private fun loopback(port: Int) = InetSocketAddress("127.0.0.1", port)
+
+/** An instance under test. */
+class FleetInstance(
+    val id: String,
+    val domain: String,
+    val callerPort: Int,
+    val peerPort: Int,
+    val operatorPort: Int,
+    val config: Path,
+) {
+    lateinit var process: TestProcess
+    val caller = Api(loopback(callerPort))
+    val operator = Api(loopback(operatorPort))
+
+    suspend fun ready(): Boolean =
+        try {
+            operator.call("GET", "/readyz").status == 200
+        } catch (_: HttpCallException) {
+            false
+        }
+}
+
+/** A backend server stand-in under test. */
+class FleetServer(val member: ListedMember, val process: TestProcess) {
+    val api = Api(loopback(member.address.substringAfter(':').toInt()))
+}
+
+/** A platform, backend servers and instances as separate processes on loopback. */
+class Fleet(private val folder: Path) : AutoCloseable {
+    val platformPort = freePort()
+    val platform = Api(loopback(platformPort))
+    val instances = mutableListOf<FleetInstance>()
+    val servers = mutableListOf<FleetServer>()
+    val platformProcess =
+        process("platform", STANDINS, "platform", "--listen", "127.0.0.1:$platformPort")
+
+    suspend fun start(settings: Map<String, String>) {
+        await("the platform answers") { reachable(platform, "/admin/calls") }
+        servers.forEach { server ->
+            await("${server.member.id} answers") { reachable(server.api, "/v1/load") }
+        }
+        publishMembers()
+        settings.forEach { (team, text) -> applySettings(team, 1, text) }
+        instances.forEach { startInstance(it) }
+        instances.forEach { instance -> await("${instance.id} is ready") { instance.ready() } }
+    }
+
+    fun server(
+        kind: MemberKind,
+        id: String,
+        domain: String,
+        serves: String,
+        version: String,
+        vararg options: String,
+    ): FleetServer {
+        val port = freePort()
+        val listen = "127.0.0.1:$port"
+        val command = if (kind == MemberKind.MODEL_ENGINE) "engine" else "service"
+        val versionOption =
+            if (kind == MemberKind.MODEL_ENGINE) listOf("--version", version) else emptyList()
+        val process =
+            process(
+                id,
+                STANDINS,
+                command,
+                "--listen",
+                listen,
+                *versionOption.toTypedArray(),
+                *options,
+            )
+        val member =
+            ListedMember(id, kind, listen, domain, "region-1", leaving = false, serves, version)
+        return FleetServer(member, process).also { servers.add(it) }
+    }
+
+    fun instance(id: String, domain: String): FleetInstance {
+        val instance =
+            FleetInstance(id, domain, freePort(), freePort(), freePort(), folder.resolve("$id.ini"))
+        Files.writeString(instance.config, bootstrap(instance))
+        instances.add(instance)
+        return instance
+    }
+
+    fun startInstance(instance: FleetInstance) {
+        instance.process = process(instance.id, INSTANCE, "--config", instance.config.toString())
+    }
+
+    /**
+     * Publishes the live list; ids in [leaving] are shown as leaving, those in [without] not at
+     * all.
+     */
+    suspend fun publishMembers(
+        leaving: Set<String> = emptySet(),
+        without: Set<String> = emptySet(),
+    ) {
+        val members =
+            servers.map { it.member } +
+                instances.map {
+                    ListedMember(
+                        it.id,
+                        MemberKind.INSTANCE,
+                        "127.0.0.1:${it.peerPort}",
+                        it.domain,
+                        "region-1",
+                        leaving = false,
+                    )
+                }
+        val shown = members.filter { it.id !in without }.map { it.copy(leaving = it.id in leaving) }
+        platform.call("PUT", "/admin/members", shown)
+    }
+
+    /** Writes [text] as revision [revision] of [team], as `lavenderhingectl apply` does. */
+    suspend fun applySettings(team: String, revision: Long, text: String) {
+        val current = platform.json("GET", "/v1/kv/config%2F$team").path("version").asLong(0)
+        val stored =
+            mapOf(
+                "revision" to revision,
+                "author" to "test",
+                "appliedAtMillis" to 0,
+                "text" to text,
+            )
+        platform.call("PUT", "/v1/kv/config%2F$team?expected=$current", stored)
+    }
+
+    override fun close() {
+        instances.forEach { runCatching { it.process.kill() } }
+        servers.forEach { it.process.kill() }
+        platformProcess.kill()
+    }
+
+    private fun process(name: String, mainClass: String, vararg arguments: String): TestProcess {
+        val log = Files.createTempFile(folder, name, ".log")
+        return TestProcess(name, mainClass, arguments.toList(), log)
+    }
+
+    private suspend fun reachable(api: Api, path: String): Boolean =
+        try {
+            api.call("GET", path).status == 200
+        } catch (_: HttpCallException) {
+            false
+        }
+
+    private fun bootstrap(instance: FleetInstance): String =
+        """
+        [instance]
+        id = ${instance.id}
+        failure-domain = ${instance.domain}
+        region = region-1
+
+        [listen]
+        caller = 127.0.0.1:${instance.callerPort}
+        peer = 127.0.0.1:${instance.peerPort}
+        operator = 127.0.0.1:${instance.operatorPort}
+
+        [platform]
+        key-value = http://127.0.0.1:$platformPort
+        live-list = http://127.0.0.1:$platformPort
+        reads-per-second = 50
+        writes-per-second = 20
+        """
+            .trimIndent()
+
+    private companion object {
+        const val STANDINS = "io.lavenderhinge.standins.MainKt"
+        const val INSTANCE = "io.lavenderhinge.instance.MainKt"
+    }
+}
+
+/** Renders a chat completion request. */
+fun chat(marker: String, tokens: Int, stream: Boolean, model: String = "drafting"): Any =
+    Json.mapper.readTree(
+        """{"model":"$model","max_tokens":$tokens,"stream":$stream,
+           "messages":[{"role":"user","content":"$marker please draft"}]}"""
+    )
--- /dev/null
+++ b/standins/src/main/kotlin/io/lavenderhinge/standins/CallCommand.kt
@@ -0,0 +1,85 @@
+package io.lavenderhinge.standins
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.flag
+import com.github.ajalt.clikt.parameters.options.multiple
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.int
+import io.lavenderhinge.http.CallTimeouts
+import io.lavenderhinge.http.HttpCallException
+import io.lavenderhinge.http.HttpClient
+import io.lavenderhinge.http.HttpRequest
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import java.net.InetSocketAddress
+import java.net.URI
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+
+/** Sends one HTTP request and prints the answer; the quick start needs no other HTTP client. */
+class CallCommand : CliktCommand(name = "call") {
+    private val method by argument()
+    private val url by argument()
+    private val header by option(help = "header as name:value").multiple()
+    private val body by option(help = "request body").default("")
+    private val status by option(help = "print the status line and headers too").flag()
+    private val attempts by option(help = "tries, one a half second, until 2xx").int().default(1)
+
+    override fun run() = runBlocking {
+        val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+        try {
+            repeat(attempts) { attempt ->
+                val last = attempt == attempts - 1
+                if (call(HttpClient(group), quiet = !last)) return@runBlocking
+                if (!last) delay(RETRY_MILLIS)
+            }
+        } finally {
+            group.shutdownGracefully(0, 0, java.util.concurrent.TimeUnit.SECONDS)
+        }
+        throw ProgramResult(1)
+    }
+
+    private suspend fun call(client: HttpClient, quiet: Boolean): Boolean {
+        val uri = URI(url)
+        val headers = DefaultHttpHeaders()
+        header.forEach { headers.add(it.substringBefore(':'), it.substringAfter(':').trim()) }
+        val request =
+            HttpRequest(method, uri.rawPath, uri.rawQuery.orEmpty(), headers, body.toByteArray())
+        return try {
+            val response =
+                client.send(
+                    InetSocketAddress(uri.host, uri.port),
+                    request,
+                    CallTimeouts(1_000, 60_000),
+                )
+            val success = response.status in SUCCESS
+            if (success || !quiet) print(response)
+            success
+        } catch (e: HttpCallException) {
+            if (!quiet) echo(e.message, err = true)
+            false
+        }
+    }
+
+    private suspend fun print(response: io.lavenderhinge.http.ClientResponse) {
+        if (status) {
+            echo("status ${response.status}")
+            response.headers.forEach { echo("${it.key}: ${it.value}") }
+            echo("")
+        }
+        while (true) {
+            val chunk = response.readChunk() ?: break
+            echo(String(chunk), trailingNewline = false)
+        }
+        echo("")
+    }
+
+    private companion object {
+        const val RETRY_MILLIS = 500L
+        val SUCCESS = 200..299
+    }
+}
--- a/standins/src/main/kotlin/io/lavenderhinge/standins/Main.kt
+++ b/standins/src/main/kotlin/io/lavenderhinge/standins/Main.kt
@@ -8,5 +8,5 @@
 
 fun main(arguments: Array<String>) =
     StandinsCommand()
-        .subcommands(PlatformCommand(), EngineCommand(), ServiceCommand())
+        .subcommands(PlatformCommand(), EngineCommand(), ServiceCommand(), CallCommand())
         .main(arguments)
