Serve requests end to end with real processes

An instance reads the settings and the live list from the platform, checks callers, and streams chat completions and plain calls through to the backend servers. Three instances, two engines, two services and the platform run as processes of their own in the test: 60 concurrent callers with answers of 2 to 200 tokens each got the whole of their own answer.

Not there yet: scheduling (a server is picked by least in flight), the ledger (non-idempotent requests get not-run), rollouts, gossip.

--- /dev/null
+++ b/e2e/src/test/kotlin/io/lavenderhinge/e2e/ServingTest.kt
@@ -0,0 +1,75 @@
+package io.lavenderhinge.e2e
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.lavenderhinge.adapters.Json
+import io.lavenderhinge.e2e.fleet.Fleet
+import io.lavenderhinge.e2e.fleet.chat
+import io.lavenderhinge.e2e.fleet.header
+import io.lavenderhinge.e2e.fleet.standardFleet
+import io.lavenderhinge.e2e.fleet.token
+import io.lavenderhinge.e2e.fleet.tokens
+import io.lavenderhinge.http.HttpResponse
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+
+/** Real processes serve callers; guards against answers that are cut, crossed or lost. */
+class ServingTest :
+    FunSpec({
+        lateinit var fleet: Fleet
+        beforeSpec { fleet = standardFleet() }
+        afterSpec { fleet.close() }
+
+        test("given concurrent callers of all sizes, then each gets the whole of its own answer") {
+            coroutineScope {
+                (0 until 60)
+                    .map { number ->
+                        async {
+                            val count = if (number % 10 == 0) 200 else 2 + number % 5
+                            val body = chat("caller$number", count, stream = number % 2 == 0)
+                            val instance = fleet.instances[number % fleet.instances.size]
+                            val answer =
+                                instance.caller.call(
+                                    "POST",
+                                    "/v1/chat/completions",
+                                    body,
+                                    listOf(token("counter-key")),
+                                )
+                            answer.status shouldBe 200
+                            tokens(answer, streamed = number % 2 == 0) shouldBe
+                                (0 until count).map { "caller$number:$it" }
+                        }
+                    }
+                    .awaitAll()
+            }
+        }
+
+        test("given a plain service, when it is called, then its answer passes through") {
+            val answer =
+                fleet.instances[0]
+                    .caller
+                    .call("GET", "/booking/stock?yard=7", headers = listOf(token("counter-key")))
+            answer.status shouldBe 200
+            Json.mapper.readTree(answer.body).path("path").asText() shouldBe "/booking/stock"
+        }
+
+        test("given an unknown credential, when called, then the problem names code and outcome") {
+            val answer: HttpResponse =
+                fleet.instances[0]
+                    .caller
+                    .call("GET", "/booking/stock", headers = listOf(token("no")))
+            answer.status shouldBe 401
+            answer.contentType shouldBe "application/problem+json"
+            val problem = Json.mapper.readTree(answer.body)
+            problem.path("code").asText() shouldBe "unknown-credential"
+            problem.path("outcome").asText() shouldBe "not-run"
+            answer.header("X-Request-Id") shouldBe problem.path("requestId").asText()
+        }
+
+        test("given served requests, when metrics are read, then each tier has its histogram") {
+            val text = String(fleet.instances[0].operator.call("GET", "/metrics").body)
+            text shouldContain "lavenderhinge_first_token_seconds_bucket{tier=\"interactive\""
+        }
+    })
--- /dev/null
+++ b/e2e/src/test/kotlin/io/lavenderhinge/e2e/fleet/StandardFleet.kt
@@ -0,0 +1,84 @@
+package io.lavenderhinge.e2e.fleet
+
+import io.lavenderhinge.adapters.Json
+import io.lavenderhinge.core.port.MemberKind
+import io.lavenderhinge.http.HttpField
+import io.lavenderhinge.http.HttpResponse
+import java.nio.file.Files
+
+/** Settings of the team that [standardFleet] serves. */
+val STANDARD_SETTINGS =
+    """
+    [team]
+    name = caprock
+
+    [workspace.counter]
+    weight = 4
+    credential = counter-key
+
+    [workspace.office]
+    weight = 1
+    credential = office-key
+
+    [model.drafting]
+    version = 7
+
+    [service.booking]
+    version = 3
+
+    [route.draft]
+    path = /v1/chat/completions
+    model = drafting
+    tier = interactive
+    deadline = 30s
+
+    [route.lookup]
+    path = /booking
+    service = booking
+    tier = interactive
+    deadline = 5s
+
+    [route.book]
+    path = /booking/reserve
+    service = booking
+    tier = interactive
+    idempotent = false
+    retention = 10m
+    deadline = 10s
+    """
+        .trimIndent()
+
+/** Three instances in two failure domains before two engines and two booking services. */
+suspend fun standardFleet(settings: String = STANDARD_SETTINGS): Fleet {
+    val fleet = Fleet(Files.createTempDirectory("lavenderhinge-e2e"))
+    fleet.server(MemberKind.MODEL_ENGINE, "engine-a", "a", "drafting", "7", "--step-millis", "2")
+    fleet.server(MemberKind.MODEL_ENGINE, "engine-b", "b", "drafting", "7", "--step-millis", "2")
+    fleet.server(MemberKind.PLAIN_SERVICE, "booking-a", "a", "booking", "3")
+    fleet.server(MemberKind.PLAIN_SERVICE, "booking-b", "b", "booking", "3")
+    fleet.instance("one", "a")
+    fleet.instance("two", "a")
+    fleet.instance("three", "b")
+    fleet.start(mapOf("caprock" to settings))
+    return fleet
+}
+
+/** The header that names a workspace. */
+fun token(credential: String) = HttpField("Authorization", "Bearer $credential")
+
+/** The tokens of an answer, or those before the cut of one that was streamed in part. */
+fun tokens(answer: HttpResponse, streamed: Boolean): List<String> {
+    val text =
+        if (streamed) {
+            String(answer.body)
+                .lines()
+                .filter { it.startsWith("data: {") }
+                .joinToString("") { line ->
+                    val data = Json.mapper.readTree(line.removePrefix("data: "))
+                    data.path("choices").path(0).path("delta").path("content").asText()
+                }
+        } else {
+            val data = Json.mapper.readTree(answer.body)
+            data.path("choices").path(0).path("message").path("content").asText()
+        }
+    return text.split(' ').filter { it.isNotEmpty() }
+}
--- /dev/null
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/Instance.kt
@@ -0,0 +1,176 @@
+package io.lavenderhinge.instance
+
+import io.lavenderhinge.adapters.CallBudget
+import io.lavenderhinge.adapters.HttpKeyValueStore
+import io.lavenderhinge.adapters.HttpLiveList
+import io.lavenderhinge.core.health.FailureKind
+import io.lavenderhinge.core.ledger.LedgerResult
+import io.lavenderhinge.core.ledger.NotRunReason
+import io.lavenderhinge.core.port.MemberKind
+import io.lavenderhinge.core.rollout.RequestOutcome
+import io.lavenderhinge.core.rollout.TeamTarget
+import io.lavenderhinge.core.routing.ServerView
+import io.lavenderhinge.core.scheduling.ServerHealth
+import io.lavenderhinge.core.scheduling.ServerState
+import io.lavenderhinge.core.settings.Address
+import io.lavenderhinge.core.settings.Bootstrap
+import io.lavenderhinge.core.settings.Target
+import io.lavenderhinge.http.HttpClient
+import io.lavenderhinge.http.HttpLimits
+import io.lavenderhinge.http.HttpServer
+import io.lavenderhinge.instance.caller.CallerHandler
+import io.lavenderhinge.instance.caller.ModelRequests
+import io.lavenderhinge.instance.caller.RequestServices
+import io.lavenderhinge.instance.caller.ServerEvidence
+import io.lavenderhinge.instance.caller.ServiceRequests
+import io.lavenderhinge.instance.caller.Versions
+import io.lavenderhinge.instance.control.ControlThread
+import io.lavenderhinge.instance.ledger.Ledger
+import io.lavenderhinge.instance.metrics.RequestMetrics
+import io.lavenderhinge.instance.operator.OperatorHandler
+import io.lavenderhinge.instance.operator.OperatorView
+import io.lavenderhinge.instance.scheduling.LeastInFlightSlots
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import java.net.InetSocketAddress
+import org.slf4j.LoggerFactory
+
+/** One entry instance: wires the decisions of the core to sockets, timers and the platform. */
+class Instance(private val bootstrap: Bootstrap) {
+    private val control = ControlThread()
+    private val traffic = MultiThreadIoEventLoopGroup(TRAFFIC_THREADS, NioIoHandler.newFactory())
+    private val client = HttpClient(traffic)
+    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val reads = budget(bootstrap.platform.readsPerSecond)
+    private val store =
+        HttpKeyValueStore(
+            client,
+            socketAddress(bootstrap.platform.keyValue),
+            reads,
+            budget(bootstrap.platform.writesPerSecond),
+        )
+    private val list = HttpLiveList(client, socketAddress(bootstrap.platform.liveList), reads)
+    private val view = PolledView(store, list)
+    private val services =
+        RequestServices(
+            selfId = bootstrap.identity.id,
+            routes = { view.routes },
+            slots = LeastInFlightSlots(::servers),
+            ledger = NoLedger,
+            versions = SettledVersions(),
+            evidence = NoEvidence,
+            metrics = RequestMetrics(registry),
+            nowMillis = control::nowMillis,
+        )
+    private val callers =
+        CallerHandler(
+            services,
+            ModelRequests(services, client, control.scope),
+            ServiceRequests(services, client),
+        )
+    private val callerServer = HttpServer(traffic, callers, limits())
+    private val operatorServer = HttpServer(traffic, OperatorHandler(operatorView(), registry))
+
+    /** Starts to listen; the instance is ready once settings are in force. */
+    fun start() {
+        control.every(POLL_MILLIS) { view.refresh() }
+        callerServer.start(socketAddress(bootstrap.listen.caller))
+        operatorServer.start(socketAddress(bootstrap.listen.operator))
+        log.info(
+            "instance: {} listens for callers on {}",
+            bootstrap.identity.id,
+            bootstrap.listen.caller,
+        )
+    }
+
+    /** Stops accepting connections. */
+    fun shutdown() {
+        callerServer.stopAccepting()
+        log.info("instance: {} has shut down", bootstrap.identity.id)
+    }
+
+    private fun servers(): List<ServerView> =
+        view.members
+            .filter { it.kind != MemberKind.INSTANCE }
+            .map {
+                val target =
+                    if (it.kind == MemberKind.MODEL_ENGINE) Target.Model(it.serves)
+                    else Target.Service(it.serves)
+                val state = if (it.leaving) ServerState.LEAVING else ServerState.LIVE
+                ServerView(
+                    it.id,
+                    it.address,
+                    it.failureDomain,
+                    target,
+                    it.version,
+                    ServerHealth(state),
+                    it.hardwareGeneration,
+                )
+            }
+
+    private fun operatorView() =
+        OperatorView(
+            notReadyReason = { if (view.routes == null) "no settings are in force yet" else null },
+            status = { mapOf("instance" to bootstrap.identity.id) },
+            explain = { _, _, _ -> emptyMap() },
+        )
+
+    private fun limits(): HttpLimits =
+        with(bootstrap.limits) {
+            HttpLimits(
+                requestLineBytes,
+                headBytes,
+                bodyBytes,
+                headMillis,
+                bodyMillis,
+                idleMillis,
+                connections,
+                pipelinedRequests,
+            )
+        }
+
+    private fun budget(callsPerSecond: Double) =
+        CallBudget(callsPerSecond, burst = callsPerSecond.coerceAtLeast(1.0) * BURST_SECONDS)
+
+    private inner class SettledVersions : Versions {
+        override fun versionFor(target: TeamTarget, requestId: String): String? =
+            view.tree
+                ?.teams
+                ?.get(target.team)
+                ?.targets
+                ?.firstOrNull { it.target == target.target }
+                ?.version
+
+        override fun observe(
+            target: TeamTarget,
+            route: String,
+            version: String,
+            outcome: RequestOutcome,
+        ) = Unit
+    }
+
+    private object NoEvidence : ServerEvidence {
+        override fun answered(serverId: String, firstTokenMillis: Long?) = Unit
+
+        override fun failed(serverId: String, kind: FailureKind) = Unit
+    }
+
+    private companion object {
+        const val TRAFFIC_THREADS = 2
+        const val POLL_MILLIS = 500L
+        const val BURST_SECONDS = 2.0
+        const val RETRY_MILLIS = 1_000L
+        val log = LoggerFactory.getLogger(Instance::class.java)
+        val NoLedger = Ledger { _, _ ->
+            LedgerResult.NotRun(
+                NotRunReason.PLATFORM_UNAVAILABLE,
+                "this release has no ledger yet",
+                RETRY_MILLIS,
+            )
+        }
+
+        fun socketAddress(address: Address) = InetSocketAddress(address.ip, address.port)
+    }
+}
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/ledger/Ledger.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/ledger/Ledger.kt
@@ -5,7 +5,7 @@
 import io.lavenderhinge.core.ledger.LedgerResult
 
 /** Runs non-idempotent requests at most once. Safe to call from any thread. */
-interface Ledger {
+fun interface Ledger {
     /**
      * Reserves the key of [request] and, if it is new, runs [dispatch] once.
      *
