--- a/adapters/src/main/kotlin/io/lavenderhinge/adapters/HttpKeyValueStore.kt
+++ b/adapters/src/main/kotlin/io/lavenderhinge/adapters/HttpKeyValueStore.kt
@@ -11,6 +11,7 @@
 import io.lavenderhinge.core.port.WatchResult
 import io.lavenderhinge.http.CallTimeouts
 import io.lavenderhinge.http.HttpClient
+import io.lavenderhinge.http.HttpStatus
 import java.net.InetSocketAddress
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.toImmutableList
@@ -40,7 +41,7 @@
                     },
                     { it },
                 )
-        if (response.status == STATUS_NOT_FOUND) return null.right()
+        if (response.status == HttpStatus.NOT_FOUND) return null.right()
         return value(response.body).map { it }
     }
 
@@ -74,9 +75,9 @@
                     { it },
                 )
         return when (response.status) {
-            STATUS_OK -> long(response.body, "version")
-            STATUS_CONFLICT -> conflict(response.body).left()
-            STATUS_TOO_LARGE -> StoreFault.TooLarge(bytes.size).left()
+            HttpStatus.OK -> long(response.body, "version")
+            HttpStatus.CONFLICT -> conflict(response.body).left()
+            HttpStatus.CONTENT_TOO_LARGE -> StoreFault.TooLarge(bytes.size).left()
             else -> malformed().left()
         }
     }
@@ -128,7 +129,7 @@
                     },
                     { it },
                 )
-        if (response.status == STATUS_NOT_FOUND) return StoreFault.Conflict(null).left()
+        if (response.status == HttpStatus.NOT_FOUND) return StoreFault.Conflict(null).left()
         return lease(response)
     }
 
@@ -152,8 +153,8 @@
                     { it },
                 )
         return when (response.status) {
-            STATUS_TOO_MANY,
-            STATUS_UNAVAILABLE ->
+            HttpStatus.TOO_MANY_REQUESTS,
+            HttpStatus.UNAVAILABLE ->
                 StoreFault.Unavailable("the key-value service refused the call; retry later").left()
             in SERVER_ERRORS -> malformed().left()
             else -> response.right()
@@ -210,12 +211,6 @@
 
     private companion object {
         const val VALUE_BYTES = 1_000_000
-        const val STATUS_OK = 200
-        const val STATUS_NOT_FOUND = 404
-        const val STATUS_CONFLICT = 409
-        const val STATUS_TOO_LARGE = 413
-        const val STATUS_TOO_MANY = 429
-        const val STATUS_UNAVAILABLE = 503
         val SERVER_ERRORS = 500..599
     }
 }
--- a/adapters/src/main/kotlin/io/lavenderhinge/adapters/HttpLiveList.kt
+++ b/adapters/src/main/kotlin/io/lavenderhinge/adapters/HttpLiveList.kt
@@ -9,6 +9,7 @@
 import io.lavenderhinge.core.port.LiveListFault
 import io.lavenderhinge.http.CallTimeouts
 import io.lavenderhinge.http.HttpClient
+import io.lavenderhinge.http.HttpStatus
 import java.net.InetSocketAddress
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.toImmutableList
@@ -34,7 +35,7 @@
                     { it },
                 )
         val body = response.body
-        if (response.status != STATUS_OK || body == null || !body.isArray) {
+        if (response.status != HttpStatus.OK || body == null || !body.isArray) {
             return LiveListFault("the live list answered with status ${response.status}").left()
         }
         // One malformed member must not hide the others.
@@ -43,8 +44,4 @@
             .toImmutableList()
             .right()
     }
-
-    private companion object {
-        const val STATUS_OK = 200
-    }
 }
--- a/adapters/src/main/kotlin/io/lavenderhinge/adapters/HttpModelEngine.kt
+++ b/adapters/src/main/kotlin/io/lavenderhinge/adapters/HttpModelEngine.kt
@@ -13,6 +13,7 @@
 import io.lavenderhinge.core.port.ModelEngine
 import io.lavenderhinge.http.CallTimeouts
 import io.lavenderhinge.http.HttpClient
+import io.lavenderhinge.http.HttpStatus
 import java.net.InetSocketAddress
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.toImmutableList
@@ -67,8 +68,8 @@
                 )
         val content = response.body ?: Json.mapper.nullNode()
         return when (response.status) {
-            STATUS_OK -> content.right()
-            STATUS_FENCED ->
+            HttpStatus.OK -> content.right()
+            HttpStatus.PRECONDITION_FAILED ->
                 EngineFault.Fenced(content.path("currentFencingNumber").asLong(0)).left()
             else -> {
                 val draining = content.path("draining").asBoolean(false)
@@ -89,9 +90,4 @@
 
     private fun malformed(): EngineFault =
         EngineFault.OutcomeUnknown("the engine sent a malformed answer; ask again")
-
-    private companion object {
-        const val STATUS_OK = 200
-        const val STATUS_FENCED = 412
-    }
 }
--- a/adapters/src/main/kotlin/io/lavenderhinge/adapters/HttpWeightStore.kt
+++ b/adapters/src/main/kotlin/io/lavenderhinge/adapters/HttpWeightStore.kt
@@ -7,6 +7,7 @@
 import io.lavenderhinge.core.port.WeightStoreFault
 import io.lavenderhinge.http.CallTimeouts
 import io.lavenderhinge.http.HttpClient
+import io.lavenderhinge.http.HttpStatus
 import java.net.InetSocketAddress
 
 /** The weight store over HTTP. */
@@ -26,18 +27,15 @@
                     { it },
                 )
         return when (response.status) {
-            STATUS_OK -> true.right()
-            STATUS_NOT_FOUND -> false.right()
-            STATUS_TOO_MANY ->
+            HttpStatus.OK -> true.right()
+            HttpStatus.NOT_FOUND -> false.right()
+            HttpStatus.TOO_MANY_REQUESTS ->
                 WeightStoreFault("the weight store is over its rate", RETRY_MILLIS).left()
             else -> WeightStoreFault("the weight store answered ${response.status}", null).left()
         }
     }
 
     private companion object {
-        const val STATUS_OK = 200
-        const val STATUS_NOT_FOUND = 404
-        const val STATUS_TOO_MANY = 429
         const val RETRY_MILLIS = 1_000L
     }
 }
--- a/http/src/main/kotlin/io/lavenderhinge/http/HttpClient.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/HttpClient.kt
@@ -68,7 +68,12 @@
         reuseConnection: Boolean = true,
     ): HttpResponse {
         val response = send(address, request, timeouts, reuseConnection)
-        val body = response.readAll()
+        val body =
+            try {
+                response.readAll()
+            } finally {
+                response.abort()
+            }
         val fields = response.headers.map { HttpField(it.key, it.value) }
         return HttpResponse(response.status, body, fields, response.headers.get("content-type"))
     }
--- a/http/src/test/kotlin/io/lavenderhinge/http/HttpServerTest.kt
+++ b/http/src/test/kotlin/io/lavenderhinge/http/HttpServerTest.kt
@@ -59,7 +59,9 @@
                 ),
                 Bad(
                     "large chunked body",
-                    "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n${"a".repeat(101)}\r\n0\r\n\r\n",
+                    "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n" +
+                        "a".repeat(101) +
+                        "\r\n0\r\n\r\n",
                     413,
                     "body-too-large",
                 ),
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/caller/AnswerWriter.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/caller/AnswerWriter.kt
@@ -6,6 +6,7 @@
 import io.lavenderhinge.http.HttpExchange
 import io.lavenderhinge.http.HttpField
 import io.lavenderhinge.http.HttpResponse
+import io.lavenderhinge.http.HttpStatus
 
 /** Writes a chat completion to its caller, streamed or whole. */
 internal abstract class AnswerWriter(
@@ -60,7 +61,7 @@
         writer
             ?: exchange
                 .startStream(
-                    STATUS_OK,
+                    HttpStatus.OK,
                     "text/event-stream",
                     listOf(HttpField("X-Request-Id", context.requestId)),
                 )
@@ -82,7 +83,7 @@
         val body = mapOf("id" to context.requestId, "choices" to listOf(choice))
         exchange.respond(
             HttpResponse(
-                STATUS_OK,
+                HttpStatus.OK,
                 Json.render(body),
                 listOf(HttpField("X-Request-Id", context.requestId)),
                 "application/json",
@@ -93,5 +94,3 @@
     override suspend fun fail(problem: Problem) =
         exchange.respond(problem.response(context.requestId))
 }
-
-private const val STATUS_OK = 200
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/caller/LedgerProblems.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/caller/LedgerProblems.kt
@@ -6,18 +6,19 @@
 import io.lavenderhinge.core.ledger.LedgerResult
 import io.lavenderhinge.core.ledger.NotRunReason
 import io.lavenderhinge.core.ledger.UnknownReason
+import io.lavenderhinge.http.HttpStatus
 
 /** What callers are told of the ledger's results. */
 internal object LedgerProblems {
     val MISMATCH =
         Problem.notRun(
-            422,
+            HttpStatus.UNPROCESSABLE,
             "idempotency-key-reused",
             "the key belongs to another request; use a new key for a new request",
         )
     val TOO_OLD =
         Problem.unknown(
-            409,
+            HttpStatus.CONFLICT,
             "idempotency-key-expired",
             "the request may have run before; look up its effect before using a new key",
         )
@@ -32,7 +33,7 @@
     ): Either<Problem, IdempotencyKey> {
         if (text == null) return generate(nowMillis).right()
         return IdempotencyKey.parse(context.workspace.id, text, nowMillis, acceptUntimed).mapLeft {
-            Problem.notRun(400, "invalid-idempotency-key", it.message)
+            Problem.notRun(HttpStatus.BAD_REQUEST, "invalid-idempotency-key", it.message)
         }
     }
 
@@ -44,27 +45,27 @@
                 NotRunReason.NEVER_SENT -> "no-backend-server"
             }
         val remedy = "the request did not run; repeat it with the same key"
-        return Problem.notRun(503, code, remedy, result.retryAfterMillis)
+        return Problem.notRun(HttpStatus.UNAVAILABLE, code, remedy, result.retryAfterMillis)
     }
 
     fun of(result: LedgerResult.Unknown): Problem =
         when (result.reason) {
             UnknownReason.IN_FLIGHT ->
                 Problem.unknown(
-                    409,
+                    HttpStatus.CONFLICT,
                     "request-in-flight",
                     "a request with this key is under way; repeat later to get its answer",
                 )
             UnknownReason.IN_DOUBT ->
                 Problem.unknown(
-                    409,
+                    HttpStatus.CONFLICT,
                     "outcome-in-doubt",
                     "the request may have run; look up its effect before using a new key",
                 )
             UnknownReason.ANSWER_LOST -> Problem.ENGINE_UNKNOWN
             UnknownReason.ANSWER_NOT_KEPT ->
                 Problem.unknown(
-                    409,
+                    HttpStatus.CONFLICT,
                     "answer-not-kept",
                     "the request ran once; its answer was too large to keep, look up its effect",
                 )
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/caller/ModelRequests.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/caller/ModelRequests.kt
@@ -57,7 +57,7 @@
             val run = Run(exchange, context, target, slot, answer, upstreamBody(body))
             if (run.execute() == RunEnd.ANSWERED) return
         }
-        refuse(exchange, context, NO_SERVER_TOOK_IT)
+        refuse(exchange, context, Problem.NO_SERVER_TOOK_IT)
     }
 
     private fun slotRequest(context: RequestContext, version: String, estimate: PromptEstimate) =
@@ -234,10 +234,7 @@
     }
 
     private companion object {
-        const val DISPATCH_ATTEMPTS = 3
         const val MICROS = 1_000L
         const val BYTES_PER_TOKEN = 4
-        val NO_SERVER_TOOK_IT =
-            Problem.notRun(503, "no-backend-server", "retry; no backend server took it", 1_000)
     }
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/caller/Problem.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/caller/Problem.kt
@@ -5,6 +5,7 @@
 import io.lavenderhinge.core.routing.SlotRefusalReason
 import io.lavenderhinge.http.HttpField
 import io.lavenderhinge.http.HttpResponse
+import io.lavenderhinge.http.HttpStatus
 
 /** Whether a request that got an error can have run. */
 enum class Outcome(val text: String) {
@@ -47,6 +48,7 @@
 
     companion object {
         private const val MILLIS_PER_SECOND = 1_000L
+        private const val RETRY_MILLIS = 1_000L
 
         fun notRun(status: Int, code: String, remedy: String, retryAfterMillis: Long? = null) =
             Problem(status, code, remedy, Outcome.NOT_RUN, retryAfterMillis)
@@ -55,31 +57,70 @@
             Problem(status, code, remedy, Outcome.UNKNOWN)
 
         val INVALID_REQUEST_ID =
-            notRun(400, "invalid-request-id", "use 1 to 128 visible ASCII characters")
+            notRun(
+                HttpStatus.BAD_REQUEST,
+                "invalid-request-id",
+                "use 1 to 128 visible ASCII characters",
+            )
         val UNKNOWN_CREDENTIAL =
-            notRun(401, "unknown-credential", "send the workspace's token as Authorization: Bearer")
-        val NO_ROUTE = notRun(404, "no-route", "check the path and the model against the settings")
+            notRun(
+                HttpStatus.UNAUTHORIZED,
+                "unknown-credential",
+                "send the workspace's token as Authorization: Bearer",
+            )
+        val NO_ROUTE =
+            notRun(
+                HttpStatus.NOT_FOUND,
+                "no-route",
+                "check the path and the model against the settings",
+            )
         val INVALID_BODY =
-            notRun(400, "invalid-body", "send a JSON object with a messages array of text contents")
+            notRun(
+                HttpStatus.BAD_REQUEST,
+                "invalid-body",
+                "send a JSON object with a messages array of text contents",
+            )
         val INVALID_DEADLINE =
             notRun(
-                400,
+                HttpStatus.BAD_REQUEST,
                 "invalid-deadline",
                 "send X-Deadline-Ms as a whole number from 1 to 3600000",
             )
-        val METHOD_NOT_ALLOWED = notRun(405, "method-not-allowed", "use POST on a model route")
+        val METHOD_NOT_ALLOWED =
+            notRun(HttpStatus.METHOD_NOT_ALLOWED, "method-not-allowed", "use POST on a model route")
         val NOT_READY =
-            notRun(503, "not-ready", "retry; this instance has no settings in force yet", 1_000)
+            notRun(
+                HttpStatus.UNAVAILABLE,
+                "not-ready",
+                "retry; this instance has no settings in force yet",
+                RETRY_MILLIS,
+            )
         val ENGINE_UNKNOWN =
             unknown(
-                502,
+                HttpStatus.BAD_GATEWAY,
                 "answer-lost",
                 "the backend server's answer was lost; check before repeating",
             )
         val PREEMPTED =
-            unknown(503, "preempted", "urgent requests needed the backend server; repeat later")
+            unknown(
+                HttpStatus.UNAVAILABLE,
+                "preempted",
+                "urgent requests needed the backend server; repeat later",
+            )
         val TIMEOUT =
-            unknown(504, "deadline-exceeded", "the request may have run; check before repeating")
+            unknown(
+                HttpStatus.GATEWAY_TIMEOUT,
+                "deadline-exceeded",
+                "the request may have run; check before repeating",
+            )
+
+        val NO_SERVER_TOOK_IT =
+            notRun(
+                HttpStatus.UNAVAILABLE,
+                "no-backend-server",
+                "retry; no backend server took the request",
+                RETRY_MILLIS,
+            )
 
         /** The problem of a request that got no slot. */
         fun of(refusal: SlotRefusal): Problem {
@@ -91,7 +132,7 @@
                     SlotRefusalReason.RETRY_BUDGET -> "retry-budget-exhausted"
                     SlotRefusalReason.SHUTDOWN -> "shutting-down"
                 }
-            return notRun(503, code, refusal.message, refusal.retryAfterMillis)
+            return notRun(HttpStatus.UNAVAILABLE, code, refusal.message, refusal.retryAfterMillis)
         }
     }
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/dispatch/EngineStream.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/dispatch/EngineStream.kt
@@ -6,6 +6,7 @@
 import io.lavenderhinge.http.HttpCallException
 import io.lavenderhinge.http.HttpClient
 import io.lavenderhinge.http.HttpRequest
+import io.lavenderhinge.http.HttpStatus
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import java.net.InetSocketAddress
 import org.slf4j.LoggerFactory
@@ -93,7 +94,7 @@
             } catch (e: HttpCallException.OutcomeUnknown) {
                 return resume(address, attemptId, progress, e.message.orEmpty())
             }
-        if (opened.status != STATUS_OK) return refusal(opened)
+        if (opened.status != HttpStatus.OK) return refusal(opened)
         return when (val lost = progress.drain(opened)) {
             null -> StreamEnd.Complete
             else -> resume(address, attemptId, progress, lost)
@@ -129,7 +130,7 @@
             } catch (e: HttpCallException) {
                 return e.message.orEmpty()
             }
-        if (response.status == STATUS_OK) return progress.drain(response)
+        if (response.status == HttpStatus.OK) return progress.drain(response)
         response.abort()
         return "the engine does not resume the stream (status ${response.status})"
     }
@@ -153,25 +154,26 @@
             private set
 
         /** Delivers events to the proper end; returns null there, else why the stream was cut. */
-        suspend fun drain(response: ClientResponse): String? {
-            val parser = SseParser()
+        suspend fun drain(response: ClientResponse): String? =
             try {
-                while (true) {
-                    val chunk =
-                        response.readChunk() ?: return "the stream ended without its end mark"
-                    for (event in parser.feed(chunk)) {
-                        if (event.data == END_MARK) {
-                            response.readAll()
-                            return null
-                        }
-                        deliver(event)
-                    }
-                }
+                if (deliverAll(response)) null else "the stream ended without its end mark"
             } catch (e: HttpCallException) {
-                return e.message.orEmpty()
+                e.message.orEmpty()
             } finally {
                 response.abort()
             }
+
+        /** True when the end mark was seen. */
+        private suspend fun deliverAll(response: ClientResponse): Boolean {
+            val parser = SseParser()
+            while (true) {
+                val events = parser.feed(response.readChunk() ?: return false)
+                events.takeWhile { it.data != END_MARK }.forEach { deliver(it) }
+                if (events.any { it.data == END_MARK }) {
+                    response.readAll()
+                    return true
+                }
+            }
         }
 
         private suspend fun deliver(event: SseEvent) {
@@ -185,7 +187,6 @@
     }
 
     private companion object {
-        const val STATUS_OK = 200
         const val RESUME_ATTEMPTS = 3
         const val END_MARK = "[DONE]"
         val REFUSALS = setOf(404, 429)
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/operator/OperatorHandler.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/operator/OperatorHandler.kt
@@ -4,6 +4,7 @@
 import io.lavenderhinge.http.HttpExchange
 import io.lavenderhinge.http.HttpHandler
 import io.lavenderhinge.http.HttpResponse
+import io.lavenderhinge.http.HttpStatus
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 
 /** What the operator port tells. Functions may be called on any thread. */
@@ -23,26 +24,26 @@
 ) : HttpHandler {
     override suspend fun handle(exchange: HttpExchange) {
         when (exchange.request.path) {
-            "/healthz" -> respond(exchange, STATUS_OK, mapOf("healthy" to true))
+            "/healthz" -> respond(exchange, HttpStatus.OK, mapOf("healthy" to true))
             "/readyz" -> ready(exchange)
             "/metrics" ->
                 exchange.respond(
                     HttpResponse(
-                        STATUS_OK,
+                        HttpStatus.OK,
                         registry.scrape().toByteArray(),
                         contentType = "text/plain; version=0.0.4; charset=utf-8",
                     )
                 )
-            "/status" -> respond(exchange, STATUS_OK, view.status())
+            "/status" -> respond(exchange, HttpStatus.OK, view.status())
             "/explain" -> explain(exchange)
-            else -> respond(exchange, STATUS_NOT_FOUND, mapOf("code" to "no-such-path"))
+            else -> respond(exchange, HttpStatus.NOT_FOUND, mapOf("code" to "no-such-path"))
         }
     }
 
     private suspend fun ready(exchange: HttpExchange) {
         val reason = view.notReadyReason()
-        if (reason == null) respond(exchange, STATUS_OK, mapOf("ready" to true))
-        else respond(exchange, STATUS_UNAVAILABLE, mapOf("ready" to false, "reason" to reason))
+        if (reason == null) respond(exchange, HttpStatus.OK, mapOf("ready" to true))
+        else respond(exchange, HttpStatus.UNAVAILABLE, mapOf("ready" to false, "reason" to reason))
     }
 
     private suspend fun explain(exchange: HttpExchange) {
@@ -52,9 +53,9 @@
         val workspace = parameters["workspace"]
         if (team == null || route == null || workspace == null) {
             val remedy = "give team, route and workspace"
-            return respond(exchange, STATUS_BAD_REQUEST, mapOf("remedy" to remedy))
+            return respond(exchange, HttpStatus.BAD_REQUEST, mapOf("remedy" to remedy))
         }
-        respond(exchange, STATUS_OK, view.explain(team, route, workspace))
+        respond(exchange, HttpStatus.OK, view.explain(team, route, workspace))
     }
 
     private fun parameters(query: String): Map<String, String> =
@@ -68,11 +69,4 @@
 
     private suspend fun respond(exchange: HttpExchange, status: Int, value: Map<String, Any?>) =
         exchange.respond(HttpResponse(status, Json.render(value), contentType = "application/json"))
-
-    private companion object {
-        const val STATUS_OK = 200
-        const val STATUS_BAD_REQUEST = 400
-        const val STATUS_NOT_FOUND = 404
-        const val STATUS_UNAVAILABLE = 503
-    }
 }
--- a/standins/src/main/kotlin/io/lavenderhinge/standins/FaultInjector.kt
+++ b/standins/src/main/kotlin/io/lavenderhinge/standins/FaultInjector.kt
@@ -5,6 +5,7 @@
 import io.lavenderhinge.http.HttpField
 import io.lavenderhinge.http.HttpHandler
 import io.lavenderhinge.http.HttpResponse
+import io.lavenderhinge.http.HttpStatus
 import java.util.concurrent.atomic.AtomicInteger
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
@@ -33,7 +34,8 @@
         if (exchange.request.path.startsWith("/admin/")) return inner.handle(exchange)
         val current = faults
         if (current.delayMillis > 0) delay(current.delayMillis)
-        if (current.outage) return exchange.respondJson(mapOf("error" to "outage"), OUTAGE_STATUS)
+        if (current.outage)
+            return exchange.respondJson(mapOf("error" to "outage"), HttpStatus.UNAVAILABLE)
         if (current.silent) {
             inner.handle(DroppingExchange(exchange))
             awaitCancellation()
@@ -51,10 +53,6 @@
         }
         exchange.respondJson(faults)
     }
-
-    private companion object {
-        const val OUTAGE_STATUS = 503
-    }
 }
 
 /** Lets a call take effect and drops its answer. */
--- a/standins/src/main/kotlin/io/lavenderhinge/standins/engine/EngineHandler.kt
+++ b/standins/src/main/kotlin/io/lavenderhinge/standins/engine/EngineHandler.kt
@@ -4,6 +4,7 @@
 import io.lavenderhinge.http.HttpExchange
 import io.lavenderhinge.http.HttpField
 import io.lavenderhinge.http.HttpHandler
+import io.lavenderhinge.http.HttpStatus
 import io.lavenderhinge.standins.json
 import io.lavenderhinge.standins.jsonBody
 import io.lavenderhinge.standins.parameter
@@ -37,7 +38,7 @@
             path == "/v1/cache-events" -> exchange.respondJson(emptyList<Any>())
             path == "/v1/chat/completions" -> complete(exchange)
             path.startsWith("/v1/streams/") -> stream(exchange)
-            else -> exchange.respondJson(mapOf("error" to "no such path"), NOT_FOUND)
+            else -> exchange.respondJson(mapOf("error" to "no such path"), HttpStatus.NOT_FOUND)
         }
     }
 
@@ -68,7 +69,10 @@
                 checksOrders,
             )
         if (current != null) {
-            return exchange.respondJson(mapOf("currentFencingNumber" to current), FENCED)
+            return exchange.respondJson(
+                mapOf("currentFencingNumber" to current),
+                HttpStatus.PRECONDITION_FAILED,
+            )
         }
         exchange.respondJson(mapOf("done" to true))
     }
@@ -78,11 +82,15 @@
         val version = exchange.request.header("X-Model-Version") ?: state.versions.first()
         val fault = state.faults.versions[version]
         when {
-            state.faults.draining -> exchange.respondJson(mapOf("draining" to true), UNAVAILABLE)
+            state.faults.draining ->
+                exchange.respondJson(mapOf("draining" to true), HttpStatus.UNAVAILABLE)
             version !in state.versions ->
-                exchange.respondJson(mapOf("error" to "version $version is not loaded"), NOT_FOUND)
+                exchange.respondJson(
+                    mapOf("error" to "version $version is not loaded"),
+                    HttpStatus.NOT_FOUND,
+                )
             fault != null && Random.nextDouble() < fault.errorFraction ->
-                exchange.respondJson(mapOf("error" to "model failed"), SERVER_ERROR)
+                exchange.respondJson(mapOf("error" to "model failed"), HttpStatus.SERVER_ERROR)
             else -> generate(exchange, body, version)
         }
     }
@@ -114,13 +122,20 @@
         }
         val generation =
             state.generations[requestId]
-                ?: return exchange.respondJson(mapOf("error" to "no such stream"), NOT_FOUND)
+                ?: return exchange.respondJson(
+                    mapOf("error" to "no such stream"),
+                    HttpStatus.NOT_FOUND,
+                )
         send(exchange, generation, exchange.parameter("from")?.toIntOrNull() ?: 0)
     }
 
     private suspend fun send(exchange: HttpExchange, generation: Generation, from: Int) {
         val writer =
-            exchange.startStream(OK, "text/event-stream", listOf(HttpField("X-Resumable", "true")))
+            exchange.startStream(
+                HttpStatus.OK,
+                "text/event-stream",
+                listOf(HttpField("X-Resumable", "true")),
+            )
         for (index in from until generation.tokens) {
             generation.produced.first { it > index }
             // A resumed stream is not cut again, so that one fault can be recovered from.
@@ -143,11 +158,6 @@
     }
 
     private companion object {
-        const val OK = 200
-        const val NOT_FOUND = 404
-        const val FENCED = 412
-        const val SERVER_ERROR = 500
-        const val UNAVAILABLE = 503
         const val DEFAULT_TOKENS = 16
     }
 }
--- a/standins/src/main/kotlin/io/lavenderhinge/standins/platform/PlatformHandler.kt
+++ b/standins/src/main/kotlin/io/lavenderhinge/standins/platform/PlatformHandler.kt
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode
 import io.lavenderhinge.http.HttpExchange
 import io.lavenderhinge.http.HttpHandler
+import io.lavenderhinge.http.HttpStatus
 import io.lavenderhinge.standins.json
 import io.lavenderhinge.standins.parameter
 import io.lavenderhinge.standins.respondJson
@@ -37,7 +38,7 @@
                 counted("write", exchange, ::swap)
             path.startsWith("/v1/kv/") -> counted("read", exchange, ::get)
             path.startsWith("/v1/weights/") -> exchange.respondJson(mapOf("present" to true))
-            else -> exchange.respondJson(mapOf("error" to "no such path"), NOT_FOUND)
+            else -> exchange.respondJson(mapOf("error" to "no such path"), HttpStatus.NOT_FOUND)
         }
     }
 
@@ -59,7 +60,8 @@
 
     private suspend fun get(exchange: HttpExchange) {
         val entry = state.get(key(exchange))
-        if (entry == null) exchange.respondJson(mapOf("error" to "no such key"), NOT_FOUND)
+        if (entry == null)
+            exchange.respondJson(mapOf("error" to "no such key"), HttpStatus.NOT_FOUND)
         else exchange.respondJson(entry)
     }
 
@@ -69,14 +71,14 @@
     private suspend fun swap(exchange: HttpExchange) {
         val body = exchange.request.body
         if (body.size > VALUE_BYTES) {
-            return exchange.respondJson(mapOf("error" to "too large"), TOO_LARGE)
+            return exchange.respondJson(mapOf("error" to "too large"), HttpStatus.CONTENT_TOO_LARGE)
         }
         val expected = exchange.parameter("expected")?.toLongOrNull() ?: 0
         val lease = exchange.parameter("lease")
         when (val result = state.swap(key(exchange), expected, String(body), lease)) {
             is SwapResult.Written -> exchange.respondJson(result.entry)
             is SwapResult.Conflict ->
-                exchange.respondJson(mapOf("current" to result.current), CONFLICT)
+                exchange.respondJson(mapOf("current" to result.current), HttpStatus.CONFLICT)
         }
     }
 
@@ -102,7 +104,8 @@
     private suspend fun renew(exchange: HttpExchange) {
         val id = exchange.request.path.removePrefix("/v1/leases/").removeSuffix("/renew")
         val ttlMillis = state.renewLease(id)
-        if (ttlMillis == null) exchange.respondJson(mapOf("error" to "lapsed"), NOT_FOUND)
+        if (ttlMillis == null)
+            exchange.respondJson(mapOf("error" to "lapsed"), HttpStatus.NOT_FOUND)
         else exchange.respondJson(mapOf("id" to id, "ttlMillis" to ttlMillis))
     }
 
@@ -110,9 +113,6 @@
         URLDecoder.decode(exchange.request.path.removePrefix("/v1/kv/"), Charsets.UTF_8)
 
     private companion object {
-        const val NOT_FOUND = 404
-        const val CONFLICT = 409
-        const val TOO_LARGE = 413
         const val VALUE_BYTES = 1_000_000
         const val POLL_MILLIS = 20L
         const val DEFAULT_LEASE_MILLIS = 10_000L
--- a/standins/src/main/kotlin/io/lavenderhinge/standins/service/ServiceHandler.kt
+++ b/standins/src/main/kotlin/io/lavenderhinge/standins/service/ServiceHandler.kt
@@ -2,6 +2,7 @@
 
 import io.lavenderhinge.http.HttpExchange
 import io.lavenderhinge.http.HttpHandler
+import io.lavenderhinge.http.HttpStatus
 import io.lavenderhinge.standins.RunRecord
 import io.lavenderhinge.standins.respondJson
 import java.util.concurrent.atomic.AtomicInteger
@@ -28,7 +29,7 @@
             }
             request.path == "/v1/load" ->
                 exchange.respondJson(mapOf("running" to running.get(), "waiting" to 0))
-            draining -> exchange.respondJson(mapOf("draining" to true), UNAVAILABLE)
+            draining -> exchange.respondJson(mapOf("draining" to true), HttpStatus.UNAVAILABLE)
             else -> serve(exchange)
         }
     }
@@ -49,8 +50,4 @@
             running.decrementAndGet()
         }
     }
-
-    private companion object {
-        const val UNAVAILABLE = 503
-    }
 }
