--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/limit/LoadIntegral.kt
@@ -0,0 +1,44 @@
+package io.lavenderhinge.core.limit
+
+/** Integral of a backend server's load over time, from which averages over any span follow. */
+class LoadIntegral {
+    private var sequences = 0
+    private var contextTokens = 0L
+    private var atMillis = 0L
+    private var sequenceMillis = 0.0
+    private var tokenMillis = 0.0
+
+    /** The integral up to one moment. */
+    data class Mark(val atMillis: Long, val sequenceMillis: Double, val tokenMillis: Double)
+
+    /** Sets the load from [nowMillis] on. */
+    fun set(newSequences: Int, newContextTokens: Long, nowMillis: Long) {
+        advance(nowMillis)
+        sequences = newSequences
+        contextTokens = newContextTokens
+    }
+
+    /** The integral up to [nowMillis]. */
+    fun mark(nowMillis: Long): Mark {
+        advance(nowMillis)
+        return Mark(atMillis, sequenceMillis, tokenMillis)
+    }
+
+    /** Average sequences since [start], which must be before [nowMillis]. */
+    fun meanSequences(start: Mark, nowMillis: Long): Double =
+        (mark(nowMillis).sequenceMillis - start.sequenceMillis) / span(start, nowMillis)
+
+    /** Average context tokens since [start], which must be before [nowMillis]. */
+    fun meanContextTokens(start: Mark, nowMillis: Long): Double =
+        (mark(nowMillis).tokenMillis - start.tokenMillis) / span(start, nowMillis)
+
+    private fun span(start: Mark, nowMillis: Long) =
+        (nowMillis - start.atMillis).coerceAtLeast(1).toDouble()
+
+    private fun advance(nowMillis: Long) {
+        val elapsed = (nowMillis - atMillis).coerceAtLeast(0)
+        sequenceMillis += sequences.toDouble() * elapsed
+        tokenMillis += contextTokens.toDouble() * elapsed
+        atMillis = maxOf(atMillis, nowMillis)
+    }
+}
--- a/core/src/main/kotlin/io/lavenderhinge/core/routing/EntryEffect.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/routing/EntryEffect.kt
@@ -1,6 +1,7 @@
 package io.lavenderhinge.core.routing
 
 import io.lavenderhinge.core.scheduling.HomeEvent
+import io.lavenderhinge.core.scheduling.ServerView
 
 /** What the router of an entry wants done. */
 sealed interface EntryEffect {
--- a/core/src/main/kotlin/io/lavenderhinge/core/routing/EntryEvent.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/routing/EntryEvent.kt
@@ -2,6 +2,8 @@
 
 import io.lavenderhinge.core.scheduling.HomeEffect
 import io.lavenderhinge.core.scheduling.HomeSummary
+import io.lavenderhinge.core.scheduling.InstanceView
+import io.lavenderhinge.core.scheduling.ServerView
 import io.lavenderhinge.core.scheduling.SlotResult
 import kotlinx.collections.immutable.ImmutableList
 
--- a/core/src/main/kotlin/io/lavenderhinge/core/routing/SlotRequest.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/routing/SlotRequest.kt
@@ -9,8 +9,11 @@
  * A request that needs a slot on any backend server of [target] with [version].
  *
  * [requestId] is unique. Token counts are estimates and zero for a plain service. [prefixHashes]
- * are the hashes of the prompt's leading blocks of [PREFIX_BLOCK_TOKENS] tokens, each covering all
- * blocks before it. [deadlineMillis] is when the complete answer is due, on this instance's clock.
+ * are the hashes of the prompt's leading blocks of 64 tokens, each covering all blocks before it.
+ * [deadlineMillis] is when the complete answer is due, on this instance's clock,
+ * [firstTokenDueMillis] when the first token should arrive. A suspended request names the only
+ * backend server that can resume it in [onlyServerId]. [attempt] counts earlier dispatches that
+ * failed before anything was sent; they are charged to the workspace's retry budget.
  */
 data class SlotRequest(
     val requestId: String,
@@ -23,7 +26,7 @@
     val promptTokens: Int = 0,
     val outputTokens: Int = 0,
     val prefixHashes: ImmutableList<Long> = persistentListOf(),
+    val firstTokenDueMillis: Long = Long.MAX_VALUE,
+    val onlyServerId: String? = null,
+    val attempt: Int = 0,
 )
-
-/** Tokens covered by one prefix hash. */
-const val PREFIX_BLOCK_TOKENS = 64
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/scheduling/HomeEstimates.kt
@@ -0,0 +1,67 @@
+package io.lavenderhinge.core.scheduling
+
+import io.lavenderhinge.core.Tier
+import io.lavenderhinge.core.limit.PrefillModel
+
+/** What a home has learned about the speed of its backend server and the length of answers. */
+internal class HomeEstimates {
+    private val prefill = PrefillModel()
+    private val outputRatio = DoubleArray(Tier.entries.size) { 1.0 }
+    private var betweenTokensMillis = INITIAL_BETWEEN_TOKENS_MILLIS
+    private var serviceMillis = INITIAL_SERVICE_MILLIS
+    private var prefillBusyUntilMillis = 0.0
+
+    /** Mean time in service. */
+    val meanServiceMillis: Double
+        get() = serviceMillis
+
+    fun expectedOutputTokens(ask: SlotAsk): Double =
+        ask.outputTokens * outputRatio[ask.tier.ordinal]
+
+    fun prefillMillis(tokens: Int): Double = prefill.expectedMillis(tokens)
+
+    /** Expected time from dispatch to the end of the answer, or zero for a plain service. */
+    fun serviceMillis(ask: SlotAsk, prefillTokens: Int): Double =
+        if (ask.promptTokens == 0) 0.0
+        else prefillMillis(prefillTokens) + expectedOutputTokens(ask) * betweenTokensMillis
+
+    /** Prefill work granted but, by the estimate, not done yet. */
+    fun prefillBacklogMillis(nowMillis: Long): Double =
+        (prefillBusyUntilMillis - nowMillis).coerceAtLeast(0.0)
+
+    /** Time to prefill [tokens] in one row. */
+    fun prefillWorkMillis(tokens: Long): Double = tokens * prefill.millisPerToken()
+
+    fun granted(prefillTokens: Int, nowMillis: Long) {
+        prefillBusyUntilMillis =
+            maxOf(prefillBusyUntilMillis, nowMillis.toDouble()) +
+                prefillWorkMillis(prefillTokens.toLong())
+    }
+
+    fun finished(slot: InService, result: SlotResult, nowMillis: Long) {
+        if (result.resultClass != ResultClass.OK) return
+        serviceMillis = moved(serviceMillis, (nowMillis - slot.grantedAtMillis).toDouble())
+        if (slot.ask.promptTokens == 0) return
+        if (result.firstTokenMillis > 0) {
+            prefill.observe(slot.prefillTokens, result.firstTokenMillis)
+        }
+        if (result.betweenTokensMicros > 0) {
+            betweenTokensMillis =
+                moved(betweenTokensMillis, result.betweenTokensMicros / MICROS_PER_MILLI)
+        }
+        if (slot.ask.outputTokens > 0 && result.outputTokens > 0) {
+            val tier = slot.ask.tier.ordinal
+            val ratio = result.outputTokens.toDouble() / slot.ask.outputTokens
+            outputRatio[tier] = moved(outputRatio[tier], ratio.coerceAtMost(1.0))
+        }
+    }
+
+    private fun moved(old: Double, new: Double) = old + GAIN * (new - old)
+
+    private companion object {
+        const val GAIN = 0.05
+        const val MICROS_PER_MILLI = 1_000.0
+        const val INITIAL_BETWEEN_TOKENS_MILLIS = 25.0
+        const val INITIAL_SERVICE_MILLIS = 1_000.0
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/scheduling/PrefixHistory.kt
@@ -0,0 +1,60 @@
+package io.lavenderhinge.core.scheduling
+
+import io.lavenderhinge.core.port.CacheEvent
+import kotlin.math.pow
+
+/**
+ * Prompt prefixes that one backend server probably has in its cache, at most [capacity] hashes.
+ *
+ * Dispatches add hashes at once; cache events correct them late. A gap in the events lowers the
+ * confidence in everything known before it, since an eviction may have been lost.
+ */
+internal class PrefixHistory(private val capacity: Int = DEFAULT_CAPACITY) {
+    private val gapByHash = LinkedHashMap<Long, Int>(INITIAL_CAPACITY, LOAD_FACTOR, true)
+    private var gaps = 0
+    private var nextSequence: Long? = null
+
+    val size: Int
+        get() = gapByHash.size
+
+    /** Records that a prompt with these [prefixHashes] is dispatched. */
+    fun dispatched(prefixHashes: List<Long>) {
+        // Longest first: the shortest prefixes are shared most and must be evicted last.
+        for (index in prefixHashes.indices.reversed()) remember(prefixHashes[index])
+    }
+
+    fun changed(events: List<CacheEvent>) {
+        for (event in events) {
+            val expected = nextSequence
+            if (expected != null && event.sequence > expected) gaps++
+            if (expected == null || event.sequence >= expected) nextSequence = event.sequence + 1
+            if (event.stored) remember(event.prefixHash) else gapByHash.remove(event.prefixHash)
+        }
+    }
+
+    /** Expected tokens of the prompt in the cache. */
+    fun expectedTokens(prefixHashes: List<Long>): Int {
+        for (index in prefixHashes.indices.reversed()) {
+            val gap = gapByHash[prefixHashes[index]] ?: continue
+            val tokens = (index + 1) * PREFIX_BLOCK_TOKENS
+            return (tokens * GAP_CONFIDENCE.pow(gaps - gap)).toInt()
+        }
+        return 0
+    }
+
+    private fun remember(hash: Long) {
+        gapByHash[hash] = gaps
+        if (gapByHash.size <= capacity) return
+        val oldest = gapByHash.entries.iterator()
+        oldest.next()
+        oldest.remove()
+    }
+
+    private companion object {
+        /** 8,192 blocks of 64 tokens are half a million tokens, about 0.7 MB of memory. */
+        const val DEFAULT_CAPACITY = 8_192
+        const val INITIAL_CAPACITY = 64
+        const val LOAD_FACTOR = 0.75f
+        const val GAP_CONFIDENCE = 0.8
+    }
+}
--- a/core/src/main/kotlin/io/lavenderhinge/core/routing/Views.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/scheduling/ServerView.kt
@@ -1,14 +1,10 @@
-package io.lavenderhinge.core.routing
+package io.lavenderhinge.core.scheduling
 
-import io.lavenderhinge.core.scheduling.ServerHealth
 import io.lavenderhinge.core.settings.Target
 
-/** A live instance that can be a home. */
-data class InstanceView(val id: String, val failureDomain: String)
-
 /**
- * A backend server as this instance sees it. [address] is `ip:port`, [hardwareGeneration] starts at
- * 1 for the slowest generation.
+ * A backend server as this instance sees it. [address] is `ip:port`, [hardwareGeneration] starts
+ * at 1.
  */
 data class ServerView(
     val id: String,
@@ -16,6 +12,6 @@
     val failureDomain: String,
     val target: Target,
     val version: String,
-    val health: ServerHealth,
+    val health: ServerHealth = ServerHealth(ServerState.LIVE),
     val hardwareGeneration: Int = 1,
 )
--- a/core/src/main/kotlin/io/lavenderhinge/core/scheduling/SlotAsk.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/scheduling/SlotAsk.kt
@@ -8,9 +8,9 @@
  * A request for one slot of a backend server.
  *
  * [askId] is unique for each ask: an entry that asks again for the same request uses a new id, so a
- * late grant cannot be mistaken for the answer to a newer ask. [deadlineMillis] is on the home's
- * clock. Token counts are estimates and zero for a plain service. [mayPreempt] is set once the
- * entry found no other home that can answer in time.
+ * late grant cannot be mistaken for the answer to a newer ask. [deadlineMillis] and
+ * [firstTokenDueMillis] are on the home's clock. Token counts are estimates and zero for a plain
+ * service. [mayPreempt] is set once the entry found no other home that can answer in time.
  */
 data class SlotAsk(
     val askId: String,
@@ -22,5 +22,9 @@
     val outputTokens: Int,
     val deadlineMillis: Long,
     val prefixHashes: ImmutableList<Long> = persistentListOf(),
+    val firstTokenDueMillis: Long = Long.MAX_VALUE,
     val mayPreempt: Boolean = false,
 )
+
+/** Tokens covered by one prefix hash. */
+const val PREFIX_BLOCK_TOKENS = 64
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/scheduling/Slot.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/scheduling/Slot.kt
@@ -1,6 +1,6 @@
 package io.lavenderhinge.instance.scheduling
 
-import io.lavenderhinge.core.routing.ServerView
+import io.lavenderhinge.core.scheduling.ServerView
 import io.lavenderhinge.core.scheduling.SlotResult
 import kotlinx.coroutines.Deferred
 
