Define the interface of the scheduler under test

The experiment harness and the decision core are written at the same time and need one border. A scheduler takes one event and the virtual time and returns effects, like every state machine of core; the harness owns requests, streams, delays, faults and the clock.

Ruled out: callbacks on a context object, which would let a scheduler act at times the harness does not order; peer.proto types as messages, since experiments does not depend on protocol. Messages only state their size.

--- /dev/null
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/scheduler/SchedulerEffect.kt
@@ -0,0 +1,53 @@
+package io.lavenderhinge.experiments.scheduler
+
+/** A message between instances. The harness looks only at its size. */
+interface PeerMessage {
+    /** Size on the wire, counted against the control-plane budget. */
+    val sizeBytes: Int
+}
+
+/** What the scheduler of one instance wants done. */
+sealed interface SchedulerEffect {
+    /**
+     * Sends [message] with the delay of the link; a message to a lost peer is dropped silently. A
+     * message to the own instance arrives without delay and is not counted as control traffic.
+     */
+    data class Send(val toInstanceId: String, val message: PeerMessage) : SchedulerEffect
+
+    /** Sets or replaces the timer [timerId]; a time in the past fires at once. */
+    data class SetTimer(val timerId: String, val atMillis: Long) : SchedulerEffect
+
+    /** Removes the timer [timerId]; unknown ids are ignored. */
+    data class CancelTimer(val timerId: String) : SchedulerEffect
+
+    /** Replaces the set of backend servers whose load reports and cache events are delivered. */
+    data class WatchServers(val serverIds: Set<String>) : SchedulerEffect
+
+    /** Opens the stream of a request that arrived at this instance to [serverId]. */
+    data class Dispatch(val requestId: String, val serverId: String) : SchedulerEffect
+
+    /** Suspends a request in service; the engine frees its slot and keeps what was generated. */
+    data class Suspend(val requestId: String) : SchedulerEffect
+
+    /** Resumes a suspended request on the engine where it was suspended. */
+    data class Resume(val requestId: String) : SchedulerEffect
+
+    /** Cancels a request in service and ends it; the caller learns [reason]. */
+    data class Cancel(val requestId: String, val reason: ShedReason) : SchedulerEffect
+
+    /** Ends a request that has not been accepted by any backend server. */
+    data class Refuse(val requestId: String, val reason: ShedReason) : SchedulerEffect
+}
+
+/** Why a request was shed. */
+enum class ShedReason {
+    QUEUE_FULL,
+    DEADLINE,
+    DISPLACED,
+    TIER_CLOSED,
+    PREEMPTED,
+    SERVER_LEAVING,
+    SERVER_DOWN,
+    RETRY_BUDGET,
+    SHUTDOWN,
+}
