--- /dev/null
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/engine/FakeEngine.kt
@@ -0,0 +1,192 @@
+package io.lavenderhinge.experiments.engine
+
+import io.lavenderhinge.core.port.CacheEvent
+import io.lavenderhinge.core.port.EngineFault
+import io.lavenderhinge.core.port.LoadReport
+import io.lavenderhinge.experiments.time.EventLoop
+
+/**
+ * Model engine with continuous batching: each iteration decodes one token of every running sequence
+ * and prefills one chunk of the oldest prompts. It admits requests in arrival order and knows no
+ * priority.
+ */
+class FakeEngine(
+    override val id: String,
+    private val profile: HardwareProfile,
+    private val loop: EventLoop,
+    private val listener: BackendListener,
+    private val version: String = "1",
+    private val versionFaults: List<VersionFault> = emptyList(),
+) : Backend {
+    private val waiting = LinkedHashMap<String, Sequence>()
+    private val running = LinkedHashMap<String, Sequence>()
+    private val suspended = HashMap<String, Sequence>()
+    private val cache = PrefixCache(profile.cacheTokens)
+    private var isIterating = false
+    private var isLeaving = false
+
+    // Counts restarts, so that the end of an iteration begun before a crash is ignored.
+    private var incarnation = 0
+
+    override var slowdownFactor = 1.0
+    override var isUp = true
+        private set
+
+    override fun submit(job: BackendJob): EngineFault.Refused? {
+        if (isLeaving) {
+            return EngineFault.Refused(503, "the engine is leaving; use another replica", true)
+        }
+        waiting[job.request.id] = Sequence(job)
+        wake()
+        return null
+    }
+
+    override fun cancel(requestId: String) {
+        waiting.remove(requestId)
+        running.remove(requestId)
+        suspended.remove(requestId)
+    }
+
+    override fun suspend(requestId: String): Boolean {
+        val sequence = waiting.remove(requestId) ?: running.remove(requestId) ?: return false
+        suspended[requestId] = sequence
+        return true
+    }
+
+    override fun resume(requestId: String): Boolean {
+        val sequence = suspended.remove(requestId) ?: return false
+        waiting[requestId] = sequence
+        wake()
+        return true
+    }
+
+    override fun crash() {
+        val lost = waiting.values + running.values + suspended.values
+        isUp = false
+        incarnation++
+        isIterating = false
+        waiting.clear()
+        running.clear()
+        suspended.clear()
+        cache.clear()
+        lost.forEach { listener.failed(it.job, id, "the engine closed the connection") }
+    }
+
+    override fun restart() {
+        isUp = true
+        isLeaving = false
+    }
+
+    override fun leave() {
+        isLeaving = true
+    }
+
+    override fun load(): LoadReport =
+        LoadReport(running.size, waiting.size, contextTokens(), version, ageMillis = 0)
+
+    override fun takeCacheEvents(): List<CacheEvent> = cache.takeEvents()
+
+    override fun cachedTokens(prefixHashes: List<Long>): Int = cache.cachedTokens(prefixHashes)
+
+    private fun wake() {
+        if (isIterating) return
+        isIterating = true
+        startIteration()
+    }
+
+    private fun startIteration() {
+        admit()
+        if (running.isEmpty()) {
+            isIterating = false
+            return
+        }
+        val prefillTokens = planPrefill()
+        val micros = profile.iterationMicros(running.size, contextTokens(), prefillTokens)
+        val startedIn = incarnation
+        loop.after((micros * slowdownFactor).toLong()) {
+            if (startedIn == incarnation) finishIteration()
+        }
+    }
+
+    private fun admit() {
+        while (waiting.isNotEmpty() && running.size < profile.maxSequences) {
+            val sequence = waiting.remove(waiting.keys.first()) ?: return
+            if (!sequence.isAdmitted) reusePrefix(sequence)
+            running[sequence.id] = sequence
+        }
+    }
+
+    private fun reusePrefix(sequence: Sequence) {
+        val request = sequence.job.request
+        // The last token of a prompt is always computed, since its output is needed.
+        val cached = minOf(cache.cachedTokens(request.prefixHashes), request.promptTokens - 1)
+        sequence.isAdmitted = true
+        sequence.cachedPrefixTokens = cached
+        sequence.promptTokensReady = cached
+    }
+
+    private fun planPrefill(): Int {
+        var left = profile.chunkTokens
+        for (sequence in running.values) {
+            sequence.chunkTokens = minOf(left, sequence.missingPromptTokens)
+            left -= sequence.chunkTokens
+        }
+        return profile.chunkTokens - left
+    }
+
+    private fun finishIteration() {
+        for (sequence in running.values.toList()) advance(sequence)
+        startIteration()
+    }
+
+    private fun advance(sequence: Sequence) {
+        if (sequence.isDecoding) return decode(sequence)
+        sequence.promptTokensReady += sequence.chunkTokens
+        sequence.job.prefilledTokens += sequence.chunkTokens
+        if (sequence.missingPromptTokens == 0) finishPrefill(sequence)
+    }
+
+    private fun finishPrefill(sequence: Sequence) {
+        cache.use(sequence.job.request.prefixHashes)
+        if (isAffected(sequence, VersionFaultKind.FAIL)) {
+            running.remove(sequence.id)
+            listener.failed(sequence.job, id, "the engine answered 500")
+            return
+        }
+        sequence.firstTokenMicros = loop.nowMicros
+        sequence.generatedTokens = 1
+        listener.firstToken(sequence.job, id, sequence.cachedPrefixTokens)
+        completeIfDone(sequence)
+    }
+
+    private fun decode(sequence: Sequence) {
+        if (
+            isAffected(sequence, VersionFaultKind.SLOW) && sequence.skippedIterations < SLOW_SKIPS
+        ) {
+            sequence.skippedIterations++
+            return
+        }
+        sequence.skippedIterations = 0
+        sequence.generatedTokens++
+        completeIfDone(sequence)
+    }
+
+    private fun completeIfDone(sequence: Sequence) {
+        if (sequence.generatedTokens < sequence.job.outputTokens) return
+        running.remove(sequence.id)
+        val betweenTokensMillis = sequence.betweenTokensMillis(loop.nowMicros)
+        listener.completed(sequence.job, id, sequence.generatedTokens, betweenTokensMillis)
+    }
+
+    private fun isAffected(sequence: Sequence, kind: VersionFaultKind): Boolean =
+        versionFaults.any {
+            it.kind == kind && it.shows(loop.nowMicros, running.size, sequence.job.request.route)
+        }
+
+    private fun contextTokens(): Long = running.values.sumOf { it.contextTokens.toLong() }
+
+    private companion object {
+        // A sequence slowed by its version gets a token in every third iteration.
+        const val SLOW_SKIPS = 2
+    }
+}
--- /dev/null
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/engine/HardwareProfile.kt
@@ -0,0 +1,57 @@
+package io.lavenderhinge.experiments.engine
+
+import io.lavenderhinge.experiments.time.MICROS_PER_SECOND
+
+/**
+ * Speed and memory of a model replica of one hardware generation.
+ *
+ * An iteration takes `base + perSequence * batch + perThousandContext * context / 1000`, which is
+ * stretched beyond the knee, plus the prefill of its chunk. The knee is reached when either the
+ * batch has [kneeSequences] or its context has [kneeContextTokens].
+ */
+data class HardwareProfile(
+    val generation: Int,
+    val prefillTokensPerSecond: Int,
+    val chunkTokens: Int,
+    val baseMicros: Int,
+    val perSequenceMicros: Int,
+    val perThousandContextMicros: Int,
+    val kneeSequences: Int,
+    val kneeContextTokens: Int,
+    val maxSequences: Int,
+    val cacheTokens: Int,
+) {
+    /** Duration of an iteration that decodes [sequences] and prefills [prefillTokens]. */
+    fun iterationMicros(sequences: Int, contextTokens: Long, prefillTokens: Int): Long {
+        val decode =
+            baseMicros +
+                perSequenceMicros.toDouble() * sequences +
+                perThousandContextMicros * contextTokens / 1000.0
+        val pressure =
+            maxOf(
+                sequences.toDouble() / kneeSequences,
+                contextTokens.toDouble() / kneeContextTokens,
+            )
+        val stretch = 1 + KNEE_STRETCH * maxOf(0.0, pressure - 1)
+        val prefill = prefillTokens.toDouble() * MICROS_PER_SECOND / prefillTokensPerSecond
+        return (decode * stretch + prefill).toLong()
+    }
+
+    companion object {
+        // At twice the knee, an iteration takes 1.6 times what the straight line gives, so that the
+        // tokens per second of the whole batch fall by about a sixth.
+        private const val KNEE_STRETCH = 0.6
+
+        // A replica of the middle generation makes 1,800 tokens a second at its knee. The design
+        // scale has 3,300 per replica, of 8 accelerators, at peak on the newest generation.
+        private val GENERATIONS =
+            listOf(
+                HardwareProfile(1, 20_000, 256, 14_000, 220, 70, 48, 96_000, 160, 60_000),
+                HardwareProfile(2, 32_000, 384, 11_000, 160, 50, 72, 144_000, 240, 100_000),
+                HardwareProfile(3, 50_000, 512, 8_000, 110, 35, 112, 224_000, 360, 160_000),
+            )
+
+        /** The profile of hardware generation 1 (oldest) to 3. */
+        fun of(generation: Int): HardwareProfile = GENERATIONS[generation - 1]
+    }
+}
--- /dev/null
+++ b/experiments/src/test/kotlin/io/lavenderhinge/experiments/engine/EngineFixture.kt
@@ -0,0 +1,90 @@
+package io.lavenderhinge.experiments.engine
+
+import io.lavenderhinge.core.Tier
+import io.lavenderhinge.core.settings.Target
+import io.lavenderhinge.experiments.scheduler.PREFIX_BLOCK_TOKENS
+import io.lavenderhinge.experiments.scheduler.ScheduledRequest
+import io.lavenderhinge.experiments.time.EventLoop
+import io.lavenderhinge.experiments.time.MICROS_PER_SECOND
+import kotlinx.collections.immutable.toImmutableList
+
+/** What a backend server told about one request. */
+internal data class Told(
+    val atMicros: Long,
+    val requestId: String,
+    val what: String,
+    val cachedPrefixTokens: Int = 0,
+    val outputTokens: Int = 0,
+    val betweenTokensMillis: Double = 0.0,
+)
+
+/** A backend server with its clock and everything it told. */
+internal class EngineFixture(vararg faults: VersionFault) : BackendListener {
+    val loop = EventLoop()
+    val told = mutableListOf<Told>()
+    val engine =
+        FakeEngine("engine-0", HardwareProfile.of(2), loop, this, versionFaults = faults.toList())
+
+    override fun firstToken(job: BackendJob, serverId: String, cachedPrefixTokens: Int) {
+        told += Told(loop.nowMicros, job.request.id, "first", cachedPrefixTokens)
+    }
+
+    override fun completed(
+        job: BackendJob,
+        serverId: String,
+        outputTokens: Int,
+        betweenTokensMillis: Double,
+    ) {
+        told +=
+            Told(
+                loop.nowMicros,
+                job.request.id,
+                "completed",
+                outputTokens = outputTokens,
+                betweenTokensMillis = betweenTokensMillis,
+            )
+    }
+
+    override fun failed(job: BackendJob, serverId: String, message: String) {
+        told += Told(loop.nowMicros, job.request.id, "failed")
+    }
+
+    fun run(seconds: Int = 100) = loop.runUntil(loop.nowMicros + seconds * MICROS_PER_SECOND)
+
+    fun told(what: String): List<Told> = told.filter { it.what == what }
+
+    fun submit(count: Int, promptTokens: Int = 128, outputTokens: Int = 50): Unit =
+        repeat(count) { engine.submit(job("r$it", promptTokens, outputTokens)) }
+}
+
+/** A request whose blocks are numbered from [firstBlock], so that equal numbers share a prefix. */
+internal fun job(
+    id: String,
+    promptTokens: Int = 128,
+    outputTokens: Int = 50,
+    firstBlock: Long = id.hashCode() * 1_000L,
+    route: String = "draft",
+    serviceMicros: Long = 0,
+) =
+    BackendJob(
+        ScheduledRequest(
+            id = id,
+            workspace = "w",
+            weight = 1.0,
+            route = route,
+            target = Target.Model("m"),
+            version = "1",
+            tier = Tier.INTERACTIVE,
+            idempotent = true,
+            promptTokens = promptTokens,
+            maxOutputTokens = outputTokens,
+            prefixHashes =
+                List(promptTokens / PREFIX_BLOCK_TOKENS) { firstBlock + it }.toImmutableList(),
+            arrivalMillis = 0,
+            deadlineMillis = 30_000,
+            targetFirstTokenMillis = 1_000,
+            targetBetweenTokensMillis = 46,
+        ),
+        outputTokens,
+        serviceMicros,
+    )
