--- /dev/null
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/workload/LengthDistribution.kt
@@ -0,0 +1,34 @@
+package io.lavenderhinge.experiments.workload
+
+import kotlin.math.PI
+import kotlin.math.cos
+import kotlin.math.exp
+import kotlin.math.ln
+import kotlin.math.sqrt
+import kotlin.random.Random
+
+/** Log-normal lengths around [median], cut off at [min] and [max]. */
+data class LengthDistribution(val median: Int, val sigma: Double, val min: Int, val max: Int) {
+    fun sample(random: Random): Int =
+        (median * exp(sigma * gaussian(random))).toInt().coerceIn(min, max)
+
+    // Box-Muller transform; kotlin.random has no normal distribution.
+    private fun gaussian(random: Random): Double =
+        sqrt(-2 * ln(1 - random.nextDouble())) * cos(2 * PI * random.nextDouble())
+}
+
+/**
+ * An independent generator for one purpose, so that drawing more in one leaves the others alone.
+ */
+internal fun seededRandom(seed: Long, purpose: String): Random =
+    Random(seed * 1_000_003 + purpose.hashCode())
+
+/** Picks an index with the probability that [weights] give it. */
+internal fun pickWeighted(weights: List<Double>, random: Random): Int {
+    var left = random.nextDouble() * weights.sum()
+    for ((index, weight) in weights.withIndex()) {
+        left -= weight
+        if (left < 0) return index
+    }
+    return weights.lastIndex
+}
