--- a/experiments/src/main/kotlin/io/lavenderhinge/experiments/scheduler/InstanceScheduler.kt
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/scheduler/InstanceScheduler.kt
@@ -42,6 +42,6 @@
 
 /** Creates the scheduler of one instance; called again when an instance restarts. */
 fun interface SchedulerFactory {
-    /** The first [SchedulerEvent.Started] follows at the same virtual time. */
+    /** [SchedulerEvent.Started] follows at the same virtual time. */
     fun create(context: InstanceContext): InstanceScheduler
 }
