Add the routing of an entry and plug the core into the experiment harness

The router asks the best home, a second one when the first queues, and escalates before an interactive request is shed. Asks carry the prefix hashes of a few milestone blocks only: all 156 hashes of a prompt of 10,000 tokens would need 1.2 KB in every ask.

--- a/core/src/main/kotlin/io/lavenderhinge/core/routing/EntryEvent.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/routing/EntryEvent.kt
@@ -1,5 +1,6 @@
 package io.lavenderhinge.core.routing
 
+import io.lavenderhinge.core.port.CacheEvent
 import io.lavenderhinge.core.scheduling.HomeEffect
 import io.lavenderhinge.core.scheduling.HomeSummary
 import io.lavenderhinge.core.scheduling.InstanceView
@@ -34,6 +35,10 @@
     /** Gossip brought summaries of homes. */
     data class SummariesReceived(val summaries: ImmutableList<HomeSummary>) : EntryEvent
 
+    /** Late cache events of a backend server, when this instance reads them as its home. */
+    data class CacheChanged(val serverId: String, val events: ImmutableList<CacheEvent>) :
+        EntryEvent
+
     /** Time passed; sent at least every 100 ms. */
     data object Tick : EntryEvent
 
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/routing/HeldSlots.kt
@@ -0,0 +1,72 @@
+package io.lavenderhinge.core.routing
+
+import io.lavenderhinge.core.scheduling.HomeDirectory
+import io.lavenderhinge.core.scheduling.HomeEvent
+import io.lavenderhinge.core.scheduling.ResultClass
+import io.lavenderhinge.core.scheduling.SlotResult
+
+/** The slots that this entry holds, registered with the present home of their backend server. */
+internal class HeldSlots(
+    private val settings: RoutingSettings,
+    private val directory: HomeDirectory,
+    private val selection: ServerSelection,
+    private val send: (homeId: String, serverId: String, event: HomeEvent) -> Unit,
+) {
+    private val byRequest = LinkedHashMap<String, HeldSlot>()
+
+    operator fun contains(requestId: String) = requestId in byRequest
+
+    fun holds(requestId: String, askId: String) = byRequest[requestId]?.ask?.askId == askId
+
+    fun add(slot: HeldSlot) {
+        byRequest[slot.request.requestId] = slot
+    }
+
+    fun released(requestId: String) {
+        val slot = byRequest.remove(requestId) ?: return
+        selection[slot.serverId]?.let { it.inService-- }
+        slot.homeId?.let { send(it, slot.serverId, HomeEvent.Released(slot.ask.askId)) }
+    }
+
+    fun finished(requestId: String, result: SlotResult, nowMillis: Long) {
+        val slot = byRequest.remove(requestId) ?: return
+        slot.homeId?.let { send(it, slot.serverId, HomeEvent.Finished(slot.ask.askId, result)) }
+        val book = selection[slot.serverId] ?: return
+        book.inService--
+        when (result.resultClass) {
+            ResultClass.OK ->
+                if (result.firstTokenMillis > 0 && slot.request.promptTokens > 0) {
+                    book.prefill.observe(slot.prefillTokens, result.firstTokenMillis)
+                }
+            ResultClass.CONNECTION_FAILED,
+            ResultClass.DRAINING -> book.avoidUntil(nowMillis + settings.avoidMillis)
+            else -> Unit
+        }
+    }
+
+    /** Confirms slots in use, so that their homes do not take the grants for lost. */
+    fun confirm(nowMillis: Long) {
+        for (slot in byRequest.values) {
+            if (slot.isConfirmed) continue
+            if (nowMillis - slot.grantedAtMillis < settings.confirmMillis) continue
+            val homeId = slot.homeId ?: continue
+            slot.isConfirmed = true
+            send(homeId, slot.serverId, HomeEvent.Registered(slot.ask))
+        }
+    }
+
+    fun linkLost(instanceId: String) {
+        for (slot in byRequest.values) if (slot.homeId == instanceId) slot.homeId = null
+    }
+
+    /** Registers slots whose backend server has a new home. */
+    fun rehome() {
+        for (slot in byRequest.values) {
+            val homeId = directory.homeOf(slot.serverId) ?: continue
+            if (homeId == slot.homeId) continue
+            slot.homeId = homeId
+            selection[slot.serverId]?.homeChanged()
+            send(homeId, slot.serverId, HomeEvent.Registered(slot.ask))
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/routing/OpenAsk.kt
@@ -0,0 +1,17 @@
+package io.lavenderhinge.core.routing
+
+import io.lavenderhinge.core.scheduling.SlotAsk
+
+/** An ask that its home has neither granted nor refused. */
+internal class OpenAsk(
+    val ask: SlotAsk,
+    val serverId: String,
+    val homeId: String,
+    val sentAtMillis: Long,
+) {
+    /** Wait told by the home, or null before its first answer. */
+    var queuedWaitMillis: Long? = null
+
+    /** Set when the home did not answer in time; another home is asked meanwhile. */
+    var isSilent = false
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/routing/PrefixIndex.kt
@@ -0,0 +1,88 @@
+package io.lavenderhinge.core.routing
+
+import io.lavenderhinge.core.port.CacheEvent
+import io.lavenderhinge.core.scheduling.PrefixMilestones
+import kotlin.math.pow
+
+/**
+ * Where prompt prefixes are probably cached, as one entry knows it: at most [capacity] hashes over
+ * all backend servers, the least recently used forgotten first.
+ */
+internal class PrefixIndex(private val capacity: Int = DEFAULT_CAPACITY) {
+    /** Backend servers that hold one prefix, with the gaps seen when that was last confirmed. */
+    private val serversByHash =
+        object : LinkedHashMap<Long, HashMap<String, Int>>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
+            override fun removeEldestEntry(eldest: Map.Entry<Long, HashMap<String, Int>>) =
+                size > capacity
+        }
+    private val gaps = HashMap<String, Int>()
+    private val nextSequence = HashMap<String, Long>()
+
+    val size: Int
+        get() = serversByHash.size
+
+    /** A prompt with these [prefixHashes] goes to [serverId]. */
+    fun dispatched(serverId: String, prefixHashes: List<Long>) {
+        // Longest first, so that the shortest prefix, shared most, is evicted last.
+        for (hash in prefixHashes.asReversed()) remember(serverId, hash)
+    }
+
+    /** The home of [serverId] expects only [cachedTokens] of the prompt to be cached. */
+    fun corrected(serverId: String, prefixHashes: List<Long>, cachedTokens: Int) {
+        for (index in prefixHashes.indices.reversed()) {
+            if (PrefixMilestones.tokens(index) > cachedTokens) forget(serverId, prefixHashes[index])
+            else remember(serverId, prefixHashes[index])
+        }
+    }
+
+    /** Late cache events of [serverId]; a gap in their sequence lowers the confidence. */
+    fun changed(serverId: String, events: List<CacheEvent>) {
+        for (event in events) {
+            val expected = nextSequence[serverId]
+            if (expected != null && event.sequence > expected) gaps.merge(serverId, 1, Int::plus)
+            nextSequence[serverId] = maxOf(expected ?: 0, event.sequence + 1)
+            if (event.stored) remember(serverId, event.prefixHash)
+            else forget(serverId, event.prefixHash)
+        }
+    }
+
+    /** Expected tokens of the prompt in the cache, for each backend server that has any. */
+    fun expectedTokens(prefixHashes: List<Long>): Map<String, Int> {
+        val found = HashMap<String, Int>()
+        for (index in prefixHashes.indices.reversed()) {
+            val servers = serversByHash[prefixHashes[index]] ?: continue
+            val tokens = PrefixMilestones.tokens(index)
+            for ((serverId, gap) in servers) {
+                found.getOrPut(serverId) { (tokens * confidence(serverId, gap)).toInt() }
+            }
+        }
+        return found
+    }
+
+    /** Forgets a backend server that is gone. */
+    fun retain(serverIds: Set<String>) {
+        gaps.keys.retainAll(serverIds)
+        nextSequence.keys.retainAll(serverIds)
+    }
+
+    private fun confidence(serverId: String, gap: Int) =
+        GAP_CONFIDENCE.pow((gaps[serverId] ?: 0) - gap)
+
+    private fun remember(serverId: String, hash: Long) {
+        serversByHash.getOrPut(hash) { HashMap(SERVERS_PER_HASH) }[serverId] = gaps[serverId] ?: 0
+    }
+
+    private fun forget(serverId: String, hash: Long) {
+        val servers = serversByHash[hash] ?: return
+        servers.remove(serverId)
+        if (servers.isEmpty()) serversByHash.remove(hash)
+    }
+
+    private companion object {
+        const val DEFAULT_CAPACITY = 32_768
+        const val INITIAL_CAPACITY = 64
+        const val LOAD_FACTOR = 0.75f
+        const val GAP_CONFIDENCE = 0.8
+        const val SERVERS_PER_HASH = 4
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/routing/RefusalPolicy.kt
@@ -0,0 +1,89 @@
+package io.lavenderhinge.core.routing
+
+import io.lavenderhinge.core.Tier
+import io.lavenderhinge.core.scheduling.RefusalReason
+import kotlin.random.Random
+
+/** What a request is told when no home grants it, and how long it may wait to ask again. */
+internal class RefusalPolicy(private val settings: RoutingSettings, private val random: Random) {
+    fun shutdown() =
+        SlotRefusal(
+            SlotRefusalReason.SHUTDOWN,
+            MIN_RETRY_MILLIS,
+            "this instance shuts down; send the request to another instance",
+        )
+
+    fun retryBudget() =
+        SlotRefusal(
+            SlotRefusalReason.RETRY_BUDGET,
+            settings.backoffCapMillis,
+            "the workspace used up its retry budget; retry later and at a lower rate",
+        )
+
+    fun noServer(request: SlotRequest) =
+        SlotRefusal(
+            SlotRefusalReason.NO_SERVER,
+            settings.backoffCapMillis,
+            "no live backend server serves ${request.target.name} in version " +
+                "${request.version}; check that version in the settings and the live list",
+        )
+
+    fun deadline(waiting: PendingRequest) =
+        SlotRefusal(
+            SlotRefusalReason.DEADLINE,
+            toldWaitMillis(waiting),
+            "no backend server can answer before the deadline; allow more time or retry later",
+        )
+
+    /** The refusal after every home in reach refused. */
+    fun afterRound(waiting: PendingRequest): SlotRefusal {
+        val reasons = waiting.refusals.values.map { it.reason }
+        if (reasons.isNotEmpty() && reasons.all { it == RefusalReason.DEADLINE }) {
+            return deadline(waiting)
+        }
+        return SlotRefusal(
+            SlotRefusalReason.OVERLOADED,
+            toldWaitMillis(waiting),
+            "all backend servers of ${waiting.request.target.name} are busy with requests of " +
+                "this or a higher tier; retry after the stated time",
+        )
+    }
+
+    /** Waiting for another round helps unless no time is left or nothing will change. */
+    fun mayWait(refusal: SlotRefusal, waiting: PendingRequest, nowMillis: Long): Boolean =
+        refusal.reason in RETRIABLE &&
+            nowMillis + settings.backoffCapMillis < waiting.request.deadlineMillis
+
+    /** Full jitter over an exponential bound. */
+    fun backoffMillis(waiting: PendingRequest): Long {
+        val bound = settings.backoffBaseMillis shl waiting.rounds.coerceAtMost(MAX_DOUBLINGS)
+        return random.nextLong(minOf(bound, settings.backoffCapMillis) + 1)
+    }
+
+    /**
+     * True when an interactive request may not be shed yet: a home that serves a lower tier was not
+     * asked to give way, or was and still had no room.
+     */
+    fun isUnjust(waiting: PendingRequest): Boolean =
+        waiting.request.tier == Tier.INTERACTIVE &&
+            waiting.asks.isEmpty() &&
+            waiting.refusals.any { (serverId, refusal) ->
+                refusal.lowerTierCount > 0 &&
+                    (serverId !in waiting.preemptAsked ||
+                        refusal.reason == RefusalReason.QUEUE_FULL)
+            }
+
+    /** The shortest wait told by a home, with jitter so that callers do not return in step. */
+    private fun toldWaitMillis(waiting: PendingRequest): Long {
+        val told = waiting.refusals.values.minOfOrNull { it.expectedWaitMillis } ?: 0
+        val bounded = told.coerceIn(MIN_RETRY_MILLIS, MAX_RETRY_MILLIS)
+        return bounded + random.nextLong(bounded / 2 + 1)
+    }
+
+    private companion object {
+        const val MIN_RETRY_MILLIS = 1_000L
+        const val MAX_RETRY_MILLIS = 60_000L
+        const val MAX_DOUBLINGS = 10
+        val RETRIABLE = setOf(SlotRefusalReason.OVERLOADED, SlotRefusalReason.NO_SERVER)
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/routing/RetryBudget.kt
@@ -0,0 +1,59 @@
+package io.lavenderhinge.core.routing
+
+/**
+ * Bounds retries to a tenth of the requests of a workspace over 10 s, and at least one: retries
+ * must not multiply the load of an overloaded pool.
+ */
+internal class RetryBudget {
+    private class Counts {
+        val requests = IntArray(WINDOW_SECONDS)
+        val retries = IntArray(WINDOW_SECONDS)
+        var second = 0L
+
+        fun advance(nowSecond: Long) {
+            val steps = (nowSecond - second).coerceIn(0, WINDOW_SECONDS.toLong()).toInt()
+            for (step in 1..steps) {
+                val slot = ((nowSecond - steps + step) % WINDOW_SECONDS).toInt()
+                requests[slot] = 0
+                retries[slot] = 0
+            }
+            second = maxOf(second, nowSecond)
+        }
+    }
+
+    private val byWorkspace = HashMap<String, Counts>()
+
+    fun requested(workspace: String, nowMillis: Long) {
+        val counts = counts(workspace, nowMillis)
+        counts.requests[slot(nowMillis)]++
+    }
+
+    /** Takes one retry from the budget; false when it is used up. */
+    fun take(workspace: String, nowMillis: Long): Boolean {
+        val counts = counts(workspace, nowMillis)
+        val allowed = maxOf(MIN_RETRIES, counts.requests.sum() / REQUESTS_PER_RETRY)
+        if (counts.retries.sum() >= allowed) return false
+        counts.retries[slot(nowMillis)]++
+        return true
+    }
+
+    /** Forgets workspaces without requests in the window. */
+    fun cleanUp(nowMillis: Long) {
+        val oldest = nowMillis / MILLIS_PER_SECOND - WINDOW_SECONDS
+        byWorkspace.values.removeIf { it.second < oldest }
+    }
+
+    private fun counts(workspace: String, nowMillis: Long): Counts =
+        byWorkspace
+            .getOrPut(workspace) { Counts() }
+            .also { it.advance(nowMillis / MILLIS_PER_SECOND) }
+
+    private fun slot(nowMillis: Long) = (nowMillis / MILLIS_PER_SECOND % WINDOW_SECONDS).toInt()
+
+    private companion object {
+        const val WINDOW_SECONDS = 10
+        const val MILLIS_PER_SECOND = 1_000L
+        const val REQUESTS_PER_RETRY = 10
+        const val MIN_RETRIES = 1
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/routing/ServerBook.kt
@@ -0,0 +1,67 @@
+package io.lavenderhinge.core.routing
+
+import io.lavenderhinge.core.Tier
+import io.lavenderhinge.core.limit.PrefillModel
+import io.lavenderhinge.core.membership.RendezvousHash
+import io.lavenderhinge.core.scheduling.ServerView
+import kotlin.math.pow
+
+/** What an entry knows about one backend server. */
+internal class ServerBook(var view: ServerView) {
+    private val waitMillis = DoubleArray(Tier.entries.size)
+    private val waitAtMillis = LongArray(Tier.entries.size)
+    private var summarySequence = 0L
+    private var prefillUntilMillis = 0.0
+    private var avoidUntilMillis = 0L
+    val prefill = PrefillModel()
+
+    /** For cheap hashing of prefixes over backend servers. */
+    val idHash: Long = RendezvousHash.weight("", view.id)
+
+    /** Own requests in service. */
+    var inService = 0
+
+    fun waitLearned(tier: Tier, millis: Long, nowMillis: Long) {
+        waitMillis[tier.ordinal] = millis.toDouble()
+        waitAtMillis[tier.ordinal] = nowMillis
+    }
+
+    fun summaryReceived(sequence: Long, millis: Long, nowMillis: Long) {
+        if (sequence <= summarySequence) return
+        summarySequence = sequence
+        waitLearned(Tier.INTERACTIVE, millis, nowMillis)
+    }
+
+    /** A new home numbers its summaries from the start. */
+    fun homeChanged() {
+        summarySequence = 0
+    }
+
+    fun avoidUntil(untilMillis: Long) {
+        avoidUntilMillis = maxOf(avoidUntilMillis, untilMillis)
+    }
+
+    fun isAvoided(nowMillis: Long) = nowMillis < avoidUntilMillis
+
+    /** What was told about the wait loses half its weight each [HALF_LIFE_MILLIS]. */
+    fun expectedWaitMillis(tier: Tier, nowMillis: Long): Double {
+        val ageMillis = (nowMillis - waitAtMillis[tier.ordinal]).coerceAtLeast(0)
+        return waitMillis[tier.ordinal] * HALF.pow(ageMillis / HALF_LIFE_MILLIS)
+    }
+
+    /** Prefill that this entry sent and that, by the estimate, is not done yet. */
+    fun ownBacklogMillis(nowMillis: Long): Double =
+        (prefillUntilMillis - nowMillis).coerceAtLeast(0.0)
+
+    fun dispatched(prefillTokens: Int, nowMillis: Long) {
+        inService++
+        prefillUntilMillis =
+            maxOf(prefillUntilMillis, nowMillis.toDouble()) +
+                prefillTokens * prefill.millisPerToken()
+    }
+
+    private companion object {
+        const val HALF = 0.5
+        const val HALF_LIFE_MILLIS = 1_000.0
+    }
+}
--- a/core/src/main/kotlin/io/lavenderhinge/core/scheduling/Admission.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/scheduling/Admission.kt
@@ -24,8 +24,7 @@
     }
 
     /** A preempting ask waits only until a lower tier gives up its slot. */
-    fun mayJumpQueue(ask: SlotAsk) =
-        ask.mayPreempt && service.lower(ask.tier) > queues.ahead(ask.tier)
+    fun mayJumpQueue(ask: SlotAsk) = ask.mayPreempt && service.lower(ask.tier) > 0
 
     fun isExpired(slot: InService, nowMillis: Long): Boolean {
         val orphanedAt = slot.orphanedAtMillis
--- a/core/src/main/kotlin/io/lavenderhinge/core/scheduling/Home.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/scheduling/Home.kt
@@ -2,7 +2,6 @@
 
 import io.lavenderhinge.core.Tier
 import io.lavenderhinge.core.limit.AdaptiveLimit
-import io.lavenderhinge.core.limit.LimitSample
 import io.lavenderhinge.core.port.LoadReport
 
 /**
@@ -16,8 +15,9 @@
     private val limit: AdaptiveLimit,
     private val settings: HomeSettings = HomeSettings(),
     private val invariants: Invariants = Invariants(),
+    health: ServerHealth = ServerHealth(ServerState.LIVE),
 ) {
-    private val state = HomeState(limit, settings, invariants)
+    private val state = HomeState(limit, settings, invariants, health)
     private val admission = Admission(state)
     private val queues = state.queues
     private val service = state.service
@@ -130,27 +130,11 @@
     private fun finished(askId: String, result: SlotResult, nowMillis: Long) {
         state.evidence.observe(result.resultClass, nowMillis)
         val slot = service[askId]
-        if (slot != null) learn(slot, result, nowMillis)
+        if (slot != null) state.learn(slot, result, nowMillis)
         service.remove(askId, nowMillis)
         admission.unavailable(nowMillis)?.let { refuseAll(it, nowMillis) }
     }
 
-    private fun learn(slot: InService, result: SlotResult, nowMillis: Long) {
-        estimates.finished(slot, result, nowMillis)
-        if (result.resultClass != ResultClass.OK) return
-        val sample =
-            LimitSample(
-                firstTokenMillis = result.firstTokenMillis,
-                betweenTokensMicros = result.betweenTokensMicros,
-                expectedPrefillMillis = slot.expectedPrefillMillis,
-                meanSequences =
-                    service.load.meanSequences(slot.start, nowMillis) +
-                        state.foreign.sequences(nowMillis),
-                meanContextTokens = service.load.meanContextTokens(slot.start, nowMillis),
-            )
-        limit.observe(sample, nowMillis)
-    }
-
     private fun loadReported(report: LoadReport, nowMillis: Long) {
         state.foreign.reported(report, nowMillis)
         limit.reported(report.running, report.waiting, nowMillis)
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/scheduling/HomeDirectory.kt
@@ -0,0 +1,58 @@
+package io.lavenderhinge.core.scheduling
+
+import io.lavenderhinge.core.membership.RendezvousHash
+
+/**
+ * Which instance is the home of which backend server: the one with the highest rendezvous hash in
+ * the server's failure domain, or of all instances when the domain has none.
+ *
+ * An instance whose link broke is passed over for [SUSPECT_MILLIS], because the live list lags.
+ */
+class HomeDirectory {
+    private var instances: List<InstanceView> = emptyList()
+    private var servers: List<ServerView> = emptyList()
+    private val suspectUntilMillis = HashMap<String, Long>()
+    private var homes: Map<String, String> = emptyMap()
+
+    /** The home of [serverId], or null when the server or every instance is unknown. */
+    fun homeOf(serverId: String): String? = homes[serverId]
+
+    fun viewChanged(
+        newInstances: List<InstanceView>,
+        newServers: List<ServerView>,
+        nowMillis: Long,
+    ) {
+        instances = newInstances
+        servers = newServers
+        assign(nowMillis)
+    }
+
+    fun linkLost(instanceId: String, nowMillis: Long) {
+        suspectUntilMillis[instanceId] = nowMillis + SUSPECT_MILLIS
+        assign(nowMillis)
+    }
+
+    /** Restores instances whose suspicion ended; true when homes may have changed. */
+    fun tick(nowMillis: Long): Boolean {
+        if (!suspectUntilMillis.values.removeIf { it <= nowMillis }) return false
+        assign(nowMillis)
+        return true
+    }
+
+    private fun assign(nowMillis: Long) {
+        val trusted = instances.filter { (suspectUntilMillis[it.id] ?: 0) <= nowMillis }
+        val idsByDomain = trusted.groupBy({ it.failureDomain }, { it.id })
+        val allIds = trusted.map { it.id }
+        homes =
+            servers
+                .mapNotNull { server ->
+                    val candidates = idsByDomain[server.failureDomain] ?: allIds
+                    RendezvousHash.choose(server.id, candidates)?.let { server.id to it }
+                }
+                .toMap()
+    }
+
+    private companion object {
+        const val SUSPECT_MILLIS = 3_000L
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/scheduling/HomeMessage.kt
@@ -0,0 +1,4 @@
+package io.lavenderhinge.core.scheduling
+
+/** A message of the home of [serverId]. */
+data class HomeMessage(val serverId: String, val effect: HomeEffect)
--- a/core/src/main/kotlin/io/lavenderhinge/core/scheduling/PrefixHistory.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/scheduling/PrefixHistory.kt
@@ -36,8 +36,7 @@
     fun expectedTokens(prefixHashes: List<Long>): Int {
         for (index in prefixHashes.indices.reversed()) {
             val gap = gapByHash[prefixHashes[index]] ?: continue
-            val tokens = (index + 1) * PREFIX_BLOCK_TOKENS
-            return (tokens * GAP_CONFIDENCE.pow(gaps - gap)).toInt()
+            return (PrefixMilestones.tokens(index) * GAP_CONFIDENCE.pow(gaps - gap)).toInt()
         }
         return 0
     }
--- a/experiments/src/main/kotlin/io/lavenderhinge/experiments/scheduler/Schedulers.kt
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/scheduler/Schedulers.kt
@@ -5,6 +5,7 @@
 import io.lavenderhinge.experiments.baseline.RandomChoice
 import io.lavenderhinge.experiments.baseline.RoundRobinChoice
 import io.lavenderhinge.experiments.baseline.TwoChoicesOnReports
+import io.lavenderhinge.experiments.hinge.CoreScheduler
 
 /** A scheduler that can be run. Invariant I2 is demanded only of one that [keepsPriority]. */
 data class NamedScheduler(
@@ -28,6 +29,7 @@
             NamedScheduler("least-own", keepsPriority = false) {
                 DirectScheduler(it, LeastOwnInFlight())
             },
+            NamedScheduler("lavenderhinge", keepsPriority = true) { CoreScheduler(it) },
         )
 
     val byName: Map<String, NamedScheduler> = all.associateBy { it.name }
