--- a/core/src/main/kotlin/io/lavenderhinge/core/limit/ServiceLimit.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/limit/ServiceLimit.kt
@@ -22,11 +22,9 @@
         val latency = sample.firstTokenMillis.toDouble()
         if (latency <= 0) return
         shortMillis = if (shortMillis == 0.0) latency else average(shortMillis, latency, SHORT_GAIN)
-        // The base follows a lower latency at once and a higher one slowly: a permanently slower
-        // server must not keep its limit at 1, a short spike must not raise the base.
         baseMillis =
             if (baseMillis == 0.0) latency
-            else average(baseMillis, shortMillis, if (shortMillis < baseMillis) FALL else RISE)
+            else average(baseMillis, shortMillis, baseGain(sample.meanSequences))
         val gradient = (TOLERANCE * baseMillis / shortMillis).coerceIn(MIN_GRADIENT, 1.0)
         val isUsed = sample.meanSequences >= limit / 2
         val wanted = limit * gradient + sqrt(limit)
@@ -35,15 +33,29 @@
     }
 
     override fun reported(running: Int, waiting: Int, nowMillis: Long) {
-        if (waiting > running) limit = max(1.0, min(limit, running.toDouble()))
+        if (waiting > 0) limit = max(1.0, min(limit, running.toDouble()))
     }
 
+    /**
+     * The base rises only where the latency cannot be due to this home's load. Otherwise a queue
+     * inside the service would slowly become the norm; a server that is slower for good is pushed
+     * to that load and starts from there.
+     */
+    private fun baseGain(load: Double): Double =
+        when {
+            shortMillis < baseMillis -> FALL
+            load <= UNLOADED_SEQUENCES -> RISE
+            else -> 0.0
+        }
+
     private fun average(old: Double, new: Double, gain: Double) = old + gain * (new - old)
 
     private companion object {
-        const val SHORT_GAIN = 0.1
-        const val FALL = 0.5
-        const val RISE = 0.0005
+        /** Single calls differ a hundredfold in length; the average needs about 50 of them. */
+        const val SHORT_GAIN = 0.02
+        const val FALL = 0.05
+        const val RISE = 0.02
+        const val UNLOADED_SEQUENCES = 2.0
         /** Latency may double before the limit shrinks; single requests differ widely. */
         const val TOLERANCE = 2.0
         const val MIN_GRADIENT = 0.5
--- a/core/src/main/kotlin/io/lavenderhinge/core/routing/HeldSlots.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/routing/HeldSlots.kt
@@ -65,7 +65,6 @@
             val homeId = directory.homeOf(slot.serverId) ?: continue
             if (homeId == slot.homeId) continue
             slot.homeId = homeId
-            selection[slot.serverId]?.homeChanged()
             send(homeId, slot.serverId, HomeEvent.Registered(slot.ask))
         }
     }
--- a/core/src/main/kotlin/io/lavenderhinge/core/routing/ServerBook.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/routing/ServerBook.kt
@@ -32,11 +32,6 @@
         waitLearned(Tier.INTERACTIVE, millis, nowMillis)
     }
 
-    /** A new home numbers its summaries from the start. */
-    fun homeChanged() {
-        summarySequence = 0
-    }
-
     fun avoidUntil(untilMillis: Long) {
         avoidUntilMillis = maxOf(avoidUntilMillis, untilMillis)
     }
--- a/core/src/main/kotlin/io/lavenderhinge/core/scheduling/Home.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/scheduling/Home.kt
@@ -43,9 +43,15 @@
             expectedWaitMillis = admission.expectedWaitMillis(Tier.INTERACTIVE, nowMillis),
             freeSlots = (admission.capacity(nowMillis) - service.size).coerceAtLeast(0),
             lowestOpenTier = state.ownClosure.lowestOpenTier(nowMillis),
-            sequence = ++summaries,
+            sequence = nextSummary(nowMillis),
         )
 
+    /** Follows the clock, so that the summaries of a successor are newer than those before. */
+    private fun nextSummary(nowMillis: Long): Long {
+        summaries = maxOf(summaries + 1, nowMillis)
+        return summaries
+    }
+
     /** State for the status page and for tests. */
     fun status(nowMillis: Long): HomeStatus =
         HomeStatus(
@@ -72,7 +78,10 @@
                 state.poolClosure = TierClosure(event.lowestOpenTier, event.untilMillis)
             is HomeEvent.ServerChanged -> serverChanged(event.health, nowMillis)
             HomeEvent.Tick -> tick(nowMillis)
-            is HomeEvent.Closed -> closed(event.reason, nowMillis)
+            is HomeEvent.Closed -> {
+                state.closedReason = event.reason
+                refuseAll(event.reason, nowMillis)
+            }
         }
     }
 
@@ -169,11 +178,6 @@
         admission.unavailable(nowMillis)?.let { refuseAll(it, nowMillis) }
     }
 
-    private fun closed(reason: RefusalReason, nowMillis: Long) {
-        state.closedReason = reason
-        refuseAll(reason, nowMillis)
-    }
-
     private fun tick(nowMillis: Long) {
         for (slot in service.all().filter { admission.isExpired(it, nowMillis) }) {
             service.remove(slot.ask.askId, nowMillis)
--- a/core/src/main/kotlin/io/lavenderhinge/core/scheduling/SlotAsk.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/scheduling/SlotAsk.kt
@@ -10,7 +10,8 @@
  * [askId] is unique for each ask: an entry that asks again for the same request uses a new id, so a
  * late grant cannot be mistaken for the answer to a newer ask. [deadlineMillis] and
  * [firstTokenDueMillis] are on the home's clock. Token counts are estimates and zero for a plain
- * service. [mayPreempt] is set once the entry found no other home that can answer in time.
+ * service. [prefixHashes] are those on [PrefixMilestones]. [mayPreempt] is set once the entry found
+ * no other home that can answer in time.
  */
 data class SlotAsk(
     val askId: String,
--- /dev/null
+++ b/core/src/test/kotlin/io/lavenderhinge/core/limit/EngineLimitTest.kt
@@ -0,0 +1,64 @@
+package io.lavenderhinge.core.limit
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeInRange
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+
+class EngineLimitTest :
+    FunSpec({
+        /** Runs an engine whose time between tokens grows linearly with a batch at the limit. */
+        fun converged(baseMicros: Long, perSequenceMicros: Long): Int {
+            val limit = EngineLimit()
+            repeat(4_000) {
+                val batch = limit.sequences.toDouble()
+                val micros = baseMicros + (perSequenceMicros * batch).toLong()
+                limit.observe(LimitSample(100, micros, 10.0, batch, batch * 1_000), it * 100L)
+            }
+            return limit.sequences
+        }
+
+        test("given an old generation, when it is saturated, then the limit ends below its knee") {
+            // Misses 46 ms beyond 63 sequences.
+            converged(baseMicros = 14_500, perSequenceMicros = 500) shouldBeInRange 50..63
+        }
+
+        test("given a new generation, when it is saturated, then the limit ends below its knee") {
+            // Misses 46 ms beyond 380 sequences.
+            converged(baseMicros = 8_000, perSequenceMicros = 100) shouldBeInRange 320..380
+        }
+
+        test("given a slow engine, when it misses the target alone, then one request remains") {
+            converged(baseMicros = 80_000, perSequenceMicros = 500) shouldBe 1
+        }
+
+        test("given late samples of a light load, when the limit is high, then it is not lowered") {
+            val limit = EngineLimit(EngineLimitSettings(initialSequences = 50.0))
+            repeat(100) { limit.observe(LimitSample(100, 20_000, 10.0, 2.0, 2_000.0), 0) }
+
+            limit.sequences shouldBe 50
+        }
+
+        test(
+            "given a queue inside the engine, when reports show it, then the limit falls to what runs"
+        ) {
+            val limit = EngineLimit(EngineLimitSettings(initialSequences = 50.0))
+            repeat(2) { limit.reported(running = 12, waiting = 5, nowMillis = it * 500L) }
+
+            limit.sequences shouldBe 12
+        }
+
+        test("given first tokens over target, when a window is full, then the limit falls") {
+            val limit = EngineLimit(EngineLimitSettings(initialSequences = 50.0))
+            repeat(40) { limit.observe(LimitSample(3_000, 0, 100.0, 50.0, 50_000.0), 0) }
+
+            limit.sequences shouldBeLessThanOrEqual 45
+        }
+
+        test("given prompts whose prefill alone is over target, then the limit stays") {
+            val limit = EngineLimit(EngineLimitSettings(initialSequences = 50.0))
+            repeat(80) { limit.observe(LimitSample(3_000, 0, 2_500.0, 50.0, 50_000.0), 0) }
+
+            limit.sequences shouldBe 50
+        }
+    })
--- /dev/null
+++ b/core/src/test/kotlin/io/lavenderhinge/core/scheduling/HomeFixture.kt
@@ -0,0 +1,66 @@
+package io.lavenderhinge.core.scheduling
+
+import io.lavenderhinge.core.Tier
+import io.lavenderhinge.core.limit.AdaptiveLimit
+import io.lavenderhinge.core.limit.LimitSample
+import io.lavenderhinge.core.port.LoadReport
+
+/** A limit that does not adapt, so that a test sees the rule of the home alone. */
+internal class FixedLimit(override val sequences: Int) : AdaptiveLimit {
+    override val contextTokens = Long.MAX_VALUE
+
+    override fun observe(sample: LimitSample, nowMillis: Long) = Unit
+
+    override fun reported(running: Int, waiting: Int, nowMillis: Long) = Unit
+}
+
+/** A home with a clock, and asks that name only what matters. */
+internal class HomeFixture(slots: Int, queueCapacity: Int = 256) {
+    var nowMillis = 0L
+    val home = Home("s", FixedLimit(slots), HomeSettings(queueCapacity = queueCapacity))
+
+    fun ask(
+        id: String,
+        tier: Tier = Tier.STANDARD,
+        workspace: String = "w",
+        weight: Double = 1.0,
+        entry: String = "e",
+        deadlineMillis: Long = 1_000_000,
+        firstTokenDueMillis: Long = Long.MAX_VALUE,
+        mayPreempt: Boolean = false,
+    ) =
+        SlotAsk(
+            id,
+            entry,
+            tier,
+            workspace,
+            weight,
+            promptTokens = 0,
+            outputTokens = 0,
+            deadlineMillis = deadlineMillis,
+            firstTokenDueMillis = firstTokenDueMillis,
+            mayPreempt = mayPreempt,
+        )
+
+    fun handle(event: HomeEvent): List<String> = home.handle(event, nowMillis).map(::text)
+
+    fun asked(ask: SlotAsk): List<String> = handle(HomeEvent.Asked(ask))
+
+    fun finished(id: String, resultClass: ResultClass = ResultClass.OK): List<String> =
+        handle(HomeEvent.Finished(id, SlotResult(resultClass)))
+
+    fun reported(running: Int): List<String> =
+        handle(HomeEvent.LoadReported(LoadReport(running, 0, 0, "1", 0)))
+
+    fun at(millis: Long): HomeFixture = apply { nowMillis = millis }
+
+    fun inService(): Int = home.status(nowMillis).inService
+
+    private fun text(effect: HomeEffect): String =
+        when (effect) {
+            is HomeEffect.Grant -> "grant ${effect.askId}"
+            is HomeEffect.Queued -> "queued ${effect.askId}"
+            is HomeEffect.Refuse -> "refuse ${effect.askId} ${effect.reason}"
+            is HomeEffect.Preempt -> "preempt ${effect.askId}"
+        }
+}
--- /dev/null
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/scheduling/PeerFrames.kt
@@ -0,0 +1,233 @@
+package io.lavenderhinge.instance.scheduling
+
+import io.lavenderhinge.core.Tier
+import io.lavenderhinge.core.scheduling.HomeEffect
+import io.lavenderhinge.core.scheduling.HomeEvent
+import io.lavenderhinge.core.scheduling.HomeSummary
+import io.lavenderhinge.core.scheduling.RefusalReason
+import io.lavenderhinge.core.scheduling.ResultClass
+import io.lavenderhinge.core.scheduling.SlotAsk
+import io.lavenderhinge.core.scheduling.SlotResult
+import io.lavenderhinge.protocol.v1.Ask
+import io.lavenderhinge.protocol.v1.Done
+import io.lavenderhinge.protocol.v1.Frame
+import io.lavenderhinge.protocol.v1.Grant
+import io.lavenderhinge.protocol.v1.Preempt
+import io.lavenderhinge.protocol.v1.Queued
+import io.lavenderhinge.protocol.v1.Refuse
+import io.lavenderhinge.protocol.v1.RefuseReason
+import io.lavenderhinge.protocol.v1.Release
+import io.lavenderhinge.protocol.v1.ServerSummary
+import kotlinx.collections.immutable.toImmutableList
+
+/** A frame of the scheduling part of `peer.proto` in the terms of the core. */
+internal sealed interface SchedulingMessage {
+    val serverId: String
+
+    data class ToHome(override val serverId: String, val event: HomeEvent) : SchedulingMessage
+
+    data class ToEntry(override val serverId: String, val effect: HomeEffect) : SchedulingMessage
+}
+
+/** Translates between frames and the events of the core. Deadlines travel as time left. */
+internal object PeerFrames {
+    /** The message in [frame], or null for frames of other concerns and unknown values. */
+    fun decode(fromInstanceId: String, selfId: String, frame: Frame, nowMillis: Long) =
+        when (frame.bodyCase) {
+            Frame.BodyCase.ASK -> ask(fromInstanceId, frame.ask, nowMillis)
+            Frame.BodyCase.RELEASE ->
+                toHome(frame.release.serverId, HomeEvent.Released(frame.release.requestId))
+            Frame.BodyCase.DONE -> toHome(frame.done.serverId, finished(frame.done))
+            Frame.BodyCase.GRANT ->
+                toEntry(
+                    frame.grant.serverId,
+                    HomeEffect.Grant(selfId, frame.grant.requestId, frame.grant.cachedPrefixTokens),
+                )
+            Frame.BodyCase.QUEUED ->
+                toEntry(
+                    frame.queued.serverId,
+                    HomeEffect.Queued(
+                        selfId,
+                        frame.queued.requestId,
+                        frame.queued.expectedWaitMillis.toLong(),
+                    ),
+                )
+            Frame.BodyCase.REFUSE -> toEntry(frame.refuse.serverId, refuse(selfId, frame.refuse))
+            Frame.BodyCase.PREEMPT ->
+                toEntry(frame.preempt.serverId, HomeEffect.Preempt(selfId, frame.preempt.requestId))
+            else -> null
+        }
+
+    /** The frame for [event], which an entry sends about [serverId]. */
+    fun encode(serverId: String, event: HomeEvent, nowMillis: Long): Frame? {
+        val frame = Frame.newBuilder().setProtocolVersion(PROTOCOL_VERSION)
+        return when (event) {
+            is HomeEvent.Asked -> frame.setAsk(ask(serverId, event.ask, false, nowMillis)).build()
+            is HomeEvent.Registered ->
+                frame.setAsk(ask(serverId, event.ask, true, nowMillis)).build()
+            is HomeEvent.Released ->
+                frame
+                    .setRelease(
+                        Release.newBuilder().setRequestId(event.askId).setServerId(serverId)
+                    )
+                    .build()
+            is HomeEvent.Finished ->
+                frame.setDone(done(serverId, event.askId, event.result)).build()
+            else -> null
+        }
+    }
+
+    /** The frame for [effect], which the home of [serverId] sends. */
+    fun encode(serverId: String, effect: HomeEffect): Frame {
+        val frame = Frame.newBuilder().setProtocolVersion(PROTOCOL_VERSION)
+        val id = effect.askId
+        when (effect) {
+            is HomeEffect.Grant ->
+                frame.setGrant(
+                    Grant.newBuilder()
+                        .setRequestId(id)
+                        .setServerId(serverId)
+                        .setCachedPrefixTokens(effect.cachedPrefixTokens)
+                )
+            is HomeEffect.Queued ->
+                frame.setQueued(
+                    Queued.newBuilder()
+                        .setRequestId(id)
+                        .setServerId(serverId)
+                        .setExpectedWaitMillis(bounded(effect.expectedWaitMillis))
+                )
+            is HomeEffect.Refuse ->
+                frame.setRefuse(
+                    Refuse.newBuilder()
+                        .setRequestId(id)
+                        .setServerId(serverId)
+                        .setReason(RefuseReason.forNumber(effect.reason.ordinal + 1))
+                        .setExpectedWaitMillis(bounded(effect.expectedWaitMillis))
+                        .setLowerTierCount(effect.lowerTierCount)
+                )
+            is HomeEffect.Preempt ->
+                frame.setPreempt(Preempt.newBuilder().setRequestId(id).setServerId(serverId))
+        }
+        return frame.build()
+    }
+
+    fun encode(summary: HomeSummary): ServerSummary =
+        ServerSummary.newBuilder()
+            .setServerId(summary.serverId)
+            .setExpectedWaitMillis(bounded(summary.expectedWaitMillis))
+            .setFreeSlots(summary.freeSlots)
+            .setLowestOpenTier(tier(summary.lowestOpenTier))
+            .setSequence(summary.sequence)
+            .build()
+
+    fun decode(summary: ServerSummary): HomeSummary =
+        HomeSummary(
+            serverId = summary.serverId,
+            expectedWaitMillis = summary.expectedWaitMillis.toLong(),
+            freeSlots = summary.freeSlots,
+            lowestOpenTier = tier(summary.lowestOpenTier) ?: Tier.BATCH,
+            sequence = summary.sequence,
+        )
+
+    private fun ask(
+        serverId: String,
+        ask: SlotAsk,
+        isInService: Boolean,
+        nowMillis: Long,
+    ): Ask.Builder {
+        val builder =
+            Ask.newBuilder()
+                .setRequestId(ask.askId)
+                .setServerId(serverId)
+                .setTier(tier(ask.tier))
+                .setWorkspace(ask.workspace)
+                .setWeight(ask.weight)
+                .setPromptTokens(ask.promptTokens)
+                .setOutputTokens(ask.outputTokens)
+                .setDeadlineLeftMillis(bounded(ask.deadlineMillis - nowMillis))
+                .setInService(isInService)
+                .setPreemptLowerTier(ask.mayPreempt)
+        // A request in service needs no estimate of its prefix hit any more.
+        if (!isInService) builder.addAllPrefixHashes(ask.prefixHashes)
+        return builder
+    }
+
+    private fun ask(fromInstanceId: String, frame: Ask, nowMillis: Long): SchedulingMessage? {
+        val tier = tier(frame.tier) ?: return null
+        val ask =
+            SlotAsk(
+                askId = frame.requestId,
+                entryId = fromInstanceId,
+                tier = tier,
+                workspace = frame.workspace,
+                weight = frame.weight,
+                promptTokens = frame.promptTokens,
+                outputTokens = frame.outputTokens,
+                deadlineMillis = nowMillis + frame.deadlineLeftMillis,
+                prefixHashes = frame.prefixHashesList.toImmutableList(),
+                firstTokenDueMillis = firstTokenDue(tier, frame.promptTokens, nowMillis),
+                mayPreempt = frame.preemptLowerTier,
+            )
+        val event = if (frame.inService) HomeEvent.Registered(ask) else HomeEvent.Asked(ask)
+        return toHome(frame.serverId, event)
+    }
+
+    /** `Ask` does not carry the route's first-token target; the design's stands in for it. */
+    private fun firstTokenDue(tier: Tier, promptTokens: Int, nowMillis: Long): Long =
+        if (tier == Tier.INTERACTIVE && promptTokens > 0) nowMillis + FIRST_TOKEN_MILLIS
+        else Long.MAX_VALUE
+
+    private fun finished(done: Done) =
+        HomeEvent.Finished(
+            done.requestId,
+            SlotResult(
+                resultClass =
+                    ResultClass.entries.getOrElse(done.result.ordinal - 1) {
+                        ResultClass.SERVER_ERROR
+                    },
+                firstTokenMillis = done.firstTokenMillis.toLong(),
+                betweenTokensMicros = done.betweenTokensMicros.toLong(),
+                promptTokens = done.promptTokens,
+                outputTokens = done.outputTokens,
+            ),
+        )
+
+    private fun done(serverId: String, askId: String, result: SlotResult) =
+        Done.newBuilder()
+            .setRequestId(askId)
+            .setServerId(serverId)
+            .setResultValue(result.resultClass.ordinal + 1)
+            .setFirstTokenMillis(bounded(result.firstTokenMillis))
+            .setBetweenTokensMicros(bounded(result.betweenTokensMicros))
+            .setPromptTokens(result.promptTokens)
+            .setOutputTokens(result.outputTokens)
+
+    private fun refuse(selfId: String, refuse: Refuse) =
+        HomeEffect.Refuse(
+            entryId = selfId,
+            askId = refuse.requestId,
+            // An unknown reason of a newer release is treated as a home that moved.
+            reason =
+                RefusalReason.entries.getOrElse(refuse.reason.ordinal - 1) {
+                    RefusalReason.NOT_HOME
+                },
+            expectedWaitMillis = refuse.expectedWaitMillis.toLong(),
+            lowerTierCount = refuse.lowerTierCount,
+        )
+
+    private fun toHome(serverId: String, event: HomeEvent): SchedulingMessage =
+        SchedulingMessage.ToHome(serverId, event)
+
+    private fun toEntry(serverId: String, effect: HomeEffect): SchedulingMessage =
+        SchedulingMessage.ToEntry(serverId, effect)
+
+    private fun tier(tier: Tier) = io.lavenderhinge.protocol.v1.Tier.forNumber(tier.ordinal + 1)
+
+    private fun tier(tier: io.lavenderhinge.protocol.v1.Tier): Tier? =
+        Tier.entries.getOrNull(tier.ordinal - 1)
+
+    private fun bounded(value: Long): Int = value.coerceIn(0, Int.MAX_VALUE.toLong()).toInt()
+
+    private const val PROTOCOL_VERSION = 1
+    private const val FIRST_TOKEN_MILLIS = 1_000L
+}
