Add the fleet that runs schedulers in virtual time

Runs the scheduler under test on every entry instance and executes its effects: streams, messages with a delay, timers, late load reports and cache events, the lagging list, lost servers and instances, and cut domains. It checks conservation, I1, I2 and I4 with knowledge of the whole fleet.

--- a/experiments/src/main/kotlin/io/lavenderhinge/experiments/baseline/DirectScheduler.kt
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/baseline/DirectScheduler.kt
@@ -44,7 +44,12 @@
     private fun watch(): List<SchedulerEffect> {
         if (!watchesLoad) return emptyList()
         val backends = members.filter { it.kind != MemberKind.INSTANCE }
-        return listOf(SchedulerEffect.WatchServers(backends.map { it.id }.toSet()))
+        return listOf(
+            SchedulerEffect.WatchServers(
+                backends.map { it.id }.toSet(),
+                cacheServerIds = emptySet(),
+            )
+        )
     }
 
     private fun dispatch(request: ScheduledRequest): List<SchedulerEffect> {
--- /dev/null
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/cluster/Streams.kt
@@ -0,0 +1,218 @@
+package io.lavenderhinge.experiments.cluster
+
+import io.lavenderhinge.core.port.EngineFault
+import io.lavenderhinge.core.port.MemberKind
+import io.lavenderhinge.experiments.engine.Backend
+import io.lavenderhinge.experiments.engine.BackendJob
+import io.lavenderhinge.experiments.engine.BackendListener
+import io.lavenderhinge.experiments.scheduler.SchedulerEvent
+import io.lavenderhinge.experiments.scheduler.ShedReason
+import io.lavenderhinge.experiments.time.EventLoop
+import io.lavenderhinge.experiments.workload.Deployment
+
+/**
+ * Streams between entry instances and backend servers, with the delay and faults of their links.
+ */
+class Streams(
+    private val deployment: Deployment,
+    private val loop: EventLoop,
+    private val network: Network,
+    private val book: RequestBook,
+    private val violations: Violations,
+    private val deliver: (String, SchedulerEvent) -> Unit,
+) : BackendListener {
+    /** Filled by the cluster, since backend servers need their listener first. */
+    val backends = LinkedHashMap<String, Backend>()
+    private val topTierFirst = TopTierFirst(loop, network, book, violations)
+
+    fun dispatch(entryId: String, requestId: String, serverId: String) {
+        val record = ownRecord(entryId, requestId) ?: return
+        if (record.phase != Phase.WAITING) {
+            violations.add(Invariant.AT_MOST_ONCE, "$requestId dispatched while ${record.phase}")
+            return
+        }
+        record.phase = Phase.DISPATCHED
+        record.serverId = serverId
+        record.dispatchMicros = loop.nowMicros
+        if (network.isReachable(entryId, serverId)) {
+            loop.after(network.delayMicros(entryId, serverId)) { arriveAtServer(record, serverId) }
+        } else {
+            loop.after(CONNECT_TIMEOUT_MICROS) { notSent(record, serverId, "connect timed out") }
+        }
+    }
+
+    fun suspend(entryId: String, requestId: String) {
+        withServer(entryId, requestId) { record, server ->
+            if (record.phase == Phase.IN_SERVICE && server.suspend(requestId)) {
+                record.phase = Phase.SUSPENDED
+                answer(record, server.id) {
+                    deliver(entryId, SchedulerEvent.Suspended(requestId, server.id))
+                }
+            }
+        }
+    }
+
+    fun resume(entryId: String, requestId: String) {
+        withServer(entryId, requestId) { record, server ->
+            if (record.phase == Phase.SUSPENDED && server.resume(requestId)) {
+                record.phase = Phase.IN_SERVICE
+            }
+        }
+    }
+
+    /** Ends a request by decision of the scheduler, wherever it is. */
+    fun shed(entryId: String, requestId: String, reason: ShedReason) {
+        val record = ownRecord(entryId, requestId) ?: return
+        topTierFirst.check(record, reason)
+        abandon(record, Outcome.SHED, reason)
+    }
+
+    /** Ends a request from the caller's side or the entry's, and stops the work on it. */
+    fun abandon(record: RequestRecord, outcome: Outcome, reason: ShedReason? = null) {
+        val serverId = record.serverId
+        book.end(record, outcome, reason)
+        if (serverId == null) return
+        loop.after(network.delayMicros(record.entryId, serverId)) {
+            backends.getValue(serverId).cancel(record.request.id)
+        }
+    }
+
+    /** Breaks the streams that cross a cut: both ends notice, and the engine stops. */
+    fun breakUnreachable(wasCut: (RequestRecord, String) -> Boolean) {
+        for (record in book.active.toList()) {
+            val serverId = record.serverId ?: continue
+            val isAccepted = record.phase == Phase.IN_SERVICE || record.phase == Phase.SUSPENDED
+            if (!isAccepted || !wasCut(record, serverId)) continue
+            backends.getValue(serverId).cancel(record.request.id)
+            fail(record, serverId, "no progress on the stream")
+        }
+    }
+
+    override fun firstToken(job: BackendJob, serverId: String, cachedPrefixTokens: Int) {
+        val record = book.find(job.request.id) ?: return
+        answer(record, serverId) {
+            val toCaller = 2 * deployment.clientDelayMicros
+            record.firstTokenMillis = (loop.nowMicros - record.arrivalMicros + toCaller) / 1000.0
+            val sinceDispatchMillis = (loop.nowMicros - record.dispatchMicros) / 1000
+            val id = job.request.id
+            deliver(
+                record.entryId,
+                SchedulerEvent.FirstToken(id, serverId, sinceDispatchMillis, cachedPrefixTokens),
+            )
+        }
+    }
+
+    override fun completed(
+        job: BackendJob,
+        serverId: String,
+        outputTokens: Int,
+        betweenTokensMillis: Double,
+    ) {
+        val record = book.find(job.request.id) ?: return
+        answer(record, serverId) {
+            if (outputTokens != job.outputTokens || record.serverId != serverId) {
+                violations.add(Invariant.COMPLETE_ANSWER, "${job.request.id} is not complete")
+            }
+            record.betweenTokensMillis = betweenTokensMillis
+            book.end(record, Outcome.COMPLETED)
+            val id = job.request.id
+            deliver(
+                record.entryId,
+                SchedulerEvent.Completed(id, serverId, outputTokens, betweenTokensMillis),
+            )
+        }
+    }
+
+    override fun failed(job: BackendJob, serverId: String, message: String) {
+        val record = book.find(job.request.id) ?: return
+        answer(record, serverId) { fail(record, serverId, message) }
+    }
+
+    private fun fail(record: RequestRecord, serverId: String, message: String) {
+        book.end(record, Outcome.FAILED)
+        val fault = EngineFault.OutcomeUnknown(message)
+        deliver(record.entryId, SchedulerEvent.Failed(record.request.id, serverId, fault))
+    }
+
+    private fun arriveAtServer(record: RequestRecord, serverId: String) {
+        if (record.phase == Phase.ENDED) return
+        val server = backends.getValue(serverId)
+        val backMicros = network.delayMicros(serverId, record.entryId)
+        if (!server.isUp) {
+            loop.after(backMicros) { notSent(record, serverId, "connection refused") }
+            return
+        }
+        record.duplicatePrefillTokens = prefixHeldElsewhere(record, server)
+        val refused = server.submit(record.job)
+        if (refused == null) return accept(record)
+        loop.after(backMicros) { returnToScheduler(record, serverId, refused) }
+    }
+
+    private fun accept(record: RequestRecord) {
+        record.phase = Phase.IN_SERVICE
+        record.acceptedCount++
+        if (record.acceptedCount > 1) {
+            violations.add(Invariant.AT_MOST_ONCE, "${record.request.id} accepted twice")
+        }
+    }
+
+    private fun notSent(record: RequestRecord, serverId: String, message: String) =
+        returnToScheduler(record, serverId, EngineFault.NotSent("$serverId: $message"))
+
+    private fun returnToScheduler(record: RequestRecord, serverId: String, fault: EngineFault) {
+        if (record.phase == Phase.ENDED) return
+        record.phase = Phase.WAITING
+        record.serverId = null
+        deliver(record.entryId, SchedulerEvent.Failed(record.request.id, serverId, fault))
+    }
+
+    /** Prompt tokens that this replica has to prefill although another one holds them. */
+    private fun prefixHeldElsewhere(record: RequestRecord, server: Backend): Int {
+        val hashes = record.request.prefixHashes
+        if (hashes.isEmpty()) return 0
+        val serves = network.member(server.id).serves
+        val others =
+            backends.values.filter {
+                val member = network.member(it.id)
+                it !== server && member.kind == MemberKind.MODEL_ENGINE && member.serves == serves
+            }
+        val best = others.maxOfOrNull { it.cachedTokens(hashes) } ?: 0
+        return maxOf(0, best - server.cachedTokens(hashes))
+    }
+
+    /**
+     * Runs [action] at the entry after the delay, unless the request has ended or the link is cut.
+     */
+    private fun answer(record: RequestRecord, serverId: String, action: () -> Unit) {
+        loop.after(network.delayMicros(serverId, record.entryId)) {
+            val isLinked = network.isReachable(serverId, record.entryId)
+            if (record.phase != Phase.ENDED && isLinked) action()
+        }
+    }
+
+    private fun withServer(
+        entryId: String,
+        requestId: String,
+        action: (RequestRecord, Backend) -> Unit,
+    ) {
+        val record = ownRecord(entryId, requestId) ?: return
+        val serverId = record.serverId ?: return
+        if (!network.isReachable(entryId, serverId)) return
+        loop.after(network.delayMicros(entryId, serverId)) {
+            action(record, backends.getValue(serverId))
+        }
+    }
+
+    private fun ownRecord(entryId: String, requestId: String): RequestRecord? {
+        val record = book.find(requestId) ?: return null
+        check(record.entryId == entryId) {
+            "$entryId acts on $requestId, which arrived at ${record.entryId}"
+        }
+        return record
+    }
+
+    private companion object {
+        // An unreachable address gives no answer, so that the entry waits for its connect timeout.
+        const val CONNECT_TIMEOUT_MICROS = 1_000_000L
+    }
+}
--- /dev/null
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/cluster/Violations.kt
@@ -0,0 +1,36 @@
+package io.lavenderhinge.experiments.cluster
+
+/** What is checked during a run; I1, I2 and I4 are those of design section 1.3. */
+enum class Invariant {
+    /** Conservation: every arrival ends exactly once. */
+    ENDS_ONCE,
+
+    /** I1: a backend server accepts a request at most once. */
+    AT_MOST_ONCE,
+
+    /** I2: no top-tier request is shed while a lower tier is served. */
+    TOP_TIER_FIRST,
+
+    /** I4: the caller gets the complete answer to its own request. */
+    COMPLETE_ANSWER,
+}
+
+/** Counts violations and keeps the first descriptions. */
+class Violations {
+    private val countByInvariant = HashMap<Invariant, Int>()
+    private val firstTexts = ArrayList<String>()
+
+    val texts: List<String>
+        get() = firstTexts
+
+    fun count(invariant: Invariant): Int = countByInvariant[invariant] ?: 0
+
+    fun add(invariant: Invariant, text: String) {
+        countByInvariant.merge(invariant, 1, Int::plus)
+        if (count(invariant) <= MAX_TEXTS) firstTexts += "$invariant: $text"
+    }
+
+    private companion object {
+        const val MAX_TEXTS = 5
+    }
+}
--- a/experiments/src/main/kotlin/io/lavenderhinge/experiments/scheduler/SchedulerEffect.kt
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/scheduler/SchedulerEffect.kt
@@ -20,13 +20,22 @@
     /** Removes the timer [timerId]; unknown ids are ignored. */
     data class CancelTimer(val timerId: String) : SchedulerEffect
 
-    /** Replaces the set of backend servers whose load reports and cache events are delivered. */
-    data class WatchServers(val serverIds: Set<String>) : SchedulerEffect
+    /**
+     * Replaces the sets of backend servers whose load reports, and whose cache events, are
+     * delivered. Each delivery counts as a control message.
+     */
+    data class WatchServers(
+        val serverIds: Set<String>,
+        val cacheServerIds: Set<String> = serverIds,
+    ) : SchedulerEffect
 
     /** Opens the stream of a request that arrived at this instance to [serverId]. */
     data class Dispatch(val requestId: String, val serverId: String) : SchedulerEffect
 
-    /** Suspends a request in service; the engine frees its slot and keeps what was generated. */
+    /**
+     * Suspends a request in service; the engine frees its slot and keeps what was generated.
+     * Ignored when the stream has ended, and by plain services.
+     */
     data class Suspend(val requestId: String) : SchedulerEffect
 
     /** Resumes a suspended request on the engine where it was suspended. */
--- a/experiments/src/main/kotlin/io/lavenderhinge/experiments/workload/RouteProfiles.kt
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/workload/RouteProfiles.kt
@@ -21,22 +21,22 @@
 /** Traffic of Caprock: drafts at counters, flags of incomplete releases, summaries, and records. */
 internal fun caprockRoutes(model: String): List<RouteProfile> =
     listOf(
-        modelRoute("draft", model, Tier.INTERACTIVE, 0.45, SHORT_OWN to SHORT_OUTPUT),
-        modelRoute("flag", model, Tier.STANDARD, 0.22, MIDDLE_OWN to MIDDLE_OUTPUT),
-        modelRoute("summary", model, Tier.BATCH, 0.18, LONG_OWN to LONG_OUTPUT),
-        serviceRoute("sign", "counter", Tier.INTERACTIVE, 0.10, idempotent = false),
-        serviceRoute("lookup", "counter", Tier.STANDARD, 0.05, idempotent = true),
+        modelRoute("draft", model, Tier.INTERACTIVE, 0.40, SHORT_OWN to SHORT_OUTPUT),
+        modelRoute("flag", model, Tier.STANDARD, 0.23, MIDDLE_OWN to MIDDLE_OUTPUT),
+        modelRoute("summary", model, Tier.BATCH, 0.20, LONG_OWN to LONG_OUTPUT),
+        serviceRoute("sign", "counter", Tier.INTERACTIVE, 0.11, idempotent = false),
+        serviceRoute("lookup", "counter", Tier.STANDARD, 0.06, idempotent = true),
     )
 
 /** Traffic of Pelnu: stock lookups by drivers, route summaries, quality reports, and bookings. */
 internal fun pelnuRoutes(model: String): List<RouteProfile> =
     listOf(
-        modelRoute("stock", model, Tier.INTERACTIVE, 0.50, SHORT_OWN to SHORT_OUTPUT),
-        modelRoute("route-summary", model, Tier.STANDARD, 0.22, MIDDLE_OWN to MIDDLE_OUTPUT),
-        modelRoute("quality-report", model, Tier.BATCH, 0.16, LONG_OWN to LONG_OUTPUT).let {
+        modelRoute("stock", model, Tier.INTERACTIVE, 0.42, SHORT_OWN to SHORT_OUTPUT),
+        modelRoute("route-summary", model, Tier.STANDARD, 0.25, MIDDLE_OWN to MIDDLE_OUTPUT),
+        modelRoute("quality-report", model, Tier.BATCH, 0.19, LONG_OWN to LONG_OUTPUT).let {
             it.copy(route = it.route.copy(idempotent = false))
         },
-        serviceRoute("book", "booking", Tier.INTERACTIVE, 0.12, idempotent = false),
+        serviceRoute("book", "booking", Tier.INTERACTIVE, 0.14, idempotent = false),
     )
 
 private fun modelRoute(
