Add the schedule and compare commands

Goodput by tier is the project's main figure and needs one command that gives it for any scheduler, load and fault. Requests keep arriving until all measured ones have ended, so that the last ones do not profit from an emptying fleet.

Ruled out: percentiles of the first token over answered requests only, since expired requests would then improve them; they count with their wait.

--- a/experiments/src/main/kotlin/io/lavenderhinge/experiments/Main.kt
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/Main.kt
@@ -4,8 +4,4 @@
 import com.github.ajalt.clikt.core.subcommands
 
 fun main(arguments: Array<String>) =
-    ExperimentsCommand()
-        .subcommands(
-            // One line for each experiment.
-        )
-        .main(arguments)
+    ExperimentsCommand().subcommands(ScheduleCommand(), CompareCommand()).main(arguments)
--- /dev/null
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/run/ExperimentRun.kt
@@ -0,0 +1,66 @@
+package io.lavenderhinge.experiments.run
+
+import io.lavenderhinge.experiments.cluster.Cluster
+import io.lavenderhinge.experiments.cluster.FaultActions
+import io.lavenderhinge.experiments.time.EventLoop
+import io.lavenderhinge.experiments.time.MICROS_PER_SECOND
+import io.lavenderhinge.experiments.workload.ArrivalProcess
+import io.lavenderhinge.experiments.workload.RequestGenerator
+
+/**
+ * One run of a scenario. Requests go on arriving after the measured part until all that arrived in
+ * it have ended, so that they end under the load under which they began.
+ */
+class ExperimentRun(private val scenario: Scenario) {
+    private val loop = EventLoop()
+    private val cluster =
+        Cluster(scenario.deployment, scenario.scheduler.factory, loop, scenario.seed)
+    private val actions = FaultActions(cluster, loop)
+    private val generator = RequestGenerator(scenario.deployment, scenario.seed)
+    private val arrivals =
+        ArrivalProcess(scenario.capacityPerSecond * scenario.loadFactor, scenario.seed)
+    private val startMicros = (scenario.startSeconds * MICROS_PER_SECOND).toLong()
+    private val endMicros = (scenario.endSeconds * MICROS_PER_SECOND).toLong()
+
+    fun run(): RunResult {
+        FaultPlan(scenario, loop, actions).schedule()
+        scheduleArrival()
+        loop.runUntil(endMicros)
+        loop.runWhile { hasMeasuredActive() }
+        isArriving = false
+        loop.runWhile { cluster.book.active.isNotEmpty() }
+        cluster.book.checkAllEnded()
+        return result()
+    }
+
+    private var isArriving = true
+
+    private fun scheduleArrival() {
+        val maxFactor = if (scenario.fault == FaultKind.BURST) FaultPlan.BURST_FACTOR else 1.0
+        val nowSeconds = loop.nowMicros.toDouble() / MICROS_PER_SECOND
+        val nextSeconds = arrivals.next(nowSeconds, maxFactor) { actions.arrivalFactor }
+        loop.at((nextSeconds * MICROS_PER_SECOND).toLong()) {
+            if (!isArriving) return@at
+            cluster.arrive(generator.next(loop.nowMillis))
+            scheduleArrival()
+        }
+    }
+
+    // Requests are kept in the order of arrival, so that the first one tells.
+    private fun hasMeasuredActive(): Boolean =
+        (cluster.book.active.firstOrNull()?.arrivalMicros ?: Long.MAX_VALUE) < endMicros
+
+    private fun result(): RunResult {
+        val measured =
+            cluster.book.records.filter { it.arrivalMicros in startMicros until endMicros }
+        return RunResult.of(
+            measured,
+            scenario.durationSeconds.toDouble(),
+            Control(
+                cluster.traffic.messages / (loop.nowMicros.toDouble() / MICROS_PER_SECOND),
+                cluster.traffic.sizeBytes / (loop.nowMicros.toDouble() / MICROS_PER_SECOND),
+            ),
+            cluster.violations,
+        )
+    }
+}
--- /dev/null
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/run/FaultPlan.kt
@@ -0,0 +1,64 @@
+package io.lavenderhinge.experiments.run
+
+import io.lavenderhinge.experiments.cluster.FaultActions
+import io.lavenderhinge.experiments.time.EventLoop
+import io.lavenderhinge.experiments.time.MICROS_PER_SECOND
+
+/** Sets and mends the fault of a scenario at fixed fractions of its measured part. */
+internal class FaultPlan(
+    private val scenario: Scenario,
+    private val loop: EventLoop,
+    private val actions: FaultActions,
+) {
+    private val startSeconds = scenario.secondsAt(0.25)
+
+    fun schedule() =
+        when (scenario.fault) {
+            FaultKind.NONE -> Unit
+            FaultKind.SLOW_ENGINE -> slowEngine()
+            FaultKind.BURST -> burst()
+            FaultKind.LOST_SERVER -> loseServer()
+            FaultKind.DOMAIN_CUT -> cutDomain()
+            FaultKind.LOST_INSTANCE -> loseInstance()
+        }
+
+    private fun slowEngine() {
+        val engineId = scenario.deployment.engines.maxBy { it.hardwareGeneration }.id
+        at(startSeconds) { actions.slow(engineId, factor = 4.0) }
+        at(scenario.secondsAt(0.75)) { actions.slow(engineId, factor = 1.0) }
+    }
+
+    private fun burst() {
+        at(startSeconds) { actions.arrivalFactor = BURST_FACTOR }
+        at(startSeconds + BURST_SECONDS) { actions.arrivalFactor = 1.0 }
+    }
+
+    private fun loseServer() {
+        val engineId = scenario.deployment.engines.first { it.hardwareGeneration == 2 }.id
+        at(startSeconds) { actions.crashServer(engineId) }
+        at(scenario.secondsAt(0.65)) { actions.restartServer(engineId) }
+    }
+
+    private fun cutDomain() {
+        val domain = scenario.deployment.failureDomains.first()
+        at(startSeconds) { actions.cutDomain(domain) }
+        at(scenario.secondsAt(0.5)) { actions.healDomain(domain) }
+    }
+
+    private fun loseInstance() {
+        val instanceId = scenario.deployment.instances.first().id
+        at(startSeconds) { actions.loseInstance(instanceId) }
+        at(startSeconds + INSTANCE_DOWN_SECONDS) { actions.restartInstance(instanceId) }
+    }
+
+    private fun at(seconds: Double, action: () -> Unit) {
+        loop.at((seconds * MICROS_PER_SECOND).toLong(), action)
+    }
+
+    companion object {
+        /** Largest multiple of the arrival rate that a fault sets. */
+        const val BURST_FACTOR = 3.0
+        private const val BURST_SECONDS = 10.0
+        private const val INSTANCE_DOWN_SECONDS = 20.0
+    }
+}
