Add the rollout state machines and server health

Ruled out: a write number to recognise a write whose answer was lost. Reading back and adopting the stored record gives the same result, also when the write takes effect only after the read. The fencing number is base + version of the record: versions count writes of one key, so that a second rollout of a target would begin below what its engines have seen.

Health has no tests yet; they follow.

--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/health/FirstTokenSpeed.kt
@@ -0,0 +1,29 @@
+package io.lavenderhinge.core.health
+
+import kotlin.math.max
+
+/** Smoothed time to first token of one backend server. */
+internal class FirstTokenSpeed {
+    private var samples = 0
+    private var smoothedMillis = 0.0
+
+    /** The smoothed time; null while too few requests were answered. */
+    val millis: Double?
+        get() = if (samples >= MIN_SAMPLES) smoothedMillis else null
+
+    fun add(firstTokenMillis: Long) {
+        samples++
+        val weight = max(1.0 / samples, SMOOTHING)
+        smoothedMillis += weight * (firstTokenMillis - smoothedMillis)
+    }
+
+    fun forget() {
+        samples = 0
+        smoothedMillis = 0.0
+    }
+
+    private companion object {
+        const val MIN_SAMPLES = 5
+        const val SMOOTHING = 0.1
+    }
+}
--- a/core/src/main/kotlin/io/lavenderhinge/core/health/HealthEvent.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/health/HealthEvent.kt
@@ -14,7 +14,7 @@
     /** The lagging list no longer shows the server. */
     data class Unlisted(val serverId: String) : HealthEvent
 
-    /** The server sent a load report, which shows that it is reachable. */
+    /** The server sent a load report or answered a probe, which shows that it is reachable. */
     data class LoadReported(val serverId: String) : HealthEvent
 
     /** Time passed. */
@@ -42,7 +42,10 @@
 
 /** What the shell does about a backend server. */
 sealed interface HealthEffect {
-    /** Probe the server now with a cheap call, and report the result as evidence. */
+    /**
+     * Probe the server now on a fresh connection. Report success as [HealthEvent.LoadReported] and
+     * failure as [HealthEvent.Failed].
+     */
     data class Probe(val serverId: String) : HealthEffect
 
     /** The server's state changed; [reason] is one plain sentence for the log. */
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/health/ServerHealth.kt
@@ -0,0 +1,44 @@
+package io.lavenderhinge.core.health
+
+/** What this instance knows about one backend server. */
+internal class ServerHealth(val id: String, var pool: String) {
+    val failures = FailureEvidence()
+    val speed = FirstTokenSpeed()
+    var state = ServerState.LIVE
+        private set
+
+    /** Time at which [state] was entered. */
+    var sinceMillis = 0L
+        private set
+
+    var lastProbeMillis = Long.MIN_VALUE / 2
+    var successesWhileDead = 0
+
+    /** Share of the usual traffic that a slow server gets. */
+    var slowFraction = 1.0
+
+    fun enter(next: ServerState, reason: String, nowMillis: Long): List<HealthEffect> {
+        if (next == state) return emptyList()
+        state = next
+        sinceMillis = nowMillis
+        if (next == ServerState.DEAD) successesWhileDead = 0
+        if (next == ServerState.RECOVERING) speed.forget()
+        return listOf(HealthEffect.StateChanged(id, next, reason))
+    }
+
+    /** Share of its usual traffic that the server should get. */
+    fun weightFraction(nowMillis: Long): Double =
+        when (state) {
+            ServerState.LIVE -> 1.0
+            ServerState.SUSPECT -> SUSPECT_FRACTION
+            ServerState.SLOW -> slowFraction
+            ServerState.RECOVERING -> SlowStart.fraction(sinceMillis, nowMillis)
+            ServerState.LEAVING,
+            ServerState.DEAD -> 0.0
+        }
+
+    private companion object {
+        /** Enough to notice that the server answers, little enough to spoil few requests. */
+        const val SUSPECT_FRACTION = 0.1
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/health/SlowStart.kt
@@ -0,0 +1,16 @@
+package io.lavenderhinge.core.health
+
+import kotlin.math.min
+
+/** Share of its usual traffic that a recovering server gets: rises evenly to all of it. */
+internal object SlowStart {
+    /** A cold cache and connection pool are refilled within this time. */
+    const val RAMP_MILLIS = 30_000L
+    private const val FIRST_FRACTION = 0.1
+
+    fun fraction(sinceMillis: Long, nowMillis: Long): Double =
+        min(1.0, FIRST_FRACTION + (1 - FIRST_FRACTION) * (nowMillis - sinceMillis) / RAMP_MILLIS)
+
+    fun finished(sinceMillis: Long, nowMillis: Long): Boolean =
+        nowMillis - sinceMillis >= RAMP_MILLIS
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/rollout/RolloutQueue.kt
@@ -0,0 +1,33 @@
+package io.lavenderhinge.core.rollout
+
+/** One rollout at a time for each target. */
+object RolloutQueue {
+    /** The record to work on next, and the plan declared for it. */
+    sealed interface Turn {
+        /** Continue [stored]; [declared] is null when the settings withdrew it. */
+        data class Continue(val stored: StoredRecord, val declared: RolloutPlan?) : Turn
+
+        /** Start [plan]; [replaces] is the finished record under the same key, if any. */
+        data class Start(val plan: RolloutPlan, val replaces: StoredRecord?) : Turn
+
+        /** Nothing is declared that is not finished. */
+        data object Idle : Turn
+    }
+
+    /**
+     * A rollout under way comes first, declared or not; then the declared ones by deadline and
+     * name. [records] are those of the target, by key.
+     */
+    fun turn(plans: List<RolloutPlan>, records: Map<String, StoredRecord>): Turn {
+        val underWay = records.values.firstOrNull { !it.record.phase.terminal }
+        if (underWay != null) {
+            val id = underWay.record.plan.rolloutId
+            return Turn.Continue(underWay, plans.firstOrNull { it.rolloutId == id })
+        }
+        val next =
+            plans
+                .filter { records[it.recordKey]?.record?.plan?.rolloutId != it.rolloutId }
+                .minWithOrNull(compareBy({ it.deadlineMillis }, { it.name }))
+        return if (next == null) Turn.Idle else Turn.Start(next, records[next.recordKey])
+    }
+}
--- a/core/src/main/kotlin/io/lavenderhinge/core/rollout/RolloutRecord.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/rollout/RolloutRecord.kt
@@ -34,22 +34,31 @@
 /**
  * The authoritative state of one rollout, kept by compare-and-swap under [RolloutPlan.recordKey].
  *
- * [step] indexes the shares of [RolloutSteps]; the share in force is [shareFraction]. [logEvidence]
- * carries the test's state over a change of step or of mover, by test name. [moverId] and
- * [writeNumber] identify the write, so that a lost answer is resolved by reading back.
+ * [step] indexes the shares of [RolloutSteps]; [stepNumber] rises with every change of the share in
+ * force, [shareFraction], and names the step in statistics. [logEvidence] carries the test's state
+ * over a change of step or of mover, by test name. [movers] counts the instances that took over.
  */
 data class RolloutRecord(
     val plan: RolloutPlan,
     val phase: RolloutPhase,
     val step: Int = 0,
+    val stepNumber: Int = 0,
     val shareFraction: Double = 0.0,
     val startedAtMillis: Long,
     val stepSinceMillis: Long,
     val logEvidence: ImmutableMap<String, Double> = persistentMapOf(),
     val evidence: Evidence? = null,
     val moverId: String = "",
-    val writeNumber: Long = 0,
+    val movers: Int = 0,
+    val fencingBase: Long = 0,
 )
 
-/** A record with its version at the key-value service, which is the fencing number. */
-data class StoredRecord(val record: RolloutRecord, val version: Long)
+/** A record with its version at the key-value service. */
+data class StoredRecord(val record: RolloutRecord, val version: Long) {
+    /**
+     * Number carried by orders. Versions count the writes of one key, so that the first rollout of
+     * another name would start below what engines have seen; the base lifts it above.
+     */
+    val fencingNumber: Long
+        get() = record.fencingBase + version
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/rollout/RolloutSteps.kt
@@ -0,0 +1,36 @@
+package io.lavenderhinge.core.rollout
+
+import kotlin.math.max
+import kotlin.math.min
+
+/** The shares that a rollout passes through, and how long it stays at each. */
+class RolloutSteps(unprovedShareFraction: Double) {
+    /** Rising shares; the last one is 1. */
+    val shares: List<Double> =
+        (listOf(FIRST_SHARE, unprovedShareFraction) + LATER_SHARES)
+            .filterNot { it > FIRST_SHARE && it < unprovedShareFraction }
+            .distinct()
+            .sorted()
+
+    /** Index of the highest step whose share is at most [shareFraction]; 0 when there is none. */
+    fun stepFor(shareFraction: Double): Int = max(0, shares.indexOfLast { it <= shareFraction })
+
+    /**
+     * Shortest stay at [step], begun at [sinceMillis]: an equal part of 60% of the time left to
+     * [deadlineMillis]. The rest is a reserve for thin routes and outages. A long stay shows faults
+     * that come late, at a share that is still small.
+     */
+    fun stayMillis(step: Int, sinceMillis: Long, deadlineMillis: Long): Long {
+        val stepsLeft = max(1, shares.size - 1 - step)
+        val part = (deadlineMillis - sinceMillis) * PACE_PERCENT / 100 / stepsLeft
+        return min(max(part, MIN_STAY_MILLIS), MAX_STAY_MILLIS)
+    }
+
+    private companion object {
+        const val FIRST_SHARE = 0.01
+        val LATER_SHARES = listOf(0.25, 0.5, 1.0)
+        const val PACE_PERCENT = 60
+        const val MIN_STAY_MILLIS = 10_000L
+        const val MAX_STAY_MILLIS = 30 * 60_000L
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/rollout/StatementPublisher.kt
@@ -0,0 +1,59 @@
+package io.lavenderhinge.core.rollout
+
+/** Publishes statements when they change, and no more often than the platform's budget allows. */
+internal class StatementPublisher {
+    private val lastByKey = HashMap<String, Published>()
+
+    fun progress(
+        record: RolloutRecord,
+        progress: MoverProgress,
+        nowMillis: Long,
+    ): List<MoverEffect> = publish(record.plan, record, Statements.of(record, progress), nowMillis)
+
+    /** Finished rollouts, and those that wait for another one of the target. */
+    fun waiting(
+        plans: List<RolloutPlan>,
+        records: Map<String, StoredRecord>,
+        nowMillis: Long,
+    ): List<MoverEffect> {
+        val underWay = records.values.firstOrNull { !it.record.phase.terminal }?.record?.plan
+        val finished =
+            records.values
+                .map { it.record }
+                .filter { it.phase.terminal }
+                .flatMap { publish(it.plan, it, Statements.of(it, null), nowMillis) }
+        if (underWay == null) return finished
+        val reason = "waits for ${underWay.name}, which moves the same target"
+        return finished +
+            plans
+                .filter { records[it.recordKey] == null }
+                .flatMap { publish(it, null, Statements.waiting(it, reason), nowMillis) }
+    }
+
+    private fun publish(
+        plan: RolloutPlan,
+        record: RolloutRecord?,
+        statement: String,
+        nowMillis: Long,
+    ): List<MoverEffect> {
+        val last = lastByKey[plan.statusKey]
+        if (last?.statement == statement) return emptyList()
+        val sameStep = last?.phase == record?.phase && last?.stepNumber == record?.stepNumber
+        if (last != null && sameStep && nowMillis - last.atMillis < PERIOD_MILLIS)
+            return emptyList()
+        lastByKey[plan.statusKey] =
+            Published(statement, record?.phase, record?.stepNumber, nowMillis)
+        return listOf(MoverEffect.Publish(plan, statement))
+    }
+
+    private class Published(
+        val statement: String,
+        val phase: RolloutPhase?,
+        val stepNumber: Int?,
+        val atMillis: Long,
+    )
+
+    private companion object {
+        const val PERIOD_MILLIS = 15_000L
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/rollout/TwoSampleEvidence.kt
@@ -0,0 +1,144 @@
+package io.lavenderhinge.core.rollout
+
+import kotlin.math.exp
+import kotlin.math.ln
+import kotlin.math.max
+import kotlin.math.min
+
+/**
+ * E-value test of two event rates with a tolerated difference.
+ *
+ * Each block is scored by the likelihood ratio of an alternative (old rate, worse new rate) against
+ * the closest pair within the hypothesis `new <= old + tolerance`. The alternative is fixed before
+ * the block, so the ratio has an expectation of at most 1 under the hypothesis, for any rates and
+ * also when they vary from block to block alike for both versions (a burst, a slow disk). The
+ * product over blocks is therefore a supermartingale, and by Ville's inequality it reaches `1/p`
+ * with a probability of at most `p`.
+ *
+ * A mixture over sizes of effect replaces a guess of the effect. A mixture over starting times
+ * keeps the test fast for faults that begin late: half of the weight starts at once, the rest is
+ * spread over [RESTARTS] later times.
+ */
+class TwoSampleEvidence(
+    private val toleranceFraction: Double,
+    priorRate: Double,
+    private val window: TestWindow,
+    carriedLogEvidence: Double? = null,
+) : SequentialTest {
+    private val logWealth =
+        DoubleArray(EFFECTS.size) {
+            (carriedLogEvidence ?: ln(FIRST_WEIGHT)) - ln(EFFECTS.size.toDouble())
+        }
+    private val restartMillis =
+        max(MIN_RESTART_MILLIS, (window.deadlineMillis - window.startMillis) / RESTARTS)
+    private var nextRestart: Int? = null
+    private var oldEvents = priorRate * PRIOR_REQUESTS
+    private var oldRequests = PRIOR_REQUESTS
+
+    override val logEvidence: Double
+        get() = logSum(logWealth)
+
+    override fun observe(block: Block, nowMillis: Long) {
+        startDueAlternatives(nowMillis)
+        if (block.oldRequests > 0 && block.newRequests > 0) score(block)
+        learnOldRate(block)
+    }
+
+    // A starting time missed while no mover ran is forfeited: its weight must not be used later,
+    // when the data it would have been chosen on is known.
+    private fun startDueAlternatives(nowMillis: Long) {
+        val due = ((nowMillis - window.startMillis) / restartMillis).toInt()
+        val from = nextRestart
+        nextRestart = due + 1
+        if (from == null || due < from || due > RESTARTS) return
+        val weight = ln((1 - FIRST_WEIGHT) / RESTARTS / EFFECTS.size)
+        for (i in logWealth.indices) logWealth[i] = logAdd(logWealth[i], weight)
+    }
+
+    private fun score(block: Block) {
+        val oldRate = (oldEvents / oldRequests).coerceIn(MIN_RATE, MAX_OLD_RATE)
+        val nullRate = min(oldRate + toleranceFraction, MAX_NULL_RATE)
+        for (i in EFFECTS.indices) {
+            val newRate = min(nullRate + EFFECTS[i] * (1 - nullRate), MAX_RATE)
+            logWealth[i] += logRatio(block, oldRate, newRate)
+        }
+    }
+
+    private fun logRatio(block: Block, oldRate: Double, newRate: Double): Double {
+        val nullOld = closestNull(block, oldRate, newRate)
+        return logLikelihood(block.oldRequests, block.oldEvents, oldRate, nullOld) +
+            logLikelihood(block.newRequests, block.newEvents, newRate, nullOld + toleranceFraction)
+    }
+
+    // The divergence from the alternative is convex along the edge of the hypothesis, so that the
+    // sign of its derivative brackets the minimum.
+    private fun closestNull(block: Block, oldRate: Double, newRate: Double): Double {
+        var low = oldRate
+        var high = max(oldRate, newRate - toleranceFraction)
+        repeat(BISECTIONS) {
+            val middle = (low + high) / 2
+            val shifted = middle + toleranceFraction
+            val slope =
+                block.oldRequests * (middle - oldRate) / (middle * (1 - middle)) +
+                    block.newRequests * (shifted - newRate) / (shifted * (1 - shifted))
+            if (slope < 0) low = middle else high = middle
+        }
+        return (low + high) / 2
+    }
+
+    private fun learnOldRate(block: Block) {
+        oldEvents += block.oldEvents
+        oldRequests += block.oldRequests
+        if (oldRequests <= MEMORY_REQUESTS) return
+        oldEvents *= MEMORY_REQUESTS / oldRequests
+        oldRequests = MEMORY_REQUESTS
+    }
+
+    /** Constants of the test. */
+    companion object {
+        /** Later starting times that share the half of the weight that does not start at once. */
+        const val RESTARTS = 256
+
+        /** Tolerated excess of the new version's share of failed requests. */
+        const val ERROR_TOLERANCE = 0.002
+
+        /**
+         * Tolerated excess of the share of slow requests (5% by definition of the 95th percentile).
+         * A version that has just started answers with a colder prefix cache.
+         */
+        const val SLOW_TOLERANCE = 0.03
+
+        /** The factory that movers and instances use. */
+        val factory = SequentialTestFactory { metric, window, carried ->
+            when (metric) {
+                Metric.ERRORS -> TwoSampleEvidence(ERROR_TOLERANCE, ERROR_PRIOR, window, carried)
+                Metric.SLOW -> TwoSampleEvidence(SLOW_TOLERANCE, SLOW_PRIOR, window, carried)
+            }
+        }
+
+        private val EFFECTS = doubleArrayOf(0.01, 0.04, 0.15, 0.5, 0.95)
+        private const val FIRST_WEIGHT = 0.5
+        private const val MIN_RESTART_MILLIS = 30_000L
+        private const val ERROR_PRIOR = 0.002
+        private const val SLOW_PRIOR = 0.05
+        private const val PRIOR_REQUESTS = 50.0
+        private const val MEMORY_REQUESTS = 20_000.0
+        private const val MIN_RATE = 1e-4
+        private const val MAX_OLD_RATE = 0.9
+        private const val MAX_NULL_RATE = 0.95
+        private const val MAX_RATE = 0.999
+        private const val BISECTIONS = 30
+
+        private fun logLikelihood(requests: Long, events: Long, rate: Double, nullRate: Double) =
+            events * ln(rate / nullRate) + (requests - events) * ln((1 - rate) / (1 - nullRate))
+    }
+}
+
+internal fun logAdd(a: Double, b: Double): Double {
+    val larger = max(a, b)
+    if (larger == Double.NEGATIVE_INFINITY) return larger
+    return larger + ln(1 + exp(min(a, b) - larger))
+}
+
+internal fun logSum(values: DoubleArray): Double =
+    values.fold(Double.NEGATIVE_INFINITY) { sum, value -> logAdd(sum, value) }
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/rollout/VersionChoice.kt
@@ -0,0 +1,45 @@
+package io.lavenderhinge.core.rollout
+
+/** The versions of a target and the share of the new one, as one instance knows them. */
+data class VersionSplit(
+    val rolloutId: String,
+    val fromVersion: String,
+    val toVersion: String,
+    val newShareFraction: Double,
+) {
+    /**
+     * The version for [requestId]. The hash is salted with the rollout, so that the same callers
+     * are not the first to get every new version; a request id that gets the new version keeps it
+     * while the share rises.
+     */
+    fun versionFor(requestId: String): String =
+        if (fractionOf(requestId) < newShareFraction) toVersion else fromVersion
+
+    private fun fractionOf(requestId: String): Double {
+        val hash = Hashing.hash64("$rolloutId $requestId")
+        return (hash ushr UNUSED_BITS).toDouble() / HASH_RANGE
+    }
+
+    private companion object {
+        const val UNUSED_BITS = 11
+        const val HASH_RANGE = (1L shl 53).toDouble()
+    }
+}
+
+/** 64-bit FNV-1a followed by the finaliser of MurmurHash3, which spreads short inputs evenly. */
+internal object Hashing {
+    fun hash64(text: String): Long {
+        var hash = FNV_OFFSET
+        for (char in text) {
+            hash = (hash xor char.code.toLong()) * FNV_PRIME
+        }
+        hash = (hash xor (hash ushr 33)) * MIX_1
+        hash = (hash xor (hash ushr 33)) * MIX_2
+        return hash xor (hash ushr 33)
+    }
+
+    private const val FNV_OFFSET = -3750763034362895579L
+    private const val FNV_PRIME = 1099511628211L
+    private const val MIX_1 = -49064778989728563L
+    private const val MIX_2 = -4265267296055464877L
+}
--- /dev/null
+++ b/core/src/test/kotlin/io/lavenderhinge/core/rollout/MoverTest.kt
@@ -0,0 +1,242 @@
+package io.lavenderhinge.core.rollout
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeMonotonicallyIncreasing
+import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain as shouldContainText
+
+class MoverTest :
+    FunSpec({
+        test("given a good version, when it moves, then every share is passed and it is done") {
+            val harness = MoverHarness()
+
+            harness.run(HOUR, harness.traffic()) { harness.phase() == RolloutPhase.DONE }
+
+            harness.phase() shouldBe RolloutPhase.DONE
+            harness.shares.distinct() shouldBe listOf(0.0, 0.01, 0.05, 0.25, 0.5, 1.0)
+        }
+
+        test("given a failing version, when it moves, then it is undone with the evidence") {
+            val harness = MoverHarness()
+
+            harness.run(HOUR, harness.traffic(newErrors = 40)) {
+                harness.phase() == RolloutPhase.UNDONE
+            }
+
+            harness.record()!!.evidence!!.reason shouldBe UndoReason.TEST
+            harness.record()!!.evidence!!.detail shouldContainText "route draft, errors"
+            harness.flags.single().version shouldBe "8"
+            (harness.nowMillis < HOUR / 10) shouldBe true
+        }
+
+        // Guards against a rollout that hangs or starts again when its mover dies.
+        for (phase in listOf(RolloutPhase.PLANNED, RolloutPhase.WARMING, RolloutPhase.MOVING)) {
+            test("given a mover killed while $phase, when its lease lapses, then another ends it") {
+                val harness = MoverHarness()
+                harness.run(HOUR, harness.traffic()) { harness.phase() == phase }
+                val holder = harness.record()!!.moverId
+                val share = harness.record()!!.shareFraction
+
+                harness.paused += holder
+                harness.run(HOUR, harness.traffic()) { harness.phase() == RolloutPhase.DONE }
+
+                harness.phase() shouldBe RolloutPhase.DONE
+                (harness.record()!!.moverId == holder) shouldBe false
+                harness.shares.dropWhile { it < share }.shouldBeMonotonicallyIncreasing()
+            }
+        }
+
+        test("given a mover paused past its lease, when it wakes, then its write changes nothing") {
+            val harness = MoverHarness()
+            harness.run(HOUR, harness.traffic()) { harness.phase() == RolloutPhase.MOVING }
+            val holder = harness.record()!!.moverId
+            val old = harness.movers.getValue(holder)
+            val stale = harness.store.values.single()
+            harness.paused += holder
+            harness.run(60_000, harness.traffic())
+            val before = harness.store.values.single()
+
+            // A write that left the mover before the pause and arrives after it.
+            val late = stale.record.copy(shareFraction = 1.0, phase = RolloutPhase.DONE)
+            harness.write(MoverEffect.WriteRecord(late, stale.version))
+            val effects = old.on(MoverEvent.Tick, harness.nowMillis)
+
+            harness.store.values.single() shouldBe before
+            old.holdsLease(harness.nowMillis) shouldBe false
+            effects.filterIsInstance<MoverEffect.WriteRecord>() shouldBe emptyList()
+            effects.filterIsInstance<MoverEffect.OrderLoad>() shouldBe emptyList()
+        }
+
+        test("given two movers that both hold a lease, when both write, then one steps down") {
+            val harness = MoverHarness()
+            val lease = MoverEvent.LeaseHeld("both", 0, HOUR)
+            harness.movers.values.forEach { it.on(lease, 0) }
+
+            harness.run(HOUR / 2, harness.traffic()) { harness.phase() == RolloutPhase.MOVING }
+            harness.run(20_000, harness.traffic())
+
+            harness.movers.values.count { it.holdsLease(harness.nowMillis) } shouldBe 1
+            harness.shares.shouldBeMonotonicallyIncreasing()
+        }
+
+        test("given lost answers to every write, when read back, then no step is taken twice") {
+            val harness = MoverHarness()
+            harness.faults.loseAnswers = true
+            harness.faults.polled = false
+
+            harness.run(HOUR, harness.traffic()) { harness.phase() == RolloutPhase.DONE }
+
+            harness.shares shouldBe listOf(0.0, 0.0, 0.01, 0.05, 0.25, 0.5, 1.0)
+        }
+
+        // Guards against a bad version that keeps its traffic because the record is out of reach.
+        test("given the platform down, when a version shows bad, then a stop flag is raised") {
+            val harness = MoverHarness()
+            harness.run(HOUR, harness.traffic()) { harness.phase() == RolloutPhase.MOVING }
+            harness.faults.down = true
+            harness.run(30_000, harness.traffic())
+            harness.movers.values.none { it.holdsLease(harness.nowMillis) } shouldBe true
+
+            harness.run(120_000, harness.traffic(newErrors = 40)) { harness.flags.isNotEmpty() }
+
+            harness.flags.size shouldBe 1
+            harness.faults.down = false
+            harness.run(60_000, harness.traffic(newErrors = 40))
+            harness.phase() shouldBe RolloutPhase.UNDONE
+        }
+
+        test("given the platform down, when nothing is wrong, then the share holds and goes on") {
+            val harness = MoverHarness()
+            harness.run(HOUR, harness.traffic()) { harness.record()?.shareFraction == 0.05 }
+            harness.faults.down = true
+            harness.run(300_000, harness.traffic())
+            harness.record()!!.shareFraction shouldBe 0.05
+
+            harness.faults.down = false
+            harness.run(HOUR, harness.traffic()) { harness.phase() == RolloutPhase.DONE }
+
+            harness.phase() shouldBe RolloutPhase.DONE
+        }
+
+        test("given a stop flag after done, when the mover sees it, then done becomes undone") {
+            val harness = MoverHarness()
+            harness.run(HOUR, harness.traffic()) { harness.phase() == RolloutPhase.DONE }
+
+            harness.flags += StopFlag("drafting", "8", planUnderTest.rolloutId, "seen by i7")
+            harness.run(60_000)
+
+            harness.record()!!.evidence shouldBe Evidence(UndoReason.STOP_FLAG, "seen by i7")
+        }
+
+        test("given an undone rollout, when all is well again, then it stays undone") {
+            val harness = MoverHarness()
+            harness.flags += StopFlag("drafting", "8", planUnderTest.rolloutId, "seen by i7")
+            harness.run(60_000) { harness.phase() == RolloutPhase.UNDONE }
+
+            harness.flags.clear()
+            harness.run(HOUR / 2, harness.traffic())
+
+            harness.phase() shouldBe RolloutPhase.UNDONE
+        }
+
+        test("given engines that ignore the fencing number, when orders repeat, then only loads") {
+            val harness = MoverHarness()
+
+            harness.run(HOUR, harness.traffic()) { harness.phase() == RolloutPhase.DONE }
+
+            harness.orders.map { it.version }.distinct() shouldBe listOf("8")
+            (harness.orders.count { it.serverId == "e1" } > 1) shouldBe true
+        }
+
+        test("given engines that saw a higher fencing number, when refused, then it is lifted") {
+            val harness = MoverHarness()
+            harness.fencedAt = 90
+
+            harness.run(HOUR, harness.traffic()) { harness.phase() == RolloutPhase.DONE }
+
+            harness.phase() shouldBe RolloutPhase.DONE
+            (harness.orders.last().fencingNumber > 90) shouldBe true
+        }
+
+        test("given a route without enough traffic, when the deadline passes, then it is named") {
+            val harness = MoverHarness()
+            val thin = harness.traffic(routes = listOf("draft"))
+            var first = true
+            harness.run(
+                HOUR + 60_000,
+                { mover ->
+                    thin(mover)
+                    val counts = RouteCounts(VersionCounts(3), VersionCounts(1))
+                    val report = { step: Int ->
+                        val byRoute =
+                            kotlinx.collections.immutable.persistentMapOf("rare" to counts)
+                        StatsReport(planUnderTest.rolloutId, step, "i2", byRoute)
+                    }
+                    if (first) mover.on(MoverEvent.Stats(report(1)), harness.nowMillis)
+                    if (harness.phase() == RolloutPhase.UNDONE) first = false
+                },
+            )
+
+            val evidence = harness.record()!!.evidence!!
+            evidence.reason shouldBe UndoReason.DEADLINE
+            evidence.detail shouldContainText "rare (new 1, old 3)"
+            harness.shares shouldContain 0.01
+            harness.shares.max() shouldBe 0.01
+        }
+
+        test("given no weights, when the deadline passes, then the statement says what lacks") {
+            val harness = MoverHarness()
+            harness.weights = false
+
+            harness.run(HOUR + 60_000)
+
+            harness.record()!!.evidence!!.detail shouldContainText "does not have version 8"
+        }
+
+        test("given a rollout under way, when the settings withdraw it, then it is undone") {
+            val harness = MoverHarness()
+            harness.run(HOUR, harness.traffic()) { harness.phase() == RolloutPhase.MOVING }
+
+            harness.plans = emptyList()
+            harness.run(30_000)
+
+            harness.record()!!.evidence!!.reason shouldBe UndoReason.WITHDRAWN
+        }
+
+        test("given a changed new version, when one is under way, then it is undone first") {
+            val harness = MoverHarness()
+            harness.run(HOUR, harness.traffic()) { harness.phase() == RolloutPhase.MOVING }
+
+            harness.plans = listOf(planTo("9"))
+            harness.run(HOUR, harness.traffic()) { harness.phase() == RolloutPhase.DONE }
+
+            harness.record()!!.plan.toVersion shouldBe "9"
+            withClue("8 must lose its share before 9 starts") {
+                harness.shares.dropWhile { it == 0.0 }.take(2) shouldBe listOf(0.01, 0.0)
+            }
+        }
+
+        test("given a lowered unproved share, when it is moving above it, then the share falls") {
+            val harness = MoverHarness()
+            harness.run(HOUR, harness.traffic()) { harness.record()?.shareFraction == 0.05 }
+
+            harness.plans = listOf(planTo("8", share = 0.02))
+            harness.run(5_000)
+
+            harness.record()!!.shareFraction shouldBe 0.02
+        }
+
+        test("given two rollouts of one target, when both are declared, then one waits") {
+            val second = planTo("9", name = "next", deadlineMillis = 2 * HOUR)
+            val harness = MoverHarness(listOf(second, planUnderTest))
+
+            harness.run(HOUR, harness.traffic()) { harness.phase() == RolloutPhase.MOVING }
+            harness.record("next") shouldBe null
+            harness.statements.getValue("next") shouldContainText "waits for drafting"
+
+            harness.run(2 * HOUR, harness.traffic()) { harness.record("next") != null }
+            harness.phase()!!.terminal shouldBe true
+        }
+    })
