--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/membership/RendezvousHash.kt
@@ -0,0 +1,43 @@
+package io.lavenderhinge.core.membership
+
+/**
+ * Rendezvous (highest random weight) hashing: every instance with the same candidates picks the
+ * same one, and a candidate that leaves moves only the items it held.
+ */
+object RendezvousHash {
+    /** The candidate with the highest weight for [item]; null when there is none. */
+    fun highest(item: String, candidates: Iterable<String>): String? =
+        candidates.maxWithOrNull(compareBy<String> { weight(item, it) }.thenBy { it })
+
+    /** The [count] candidates with the highest weights for [item], highest first. */
+    fun highest(item: String, candidates: Iterable<String>, count: Int): List<String> =
+        candidates
+            .sortedWith(compareByDescending<String> { weight(item, it) }.thenByDescending { it })
+            .take(count)
+
+    /** Weight of [candidate] for [item]; the same on every instance and release. */
+    fun weight(item: String, candidate: String): ULong =
+        mix(hash64(item) xor mix(hash64(candidate)))
+
+    /** 64-bit FNV-1a of the UTF-8 bytes of [text], mixed so that all bits depend on all bytes. */
+    fun hash64(text: String): ULong =
+        mix(
+            text.encodeToByteArray().fold(FNV_OFFSET) { hash, byte ->
+                (hash xor byte.toUByte().toULong()) * FNV_PRIME
+            }
+        )
+
+    /** Finaliser of MurmurHash3; FNV-1a alone leaves the high bits of similar names alike. */
+    private fun mix(value: ULong): ULong {
+        var mixed = value
+        mixed = (mixed xor (mixed shr SHIFT)) * MIX_FIRST
+        mixed = (mixed xor (mixed shr SHIFT)) * MIX_SECOND
+        return mixed xor (mixed shr SHIFT)
+    }
+
+    private const val FNV_OFFSET = 0xcbf29ce484222325uL
+    private const val FNV_PRIME = 0x100000001b3uL
+    private const val MIX_FIRST = 0xff51afd7ed558ccduL
+    private const val MIX_SECOND = 0xc4ceb9fe1a85ec53uL
+    private const val SHIFT = 33
+}
--- /dev/null
+++ b/core/src/test/kotlin/io/lavenderhinge/core/settings/CredentialIsUniqueTest.kt
@@ -0,0 +1,15 @@
+package io.lavenderhinge.core.settings
+
+import io.kotest.core.spec.style.FunSpec
+
+class CredentialIsUniqueTest :
+    FunSpec({
+        faultTable(
+            BadInput(
+                "[model.drafting]",
+                "[workspace.b]\ncredential = counter;lubbock#key\n[model.drafting]",
+                "[workspace.b] credential: is the credential of [workspace.counter-lubbock] " +
+                    "too; give each workspace its own credential",
+            )
+        )
+    })
--- /dev/null
+++ b/core/src/test/kotlin/io/lavenderhinge/core/settings/RolloutChangesVersionTest.kt
@@ -0,0 +1,15 @@
+package io.lavenderhinge.core.settings
+
+import io.kotest.core.spec.style.FunSpec
+
+class RolloutChangesVersionTest :
+    FunSpec({
+        faultTable(
+            BadInput(
+                "to = 8",
+                "to = 7",
+                "[rollout.drafting] to = 7: is the version it starts from; write the new " +
+                    "version, or remove the rollout",
+            )
+        )
+    })
--- /dev/null
+++ b/core/src/test/kotlin/io/lavenderhinge/core/settings/RolloutStartsInForceTest.kt
@@ -0,0 +1,15 @@
+package io.lavenderhinge.core.settings
+
+import io.kotest.core.spec.style.FunSpec
+
+class RolloutStartsInForceTest :
+    FunSpec({
+        faultTable(
+            BadInput(
+                "from = 7",
+                "from = 6",
+                "[rollout.drafting] from = 6: is not in force; version 7 is; write from = 7, " +
+                    "or remove the rollout when it is done",
+            )
+        )
+    })
--- /dev/null
+++ b/core/src/test/kotlin/io/lavenderhinge/core/settings/RolloutTargetExistsTest.kt
@@ -0,0 +1,15 @@
+package io.lavenderhinge.core.settings
+
+import io.kotest.core.spec.style.FunSpec
+
+class RolloutTargetExistsTest :
+    FunSpec({
+        faultTable(
+            BadInput(
+                "target = model.drafting",
+                "target = model.x",
+                "[rollout.drafting] target = model.x: names no section of this team; add that " +
+                    "section or correct the name",
+            )
+        )
+    })
--- /dev/null
+++ b/core/src/test/kotlin/io/lavenderhinge/core/settings/RouteHasOneTargetTest.kt
@@ -0,0 +1,21 @@
+package io.lavenderhinge.core.settings
+
+import io.kotest.core.spec.style.FunSpec
+
+class RouteHasOneTargetTest :
+    FunSpec({
+        faultTable(
+            BadInput(
+                "model = drafting",
+                "model = drafting\nservice = booking",
+                "[route.draft] service = booking: is set beside model; keep the one that " +
+                    "answers this route",
+            ),
+            BadInput(
+                "model = drafting",
+                "",
+                "[route.draft] model: is missing, and so is service; add model = NAME or " +
+                    "service = NAME",
+            ),
+        )
+    })
--- /dev/null
+++ b/core/src/test/kotlin/io/lavenderhinge/core/settings/RouteTargetExistsTest.kt
@@ -0,0 +1,21 @@
+package io.lavenderhinge.core.settings
+
+import io.kotest.core.spec.style.FunSpec
+
+class RouteTargetExistsTest :
+    FunSpec({
+        faultTable(
+            BadInput(
+                "model = drafting",
+                "model = draftign",
+                "[route.draft] model = draftign: names no section of this team; add " +
+                    "[model.draftign] or correct the name",
+            ),
+            BadInput(
+                "service = booking",
+                "service = b",
+                "[route.book] service = b: names no section of this team; add [service.b] or " +
+                    "correct the name",
+            ),
+        )
+    })
--- /dev/null
+++ b/core/src/test/kotlin/io/lavenderhinge/core/settings/TargetNameIsUniqueTest.kt
@@ -0,0 +1,15 @@
+package io.lavenderhinge.core.settings
+
+import io.kotest.core.spec.style.FunSpec
+
+class TargetNameIsUniqueTest :
+    FunSpec({
+        faultTable(
+            BadInput(
+                "[route.draft]",
+                "[service.drafting]\nversion = 1\n[route.draft]",
+                "[service.drafting] version = 1: belongs to a service with the name of " +
+                    "[model.drafting]; rename the service or the model",
+            )
+        )
+    })
