Add the settings replica and the membership table

Two relays a domain watch the platform and push a change along a tree; summaries of one hash and the latest changes, then 64 bucket hashes, then the teams of the differing buckets bring what the push missed. A list of all revisions in each digest was ruled out: 4,800 teams would take about 72 KB a message.

MembershipTable joins the lagging list with heartbeats, broken links and observations. A relayed heartbeat does not refute a broken link, because it may be older than the loss.

--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/membership/HeartbeatSelection.kt
@@ -0,0 +1,50 @@
+package io.lavenderhinge.core.membership
+
+import kotlin.random.Random
+
+/**
+ * Chooses the heartbeats of a digest: the own one and a bounded number of the freshest others.
+ *
+ * All 320 would take 7 KB a message. A random choice among the freshest keeps peers from sending
+ * the same ones.
+ */
+internal class HeartbeatSelection(private val ownDomain: String, private val random: Random) {
+    fun select(
+        own: Heartbeat,
+        entries: Collection<InstanceEntry>,
+        nowMillis: Long,
+    ): List<Heartbeat> {
+        val (inside, outside) =
+            entries.filter { it.counter > 0 }.partition { it.failureDomain == ownDomain }
+        val chosen =
+            freshest(inside, INSIDE_COUNT, INSIDE_POOL) +
+                freshest(outside, OUTSIDE_COUNT, OUTSIDE_POOL)
+        return listOf(own) + chosen.map { heartbeat(it, nowMillis) }
+    }
+
+    private fun freshest(entries: List<InstanceEntry>, count: Int, pool: Int) =
+        entries.sortedByDescending { it.lastSignMillis }.take(pool).shuffled(random).take(count)
+
+    private fun heartbeat(entry: InstanceEntry, nowMillis: Long): Heartbeat {
+        val recent = nowMillis - entry.knownSinceMillis < ADDRESS_MILLIS
+        // Receivers learn addresses from the list; the repeats are for those that cannot read it.
+        val withAddress = recent || random.nextInt(ADDRESS_REPEAT) == 0
+        return Heartbeat(
+            entry.id,
+            entry.incarnation,
+            entry.counter,
+            entry.leaving,
+            if (withAddress) entry.address else "",
+            if (withAddress) entry.failureDomain else "",
+        )
+    }
+
+    private companion object {
+        const val INSIDE_COUNT = 20
+        const val INSIDE_POOL = 40
+        const val OUTSIDE_COUNT = 8
+        const val OUTSIDE_POOL = 64
+        const val ADDRESS_MILLIS = 20_000L
+        const val ADDRESS_REPEAT = 16
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/membership/InstanceTable.kt
@@ -0,0 +1,138 @@
+package io.lavenderhinge.core.membership
+
+import io.lavenderhinge.core.port.ListedMember
+import kotlin.random.Random
+
+/** The other instances, from the lagging list joined with heartbeats and broken links. */
+internal class InstanceTable(
+    private val selfId: String,
+    private val ownDomain: String,
+    private val timings: MembershipTimings,
+    private val random: Random,
+) {
+    private val rule = InstanceRule(ownDomain, timings)
+    private val entries = LinkedHashMap<String, InstanceEntry>()
+
+    // Incarnation that was known when the list began to call a member leaving.
+    private val listedLeaving = HashMap<String, Long>()
+
+    val all: Collection<InstanceEntry>
+        get() = entries.values
+
+    operator fun get(id: String): InstanceEntry? = entries[id]
+
+    /** Joins the instances of the list; absence from a lagging list proves nothing. */
+    fun onList(members: List<ListedMember>, nowMillis: Long) {
+        val ids = members.mapTo(HashSet()) { it.id }
+        entries.replaceAll { id, entry -> entry.copy(listed = id in ids) }
+        members.filter { it.id != selfId }.forEach { onListed(it, nowMillis) }
+    }
+
+    /**
+     * Joins a heartbeat, [direct] when its instance sent it itself. Returns false when it says
+     * nothing new or nothing that can be used.
+     */
+    fun onHeartbeat(heartbeat: Heartbeat, direct: Boolean, nowMillis: Long): Boolean {
+        val entry = entries[heartbeat.instanceId]
+        if (entry == null) {
+            if (heartbeat.failureDomain.isEmpty()) return false
+            entries[heartbeat.instanceId] = created(heartbeat, nowMillis)
+            return true
+        }
+        if (!heartbeat.isAfter(entry.incarnation, entry.counter)) return false
+        val restarted = heartbeat.incarnation > entry.incarnation
+        // A relayed heartbeat may be older than the loss of the link; only a direct one refutes it.
+        val linkLostMillis = entry.linkLostMillis.takeUnless { direct || restarted }
+        entries[entry.id] =
+            entry.copy(
+                address = heartbeat.address.ifEmpty { entry.address },
+                failureDomain = heartbeat.failureDomain.ifEmpty { entry.failureDomain },
+                incarnation = heartbeat.incarnation,
+                counter = heartbeat.counter,
+                leaving = heartbeat.leaving || entry.leaving && !restarted,
+                lastSignMillis = nowMillis,
+                linkLostMillis = linkLostMillis,
+                admitMillis = admission(entry, nowMillis),
+            )
+        return true
+    }
+
+    /** The link to [id] broke. */
+    fun onLinkLost(id: String, nowMillis: Long) {
+        val entry = entries[id] ?: return
+        if (entry.linkLostMillis != null) return
+        entries[id] = entry.copy(linkLostMillis = nowMillis, nextProbeMillis = nowMillis)
+    }
+
+    /** Instances behind broken links that are to be asked directly now. */
+    fun dueProbes(nowMillis: Long): List<String> {
+        val due =
+            entries.values.filter { it.linkLostMillis != null && nowMillis >= it.nextProbeMillis }
+        due.forEach {
+            // Probes of an instance that stays silent become as rare as other gossip.
+            val silenceMillis = nowMillis - (it.linkLostMillis ?: nowMillis)
+            val waitMillis = maxOf(timings.probeMillis, silenceMillis)
+            entries[it.id] = it.copy(nextProbeMillis = nowMillis + waitMillis)
+        }
+        return due.map { it.id }
+    }
+
+    /** Applies the rule to every entry, forgets old ones and returns what changed. */
+    fun refresh(nowMillis: Long): List<MembershipEffect> {
+        entries.values.removeIf {
+            !it.listed && nowMillis - it.lastSignMillis >= timings.forgetMillis
+        }
+        val changes = mutableListOf<MembershipEffect>()
+        entries.replaceAll { id, entry ->
+            val state = rule.state(entry, nowMillis)
+            if (state == entry.state) return@replaceAll entry
+            changes += MembershipEffect.InstanceChanged(id, entry.state, state)
+            entry.copy(state = state)
+        }
+        return changes
+    }
+
+    private fun onListed(member: ListedMember, nowMillis: Long) {
+        val known = entries[member.id]
+        val entry = known ?: created(member, nowMillis)
+        if (!member.leaving) listedLeaving.remove(member.id)
+        val leavingIncarnation =
+            if (member.leaving) listedLeaving.getOrPut(member.id) { entry.incarnation } else null
+        // The list lags: its flag does not hold for an incarnation that began after it.
+        val leaving = leavingIncarnation != null && entry.incarnation <= leavingIncarnation
+        entries[member.id] =
+            entry.copy(
+                address = member.address,
+                failureDomain = member.failureDomain,
+                leaving = entry.leaving || leaving,
+                listed = true,
+            )
+    }
+
+    // After a partition the members of a lost domain are admitted one by one, not all at once.
+    private fun admission(entry: InstanceEntry, nowMillis: Long): Long =
+        if (entry.state != MemberState.DEAD || entry.failureDomain == ownDomain) entry.admitMillis
+        else nowMillis + random.nextLong(timings.rejoinJitterMillis)
+
+    private fun created(member: ListedMember, nowMillis: Long) =
+        InstanceEntry(
+            member.id,
+            member.address,
+            member.failureDomain,
+            knownSinceMillis = nowMillis,
+            lastSignMillis = nowMillis,
+        )
+
+    private fun created(heartbeat: Heartbeat, nowMillis: Long) =
+        InstanceEntry(
+            heartbeat.instanceId,
+            heartbeat.address,
+            heartbeat.failureDomain,
+            knownSinceMillis = nowMillis,
+            lastSignMillis = nowMillis,
+            incarnation = heartbeat.incarnation,
+            counter = heartbeat.counter,
+            leaving = heartbeat.leaving,
+            state = if (heartbeat.leaving) MemberState.LEAVING else MemberState.LIVE,
+        )
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/membership/ServerTable.kt
@@ -0,0 +1,82 @@
+package io.lavenderhinge.core.membership
+
+import io.lavenderhinge.core.port.ListedMember
+import io.lavenderhinge.core.port.MemberKind
+
+/** The backend servers, from the lagging list joined with own observations and notices. */
+internal class ServerTable(private val timings: MembershipTimings) {
+    private data class Entry(
+        val member: ListedMember,
+        val drainingMillis: Long? = null,
+        val unreachableMillis: Long? = null,
+        val failures: Int = 0,
+        val state: MemberState = MemberState.LIVE,
+    )
+
+    private val entries = LinkedHashMap<String, Entry>()
+
+    val all: List<ServerView>
+        get() = entries.values.map { ServerView(it.member, it.state) }
+
+    operator fun get(id: String): ServerView? = entries[id]?.let { ServerView(it.member, it.state) }
+
+    /** Replaces the list; a server that is no longer listed is gone. */
+    fun onList(members: List<ListedMember>) {
+        val servers = members.filter { it.kind != MemberKind.INSTANCE }
+        val ids = servers.mapTo(HashSet()) { it.id }
+        entries.keys.retainAll(ids)
+        servers.forEach { member ->
+            val entry = entries[member.id] ?: Entry(member)
+            // A draining server that comes back has another address or version in the list.
+            val same = entry.member.copy(leaving = member.leaving) == member
+            entries[member.id] = if (same) entry.copy(member = member) else Entry(member)
+        }
+    }
+
+    /** Another instance or the server itself says that [id] is leaving. */
+    fun onLeaving(id: String, nowMillis: Long) {
+        entries[id]?.let { entries[id] = it.copy(drainingMillis = nowMillis) }
+    }
+
+    /** Joins what this instance saw of [id]. */
+    fun onObservation(id: String, observation: ServerObservation, nowMillis: Long) {
+        val entry = entries[id] ?: return
+        entries[id] =
+            when (observation) {
+                ServerObservation.SERVED ->
+                    entry.copy(drainingMillis = null, unreachableMillis = null, failures = 0)
+                ServerObservation.DRAINING -> entry.copy(drainingMillis = nowMillis)
+                ServerObservation.UNREACHABLE ->
+                    entry.copy(unreachableMillis = nowMillis, failures = entry.failures + 1)
+            }
+    }
+
+    /** Applies the rule to every entry and returns what changed. */
+    fun refresh(nowMillis: Long): List<MembershipEffect> {
+        val changes = mutableListOf<MembershipEffect>()
+        entries.replaceAll { id, entry ->
+            val state = state(entry, nowMillis)
+            if (state != entry.state) {
+                changes += MembershipEffect.ServerChanged(id, entry.state, state)
+            }
+            entry.copy(state = state)
+        }
+        return changes
+    }
+
+    private fun state(entry: Entry, nowMillis: Long): MemberState {
+        val failedMillis = entry.unreachableMillis
+        val drainingMillis = entry.drainingMillis
+        // The list takes over once it has caught up; a server that stayed gets work again.
+        val draining = drainingMillis != null && nowMillis - drainingMillis < timings.drainingMillis
+        val inProbation =
+            failedMillis != null && nowMillis - failedMillis < timings.serverProbationMillis
+        return when {
+            entry.member.leaving || draining -> MemberState.LEAVING
+            !inProbation -> MemberState.LIVE
+            // The first failure already stops new work; the second rules out a single lost packet.
+            entry.failures > 1 -> MemberState.DEAD
+            else -> MemberState.SUSPECT
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/RevisionIndex.kt
@@ -0,0 +1,33 @@
+package io.lavenderhinge.core.settings
+
+import io.lavenderhinge.core.membership.RendezvousHash
+
+/** Hashes over the revisions of all teams, kept up to date with each change. */
+internal class RevisionIndex {
+    private val hashes = MutableList(BUCKETS) { 0uL }
+
+    /** Hash over all teams; equal on instances that hold the same revisions. */
+    var rootHash = 0uL
+        private set
+
+    /** Hash of each bucket; 0 for an empty one. */
+    fun buckets(): List<ULong> = hashes.toList()
+
+    /** Replaces the revisions of [team]. */
+    fun replace(team: String, before: TeamRevisions?, after: TeamRevisions) {
+        // XOR takes an entry out the way it put it in, so a change costs two hashes.
+        val change = (before?.let { entry(team, it) } ?: 0uL) xor entry(team, after)
+        hashes[bucketOf(team)] = hashes[bucketOf(team)] xor change
+        rootHash = rootHash xor change
+    }
+
+    companion object {
+        /** 4,800 teams give 75 a bucket, so that each level of a digest is about 1 KB. */
+        const val BUCKETS = 64
+
+        fun bucketOf(team: String): Int = (RendezvousHash.hash64(team) % BUCKETS.toUInt()).toInt()
+
+        private fun entry(team: String, revisions: TeamRevisions): ULong =
+            RendezvousHash.hash64("$team@${revisions.inForce}/${revisions.rejected}")
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/TextChunks.kt
@@ -0,0 +1,22 @@
+package io.lavenderhinge.core.settings
+
+/** Splits texts into messages, so that a large tree does not fill a send buffer. */
+internal object TextChunks {
+    const val CHUNK_CHARACTERS = 32_768
+    const val CHUNKS_PER_ROUND = 16
+
+    /** At most [CHUNKS_PER_ROUND] chunks; the next round of gossip brings the rest. */
+    fun of(texts: List<TeamText>): List<List<TeamText>> {
+        val chunks = mutableListOf<MutableList<TeamText>>()
+        var size = CHUNK_CHARACTERS
+        texts.forEach { text ->
+            if (size + text.text.length > CHUNK_CHARACTERS) {
+                chunks += mutableListOf<TeamText>()
+                size = 0
+            }
+            chunks.last() += text
+            size += text.text.length
+        }
+        return chunks.take(CHUNKS_PER_ROUND)
+    }
+}
