Serve requests under grants of the homes

The request path uses the router, the homes and the links over gRPC; health judges backend servers from the outcomes of requests, probes and the live list, and each home polls the load of its own servers only. The least-in-flight picker is gone.

--- a/instance/src/main/kotlin/io/lavenderhinge/instance/Instance.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/Instance.kt
@@ -3,15 +3,13 @@
 import io.lavenderhinge.adapters.CallBudget
 import io.lavenderhinge.adapters.HttpKeyValueStore
 import io.lavenderhinge.adapters.HttpLiveList
-import io.lavenderhinge.core.health.FailureKind
 import io.lavenderhinge.core.ledger.LedgerResult
 import io.lavenderhinge.core.ledger.NotRunReason
 import io.lavenderhinge.core.port.MemberKind
 import io.lavenderhinge.core.rollout.RequestOutcome
 import io.lavenderhinge.core.rollout.TeamTarget
-import io.lavenderhinge.core.routing.ServerView
-import io.lavenderhinge.core.scheduling.ServerHealth
-import io.lavenderhinge.core.scheduling.ServerState
+import io.lavenderhinge.core.scheduling.InstanceView
+import io.lavenderhinge.core.scheduling.ServerView
 import io.lavenderhinge.core.settings.Address
 import io.lavenderhinge.core.settings.Bootstrap
 import io.lavenderhinge.core.settings.Target
@@ -21,15 +19,19 @@
 import io.lavenderhinge.instance.caller.CallerHandler
 import io.lavenderhinge.instance.caller.ModelRequests
 import io.lavenderhinge.instance.caller.RequestServices
-import io.lavenderhinge.instance.caller.ServerEvidence
 import io.lavenderhinge.instance.caller.ServiceRequests
 import io.lavenderhinge.instance.caller.Versions
+import io.lavenderhinge.instance.caller.socketAddress as parseAddress
 import io.lavenderhinge.instance.control.ControlThread
+import io.lavenderhinge.instance.health.HealthService
+import io.lavenderhinge.instance.health.LoadPoller
 import io.lavenderhinge.instance.ledger.Ledger
 import io.lavenderhinge.instance.metrics.RequestMetrics
 import io.lavenderhinge.instance.operator.OperatorHandler
 import io.lavenderhinge.instance.operator.OperatorView
-import io.lavenderhinge.instance.scheduling.LeastInFlightSlots
+import io.lavenderhinge.instance.peer.GrpcPeerLinks
+import io.lavenderhinge.instance.peer.PeerIdentity
+import io.lavenderhinge.instance.scheduling.HomeSlotService
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import io.netty.channel.MultiThreadIoEventLoopGroup
@@ -53,14 +55,32 @@
         )
     private val list = HttpLiveList(client, socketAddress(bootstrap.platform.liveList), reads)
     private val view = PolledView(store, list)
+    private val identity = bootstrap.identity
+    private val links =
+        GrpcPeerLinks(
+            PeerIdentity(identity.id, identity.failureDomain, identity.region),
+            control,
+        ) { id ->
+            instances().firstOrNull { it.id == id }?.let { parseAddress(it.address) }
+        }
+    private val health = HealthService(control, client, ::backendServers)
+    private val slots =
+        HomeSlotService(
+            links,
+            control,
+            identity.failureDomain,
+            { instances().map { InstanceView(it.id, it.failureDomain) } },
+            ::servers,
+        )
+    private val poller = LoadPoller(control, client, slots, health, ::backendServers)
     private val services =
         RequestServices(
             selfId = bootstrap.identity.id,
             routes = { view.routes },
-            slots = LeastInFlightSlots(::servers),
+            slots = slots,
             ledger = NoLedger,
             versions = SettledVersions(),
-            evidence = NoEvidence,
+            evidence = health,
             metrics = RequestMetrics(registry),
             nowMillis = control::nowMillis,
         )
@@ -76,6 +96,10 @@
     /** Starts to listen; the instance is ready once settings are in force. */
     fun start() {
         control.every(POLL_MILLIS) { view.refresh() }
+        links.start(socketAddress(bootstrap.listen.peer))
+        health.start()
+        slots.start()
+        poller.start()
         callerServer.start(socketAddress(bootstrap.listen.caller))
         operatorServer.start(socketAddress(bootstrap.listen.operator))
         log.info(
@@ -91,24 +115,23 @@
         log.info("instance: {} has shut down", bootstrap.identity.id)
     }
 
+    private fun instances() = view.members.filter { it.kind == MemberKind.INSTANCE }
+
+    private fun backendServers() = view.members.filter { it.kind != MemberKind.INSTANCE }
+
     private fun servers(): List<ServerView> =
-        view.members
-            .filter { it.kind != MemberKind.INSTANCE }
-            .map {
-                val target =
-                    if (it.kind == MemberKind.MODEL_ENGINE) Target.Model(it.serves)
-                    else Target.Service(it.serves)
-                val state = if (it.leaving) ServerState.LEAVING else ServerState.LIVE
-                ServerView(
-                    it.id,
-                    it.address,
-                    it.failureDomain,
-                    target,
-                    it.version,
-                    ServerHealth(state),
-                    it.hardwareGeneration,
-                )
-            }
+        backendServers().map {
+            val isModel = it.kind == MemberKind.MODEL_ENGINE
+            ServerView(
+                id = it.id,
+                address = it.address,
+                failureDomain = it.failureDomain,
+                target = if (isModel) Target.Model(it.serves) else Target.Service(it.serves),
+                version = it.version,
+                health = health.health(it.id),
+                hardwareGeneration = it.hardwareGeneration,
+            )
+        }
 
     private fun operatorView() =
         OperatorView(
@@ -151,12 +174,6 @@
         ) = Unit
     }
 
-    private object NoEvidence : ServerEvidence {
-        override fun answered(serverId: String, firstTokenMillis: Long?) = Unit
-
-        override fun failed(serverId: String, kind: FailureKind) = Unit
-    }
-
     private companion object {
         const val TRAFFIC_THREADS = 2
         const val POLL_MILLIS = 500L
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/caller/ModelRequests.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/caller/ModelRequests.kt
@@ -72,8 +72,12 @@
             promptTokens = estimate.promptTokens,
             outputTokens = estimate.outputTokens,
             prefixHashes = estimate.prefixHashes,
+            firstTokenDueMillis = context.receivedMillis + context.route.firstTokenMillis,
         )
 
+    private fun attempt(request: SlotRequest, attempt: Int) =
+        request.copy(requestId = "${request.requestId}.$attempt", attempt = attempt)
+
     /** The engine always streams, so that progress can be watched and a cut answer resumed. */
     private fun upstreamBody(body: ObjectNode): ByteArray =
         Json.render(body.deepCopy().put("stream", true))
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/caller/PromptEstimate.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/caller/PromptEstimate.kt
@@ -1,7 +1,7 @@
 package io.lavenderhinge.instance.caller
 
 import com.fasterxml.jackson.databind.JsonNode
-import io.lavenderhinge.core.routing.PREFIX_BLOCK_TOKENS
+import io.lavenderhinge.core.scheduling.PREFIX_BLOCK_TOKENS
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.toImmutableList
 
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/caller/ServiceCall.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/caller/ServiceCall.kt
@@ -69,6 +69,7 @@
             workspace = context.workspace.id,
             weight = context.workspace.weight,
             deadlineMillis = context.deadlineMillis,
+            attempt = attempt,
         )
 
     /** Returns null when the server certainly did not run the request. */
--- a/standins/src/main/kotlin/io/lavenderhinge/standins/service/ServiceHandler.kt
+++ b/standins/src/main/kotlin/io/lavenderhinge/standins/service/ServiceHandler.kt
@@ -27,13 +27,23 @@
                 draining = request.query == "on=true"
                 exchange.respondJson(mapOf("draining" to draining))
             }
-            request.path == "/v1/load" ->
-                exchange.respondJson(mapOf("running" to running.get(), "waiting" to 0))
+            request.path == "/v1/load" -> load(exchange)
             draining -> exchange.respondJson(mapOf("draining" to true), HttpStatus.UNAVAILABLE)
             else -> serve(exchange)
         }
     }
 
+    private suspend fun load(exchange: HttpExchange) =
+        exchange.respondJson(
+            mapOf(
+                "running" to running.get(),
+                "waiting" to 0,
+                "contextTokens" to 0,
+                "version" to "",
+                "ageMillis" to 0,
+            )
+        )
+
     private suspend fun serve(exchange: HttpExchange) {
         val request = exchange.request
         val requestId = request.header("X-Request-Id").orEmpty()
