Run settings and membership on an instance

SettingsService and MembershipService are shells over the key-value service, the live list, peer links and the control thread. One digest an exchange carries heartbeats and the settings summary; other services add their part with DigestPart.

--- /dev/null
+++ b/adapters/src/main/kotlin/io/lavenderhinge/adapters/StoredSettingsCodec.kt
@@ -0,0 +1,56 @@
+package io.lavenderhinge.adapters
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import com.fasterxml.jackson.databind.JsonNode
+import io.lavenderhinge.core.settings.StoredSettings
+
+/**
+ * JSON form of [StoredSettings]: `{"revision", "author", "appliedAtMillis", "text"}`.
+ *
+ * Used for `config/<team>` and, as an array with the newest entry first, for `history/<team>`.
+ */
+object StoredSettingsCodec {
+    private const val HISTORY_ENTRIES = 50
+
+    // The service takes 1 MB a value; the margin covers the escapes of the outer JSON call.
+    private const val HISTORY_BYTES = 800_000
+
+    /** Renders [settings]. */
+    fun encode(settings: StoredSettings): String = Json.mapper.writeValueAsString(settings)
+
+    /** Parses a value of `config/<team>`, or says why it is none. */
+    fun decode(value: String): Either<String, StoredSettings> {
+        val node = Json.parseOrNull(value.toByteArray()) ?: return "the value is no JSON".left()
+        return decode(node)
+    }
+
+    /** Renders [entries], newest first, without the oldest ones that are too many or too large. */
+    fun encodeHistory(entries: List<StoredSettings>): String {
+        val rendered = mutableListOf<String>()
+        var sizeBytes = 0
+        entries.take(HISTORY_ENTRIES).map(::encode).forEach { entry ->
+            sizeBytes += entry.toByteArray().size + 1
+            if (rendered.isNotEmpty() && sizeBytes > HISTORY_BYTES) return array(rendered)
+            rendered += entry
+        }
+        return array(rendered)
+    }
+
+    /** Parses a value of `history/<team>`; entries that cannot be read are left out. */
+    fun decodeHistory(value: String): List<StoredSettings> =
+        Json.parseOrNull(value.toByteArray())?.mapNotNull { decode(it).getOrNull() }.orEmpty()
+
+    private fun array(rendered: List<String>) = rendered.joinToString(",", "[", "]")
+
+    private fun decode(node: JsonNode): Either<String, StoredSettings> {
+        val revision = node.get("revision")?.takeIf { it.isIntegralNumber }?.longValue()
+        val text = node.get("text")?.textValue()
+        if (revision == null || revision < 1) return "the value has no revision above 0".left()
+        if (text == null) return "the value has no text".left()
+        val author = node.get("author")?.textValue().orEmpty()
+        val appliedAtMillis = node.get("appliedAtMillis")?.longValue() ?: 0
+        return StoredSettings(revision, author, appliedAtMillis, text).right()
+    }
+}
--- a/core/src/main/kotlin/io/lavenderhinge/core/settings/SettingsReplica.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/SettingsReplica.kt
@@ -88,6 +88,7 @@
         event: ReplicaEvent.InstancesChanged,
         nowMillis: Long,
     ): List<ReplicaEffect> {
+        if (event.instances == instances) return emptyList()
         instances = event.instances
         relays = PushTree.relays(failureDomain, instances + selfId)
         peerHashes.keys.retainAll(instances)
--- /dev/null
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/membership/MembershipService.kt
@@ -0,0 +1,171 @@
+package io.lavenderhinge.instance.membership
+
+import io.lavenderhinge.core.membership.InstanceView
+import io.lavenderhinge.core.membership.MemberState
+import io.lavenderhinge.core.membership.MembershipEffect
+import io.lavenderhinge.core.membership.MembershipEvent
+import io.lavenderhinge.core.membership.MembershipTable
+import io.lavenderhinge.core.membership.SelfDescription
+import io.lavenderhinge.core.membership.ServerObservation
+import io.lavenderhinge.core.membership.ServerView
+import io.lavenderhinge.core.port.LiveList
+import io.lavenderhinge.core.settings.Address
+import io.lavenderhinge.instance.control.ControlThread
+import io.lavenderhinge.instance.peer.PeerLinks
+import io.lavenderhinge.protocol.v1.Digest
+import io.lavenderhinge.protocol.v1.Frame
+import java.net.InetSocketAddress
+import kotlinx.collections.immutable.toImmutableList
+import kotlinx.coroutines.launch
+import org.slf4j.LoggerFactory
+
+/**
+ * Runs the membership table on the control thread and gossips its heartbeats.
+ *
+ * Functions that change something run on the control thread; the views may be read on any thread.
+ */
+class MembershipService(
+    private val self: SelfDescription,
+    seeds: List<Address>,
+    private val liveList: LiveList,
+    private val links: PeerLinks,
+    private val control: ControlThread,
+) {
+    private class View(
+        val instances: List<InstanceView>,
+        val servers: List<ServerView>,
+        val lostDomains: Set<String>,
+        val listFault: String?,
+    ) {
+        val byId = instances.associateBy { it.id }
+        val live = instances.filter { it.state == MemberState.LIVE }
+    }
+
+    private val seedAddresses =
+        seeds.filter { it.toString() != self.address }.associateBy { "$SEED_PREFIX$it" }
+    private val table =
+        MembershipTable(self, seedAddresses.keys.toList(), control.nowMillis(), control.random)
+    private val parts = mutableListOf<DigestPart>()
+    private val listeners = mutableListOf<(MembershipEffect) -> Unit>()
+    @Volatile private var view = currentView()
+
+    /** Starts the periodic work and receives frames from now on. */
+    fun start() {
+        links.onFrame { from, frame ->
+            if (frame.bodyCase == Frame.BodyCase.DIGEST) receive(from, frame.digest)
+        }
+        links.onLinkLost { handle(MembershipEvent.LinkLost(it)) }
+        control.every(TICK_MILLIS) { handle(MembershipEvent.Tick) }
+    }
+
+    /** Adds [part] to every digest that is exchanged. */
+    fun addDigestPart(part: DigestPart) {
+        parts += part
+    }
+
+    /** Calls [listener] on the control thread with each change of an instance or server. */
+    fun onChange(listener: (MembershipEffect) -> Unit) {
+        listeners += listener
+    }
+
+    /** All known instances, this one included. */
+    fun instances(): List<InstanceView> = view.instances
+
+    /** Ids of the live instances; this one is among them until it leaves. */
+    fun liveInstances(): List<String> = view.live.map { it.id }
+
+    /** Ids of the live instances of [failureDomain]. */
+    fun liveInstances(failureDomain: String): List<String> =
+        view.live.filter { it.failureDomain == failureDomain }.map { it.id }
+
+    /** All listed backend servers with their state. */
+    fun servers(): List<ServerView> = view.servers
+
+    /** Failure domains of which no instance is heard. */
+    fun lostDomains(): Set<String> = view.lostDomains
+
+    /** Why the list could not be read the last time; null when it was. */
+    fun listFault(): String? = view.listFault
+
+    /** Peer port of an instance or seed; null when it is unknown. */
+    fun addressOf(instanceId: String): InetSocketAddress? {
+        val seed = seedAddresses[instanceId]
+        if (seed != null) return InetSocketAddress(seed.ip, seed.port)
+        val address = view.byId[instanceId]?.address ?: return null
+        val port = address.substringAfterLast(':').toIntOrNull() ?: return null
+        return InetSocketAddress(address.substringBeforeLast(':').trim('[', ']'), port)
+    }
+
+    /** Joins what this instance saw when it called a backend server; on the control thread. */
+    fun observeServer(serverId: String, observation: ServerObservation) =
+        handle(MembershipEvent.ServerObserved(serverId, observation))
+
+    /** Tells the peers that this instance leaves; on the control thread. */
+    fun leave() {
+        log.info("membership: leaving the table")
+        handle(MembershipEvent.LeaveRequested)
+    }
+
+    private fun receive(from: String, digest: Digest) {
+        if (digest.heartbeatsCount == 0 && !digest.replyWanted) return
+        val heartbeats = digest.heartbeatsList.map(HeartbeatWire::decode)
+        handle(
+            MembershipEvent.HeartbeatsReceived(
+                from,
+                heartbeats.toImmutableList(),
+                digest.replyWanted,
+            )
+        )
+    }
+
+    private fun handle(event: MembershipEvent) {
+        val effects = table.handle(event, control.nowMillis())
+        view = currentView()
+        effects.forEach(::execute)
+    }
+
+    private fun execute(effect: MembershipEffect) {
+        when (effect) {
+            is MembershipEffect.FetchList -> fetchList()
+            is MembershipEffect.SendDigest -> send(effect)
+            is MembershipEffect.InstanceChanged -> {
+                log.info("membership: instance {} is {}, was {}", effect.id, effect.to, effect.from)
+                listeners.forEach { it(effect) }
+            }
+            is MembershipEffect.ServerChanged -> {
+                log.info("membership: server {} is {}, was {}", effect.id, effect.to, effect.from)
+                listeners.forEach { it(effect) }
+            }
+        }
+    }
+
+    private fun fetchList() {
+        control.scope.launch {
+            liveList
+                .fetch()
+                .fold(
+                    { handle(MembershipEvent.ListFailed(it.message)) },
+                    { handle(MembershipEvent.ListFetched(it)) },
+                )
+        }
+    }
+
+    private fun send(effect: MembershipEffect.SendDigest) {
+        val digest =
+            Digest.newBuilder()
+                .setReplyWanted(effect.replyWanted)
+                .addAllHeartbeats(effect.heartbeats.map(HeartbeatWire::encode))
+        if (effect.exchange) parts.forEach { it.addTo(digest) }
+        // A digest that was not sent is made up for by the next exchange.
+        links.send(effect.to, Frame.newBuilder().setDigest(digest).build())
+    }
+
+    private fun currentView() =
+        View(table.instances, table.servers, table.lostDomains(), table.listFault)
+
+    private companion object {
+        const val TICK_MILLIS = 250L
+        const val SEED_PREFIX = "seed/"
+        val log = LoggerFactory.getLogger(MembershipService::class.java)
+    }
+}
