Follow settings and membership by gossip, and drain on shutdown

The instance takes settings and members from the gossip services in place of polling the platform. On SIGTERM it leaves the table, so that homes move, keeps serving what the balancer still sends for a second, then answers what is in service and closes each connection after its answer.

--- a/http/src/main/kotlin/io/lavenderhinge/http/HttpServer.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/HttpServer.kt
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.util.concurrent.GlobalEventExecutor
 import java.net.InetSocketAddress
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
@@ -32,6 +33,7 @@
     private val channels = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
     private val connections = AtomicInteger()
     private val supervisor = SupervisorJob()
+    private val draining = AtomicBoolean()
     private lateinit var listener: Channel
 
     /** The port in use; of interest when 0 was asked for. */
@@ -56,9 +58,14 @@
                 .channel()
     }
 
-    /** Stops accepting connections; those that are open go on. */
-    fun stopAccepting() {
+    /**
+     * Stops accepting connections and closes idle ones. Requests in service are answered, and each
+     * connection closes after its answer.
+     */
+    fun drain() {
+        draining.set(true)
         listener.close().sync()
+        channels.forEach { it.pipeline().fireUserEventTriggered(DrainEvent) }
     }
 
     /** Closes the listener and every connection. */
@@ -82,7 +89,7 @@
         channel.closeFuture().addListener { connections.decrementAndGet() }
         channels.add(channel)
         val scope = CoroutineScope(supervisor + channel.eventLoop().asCoroutineDispatcher())
-        channel.pipeline().addLast(ServerConnection(scope, limits, handler, faults))
+        channel.pipeline().addLast(ServerConnection(scope, limits, handler, faults, draining::get))
     }
 
     private companion object {
--- a/http/src/main/kotlin/io/lavenderhinge/http/ServerConnection.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/ServerConnection.kt
@@ -43,6 +43,7 @@
     private val limits: HttpLimits,
     private val handler: HttpHandler,
     private val faults: HttpFaultRenderer,
+    private val draining: () -> Boolean,
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
     private val pending = ArrayDeque<PendingRequest>()
@@ -76,6 +77,11 @@
         }
     }
 
+    override fun userEventTriggered(ctx: ChannelHandlerContext, event: Any) {
+        val idle = active == null && head == null && pending.isEmpty()
+        if (event === DrainEvent && idle) ctx.close() else ctx.fireUserEventTriggered(event)
+    }
+
     override fun channelWritabilityChanged(ctx: ChannelHandlerContext) {
         writability.signal(ctx.channel().isWritable)
         ctx.fireChannelWritabilityChanged()
@@ -123,7 +129,10 @@
         head = null
         timer?.cancel(false)
         if (pending.size >= limits.pipelinedRequests) return refuse(HttpFault.TOO_MANY_PIPELINED)
-        pending.addLast(PendingRequest(toRequest(request), HttpUtil.isKeepAlive(request)))
+        val keepAlive = HttpUtil.isKeepAlive(request)
+        pending.addLast(
+            PendingRequest(toRequest(request)) { keepAlive && !(draining() && pending.isEmpty()) }
+        )
         startNext()
     }
 
@@ -165,6 +174,8 @@
         active = null
         if (!keepAlive) {
             closing = true
+            // Behind the answer, so that it is not cut.
+            context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener { context.close() }
             return
         }
         startNext()
@@ -209,7 +220,14 @@
 }
 
 /** A request whose answer is due; the connection closes after it unless [keepAlive]. */
-internal class PendingRequest(val request: HttpRequest, val keepAlive: Boolean)
+internal class PendingRequest(val request: HttpRequest, private val keepsAlive: () -> Boolean) {
+    /** Read when the answer is sent: the listener may have begun to drain meanwhile. */
+    val keepAlive: Boolean
+        get() = keepsAlive()
+}
+
+/** Tells a connection that its listener drains. */
+internal object DrainEvent
 
 internal fun fullResponse(response: HttpResponse, keepAlive: Boolean): DefaultFullHttpResponse {
     val message =
--- a/http/src/test/kotlin/io/lavenderhinge/http/HttpServerTest.kt
+++ b/http/src/test/kotlin/io/lavenderhinge/http/HttpServerTest.kt
@@ -128,6 +128,27 @@
             waiting.close()
         }
 
+        test("given a drain, when requests are in service, then all are answered and closed") {
+            val started = CompletableDeferred<Unit>()
+            val release = CompletableDeferred<Unit>()
+            val draining = serve { exchange ->
+                started.complete(Unit)
+                release.await()
+                exchange.respond(HttpResponse(200, exchange.request.path.toByteArray()))
+            }
+            java.net.Socket(loopback, draining.port).use { socket ->
+                val bytes = "GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n"
+                socket.getOutputStream().write(bytes.toByteArray())
+                started.await()
+                draining.drain()
+                release.complete(Unit)
+                val answers = String(socket.getInputStream().readBytes())
+                answers shouldContain "/a"
+                answers shouldContain "/b"
+            }
+            draining.close()
+        }
+
         test("given a stream that its handler does not end, then the caller sees no last chunk") {
             val cut = serve { exchange ->
                 exchange.startStream(200, "text/plain").write("part".toByteArray())
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/Instance.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/Instance.kt
@@ -5,6 +5,9 @@
 import io.lavenderhinge.adapters.HttpLiveList
 import io.lavenderhinge.core.ledger.LedgerResult
 import io.lavenderhinge.core.ledger.NotRunReason
+import io.lavenderhinge.core.membership.MemberState
+import io.lavenderhinge.core.membership.SelfDescription
+import io.lavenderhinge.core.port.ListedMember
 import io.lavenderhinge.core.port.MemberKind
 import io.lavenderhinge.core.rollout.RequestOutcome
 import io.lavenderhinge.core.rollout.TeamTarget
@@ -12,6 +15,8 @@
 import io.lavenderhinge.core.scheduling.ServerView
 import io.lavenderhinge.core.settings.Address
 import io.lavenderhinge.core.settings.Bootstrap
+import io.lavenderhinge.core.settings.Readiness
+import io.lavenderhinge.core.settings.RouteTable
 import io.lavenderhinge.core.settings.Target
 import io.lavenderhinge.http.HttpClient
 import io.lavenderhinge.http.HttpLimits
@@ -21,17 +26,18 @@
 import io.lavenderhinge.instance.caller.RequestServices
 import io.lavenderhinge.instance.caller.ServiceRequests
 import io.lavenderhinge.instance.caller.Versions
-import io.lavenderhinge.instance.caller.socketAddress as parseAddress
 import io.lavenderhinge.instance.control.ControlThread
 import io.lavenderhinge.instance.health.HealthService
 import io.lavenderhinge.instance.health.LoadPoller
 import io.lavenderhinge.instance.ledger.Ledger
+import io.lavenderhinge.instance.membership.MembershipService
 import io.lavenderhinge.instance.metrics.RequestMetrics
 import io.lavenderhinge.instance.operator.OperatorHandler
 import io.lavenderhinge.instance.operator.OperatorView
 import io.lavenderhinge.instance.peer.GrpcPeerLinks
 import io.lavenderhinge.instance.peer.PeerIdentity
 import io.lavenderhinge.instance.scheduling.HomeSlotService
+import io.lavenderhinge.instance.settings.SettingsService
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import io.netty.channel.MultiThreadIoEventLoopGroup
@@ -54,29 +60,25 @@
             budget(bootstrap.platform.writesPerSecond),
         )
     private val list = HttpLiveList(client, socketAddress(bootstrap.platform.liveList), reads)
-    private val view = PolledView(store, list)
     private val identity = bootstrap.identity
-    private val links =
-        GrpcPeerLinks(
-            PeerIdentity(identity.id, identity.failureDomain, identity.region),
-            control,
-        ) { id ->
-            instances().firstOrNull { it.id == id }?.let { parseAddress(it.address) }
+    private val links: GrpcPeerLinks =
+        GrpcPeerLinks(PeerIdentity(identity.id, identity.failureDomain, identity.region), control) {
+            membership.addressOf(it)
         }
+    private val membership: MembershipService =
+        MembershipService(selfDescription(), bootstrap.seedPeers, list, links, control)
+    private val settings =
+        SettingsService(identity.failureDomain, store, links, membership, control)
+    @Volatile private var routes: RouteTable? = null
+    @Volatile private var leaving = false
     private val health = HealthService(control, client, ::backendServers)
     private val slots =
-        HomeSlotService(
-            links,
-            control,
-            identity.failureDomain,
-            { instances().map { InstanceView(it.id, it.failureDomain) } },
-            ::servers,
-        )
+        HomeSlotService(links, control, identity.failureDomain, ::homeCandidates, ::servers)
     private val poller = LoadPoller(control, client, slots, health, ::backendServers)
     private val services =
         RequestServices(
             selfId = bootstrap.identity.id,
-            routes = { view.routes },
+            routes = { routes },
             slots = slots,
             ledger = NoLedger,
             versions = SettledVersions(),
@@ -95,11 +97,8 @@
 
     /** Starts to listen; the instance is ready once settings are in force. */
     fun start() {
-        control.every(POLL_MILLIS) { view.refresh() }
         links.start(socketAddress(bootstrap.listen.peer))
-        health.start()
-        slots.start()
-        poller.start()
+        control.execute(::startControl)
         callerServer.start(socketAddress(bootstrap.listen.caller))
         operatorServer.start(socketAddress(bootstrap.listen.operator))
         log.info(
@@ -109,15 +108,64 @@
         )
     }
 
-    /** Stops accepting connections. */
+    private fun startControl() {
+        membership.addDigestPart { digest -> digest.addAllServers(slots.summaries()) }
+        membership.start()
+        settings.onChange { routes = RouteTable(it) }
+        settings.start()
+        health.start()
+        slots.start()
+        poller.start()
+    }
+
+    /**
+     * Leaves the fleet and returns when the requests in flight have ended, or after [DRAIN_MILLIS].
+     * Other instances take over the homes; callers get their answers.
+     */
     fun shutdown() {
-        callerServer.stopAccepting()
-        log.info("instance: {} has shut down", bootstrap.identity.id)
+        log.info("instance: {} shuts down", identity.id)
+        leaving = true
+        control.execute(membership::leave)
+        // The balancer goes by /readyz; connections that it still sends meanwhile are served.
+        Thread.sleep(NOT_READY_MILLIS)
+        callerServer.drain()
+        val untilMillis = control.nowMillis() + DRAIN_MILLIS
+        while (callers.inFlightCount > 0 && control.nowMillis() < untilMillis) {
+            Thread.sleep(DRAIN_POLL_MILLIS)
+        }
+        slots.shutdown()
+        callerServer.close()
+        operatorServer.close()
+        links.close()
+        control.close()
+        log.info("instance: {} has shut down, {} cut off", identity.id, callers.inFlightCount)
     }
 
-    private fun instances() = view.members.filter { it.kind == MemberKind.INSTANCE }
+    private fun notReadyReason(): String? {
+        if (leaving) return "the instance shuts down"
+        return when (val readiness = settings.ready()) {
+            is Readiness.Ready -> null
+            is Readiness.NotReady -> readiness.reason
+        }
+    }
 
-    private fun backendServers() = view.members.filter { it.kind != MemberKind.INSTANCE }
+    private fun selfDescription() =
+        SelfDescription(
+            identity.id,
+            bootstrap.listen.peer.toString(),
+            identity.failureDomain,
+            incarnation = control.nowMillis(),
+        )
+
+    private fun homeCandidates(): List<InstanceView> =
+        membership
+            .instances()
+            .filter { it.state == MemberState.LIVE }
+            .map { InstanceView(it.id, it.failureDomain) }
+            // The last instance of a fleet stays home for its own requests while it leaves.
+            .ifEmpty { listOf(InstanceView(identity.id, identity.failureDomain)) }
+
+    private fun backendServers(): List<ListedMember> = membership.servers().map { it.member }
 
     private fun servers(): List<ServerView> =
         backendServers().map {
@@ -135,11 +183,22 @@
 
     private fun operatorView() =
         OperatorView(
-            notReadyReason = { if (view.routes == null) "no settings are in force yet" else null },
-            status = { mapOf("instance" to bootstrap.identity.id) },
+            notReadyReason = ::notReadyReason,
+            status = ::status,
             explain = { _, _, _ -> emptyMap() },
         )
 
+    private fun status(): Map<String, Any?> =
+        mapOf(
+            "instance" to identity.id,
+            "failureDomain" to identity.failureDomain,
+            "inFlight" to callers.inFlightCount,
+            "settings" to settings.current().teams.mapValues { it.value.revision },
+            "rejectedSettings" to settings.rejected(),
+            "instances" to membership.instances().associate { it.id to it.state.name.lowercase() },
+            "invariantViolations" to slots.invariantViolations,
+        )
+
     private fun limits(): HttpLimits =
         with(bootstrap.limits) {
             HttpLimits(
@@ -159,9 +218,9 @@
 
     private inner class SettledVersions : Versions {
         override fun versionFor(target: TeamTarget, requestId: String): String? =
-            view.tree
-                ?.teams
-                ?.get(target.team)
+            settings
+                .current()
+                .teams[target.team]
                 ?.targets
                 ?.firstOrNull { it.target == target.target }
                 ?.version
@@ -176,8 +235,10 @@
 
     private companion object {
         const val TRAFFIC_THREADS = 2
-        const val POLL_MILLIS = 500L
         const val BURST_SECONDS = 2.0
+        const val NOT_READY_MILLIS = 1_000L
+        const val DRAIN_MILLIS = 60_000L
+        const val DRAIN_POLL_MILLIS = 50L
         const val RETRY_MILLIS = 1_000L
         val log = LoggerFactory.getLogger(Instance::class.java)
         val NoLedger = Ledger { _, _ ->
--- a/standins/src/main/kotlin/io/lavenderhinge/standins/Main.kt
+++ b/standins/src/main/kotlin/io/lavenderhinge/standins/Main.kt
@@ -6,7 +6,9 @@
 import io.lavenderhinge.standins.platform.PlatformCommand
 import io.lavenderhinge.standins.service.ServiceCommand
 
-fun main(arguments: Array<String>) =
+fun main(arguments: Array<String>) {
+    System.setProperty("logback.configurationFile", "logback-standins.xml")
     StandinsCommand()
         .subcommands(PlatformCommand(), EngineCommand(), ServiceCommand(), CallCommand())
         .main(arguments)
+}
