Add the ledger's state machines and a randomised run that drives them

LedgerNode holds one instance's entry side and the shards that it writes: events and time in, effects out. 'experiments ledger' runs many of them in virtual time with crashes, pauses, cuts, outages, slow phases, lost and late writes, message loss and diverging views, and compares every result with what really ran.

A seal now extends the latest segment while it has room, and the references have a budget that raises the horizon.

--- a/core/src/main/kotlin/io/lavenderhinge/core/ledger/LedgerAnswer.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/ledger/LedgerAnswer.kt
@@ -12,4 +12,16 @@
         (status * 31 + contentType.hashCode()) * 31 + body.contentHashCode()
 
     override fun toString(): String = "LedgerAnswer($status, $contentType, ${body.size} bytes)"
+
+    /** What the ledger keeps of this answer: null when its body is over [limitBytes]. */
+    internal fun kept(limitBytes: Int): LedgerAnswer? {
+        if (body.size > limitBytes) return null
+        val plainType = contentType.take(MAX_TYPE_CHARS).replace(unsafe, "?")
+        return if (plainType == contentType) this else LedgerAnswer(status, plainType, body)
+    }
+
+    private companion object {
+        const val MAX_TYPE_CHARS = 256
+        val unsafe = Regex("[^ -~]")
+    }
 }
--- a/core/src/main/kotlin/io/lavenderhinge/core/ledger/LedgerRequest.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/ledger/LedgerRequest.kt
@@ -11,4 +11,13 @@
     val bodyHash: String,
     val retentionMillis: Long,
     val deadlineAtMillis: Long,
-)
+) {
+    init {
+        require(isRecordField(key.recordName) && isRecordField(bodyHash)) {
+            "key and body hash are printable ASCII without spaces"
+        }
+    }
+}
+
+/** True when [text] can stand in a record: printable ASCII without spaces, not empty. */
+internal fun isRecordField(text: String): Boolean = text.isNotEmpty() && text.all { it in '!'..'~' }
--- a/core/src/main/kotlin/io/lavenderhinge/core/ledger/LedgerResult.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/ledger/LedgerResult.kt
@@ -3,6 +3,7 @@
 /** Why a request was not run. */
 enum class NotRunReason {
     PLATFORM_UNAVAILABLE,
+    WRITER_UNREACHABLE,
     DEADLINE,
     NEVER_SENT,
 }
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/ledger/ShardCodec.kt
@@ -0,0 +1,73 @@
+package io.lavenderhinge.core.ledger
+
+/** An open record with its encoded line, so that a commit encodes only what changed. */
+internal class EncodedRecord(val record: LedgerRecord) {
+    val line: String = RecordCodec.encode(record)
+}
+
+/** Head value as read: the head and its open records. */
+internal class DecodedHead(val head: ShardHead, val open: List<LedgerRecord>)
+
+/** Segment value as read. */
+internal class DecodedSegment(val id: String, val records: List<LedgerRecord>)
+
+/**
+ * Text form of heads and segments: one line each, fields separated by tabs, numbers in base 36. All
+ * characters are ASCII, so that lengths are sizes in bytes.
+ */
+internal object ShardCodec {
+    private const val HEAD = "ledger-head-1"
+    private const val SEGMENT = "ledger-segment-1"
+    private const val REFERENCE_FIELDS = 5
+
+    fun encodeHead(head: ShardHead, lines: Collection<String>): String = buildString {
+        append(HEAD).field(head.commitId.writerId).field(head.commitId.number)
+        field(head.shardCount.toLong()).field(head.shard.toLong()).field(head.horizonMillis)
+        append('\n')
+        for (segment in head.segments) {
+            append('s').field(segment.id).field(segment.slot.toLong())
+            field(segment.maxKeyTimeMillis).field(segment.sizeBytes.toLong()).append('\n')
+        }
+        for (line in lines) append(line)
+    }
+
+    fun decodeHead(text: String): DecodedHead {
+        val lines = text.split('\n')
+        val fields = lines.first().split('\t')
+        checkInvariant(fields.first() == HEAD) { "not a ledger head: ${fields.first()}" }
+        val segments = lines.filter { it.startsWith("s\t") }.map(::decodeReference)
+        var next = 1
+        val head =
+            ShardHead(
+                CommitId(fields[next++], fields[next++].toLong(RADIX)),
+                fields[next++].toInt(RADIX),
+                fields[next++].toInt(RADIX),
+                fields[next].toLong(RADIX),
+                segments,
+            )
+        return DecodedHead(head, decodeRecords(lines))
+    }
+
+    fun encodeSegment(id: String, lines: Collection<String>): String = buildString {
+        append(SEGMENT).field(id).append('\n')
+        for (line in lines) append(line)
+    }
+
+    /** Null when [text] is no segment. */
+    fun decodeSegment(text: String): DecodedSegment? {
+        val lines = text.split('\n')
+        val fields = lines.first().split('\t')
+        if (fields.first() != SEGMENT) return null
+        return DecodedSegment(fields[1], decodeRecords(lines))
+    }
+
+    private fun decodeReference(line: String): SegmentReference {
+        val fields = line.split('\t')
+        checkInvariant(fields.size == REFERENCE_FIELDS) { "damaged segment reference" }
+        val (slot, time, size) = fields.drop(2)
+        return SegmentReference(fields[1], slot.toInt(RADIX), time.toLong(RADIX), size.toInt(RADIX))
+    }
+
+    private fun decodeRecords(lines: List<String>): List<LedgerRecord> =
+        lines.filter { it.startsWith("r\t") }.map(RecordCodec::decode)
+}
--- /dev/null
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/ledger/FakeLedgerStore.kt
@@ -0,0 +1,111 @@
+package io.lavenderhinge.experiments.ledger
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.lavenderhinge.core.ledger.StoreCall
+import io.lavenderhinge.core.ledger.StoreResult
+import io.lavenderhinge.core.port.StoreFault
+import io.lavenderhinge.core.port.VersionedValue
+import kotlin.random.Random
+
+/**
+ * The platform's key-value service in virtual time, with outages, slow phases and lost answers. A
+ * write whose answer is lost may take effect before, after or not at all.
+ */
+class FakeLedgerStore(private val time: VirtualTime, private val random: Random) {
+    private val values = HashMap<String, VersionedValue>()
+
+    var isDown = false
+    var isSlow = false
+    var lostShareFraction = 0.0
+
+    var writeCount = 0L
+        private set
+
+    var readCount = 0L
+        private set
+
+    var writtenBytes = 0L
+        private set
+
+    var readBytes = 0L
+        private set
+
+    var largestValueBytes = 0
+        private set
+
+    val storedBytes: Long
+        get() = values.values.sumOf { it.value.length.toLong() }
+
+    fun call(call: StoreCall, onResult: (StoreResult) -> Unit) {
+        count(call)
+        if (isDown) {
+            val fault = StoreFault.Unavailable("the stand-in store is down").left()
+            return time.after(REFUSAL_MICROS) { onResult(result(call, fault, fault)) }
+        }
+        val isLost = random.nextDouble() < lostShareFraction
+        if (isLost) return loseAnswer(call, onResult)
+        time.after(delayMicros()) {
+            val done = apply(call)
+            time.after(delayMicros()) { onResult(done) }
+        }
+    }
+
+    private fun loseAnswer(call: StoreCall, onResult: (StoreResult) -> Unit) {
+        val fault = StoreFault.OutcomeUnknown("the stand-in lost the answer").left()
+        val timeoutMicros = 200_000L
+        if (random.nextDouble() < 0.8) {
+            time.after(random.nextLong(6 * timeoutMicros)) { apply(call) }
+        }
+        time.after(timeoutMicros) { onResult(result(call, fault, fault)) }
+    }
+
+    private fun delayMicros(): Long =
+        if (isSlow) random.nextLong(200_000, 2_500_000) else random.nextLong(500, 2_500)
+
+    private fun apply(call: StoreCall): StoreResult =
+        when (call) {
+            is StoreCall.Read -> {
+                val value = values[call.key]
+                readBytes += value?.value?.length ?: 0
+                StoreResult.ReadDone(call.callId, call.shard, value.right())
+            }
+            is StoreCall.Write -> StoreResult.WriteDone(call.callId, call.shard, write(call))
+        }
+
+    private fun write(call: StoreCall.Write): Either<StoreFault, Long> {
+        val current = values[call.key]
+        if ((current?.version ?: 0) != call.expectedVersion) {
+            return StoreFault.Conflict(current).left()
+        }
+        val next = VersionedValue(call.key, call.value, call.expectedVersion + 1)
+        values[call.key] = next
+        return next.version.right()
+    }
+
+    private fun count(call: StoreCall) {
+        when (call) {
+            is StoreCall.Read -> readCount++
+            is StoreCall.Write -> {
+                writeCount++
+                writtenBytes += call.value.length
+                largestValueBytes = maxOf(largestValueBytes, call.value.length)
+            }
+        }
+    }
+
+    private fun result(
+        call: StoreCall,
+        read: Either<StoreFault, VersionedValue?>,
+        write: Either<StoreFault, Long>,
+    ): StoreResult =
+        when (call) {
+            is StoreCall.Read -> StoreResult.ReadDone(call.callId, call.shard, read)
+            is StoreCall.Write -> StoreResult.WriteDone(call.callId, call.shard, write)
+        }
+
+    private companion object {
+        const val REFUSAL_MICROS = 5_000L
+    }
+}
--- /dev/null
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/ledger/LedgerCommand.kt
@@ -0,0 +1,63 @@
+package io.lavenderhinge.experiments.ledger
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.flag
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.double
+import com.github.ajalt.clikt.parameters.types.int
+import com.github.ajalt.clikt.parameters.types.long
+import io.lavenderhinge.core.ledger.LedgerLimits
+
+/** Runs the ledger of many instances in virtual time and checks it against what really ran. */
+class LedgerCommand : CliktCommand(name = "ledger") {
+    private val seed by
+        option(help = "seed of the run, or of the first of --seeds").long().default(1)
+    private val seeds by
+        option(help = "number of randomised runs with small limits").int().default(0)
+    private val duration by option(help = "virtual seconds").int().default(60)
+    private val instances by option().int().default(9)
+    private val requestsPerSecond by option().double().default(40.0)
+    private val faults by option(help = "inject faults").flag()
+    private val retention by option(help = "seconds").int().default(600)
+    private val answerBytes by option().int().default(200)
+    private val sealKib by option(help = "size at which a head is sealed").int().default(16)
+
+    override fun run() {
+        val isClean = if (seeds > 0) runSeeds() else runOne()
+        if (!isClean) throw ProgramResult(1)
+    }
+
+    private fun runOne(): Boolean {
+        val settings =
+            LedgerRunSettings(
+                seed,
+                duration * 1000L,
+                instances,
+                requestsPerSecond,
+                LedgerLimits(sealBytes = sealKib * 1024),
+                faults,
+                retention * 1000L,
+                answerBytes,
+            )
+        echo("seed $seed, $duration s, $instances instances, $requestsPerSecond requests/s")
+        val figures = LedgerSimulation(settings).run()
+        figures.print { echo(it) }
+        return figures.violations.isEmpty()
+    }
+
+    private fun runSeeds(): Boolean {
+        var failed = 0
+        for (next in seed until seed + seeds) {
+            val settings = LedgerRunSettings.randomised(next, duration * 1000L)
+            val figures = LedgerSimulation(settings).run()
+            if (figures.violations.isEmpty()) continue
+            failed++
+            echo("seed $next: ${figures.violations.size} violations")
+            figures.print { echo("  $it") }
+        }
+        echo("seeds $seed to ${seed + seeds - 1}, $duration s each: $failed failed")
+        return failed == 0
+    }
+}
--- /dev/null
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/ledger/VirtualTime.kt
@@ -0,0 +1,37 @@
+package io.lavenderhinge.experiments.ledger
+
+import java.util.PriorityQueue
+
+/** Runs actions in the order of their virtual time; actions at the same time in order of entry. */
+class VirtualTime {
+    private class Entry(val atMicros: Long, val sequence: Long, val action: () -> Unit)
+
+    private val queue = PriorityQueue(compareBy<Entry> { it.atMicros }.thenBy { it.sequence })
+    private var sequence = 0L
+
+    var nowMicros = START_MICROS
+        private set
+
+    val elapsedMillis: Long
+        get() = (nowMicros - START_MICROS) / 1000
+
+    fun after(delayMicros: Long, action: () -> Unit) {
+        queue += Entry(nowMicros + maxOf(0, delayMicros), sequence++, action)
+    }
+
+    fun run(durationMillis: Long) {
+        val endMicros = nowMicros + durationMillis * 1000
+        while (true) {
+            val next = queue.peek()?.takeIf { it.atMicros <= endMicros } ?: break
+            queue.poll()
+            nowMicros = next.atMicros
+            next.action()
+        }
+        nowMicros = endMicros
+    }
+
+    private companion object {
+        /** An epoch time of thirteen digits in milliseconds, as in production. */
+        const val START_MICROS = 1_780_000_000_000_000L
+    }
+}
