--- a/core/src/main/kotlin/io/lavenderhinge/core/ledger/EntryAttempts.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/ledger/EntryAttempts.kt
@@ -86,6 +86,7 @@
     fun cancel(ticket: Long) {
         val attempt = byTicket[ticket] ?: return
         if (attempt.phase != Phase.RESERVING) return
+        byTicket.remove(ticket)
         abandon(attempt)
         sendVoid(attempt)
     }
--- a/core/src/main/kotlin/io/lavenderhinge/core/ledger/ShardWriter.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/ledger/ShardWriter.kt
@@ -15,6 +15,11 @@
     private val store = ShardStore(shard, context, planner, this)
     private val inbox = ArrayDeque<Waiting>()
     private val awaitingRefresh = ArrayList<Waiting>()
+
+    /**
+     * Those for whom the head is being read: a read issued before a message proves nothing for it.
+     */
+    private val refreshing = ArrayList<Waiting>()
     private var staged = Batch()
     private var committing = Batch()
 
@@ -84,8 +89,9 @@
 
     /** Answers all that wait with [outcome]; the shard's records may be dropped afterwards. */
     fun failWaiting(outcome: LedgerOutcome) {
-        val all = takeBatches() + inbox + awaitingRefresh + inquiries.clear()
+        val all = takeBatches() + inbox + awaitingRefresh + refreshing + inquiries.clear()
         inbox.clear()
+        refreshing.clear()
         awaitingRefresh.clear()
         all.forEach { reply(it, outcome) }
     }
@@ -113,8 +119,8 @@
     override fun loaded(isChanged: Boolean) {
         probeAtMillis = null
         if (isChanged) inbox.addAll(0, takeBatches())
-        inbox += awaitingRefresh.map { it.copy(fresh = true) }
-        awaitingRefresh.clear()
+        inbox += refreshing.map { it.copy(fresh = true) }
+        refreshing.clear()
     }
 
     override fun failed(detail: String, nowMillis: Long) {
@@ -144,7 +150,11 @@
         when {
             probeAt != null -> if (nowMillis >= probeAt) store.readHead(nowMillis)
             current == null || store.isStale -> if (waitingCount() > 0) store.readHead(nowMillis)
-            awaitingRefresh.isNotEmpty() -> store.readHead(nowMillis)
+            awaitingRefresh.isNotEmpty() -> {
+                refreshing += awaitingRefresh
+                awaitingRefresh.clear()
+                store.readHead(nowMillis)
+            }
             nowMillis < store.nextWriteAtMillis -> return
             !staged.isEmpty() || inbox.isNotEmpty() || store.wantsExpiry(current, nowMillis) ->
                 store.commit(current, staged.sizeBytes, nowMillis)
@@ -207,7 +217,11 @@
     }
 
     private fun waitingCount(): Int =
-        inbox.size + awaitingRefresh.size + committing.replies.size + staged.replies.size
+        inbox.size +
+            awaitingRefresh.size +
+            refreshing.size +
+            committing.replies.size +
+            staged.replies.size
 
     private fun reply(waiting: Waiting, outcome: LedgerOutcome) {
         val reply = LedgerMessage.Reply(waiting.message.callId, outcome)
--- /dev/null
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/ledger/LedgerService.kt
@@ -0,0 +1,207 @@
+package io.lavenderhinge.instance.ledger
+
+import arrow.core.left
+import io.lavenderhinge.core.ledger.DispatchOutcome
+import io.lavenderhinge.core.ledger.LedgerEffect
+import io.lavenderhinge.core.ledger.LedgerEvent
+import io.lavenderhinge.core.ledger.LedgerLimits
+import io.lavenderhinge.core.ledger.LedgerNode
+import io.lavenderhinge.core.ledger.LedgerRequest
+import io.lavenderhinge.core.ledger.LedgerResult
+import io.lavenderhinge.core.ledger.StoreCall
+import io.lavenderhinge.core.ledger.StoreResult
+import io.lavenderhinge.core.port.KeyValueStore
+import io.lavenderhinge.core.port.StoreFault
+import io.lavenderhinge.instance.control.ControlThread
+import io.lavenderhinge.instance.peer.PeerLinks
+import io.lavenderhinge.protocol.v1.Frame
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.coroutines.cancellation.CancellationException
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.launch
+import org.slf4j.LoggerFactory
+
+/**
+ * Runs the ledger of this instance: executes the effects of [LedgerNode] on the control thread.
+ *
+ * [liveInstanceIds] is called on the control thread and returns the same list object while
+ * membership is unchanged; it contains this instance.
+ */
+class LedgerService(
+    private val control: ControlThread,
+    private val links: PeerLinks,
+    private val store: KeyValueStore,
+    limits: LedgerLimits = LedgerLimits(),
+    liveInstanceIds: () -> List<String>,
+) : Ledger {
+    private class Pending {
+        /** True: dispatch now. False: [result] is there without a dispatch. */
+        val mayDispatch = CompletableDeferred<Boolean>()
+        val result = CompletableDeferred<LedgerResult>()
+    }
+
+    private val lastTicket = AtomicLong()
+
+    // Used by the control thread only.
+    private val node = LedgerNode(links.selfId, limits, control.random, liveInstanceIds)
+    private val pending = HashMap<Long, Pending>()
+    private val events = ArrayDeque<LedgerEvent>()
+    private var isHandling = false
+    private var wakeAtMillis = Long.MAX_VALUE
+
+    /** Attempts whose outcome is not yet known to be in the store. Control thread only. */
+    val openAttemptCount: Int
+        get() = node.openAttemptCount
+
+    init {
+        control.execute {
+            links.onFrame(::received)
+            links.onLinkLost { handle(LedgerEvent.LinkLost(it)) }
+        }
+        control.every(IDLE_WAKE_MILLIS) { handle(LedgerEvent.Wake) }
+    }
+
+    override suspend fun execute(
+        request: LedgerRequest,
+        dispatch: suspend () -> DispatchOutcome,
+    ): LedgerResult {
+        val ticket = lastTicket.incrementAndGet()
+        val waiting = Pending()
+        control.execute {
+            pending[ticket] = waiting
+            handle(LedgerEvent.Begin(ticket, request))
+        }
+        if (awaitDecision(ticket, waiting)) runDispatch(ticket, dispatch)
+        return waiting.result.await()
+    }
+
+    private suspend fun awaitDecision(ticket: Long, waiting: Pending): Boolean =
+        try {
+            waiting.mayDispatch.await()
+        } catch (e: CancellationException) {
+            control.execute { cancelled(ticket, waiting) }
+            throw e
+        }
+
+    /** The caller left before the dispatch was called, whether or not it was allowed meanwhile. */
+    private fun cancelled(ticket: Long, waiting: Pending) {
+        if (!waiting.mayDispatch.isCompleted) {
+            handle(LedgerEvent.Cancel(ticket))
+        } else if (ticket in pending) {
+            val outcome = DispatchOutcome.NeverSent("the caller left before the dispatch")
+            handle(LedgerEvent.Dispatched(ticket, outcome))
+        }
+        pending.remove(ticket)
+    }
+
+    private suspend fun runDispatch(ticket: Long, dispatch: suspend () -> DispatchOutcome) {
+        var outcome: DispatchOutcome = DispatchOutcome.Lost("the dispatch was cancelled")
+        try {
+            outcome = dispatch()
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: Exception) {
+            log.error("ledger: a dispatch failed", e)
+            outcome = DispatchOutcome.Lost("the dispatch failed: ${e.message}")
+        } finally {
+            val ended = LedgerEvent.Dispatched(ticket, outcome)
+            control.execute { handle(ended) }
+        }
+    }
+
+    private fun received(fromInstanceId: String, frame: Frame) {
+        val message =
+            try {
+                LedgerWire.decode(frame)
+            } catch (e: IllegalArgumentException) {
+                log.warn("ledger: malformed message from {}: {}", fromInstanceId, e.message)
+                null
+            }
+        if (message != null) handle(LedgerEvent.Received(fromInstanceId, message))
+    }
+
+    /**
+     * A frame to this instance may be delivered while effects are executed: events wait in line.
+     */
+    private fun handle(event: LedgerEvent) {
+        events += event
+        if (isHandling) return
+        isHandling = true
+        try {
+            while (events.isNotEmpty()) {
+                node.handle(events.removeFirst(), control.nowMillis()).forEach(::guardedExecute)
+            }
+        } finally {
+            isHandling = false
+        }
+        scheduleWake()
+    }
+
+    /** An effect that fails must not keep the others from being executed. */
+    private fun guardedExecute(effect: LedgerEffect) =
+        try {
+            execute(effect)
+        } catch (e: Exception) {
+            log.error("ledger: an effect failed", e)
+        }
+
+    private fun execute(effect: LedgerEffect) {
+        when (effect) {
+            is LedgerEffect.Send ->
+                links.send(effect.toInstanceId, LedgerWire.encode(effect.message))
+            is LedgerEffect.CallStore ->
+                control.scope.launch { handle(LedgerEvent.StoreReplied(call(effect.call))) }
+            is LedgerEffect.Dispatch -> pending[effect.ticket]?.mayDispatch?.complete(true)
+            is LedgerEffect.Finish -> {
+                val waiting = pending.remove(effect.ticket) ?: return
+                waiting.result.complete(effect.result)
+                waiting.mayDispatch.complete(false)
+            }
+            is LedgerEffect.Report ->
+                if (effect.serious) log.error("ledger: {}", effect.text)
+                else log.warn("ledger: {}", effect.text)
+        }
+    }
+
+    private suspend fun call(call: StoreCall): StoreResult =
+        when (call) {
+            is StoreCall.Read -> StoreResult.ReadDone(call.callId, call.shard, read(call))
+            is StoreCall.Write -> StoreResult.WriteDone(call.callId, call.shard, write(call))
+        }
+
+    private suspend fun read(call: StoreCall.Read) =
+        try {
+            store.get(call.key)
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: Exception) {
+            StoreFault.Unavailable("the key-value adapter failed: ${e.message}").left()
+        }
+
+    private suspend fun write(call: StoreCall.Write) =
+        try {
+            store.compareAndSwap(call.key, call.expectedVersion, call.value)
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: Exception) {
+            StoreFault.OutcomeUnknown("the key-value adapter failed: ${e.message}").left()
+        }
+
+    private fun scheduleWake() {
+        val next = node.nextWakeMillis
+        if (next >= wakeAtMillis) return
+        wakeAtMillis = next
+        control.after(maxOf(0, next - control.nowMillis())) {
+            if (wakeAtMillis == next) {
+                wakeAtMillis = Long.MAX_VALUE
+                handle(LedgerEvent.Wake)
+            }
+        }
+    }
+
+    private companion object {
+        /** Lets a shard that another instance took over be dropped from memory. */
+        const val IDLE_WAKE_MILLIS = 1_000L
+        val log = LoggerFactory.getLogger(LedgerService::class.java)
+    }
+}
