--- a/experiments/src/main/kotlin/io/lavenderhinge/experiments/Main.kt
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/Main.kt
@@ -2,6 +2,14 @@
 
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.core.subcommands
+import io.lavenderhinge.experiments.ledger.LedgerCommand
 
 fun main(arguments: Array<String>) =
-    ExperimentsCommand().subcommands(ScheduleCommand(), CompareCommand()).main(arguments)
+    ExperimentsCommand()
+        .subcommands(
+            // One line for each experiment.
+            CompareCommand(),
+            LedgerCommand(),
+            ScheduleCommand(),
+        )
+        .main(arguments)
--- a/standins/src/main/kotlin/io/lavenderhinge/standins/engine/EngineHandler.kt
+++ b/standins/src/main/kotlin/io/lavenderhinge/standins/engine/EngineHandler.kt
@@ -102,7 +102,7 @@
         val tokens = body.path("max_tokens").asInt(DEFAULT_TOKENS)
         val generation = Generation(requestId, marker, tokens)
         state.start(generation, version, messages.sumOf { it.split(' ').size })
-        if (body.path("stream").asBoolean(false)) send(exchange, generation, from = 0)
+        if (body.path("stream").asBoolean(false)) send(exchange, generation, from = 0, resumed = false)
         else respondWhole(exchange, generation)
     }
 
@@ -126,10 +126,15 @@
                     mapOf("error" to "no such stream"),
                     HttpStatus.NOT_FOUND,
                 )
-        send(exchange, generation, exchange.parameter("from")?.toIntOrNull() ?: 0)
+        send(exchange, generation, exchange.parameter("from")?.toIntOrNull() ?: 0, resumed = true)
     }
 
-    private suspend fun send(exchange: HttpExchange, generation: Generation, from: Int) {
+    private suspend fun send(
+        exchange: HttpExchange,
+        generation: Generation,
+        from: Int,
+        resumed: Boolean,
+    ) {
         val writer =
             exchange.startStream(
                 HttpStatus.OK,
@@ -139,8 +144,8 @@
         for (index in from until generation.tokens) {
             generation.produced.first { it > index }
             // A resumed stream is not cut again, so that one fault can be recovered from.
-            if (from == 0 && state.faults.dropAfterTokens == index) return
-            if (from == 0 && state.faults.stallAfterTokens == index) awaitCancellation()
+            if (!resumed && state.faults.dropAfterTokens == index) return
+            if (!resumed && state.faults.stallAfterTokens == index) awaitCancellation()
             writer.write(event(generation, index))
         }
         writer.write("data: [DONE]\n\n".toByteArray())
