Judge a rollout over all routes as well as on each route

Half of the weight now goes to tests over all routes, which still compare each route with the old version on the same route.

Ruled out: one test of pooled counts without routes. A change in the mix of routes between the versions would look like a difference of the versions.

--- a/core/src/main/kotlin/io/lavenderhinge/core/rollout/EvidencePool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/rollout/EvidencePool.kt
@@ -7,8 +7,10 @@
  * All tests of one rollout (each metric on each route), combined into one with one error
  * probability.
  *
- * The weighted sum of e-values is an e-value under any dependence. The weights fall with the order
- * in which routes appear and sum to at most 1, so that the number of routes need not be known.
+ * The weighted sum of e-values is an e-value under any dependence. Half of the weight goes to tests
+ * over all routes, which find a fault that shows on every route from fewer requests; half goes to
+ * single routes, where the weights fall with the order in which routes appear, so that their number
+ * need not be known.
  */
 class EvidencePool(
     private val window: TestWindow,
@@ -18,12 +20,13 @@
     private val tests = LinkedHashMap<String, WeightedTest>()
 
     init {
-        carried.keys.map(::routeOf).distinct().forEach(::addRoute)
+        add(ALL_ROUTES, ALL_ROUTES_WEIGHT)
+        carried.keys.map(::routeOf).distinct().filter { it != ALL_ROUTES }.forEach(::addRoute)
     }
 
     /** Routes that have had traffic. */
     val routes: Set<String>
-        get() = tests.keys.mapTo(LinkedHashSet(), ::routeOf)
+        get() = tests.keys.map(::routeOf).filterTo(LinkedHashSet()) { it != ALL_ROUTES }
 
     /** Logarithm of the combined evidence against the new version. */
     val logEvidence: Double
@@ -32,21 +35,27 @@
             return logSum(weighted.toDoubleArray())
         }
 
-    /** The single test with the most evidence; null before any traffic. */
+    /**
+     * The test with the most weighted evidence; null before any traffic. Its route is [ALL_ROUTES]
+     * for a test over several routes.
+     */
     val strongest: TestResult?
-        get() =
-            tests.entries
+        get() {
+            val single = routes.size == 1
+            return tests.entries
+                .filterNot { single && routeOf(it.key) == ALL_ROUTES }
                 .maxByOrNull { ln(it.value.weight) + it.value.test.logEvidence }
                 ?.let { TestResult(routeOf(it.key), metricOf(it.key), it.value.test.logEvidence) }
+        }
 
     /** Adds the counts of [route] in one interval. */
     fun observe(route: String, counts: RouteCounts, nowMillis: Long) {
         if (testName(route, Metric.ERRORS) !in tests) addRoute(route)
         for (metric in Metric.entries) {
-            tests
-                .getValue(testName(route, metric))
-                .test
-                .observe(Block.of(counts, metric), nowMillis)
+            val block = Block.of(counts, metric)
+            for (scope in listOf(ALL_ROUTES, route)) {
+                tests.getValue(testName(scope, metric)).test.observe(route, block, nowMillis)
+            }
         }
     }
 
@@ -54,22 +63,32 @@
     fun snapshot(): Map<String, Double> = tests.mapValues { it.value.test.logEvidence }
 
     private fun addRoute(route: String) {
-        val order = tests.size / Metric.entries.size
-        val weight = 1.0 / ((order + 1) * (order + 2)) / Metric.entries.size
+        val order = tests.size / Metric.entries.size - 1
+        add(route, (1 - ALL_ROUTES_WEIGHT) / ((order + 1) * (order + 2)))
+    }
+
+    private fun add(route: String, weight: Double) {
         for (metric in Metric.entries) {
             val name = testName(route, metric)
-            tests[name] = WeightedTest(weight, factory.create(metric, window, carried[name]))
+            val test = factory.create(metric, window, carried[name])
+            tests[name] = WeightedTest(weight / Metric.entries.size, test)
         }
     }
 
     private class WeightedTest(val weight: Double, val test: SequentialTest)
 
-    private companion object {
-        fun testName(route: String, metric: Metric) = "${metric.name.lowercase()}:$route"
+    /** Names of tests. */
+    companion object {
+        /** Stands for all routes in the result of a test. */
+        const val ALL_ROUTES = "*"
+        private const val ALL_ROUTES_WEIGHT = 0.5
+
+        private fun testName(route: String, metric: Metric) = "${metric.name.lowercase()}:$route"
 
-        fun routeOf(testName: String) = testName.substringAfter(':')
+        private fun routeOf(testName: String) = testName.substringAfter(':')
 
-        fun metricOf(testName: String) = Metric.valueOf(testName.substringBefore(':').uppercase())
+        private fun metricOf(testName: String) =
+            Metric.valueOf(testName.substringBefore(':').uppercase())
     }
 }
 
--- a/core/src/main/kotlin/io/lavenderhinge/core/rollout/InstanceStatistics.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/rollout/InstanceStatistics.kt
@@ -67,8 +67,7 @@
         )
 
     private fun describe(result: TestResult): String {
-        val counts = byRoute[result.route]?.total ?: RouteCounts()
-        return Statements.describe(result, counts)
+        return Statements.describe(result, byRoute.mapValues { it.value.total })
     }
 
     private fun closeBlock(nowMillis: Long) {
--- a/core/src/main/kotlin/io/lavenderhinge/core/rollout/MoverDecision.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/rollout/MoverDecision.kt
@@ -197,7 +197,5 @@
         )
 
     fun strongest(view: MoverView): String? =
-        view.pool?.strongest?.let {
-            Statements.describe(it, view.inStep[it.route] ?: RouteCounts())
-        }
+        view.pool?.strongest?.let { Statements.describe(it, view.inStep) }
 }
--- a/core/src/main/kotlin/io/lavenderhinge/core/rollout/Statements.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/rollout/Statements.kt
@@ -21,12 +21,20 @@
         "${plan.name}: ${plan.target.name} ${plan.fromVersion} -> ${plan.toVersion}: stopped, " +
             "no request goes to ${plan.toVersion}; ${flag.evidence}"
 
-    /** One test with its counts. */
-    fun describe(result: TestResult, counts: RouteCounts): String {
+    /** One test with the counts of its routes. */
+    fun describe(result: TestResult, byRoute: Map<String, RouteCounts>): String {
+        val counts =
+            if (result.route == EvidencePool.ALL_ROUTES) {
+                byRoute.values.fold(RouteCounts(), RouteCounts::plus)
+            } else {
+                byRoute[result.route] ?: RouteCounts()
+            }
         val event = if (result.metric == Metric.ERRORS) "errors" else "slow requests"
         val new = counts.new.eventsOf(result.metric)
         val old = counts.old.eventsOf(result.metric)
-        return "route ${result.route}, $event: new version $new of ${counts.new.requests}, " +
+        val scope =
+            if (result.route == EvidencePool.ALL_ROUTES) "all routes" else "route ${result.route}"
+        return "$scope, $event: new version $new of ${counts.new.requests}, " +
             "old version $old of ${counts.old.requests} in this step; odds ${result.odds}"
     }
 
--- a/core/src/main/kotlin/io/lavenderhinge/core/rollout/TwoSampleEvidence.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/rollout/TwoSampleEvidence.kt
@@ -21,7 +21,7 @@
  */
 class TwoSampleEvidence(
     private val toleranceFraction: Double,
-    priorRate: Double,
+    private val priorRate: Double,
     private val window: TestWindow,
     carriedLogEvidence: Double? = null,
 ) : SequentialTest {
@@ -32,16 +32,16 @@
     private val restartMillis =
         max(MIN_RESTART_MILLIS, (window.deadlineMillis - window.startMillis) / RESTARTS)
     private var nextRestart: Int? = null
-    private var oldEvents = priorRate * PRIOR_REQUESTS
-    private var oldRequests = PRIOR_REQUESTS
+    private val oldRates = HashMap<String, OldRate>()
 
     override val logEvidence: Double
         get() = logSum(logWealth)
 
-    override fun observe(block: Block, nowMillis: Long) {
+    override fun observe(route: String, block: Block, nowMillis: Long) {
         startDueAlternatives(nowMillis)
-        if (block.oldRequests > 0 && block.newRequests > 0) score(block)
-        learnOldRate(block)
+        val known = oldRates.getOrPut(route) { OldRate(priorRate) }
+        if (block.oldRequests > 0 && block.newRequests > 0) score(block, known.rate)
+        known.learn(block)
     }
 
     // A starting time missed while no mover ran is forfeited: its weight must not be used later,
@@ -55,8 +55,7 @@
         for (i in logWealth.indices) logWealth[i] = logAdd(logWealth[i], weight)
     }
 
-    private fun score(block: Block) {
-        val oldRate = (oldEvents / oldRequests).coerceIn(MIN_RATE, MAX_OLD_RATE)
+    private fun score(block: Block, oldRate: Double) {
         val nullRate = min(oldRate + toleranceFraction, MAX_NULL_RATE)
         for (i in EFFECTS.indices) {
             val newRate = min(nullRate + EFFECTS[i] * (1 - nullRate), MAX_RATE)
@@ -86,14 +85,6 @@
         return (low + high) / 2
     }
 
-    private fun learnOldRate(block: Block) {
-        oldEvents += block.oldEvents
-        oldRequests += block.oldRequests
-        if (oldRequests <= MEMORY_REQUESTS) return
-        oldEvents *= MEMORY_REQUESTS / oldRequests
-        oldRequests = MEMORY_REQUESTS
-    }
-
     /** Constants of the test. */
     companion object {
         /** Later starting times that share the half of the weight that does not start at once. */
@@ -121,10 +112,6 @@
         private const val MIN_RESTART_MILLIS = 30_000L
         private const val ERROR_PRIOR = 0.002
         private const val SLOW_PRIOR = 0.05
-        private const val PRIOR_REQUESTS = 50.0
-        private const val MEMORY_REQUESTS = 20_000.0
-        private const val MIN_RATE = 1e-4
-        private const val MAX_OLD_RATE = 0.9
         private const val MAX_NULL_RATE = 0.95
         private const val MAX_RATE = 0.999
         private const val BISECTIONS = 30
