--- a/experiments/src/main/kotlin/io/lavenderhinge/experiments/Main.kt
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/Main.kt
@@ -3,6 +3,7 @@
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.core.subcommands
 import io.lavenderhinge.experiments.ledger.LedgerCommand
+import io.lavenderhinge.experiments.rollout.RolloutCommand
 
 fun main(arguments: Array<String>) =
     ExperimentsCommand()
@@ -10,6 +11,7 @@
             // One line for each experiment.
             CompareCommand(),
             LedgerCommand(),
+            RolloutCommand(),
             ScheduleCommand(),
         )
         .main(arguments)
