Add lavenderhingectl

A sidecar file keeps the revisions that a directory was saved from, because a read at the start of apply alone would let an old copy undo what another operator applied since.

--- a/core/src/main/kotlin/io/lavenderhinge/core/settings/Bootstrap.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/Bootstrap.kt
@@ -6,6 +6,12 @@
 /** An IP address and a port. */
 data class Address(val ip: String, val port: Int) {
     override fun toString(): String = if (':' in ip) "[$ip]:$port" else "$ip:$port"
+
+    companion object {
+        /** Parses `ip:port` or `http://ip:port`; null when [text] is neither. */
+        fun parse(text: String): Address? =
+            UrlType.read(text).getOrNull() ?: AddressType.read(text).getOrNull()
+    }
 }
 
 /** Who an instance is. */
--- /dev/null
+++ b/ctl/src/main/kotlin/io/lavenderhinge/ctl/ApplyReport.kt
@@ -0,0 +1,97 @@
+package io.lavenderhinge.ctl
+
+import io.lavenderhinge.core.settings.StoredSettings
+
+/** Words the outcomes of `apply`. */
+internal object ApplyReport {
+    // The gravest outcome decides: an unknown one asks for the most attention.
+    private val gravest =
+        listOf(ExitCode.UNKNOWN, ExitCode.CONFLICT, ExitCode.UNREACHABLE, ExitCode.DONE)
+
+    fun of(outcomes: List<ApplyOutcome>): Report {
+        val exits = outcomes.map(::exit) + ExitCode.DONE
+        return Report(
+            outcomes.flatMap(::lines),
+            mapOf("teams" to outcomes.map(::json)),
+            gravest.first { it in exits },
+        )
+    }
+
+    private fun exit(outcome: ApplyOutcome): ExitCode =
+        when (outcome) {
+            is ApplyOutcome.Applied,
+            is ApplyOutcome.Outdated,
+            is ApplyOutcome.Unchanged -> ExitCode.DONE
+            is ApplyOutcome.Conflict -> ExitCode.CONFLICT
+            is ApplyOutcome.Unreachable -> ExitCode.UNREACHABLE
+            is ApplyOutcome.Unknown -> ExitCode.UNKNOWN
+        }
+
+    private fun lines(outcome: ApplyOutcome): List<Line> {
+        val team = "team ${outcome.team}"
+        return when (outcome) {
+            is ApplyOutcome.Applied ->
+                listOfNotNull(
+                    Line("$team: applied ${Phrases.applied(outcome.settings)}", Mood.GOOD),
+                    Line("  the history was not written; the next apply adds it", Mood.CAUTION)
+                        .takeIf { !outcome.historyWritten },
+                )
+            is ApplyOutcome.Unchanged -> listOf(Line("$team: unchanged"))
+            is ApplyOutcome.Outdated ->
+                listOf(
+                    Line(
+                        "$team: this file is an old copy without changes; " +
+                            "${Phrases.applied(outcome.stored)} stays",
+                        Mood.CAUTION,
+                    )
+                )
+            is ApplyOutcome.Conflict -> conflict(outcome)
+            is ApplyOutcome.Unreachable ->
+                listOf(Line("$team: not applied: ${outcome.message}; run apply again", Mood.BAD))
+            is ApplyOutcome.Unknown ->
+                listOf(
+                    Line(
+                        "$team: may or may not be applied: ${outcome.message}; run diff, and " +
+                            "apply again if it shows differences",
+                        Mood.BAD,
+                    )
+                )
+        }
+    }
+
+    private fun conflict(outcome: ApplyOutcome.Conflict): List<Line> {
+        val theirs = outcome.theirs
+        val heading = "team ${outcome.team}: conflict, not applied: ${theirChange(theirs)}"
+        val changes =
+            if (theirs == null) emptyList()
+            else Phrases.changes(outcome.base?.text.orEmpty(), theirs.text).map { Line("  $it") }
+        val remedy =
+            Line(
+                "  to go on: `show --save OTHER_DIR`, put your change into that text, then " +
+                    "`diff OTHER_DIR` and `apply OTHER_DIR`"
+            )
+        return listOf(Line(heading, Mood.BAD)) + changes + remedy
+    }
+
+    private fun theirChange(theirs: StoredSettings?) =
+        theirs?.let { "another operator stored ${Phrases.applied(it)}" }
+            ?: "the stored text changed and cannot be read"
+
+    private fun json(outcome: ApplyOutcome): Map<String, Any?> {
+        val outcomeName = outcome::class.simpleName.orEmpty().lowercase()
+        val stored =
+            when (outcome) {
+                is ApplyOutcome.Applied -> outcome.settings
+                is ApplyOutcome.Outdated -> outcome.stored
+                is ApplyOutcome.Conflict -> outcome.theirs
+                else -> null
+            }
+        return mapOf(
+            "team" to outcome.team,
+            "outcome" to outcomeName,
+            "revision" to stored?.revision,
+            "author" to stored?.author,
+            "appliedAtMillis" to stored?.appliedAtMillis,
+        )
+    }
+}
--- /dev/null
+++ b/ctl/src/main/kotlin/io/lavenderhinge/ctl/CtlCommand.kt
@@ -0,0 +1,42 @@
+package io.lavenderhinge.ctl
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.parameters.options.convert
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.required
+import com.github.ajalt.clikt.parameters.types.enum
+import io.lavenderhinge.core.settings.Address
+import kotlinx.coroutines.runBlocking
+
+/** A command with the option that all of them have. */
+abstract class CtlCommand(name: String, private val help: String) : CliktCommand(name) {
+    private val output by
+        option("--output", help = "form of the output")
+            .enum<Output> { it.name.lowercase() }
+            .default(Output.TEXT)
+
+    override fun help(context: Context): String = help
+
+    override fun run() = runBlocking { report() }.finish(this, output)
+
+    /** Carries the command out. */
+    protected abstract suspend fun report(): Report
+}
+
+/** A command that uses the key-value service. */
+abstract class StoreCommand(name: String, help: String, protected val environment: Environment) :
+    CtlCommand(name, help) {
+    private val keyValue by
+        option(
+                "--key-value",
+                envvar = "LAVENDERHINGE_KEY_VALUE",
+                help = "URL of the platform's key-value service, http://ip:port",
+            )
+            .convert { Address.parse(it) ?: fail("$it is not http://ip:port") }
+            .required()
+
+    /** The key-value service of the command line. */
+    protected val store by lazy { environment.store(keyValue) }
+}
--- /dev/null
+++ b/ctl/src/main/kotlin/io/lavenderhinge/ctl/DirectoryArgument.kt
@@ -0,0 +1,10 @@
+package io.lavenderhinge.ctl
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.types.path
+
+/** The argument DIR: an existing directory. */
+internal fun CliktCommand.directoryArgument() =
+    argument("DIR", help = "directory with one TEAM.ini for each team")
+        .path(mustExist = true, canBeFile = false)
--- /dev/null
+++ b/ctl/src/main/kotlin/io/lavenderhinge/ctl/ExitCode.kt
@@ -0,0 +1,12 @@
+package io.lavenderhinge.ctl
+
+/** Exit codes of the tool; [meaning] is shown in its help. */
+enum class ExitCode(val code: Int, val meaning: String) {
+    DONE(0, "done"),
+    USAGE(1, "wrong usage"),
+    INVALID(2, "the settings are invalid; nothing was written"),
+    CONFLICT(3, "another operator changed the settings; nothing of the named team was written"),
+    UNREACHABLE(4, "the key-value service or an instance could not be reached"),
+    UNKNOWN(5, "the answer to a write was lost and could not be read back; run `diff`"),
+    DIFFERENT(6, "`diff` found differences, or `status` a domain or text that is behind"),
+}
--- /dev/null
+++ b/ctl/src/main/kotlin/io/lavenderhinge/ctl/ExplainCommand.kt
@@ -0,0 +1,47 @@
+package io.lavenderhinge.ctl
+
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.options.convert
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.required
+import io.lavenderhinge.adapters.Json
+import io.lavenderhinge.core.settings.Address
+import java.net.URLEncoder
+
+/** `explain TEAM ROUTE WORKSPACE`: where a request would go, and why. */
+class ExplainCommand(private val environment: Environment) :
+    CtlCommand("explain", "Tells where a request of a route and workspace would go, and why.") {
+    private val operator by
+        option(
+                "--operator",
+                envvar = "LAVENDERHINGE_OPERATOR",
+                help = "operator port of the instance to ask, ip:port",
+            )
+            .convert { Address.parse(it) ?: fail("$it is not ip:port") }
+            .required()
+    private val team by argument("TEAM")
+    private val route by argument("ROUTE")
+    private val workspace by argument("WORKSPACE")
+
+    override suspend fun report(): Report {
+        val query = "team=${encode(team)}&route=${encode(route)}&workspace=${encode(workspace)}"
+        val answer =
+            environment.operatorGet(operator, "/explain", query)
+                ?: return Report.fault(
+                    "the instance at $operator does not answer; check --operator",
+                    ExitCode.UNREACHABLE,
+                )
+        val body = Json.parseOrNull(answer.body.toByteArray())
+        if (answer.status != STATUS_OK || body == null) {
+            val message = "the instance at $operator answered ${answer.status}: ${answer.body}"
+            return Report.fault(message, ExitCode.UNREACHABLE)
+        }
+        return Report(OperatorText.lines(body).map { Line(it) }, mapOf("explanation" to body))
+    }
+
+    private fun encode(text: String) = URLEncoder.encode(text, Charsets.UTF_8)
+
+    private companion object {
+        const val STATUS_OK = 200
+    }
+}
--- /dev/null
+++ b/ctl/src/main/kotlin/io/lavenderhinge/ctl/History.kt
@@ -0,0 +1,43 @@
+package io.lavenderhinge.ctl
+
+import io.lavenderhinge.adapters.StoredSettingsCodec
+import io.lavenderhinge.core.port.KeyValueStore
+import io.lavenderhinge.core.settings.StoredSettings
+
+/** Keeps the applied revisions of each team, newest first. */
+class History(private val store: KeyValueStore) {
+    /**
+     * Adds [applied], and [previous] when an earlier run did not get to write it. Returns false
+     * when the history could not be written; what was applied stays applied.
+     */
+    suspend fun add(team: String, applied: StoredSettings, previous: StoredSettings?): Boolean {
+        repeat(ATTEMPTS) {
+            val current =
+                store
+                    .get(PREFIX + team)
+                    .fold(
+                        {
+                            return false
+                        },
+                        { it },
+                    )
+            val entries = StoredSettingsCodec.decodeHistory(current?.value ?: "[]")
+            val merged =
+                (listOfNotNull(applied, previous) + entries)
+                    .distinctBy { it.revision }
+                    .sortedByDescending { it.revision }
+            if (merged == entries) return true
+            val value = StoredSettingsCodec.encodeHistory(merged)
+            val written = store.compareAndSwap(PREFIX + team, current?.version ?: 0, value)
+            if (written.isRight()) return true
+        }
+        return false
+    }
+
+    companion object {
+        const val PREFIX = "history/"
+
+        // A conflict or lost answer is followed by a fresh read, so a few attempts are enough.
+        private const val ATTEMPTS = 5
+    }
+}
--- /dev/null
+++ b/ctl/src/main/kotlin/io/lavenderhinge/ctl/HistoryCommand.kt
@@ -0,0 +1,47 @@
+package io.lavenderhinge.ctl
+
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.long
+import io.lavenderhinge.core.settings.StoredSettings
+
+/** `history TEAM`: who applied what, newest first. */
+class HistoryCommand(environment: Environment) :
+    StoreCommand("history", "Shows who applied what to a team, newest first.", environment) {
+    private val team by argument("TEAM")
+    private val revision by
+        option("--revision", metavar = "N", help = "prints the text of this revision").long()
+
+    override suspend fun report(): Report {
+        val entries =
+            StoredTree(store)
+                .history(team)
+                .fold(
+                    {
+                        return Report.fault(it.message, it.exit)
+                    },
+                    { it },
+                )
+        val wanted = revision ?: return Report(lines(entries), mapOf("entries" to entries))
+        val entry =
+            entries.firstOrNull { it.revision == wanted }
+                ?: return Report.fault(
+                    "the history of $team does not hold revision $wanted; it holds " +
+                        "${entries.lastOrNull()?.revision} to ${entries.firstOrNull()?.revision}",
+                    ExitCode.USAGE,
+                )
+        return Report(listOf(Line(entry.text.trimEnd())), mapOf("entry" to entry))
+    }
+
+    private fun lines(entries: List<StoredSettings>): List<Line> =
+        entries
+            .flatMapIndexed { index, entry ->
+                val before = entries.getOrNull(index + 1)
+                val changes =
+                    // The oldest entry has nothing to be compared with once older ones are gone.
+                    if (before == null && entry.revision > 1) emptyList()
+                    else Phrases.changes(before?.text.orEmpty(), entry.text)
+                listOf(Line(Phrases.applied(entry))) + changes.map { Line("  $it") }
+            }
+            .ifEmpty { listOf(Line("nothing was applied to $team")) }
+}
--- /dev/null
+++ b/ctl/src/main/kotlin/io/lavenderhinge/ctl/Main.kt
@@ -0,0 +1,21 @@
+package io.lavenderhinge.ctl
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.core.subcommands
+
+/** The tool with its subcommands. */
+fun ctl(environment: Environment): CliktCommand =
+    CtlRoot()
+        .subcommands(
+            ValidateCommand(environment),
+            DiffCommand(environment),
+            ApplyCommand(environment),
+            ShowCommand(environment),
+            HistoryCommand(environment),
+            StatusCommand(environment),
+            ExplainCommand(environment),
+        )
+
+fun main(arguments: Array<String>) =
+    SystemEnvironment().use { environment -> ctl(environment).main(arguments) }
--- /dev/null
+++ b/ctl/src/main/kotlin/io/lavenderhinge/ctl/ShowCommand.kt
@@ -0,0 +1,56 @@
+package io.lavenderhinge.ctl
+
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.arguments.optional
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.path
+import kotlin.io.path.createDirectories
+
+/** `show`: the stored texts. */
+class ShowCommand(environment: Environment) :
+    StoreCommand(
+        "show",
+        "Shows the stored settings, or saves them to files to edit.",
+        environment,
+    ) {
+    private val team by argument("TEAM", help = "only this team").optional()
+    private val save by
+        option("--save", metavar = "DIR", help = "writes TEAM.ini files to DIR")
+            .path(canBeFile = false)
+
+    override suspend fun report(): Report {
+        val stored =
+            StoredTree(store)
+                .read()
+                .fold(
+                    {
+                        return Report.fault(it.message, it.exit)
+                    },
+                    { it },
+                )
+        val teams = stored.values.filter { team == null || it.team == team }
+        if (team != null && teams.isEmpty()) {
+            val known = stored.keys.joinToString().ifEmpty { "none" }
+            return Report.fault("there is no team $team; stored are: $known", ExitCode.USAGE)
+        }
+        val saved = save?.let { save(SettingsDirectory(it.createDirectories()), teams) }
+        val lines = saved ?: teams.flatMap(::lines)
+        return Report(
+            lines.ifEmpty { listOf(Line("no team is stored")) },
+            mapOf("teams" to teams.associate { it.team to it.settings }),
+        )
+    }
+
+    private fun save(directory: SettingsDirectory, teams: List<StoredTeam>): List<Line> {
+        val present = teams.filter { it.settings.text.isNotBlank() }
+        present.forEach { directory.write(it.team, it.settings.text) }
+        directory.saveBase(present.associate { it.team to it.settings.revision })
+        return present.map { Line("saved ${it.team}.ini: ${Phrases.applied(it.settings)}") }
+    }
+
+    private fun lines(team: StoredTeam): List<Line> {
+        val removed = if (team.settings.text.isBlank()) " (removed)" else ""
+        return listOf(Line("# team ${team.team}: ${Phrases.applied(team.settings)}$removed")) +
+            team.settings.text.trimEnd().lines().map { Line(it) }
+    }
+}
--- /dev/null
+++ b/ctl/src/main/kotlin/io/lavenderhinge/ctl/StatusStatements.kt
@@ -0,0 +1,102 @@
+package io.lavenderhinge.ctl
+
+import com.fasterxml.jackson.databind.JsonNode
+import io.lavenderhinge.adapters.Json
+import io.lavenderhinge.core.settings.TreeHash
+
+/** Words what is stored and what the failure domains state, in plain sentences. */
+internal class StatusStatements(
+    private val stored: Map<String, StoredTeam>,
+    private val nowMillis: Long,
+) {
+    private val revisions = stored.mapValues { it.value.settings.revision }
+    private val treeHash = TreeHash.of(revisions).toString(HASH_RADIX)
+
+    /** What is stored of each team. */
+    fun teams(): List<Line> =
+        stored.values.map {
+            val removed = if (it.settings.text.isBlank()) ", removed" else ""
+            Line("team ${it.team}: ${Phrases.applied(it.settings)}$removed")
+        }
+
+    /** What is in force in each failure domain, from the values of `status/settings/`. */
+    fun domains(values: Collection<String>): List<Line> =
+        values
+            .mapNotNull { Json.parseOrNull(it.toByteArray()) }
+            .flatMap(::domain)
+            .ifEmpty {
+                listOf(Line("no failure domain has stated what is in force yet", Mood.CAUTION))
+            }
+
+    /** Statements of other parts, such as rollouts, by topic. */
+    fun others(values: Map<String, String>): List<Line> =
+        values.flatMap { (topic, value) ->
+            val node = Json.parseOrNull(value.toByteArray())
+            when {
+                node == null -> listOf(Line("$topic: $value"))
+                node.isValueNode -> listOf(Line("$topic: ${node.asText()}"))
+                else -> listOf(Line("$topic:")) + OperatorText.lines(node, "  ").map { Line(it) }
+            }
+        }
+
+    private fun domain(node: JsonNode): List<Line> {
+        val name = "failure domain ${node.path("failureDomain").asText()}"
+        val ageSeconds = (nowMillis - node.path("atMillis").asLong()) / MILLIS_PER_SECOND
+        val rejected = node.path("rejected").flatMap { rejected(name, it) }
+        val statement =
+            when {
+                ageSeconds > STALE_SECONDS ->
+                    Line(
+                        "$name: no statement for $ageSeconds s; it is cut off from the " +
+                            "key-value service or down",
+                        Mood.BAD,
+                    )
+                node.path("treeHash").asText() == treeHash -> agreeing(name, node, ageSeconds)
+                else ->
+                    Line(
+                        "$name: not all is in force yet ($ageSeconds s ago): " + behind(node),
+                        Mood.CAUTION,
+                    )
+            }
+        return listOf(statement) + rejected
+    }
+
+    private fun agreeing(name: String, node: JsonNode, ageSeconds: Long): Line {
+        val instances = node.path("instances").asInt()
+        val agreeing = node.path("agreeing").asInt()
+        return Line(
+            "$name: every stored revision is in force, confirmed by $agreeing of $instances " +
+                "instances ($ageSeconds s ago)",
+            Mood.GOOD,
+        )
+    }
+
+    private fun behind(node: JsonNode): String {
+        val teams = node.path("teams")
+        if (!teams.isObject) return "it holds other revisions"
+        return revisions
+            .filter { (team, revision) -> teams.path(team).asLong() != revision }
+            .map { (team, revision) ->
+                "$team has revision ${teams.path(team).asLong()}, stored is $revision"
+            }
+            .joinToString("; ")
+    }
+
+    private fun rejected(name: String, node: JsonNode): List<Line> =
+        listOf(
+            Line(
+                "$name: team ${node.path("team").asText()} revision " +
+                    "${node.path("revision").asLong()} is stored but invalid; the one " +
+                    "before it stays in force; apply a corrected text",
+                Mood.BAD,
+            )
+        ) + node.path("faults").map { Line("  ${it.asText()}", Mood.BAD) }
+
+    private companion object {
+        const val HASH_RADIX = 16
+        const val MILLIS_PER_SECOND = 1_000L
+
+        // Domains repeat their statement every 60 s.
+        const val STALE_SECONDS = 150
+    }
+}
--- /dev/null
+++ b/ctl/src/test/kotlin/io/lavenderhinge/ctl/FakeEnvironment.kt
@@ -0,0 +1,109 @@
+package io.lavenderhinge.ctl
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import com.github.ajalt.clikt.testing.CliktCommandTestResult
+import com.github.ajalt.clikt.testing.test
+import io.lavenderhinge.core.port.KeyValueStore
+import io.lavenderhinge.core.port.Lease
+import io.lavenderhinge.core.port.StoreFault
+import io.lavenderhinge.core.port.VersionedValue
+import io.lavenderhinge.core.port.WatchResult
+import io.lavenderhinge.core.settings.Address
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlin.io.path.writeText
+import kotlinx.collections.immutable.toImmutableList
+
+/** Key-value service in memory; [beforeSwap] and [swapFault] inject what goes wrong. */
+internal class FakeStore : KeyValueStore {
+    val entries = sortedMapOf<String, VersionedValue>()
+    var isDown = false
+    var failReads = false
+    /** Runs once before the next compare-and-swap; another operator's write, for example. */
+    var beforeSwap: (() -> Unit)? = null
+    /** What becomes of the next swap of a key with this prefix: lost before or after it landed. */
+    var lostAnswer: LostAnswer? = null
+    private var revision = 0L
+
+    enum class LostAnswer {
+        BEFORE_WRITE,
+        AFTER_WRITE,
+    }
+
+    fun put(key: String, value: String) {
+        entries[key] = VersionedValue(key, value, ++revision)
+    }
+
+    override suspend fun get(key: String) = unlessDown { entries[key] }
+
+    override suspend fun list(prefix: String) = unlessDown {
+        entries.values.filter { it.key.startsWith(prefix) }.toImmutableList()
+    }
+
+    override suspend fun compareAndSwap(
+        key: String,
+        expectedVersion: Long,
+        value: String,
+        leaseId: String?,
+    ): Either<StoreFault, Long> {
+        beforeSwap?.also { beforeSwap = null }?.invoke()
+        if (isDown) return StoreFault.Unavailable("connection refused").left()
+        val lost = lostAnswer.also { lostAnswer = null }
+        val unknown = StoreFault.OutcomeUnknown("the answer was lost").left()
+        if (lost == LostAnswer.BEFORE_WRITE) return unknown
+        val current = entries[key]
+        if ((current?.version ?: 0) != expectedVersion) return StoreFault.Conflict(current).left()
+        put(key, value)
+        return if (lost == LostAnswer.AFTER_WRITE) unknown else revision.right()
+    }
+
+    override suspend fun watch(
+        prefix: String,
+        afterRevision: Long,
+        waitMillis: Long,
+    ): Either<StoreFault, WatchResult> = error("the tool does not watch")
+
+    override suspend fun grantLease(timeToLiveMillis: Long): Either<StoreFault, Lease> =
+        error("the tool takes no lease")
+
+    override suspend fun renewLease(leaseId: String): Either<StoreFault, Lease> =
+        error("the tool takes no lease")
+
+    private fun <T> unlessDown(value: () -> T): Either<StoreFault, T> =
+        if (isDown || failReads) StoreFault.Unavailable("connection refused").left()
+        else value().right()
+}
+
+internal class FakeEnvironment(val store: FakeStore = FakeStore()) : Environment {
+    val operators = mutableMapOf<String, OperatorAnswer>()
+    var nowMillis = 1_796_000_000_000L
+
+    override fun store(address: Address): KeyValueStore = store
+
+    override suspend fun operatorGet(address: Address, path: String, query: String) =
+        operators[if (query.isEmpty()) path else "$path?$query"]
+
+    override fun nowMillis(): Long = nowMillis
+
+    override fun userName(): String = "anna"
+
+    /** Runs the tool with [arguments]; `DIR` stands for [directory]. */
+    fun run(arguments: String, directory: Path? = null): CliktCommandTestResult =
+        ctl(this)
+            .test(
+                arguments.split(' ').map { if (it == "DIR") "$directory" else it },
+                envvars = mapOf("LAVENDERHINGE_KEY_VALUE" to "http://127.0.0.1:1"),
+            )
+}
+
+/** A new directory with [files] by name. */
+internal fun directoryOf(vararg files: Pair<String, String>): Path =
+    Files.createTempDirectory("settings").also { directory ->
+        directory.toFile().deleteOnExit()
+        files.forEach { (name, text) -> directory.resolve(name).writeText(text) }
+    }
+
+internal fun team(name: String, version: String = "1") =
+    "[team]\nname = $name\n[service.s]\nversion = $version\n"
