--- a/core/src/test/kotlin/io/lavenderhinge/core/scheduling/HomeFixture.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/scheduling/HomeFixture.kt
@@ -19,6 +19,7 @@
     var nowMillis = 0L
     val home = Home("s", FixedLimit(slots), HomeSettings(queueCapacity = queueCapacity))
 
+    @Suppress("LongParameterList")
     fun ask(
         id: String,
         tier: Tier = Tier.STANDARD,
