--- a/core/src/main/kotlin/io/lavenderhinge/core/routing/EntryRouter.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/routing/EntryRouter.kt
@@ -30,7 +30,10 @@
     private val refusals = RefusalPolicy(settings, random)
     private val pending = LinkedHashMap<String, PendingRequest>()
     private val held = HeldSlots(settings, directory, selection, ::send)
-    private var askNumber = 0L
+    private val requestByAsk = HashMap<String, String>()
+
+    // Slots of an earlier process under the same instance id must not be taken for its own.
+    private var askNumber = random.nextLong(1L shl ASK_NUMBER_BITS)
     private var isClosed = false
     private val effects = ArrayList<EntryEffect>()
 
@@ -98,6 +101,7 @@
             return advance(waiting, nowMillis)
         }
         val ask = slotAsk(waiting, mayPreempt)
+        requestByAsk[ask.askId] = waiting.request.requestId
         waiting.asks[ask.askId] = OpenAsk(ask, serverId, homeId, nowMillis)
         send(homeId, serverId, HomeEvent.Asked(ask))
     }
@@ -105,7 +109,8 @@
     private fun slotAsk(waiting: PendingRequest, mayPreempt: Boolean): SlotAsk {
         val request = waiting.request
         return SlotAsk(
-            askId = "${request.requestId}/${askNumber++}",
+            // Short, because it is in every message about the request.
+            askId = (askNumber++).toString(Character.MAX_RADIX),
             entryId = selfId,
             tier = request.tier,
             workspace = request.workspace,
@@ -160,8 +165,7 @@
     }
 
     private fun answered(event: EntryEvent.HomeAnswered, nowMillis: Long) {
-        val requestId = event.message.askId.substringBeforeLast('/')
-        val waiting = pending[requestId]
+        val waiting = requestByAsk[event.message.askId]?.let { pending[it] }
         val ask = waiting?.asks?.get(event.message.askId)
         when (val message = event.message) {
             is HomeEffect.Grant ->
@@ -172,16 +176,13 @@
             is HomeEffect.Refuse ->
                 if (waiting != null && ask != null) refused(waiting, ask, message, nowMillis)
             is HomeEffect.Preempt ->
-                if (held.holds(requestId, message.askId)) {
-                    effects += EntryEffect.Preempted(requestId)
-                }
+                held.requestOf(message.askId)?.let { effects += EntryEffect.Preempted(it) }
         }
     }
 
     /** A grant for an ask that was withdrawn meanwhile. */
     private fun rejectGrant(event: EntryEvent.HomeAnswered) {
-        val requestId = event.message.askId.substringBeforeLast('/')
-        if (held.holds(requestId, event.message.askId)) return
+        if (held.requestOf(event.message.askId) != null) return
         send(event.homeId, event.serverId, HomeEvent.Released(event.message.askId))
     }
 
@@ -192,7 +193,7 @@
         nowMillis: Long,
     ) {
         val request = waiting.request
-        waiting.asks.remove(ask.ask.askId)
+        forget(waiting, ask)
         pending.remove(request.requestId)
         releaseAsks(waiting)
         val book = selection[ask.serverId]
@@ -236,7 +237,7 @@
         message: HomeEffect.Refuse,
         nowMillis: Long,
     ) {
-        waiting.asks.remove(ask.ask.askId)
+        forget(waiting, ask)
         waiting.refusals[ask.serverId] = message
         val book = selection[ask.serverId]
         when (message.reason) {
@@ -267,7 +268,7 @@
         for (waiting in pending.values.toList()) {
             for (ask in waiting.asks.values.toList()) {
                 if (!isLost(ask) && directory.homeOf(ask.serverId) == ask.homeId) continue
-                waiting.asks.remove(ask.ask.askId)
+                forget(waiting, ask)
                 if (!isLost(ask)) release(ask)
             }
             advance(waiting, nowMillis)
@@ -315,8 +316,15 @@
     }
 
     private fun releaseAsks(waiting: PendingRequest) {
-        for (ask in waiting.asks.values) release(ask)
-        waiting.asks.clear()
+        for (ask in waiting.asks.values.toList()) {
+            forget(waiting, ask)
+            release(ask)
+        }
+    }
+
+    private fun forget(waiting: PendingRequest, ask: OpenAsk) {
+        waiting.asks.remove(ask.ask.askId)
+        requestByAsk.remove(ask.ask.askId)
     }
 
     private fun release(ask: OpenAsk) =
@@ -325,4 +333,8 @@
     private fun send(homeId: String, serverId: String, event: HomeEvent) {
         effects += EntryEffect.Send(homeId, serverId, event)
     }
+
+    private companion object {
+        const val ASK_NUMBER_BITS = 30
+    }
 }
--- a/core/src/main/kotlin/io/lavenderhinge/core/routing/HeldSlots.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/routing/HeldSlots.kt
@@ -13,23 +13,26 @@
     private val send: (homeId: String, serverId: String, event: HomeEvent) -> Unit,
 ) {
     private val byRequest = LinkedHashMap<String, HeldSlot>()
+    private val requestByAsk = HashMap<String, String>()
 
     operator fun contains(requestId: String) = requestId in byRequest
 
-    fun holds(requestId: String, askId: String) = byRequest[requestId]?.ask?.askId == askId
+    /** The request that holds the slot of [askId]. */
+    fun requestOf(askId: String): String? = requestByAsk[askId]
 
     fun add(slot: HeldSlot) {
         byRequest[slot.request.requestId] = slot
+        requestByAsk[slot.ask.askId] = slot.request.requestId
     }
 
     fun released(requestId: String) {
-        val slot = byRequest.remove(requestId) ?: return
+        val slot = remove(requestId) ?: return
         selection[slot.serverId]?.let { it.inService-- }
         slot.homeId?.let { send(it, slot.serverId, HomeEvent.Released(slot.ask.askId)) }
     }
 
     fun finished(requestId: String, result: SlotResult, nowMillis: Long) {
-        val slot = byRequest.remove(requestId) ?: return
+        val slot = remove(requestId) ?: return
         slot.homeId?.let { send(it, slot.serverId, HomeEvent.Finished(slot.ask.askId, result)) }
         val book = selection[slot.serverId] ?: return
         book.inService--
@@ -44,6 +47,9 @@
         }
     }
 
+    private fun remove(requestId: String): HeldSlot? =
+        byRequest.remove(requestId)?.also { requestByAsk.remove(it.ask.askId) }
+
     /** Confirms slots in use, so that their homes do not take the grants for lost. */
     fun confirm(nowMillis: Long) {
         for (slot in byRequest.values) {
--- a/core/src/main/kotlin/io/lavenderhinge/core/scheduling/HomeEstimates.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/scheduling/HomeEstimates.kt
@@ -6,7 +6,7 @@
 /** What a home has learned about the speed of its backend server and the length of answers. */
 internal class HomeEstimates {
     private val prefill = PrefillModel()
-    private val outputRatio = DoubleArray(Tier.entries.size) { 1.0 }
+    private val outputRatio = DoubleArray(Tier.entries.size) { UNKNOWN }
     private var betweenTokensMillis = INITIAL_BETWEEN_TOKENS_MILLIS
     private var serviceMillis = INITIAL_SERVICE_MILLIS
     private var prefillBusyUntilMillis = 0.0
@@ -15,8 +15,15 @@
     val meanServiceMillis: Double
         get() = serviceMillis
 
-    fun expectedOutputTokens(ask: SlotAsk): Double =
-        ask.outputTokens * outputRatio[ask.tier.ordinal]
+    /**
+     * Expected length of the answer. Callers state a bound that says little about it, so that
+     * nothing is assumed before the first answer of the tier: a request must not be refused because
+     * of a guess.
+     */
+    fun expectedOutputTokens(ask: SlotAsk): Double {
+        val ratio = outputRatio[ask.tier.ordinal]
+        return if (ratio == UNKNOWN) 0.0 else ask.outputTokens * ratio
+    }
 
     fun prefillMillis(tokens: Int): Double = prefill.expectedMillis(tokens)
 
@@ -52,7 +59,9 @@
         if (slot.ask.outputTokens > 0 && result.outputTokens > 0) {
             val tier = slot.ask.tier.ordinal
             val ratio = result.outputTokens.toDouble() / slot.ask.outputTokens
-            outputRatio[tier] = moved(outputRatio[tier], ratio.coerceAtMost(1.0))
+            outputRatio[tier] =
+                if (outputRatio[tier] == UNKNOWN) ratio.coerceAtMost(1.0)
+                else moved(outputRatio[tier], ratio.coerceAtMost(1.0))
         }
     }
 
@@ -60,6 +69,7 @@
 
     private companion object {
         const val GAIN = 0.05
+        const val UNKNOWN = -1.0
         const val MICROS_PER_MILLI = 1_000.0
         const val INITIAL_BETWEEN_TOKENS_MILLIS = 25.0
         const val INITIAL_SERVICE_MILLIS = 1_000.0
