--- a/core/src/main/kotlin/io/lavenderhinge/core/ledger/LedgerNode.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/ledger/LedgerNode.kt
@@ -128,8 +128,9 @@
         val writer = writers[shard] ?: return
         try {
             action(writer)
-        } catch (e: LedgerInvariantViolation) {
-            effects += LedgerEffect.Report("shard $shard: ${e.message}", serious = true)
+        } catch (e: RuntimeException) {
+            // A damaged value shows as a broken invariant or as a failed conversion.
+            effects += LedgerEffect.Report("shard $shard: $e", serious = true)
             writers.remove(shard)
             writer.failWaiting(LedgerOutcome.Unavailable("the shard is being loaded again"))
         }
--- a/experiments/src/main/kotlin/io/lavenderhinge/experiments/ledger/LedgerCommand.kt
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/ledger/LedgerCommand.kt
@@ -20,6 +20,7 @@
     private val instances by option().int().default(9)
     private val requestsPerSecond by option().double().default(40.0)
     private val faults by option(help = "inject faults").flag()
+    private val takeover by option(help = "then measure a takeover and the memory").flag()
     private val retention by option(help = "seconds").int().default(600)
     private val answerBytes by option().int().default(200)
     private val sealKib by option(help = "size at which a head is sealed").int().default(16)
@@ -42,8 +43,13 @@
                 answerBytes,
             )
         echo("seed $seed, $duration s, $instances instances, $requestsPerSecond requests/s")
-        val figures = LedgerSimulation(settings).run()
+        val simulation = LedgerSimulation(settings)
+        val figures = simulation.run()
         figures.print { echo(it) }
+        if (takeover) {
+            simulation.takeOver().print { echo(it) }
+            echo("heap bytes per kept key: %.0f".format(simulation.heapBytesPerKey()))
+        }
         return figures.violations.isEmpty()
     }
 
--- a/experiments/src/main/kotlin/io/lavenderhinge/experiments/ledger/LedgerSimulation.kt
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/ledger/LedgerSimulation.kt
@@ -7,6 +7,7 @@
 import io.lavenderhinge.core.ledger.LedgerEvent
 import io.lavenderhinge.core.ledger.LedgerRequest
 import io.lavenderhinge.core.ledger.LedgerResult
+import io.lavenderhinge.core.ledger.ShardNames
 import kotlin.math.ln
 import kotlin.random.Random
 
@@ -29,6 +30,7 @@
     val figures = LedgerFigures()
     val network = SimulatedNetwork(time, Random(settings.seed + 2))
     private val callers = HashMap<Long, Caller>()
+    private val firstDispatchMicros = HashMap<Int, Long>()
     private var lastTicket = 0L
     private val ids = (0 until settings.instanceCount).map { "i-$it" }
     private val hasClockErrors = settings.hasFaults && settings.seed % 3 == 0L
@@ -54,6 +56,44 @@
         return figures
     }
 
+    /**
+     * Kills the instance that writes the most shards and tells the others. Returns what the next
+     * writers needed until each of the shards recorded an intent again.
+     */
+    fun takeOver(): TakeoverFigures {
+        val writers =
+            (0 until settings.limits.shardCount).groupBy { ShardNames.writerOf(it, ids)!! }
+        val (id, shards) = writers.entries.maxBy { it.value.size }
+        firstDispatchMicros.clear()
+        val reads = store.readCount
+        val bytes = store.readBytes
+        val killedAtMicros = time.nowMicros
+        kill(id)
+        processes.values.forEach { it.live = ids - id }
+        time.run(TAKEOVER_MILLIS)
+        val millis =
+            shards.associateWith { shard ->
+                firstDispatchMicros[shard]?.let { (it - killedAtMicros) / 1000.0 }
+            }
+        return TakeoverFigures(millis, store.readCount - reads, store.readBytes - bytes)
+    }
+
+    /** Heap bytes for each key that the writers hold, by dropping all instances. */
+    fun heapBytesPerKey(): Double {
+        val keys = processes.values.sumOf { it.loadedRecordCount }
+        val before = usedHeapBytes()
+        ids.forEach(::kill)
+        processes.clear()
+        // Events that are already scheduled still refer to the instances.
+        time.run(SETTLE_MILLIS)
+        return (before - usedHeapBytes()).toDouble() / maxOf(1, keys)
+    }
+
+    private fun usedHeapBytes(): Long {
+        repeat(GC_RUNS) { System.gc() }
+        return Runtime.getRuntime().let { it.totalMemory() - it.freeMemory() }
+    }
+
     fun instance(id: String): SimulatedInstance = processes.getValue(id)
 
     /** Ends the process of [id]; its callers lose their connections and some repeat elsewhere. */
@@ -138,6 +178,8 @@
             figures.violations += "ticket $ticket is dispatched without a caller"
             return
         }
+        val shard = ShardNames.shardOf(caller.request.key.recordName, settings.limits.shardCount)
+        firstDispatchMicros.putIfAbsent(shard, time.nowMicros)
         figures.latencyMicros += time.nowMicros - caller.beganAtMicros
         val fate = random.nextDouble()
         if (fate < settings.backendFaultFraction / 3) {
@@ -186,5 +228,8 @@
     private companion object {
         const val DEADLINE_MILLIS = 10_000L
         const val QUIET_MILLIS = 30_000L
+        const val TAKEOVER_MILLIS = 5_000L
+        const val SETTLE_MILLIS = 60_000L
+        const val GC_RUNS = 3
     }
 }
