Add the settings experiment

Runs the real replicas and membership tables of a fleet in virtual time with delay, loss, cuts, a slow or absent platform and restarts.

--- a/experiments/src/main/kotlin/io/lavenderhinge/experiments/Main.kt
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/Main.kt
@@ -2,10 +2,7 @@
 
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.core.subcommands
+import io.lavenderhinge.experiments.settings.SettingsCommand
 
 fun main(arguments: Array<String>) =
-    ExperimentsCommand()
-        .subcommands(
-            // One line for each experiment.
-        )
-        .main(arguments)
+    ExperimentsCommand().subcommands(SettingsCommand()).main(arguments)
--- /dev/null
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/settings/SettingsCommand.kt
@@ -0,0 +1,81 @@
+package io.lavenderhinge.experiments.settings
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.multiple
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.enum
+import com.github.ajalt.clikt.parameters.types.int
+import com.github.ajalt.clikt.parameters.types.long
+
+/** Subcommand `settings`: how fast settings and membership follow, and at what cost. */
+class SettingsCommand : CliktCommand(name = "settings") {
+    private val seed by option(help = "first seed").long().default(1)
+    private val seeds by option(help = "number of seeds").int().default(3)
+    private val instances by
+        option(help = "sizes of the fleet").int().multiple(default = listOf(10, 40, 160, 320))
+    private val teams by option(help = "teams of four workspaces").int().default(100)
+    private val changeSeconds by option(help = "seconds between changes").long().default(10)
+    private val scenarios by
+        option("--scenario", help = "what goes wrong")
+            .enum<Scenario> { it.name.lowercase().replace('_', '-') }
+            .multiple(default = Scenario.entries)
+
+    override fun help(context: Context): String =
+        "Runs the settings replica and membership table of a fleet in virtual time."
+
+    override fun run() {
+        var failed = false
+        echo("times are 50th / 99th percentile / largest (samples)")
+        scenarios.forEach { scenario ->
+            instances.forEach { size ->
+                val results =
+                    (seed until seed + seeds).map { seed ->
+                        val plan =
+                            RunPlan(
+                                scenario,
+                                size,
+                                teams,
+                                seed,
+                                changeMillis = changeSeconds * 1_000,
+                            )
+                        SettingsRun.run(plan)
+                    }
+                print(scenario, size, results)
+                failed = failed || results.any { it.wentBack > 0 || it.missing > 0 }
+            }
+        }
+        if (failed) throw ProgramResult(1)
+    }
+
+    private fun print(scenario: Scenario, size: Int, results: List<RunResult>) {
+        fun merged(samples: (RunResult) -> Samples) =
+            Samples().apply { results.forEach { addAll(samples(it)) } }
+        echo("$scenario, $size instances, $teams teams, seeds $seed to ${seed + seeds - 1}")
+        echo("  in force on an instance   ${merged { it.everyInstance }}")
+        echo("  in force everywhere       ${merged { it.everywhere }}")
+        echo("  went back                 ${results.sumOf { it.wentBack }}")
+        echo("  never in force            ${results.sumOf { it.missing }}")
+        val calls = results.maxOf { it.platformCallsPerSecond }
+        echo("  key-value calls           %.2f /s, largest run".format(calls))
+        val bytes = merged { it.bytesPerSecond }
+        echo(
+            "  bytes of an instance      ${bytes.quantile(0.5)} median, ${bytes.maximum()} /s most"
+        )
+        val share = results.maxOf { it.processorShare } * 100
+        echo("  processor of an instance  %.3f%% of a core, largest run".format(share))
+        echo("  false suspicions          ${results.sumOf { it.falseSuspicions }}")
+        line("server leaving at its home", merged { it.serverLeft })
+        line("crash noticed in domain", merged { it.crashNoticed })
+        line("silent host noticed", merged { it.silentNoticed })
+        line("restarted to ready", merged { it.ready })
+        line("domain loss noticed", merged { it.domainLost })
+        line("domain all back", merged { it.domainBack })
+    }
+
+    private fun line(title: String, samples: Samples) {
+        if (samples.count > 0) echo("  ${title.padEnd(25)} $samples")
+    }
+}
--- /dev/null
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/settings/SettingsRun.kt
@@ -0,0 +1,54 @@
+package io.lavenderhinge.experiments.settings
+
+import kotlin.random.Random
+
+/** Runs one plan in virtual time. */
+internal object SettingsRun {
+    private const val START_SPREAD_MILLIS = 10_000L
+
+    // Members are listed and the first gossip has settled by then.
+    private const val WARM_MILLIS = 60_000L
+    private const val DRAIN_MILLIS = 30_000L
+
+    fun run(plan: RunPlan): RunResult {
+        val fleet = Fleet(plan)
+        val random = Random(plan.seed + 2)
+        val teams = (0 until plan.teams).map { "team-$it" }
+        teams.forEach { fleet.platform.put(fleet.text(it, 1)) }
+        fleet.publish()
+        fleet.ids.forEach { id ->
+            fleet.queue.at(random.nextLong(START_SPREAD_MILLIS)) { fleet.start(id) }
+        }
+        FleetFaults(fleet, plan).schedule()
+        (WARM_MILLIS until plan.durationMillis - DRAIN_MILLIS step plan.changeMillis).forEach {
+            fleet.queue.at(it) { fleet.change(teams.random(random)) }
+        }
+        fleet.queue.runUntil(WARM_MILLIS)
+        val counters = Counters(fleet)
+        fleet.queue.runUntil(plan.durationMillis)
+        counters.close(plan.durationMillis - WARM_MILLIS)
+        fleet.result.close(fleet.instances.values.filter { it.alive })
+        return fleet.result
+    }
+
+    /** Traffic, calls and processor time after the warm-up. */
+    private class Counters(private val fleet: Fleet) {
+        private val survivors = fleet.instances.values.toList()
+        private val bytes = survivors.map { it.sentBytes + it.receivedBytes }
+        private val calls = fleet.platform.calls
+        private val processorNanos = fleet.result.processorNanos
+
+        fun close(durationMillis: Long) {
+            val seconds = durationMillis / 1_000.0
+            val result = fleet.result
+            survivors.forEachIndexed { index, instance ->
+                if (!instance.alive) return@forEachIndexed
+                val moved = instance.sentBytes + instance.receivedBytes - bytes[index]
+                result.bytesPerSecond.add((moved / seconds).toLong())
+            }
+            result.platformCallsPerSecond = (fleet.platform.calls - calls) / seconds
+            val usedSeconds = (result.processorNanos - processorNanos) / 1e9
+            result.processorShare = usedSeconds / seconds / fleet.instances.size
+        }
+    }
+}
