--- a/experiments/src/main/kotlin/io/lavenderhinge/experiments/Main.kt
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/Main.kt
@@ -4,6 +4,7 @@
 import com.github.ajalt.clikt.core.subcommands
 import io.lavenderhinge.experiments.ledger.LedgerCommand
 import io.lavenderhinge.experiments.rollout.RolloutCommand
+import io.lavenderhinge.experiments.settings.SettingsCommand
 
 fun main(arguments: Array<String>) =
     ExperimentsCommand()
@@ -13,5 +14,6 @@
             LedgerCommand(),
             RolloutCommand(),
             ScheduleCommand(),
+            SettingsCommand(),
         )
         .main(arguments)
