--- a/instance/src/main/kotlin/io/lavenderhinge/instance/rollout/RolloutService.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/rollout/RolloutService.kt
@@ -14,6 +14,7 @@
 import io.lavenderhinge.instance.control.ControlThread
 import io.lavenderhinge.protocol.v1.Frame
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 
 /**
@@ -67,14 +68,14 @@
     fun statements(): Map<String, String> = statements
 
     /** One round of the periodic work, on the control thread. */
-    internal suspend fun tick() {
+    internal fun tick() {
         val nowMillis = control.nowMillis()
         val live = ports.liveInstances()
         followSettings(live, nowMillis)
         if (nowMillis >= nextReadMillis && rollouts.values.any { it.active() }) {
             nextReadMillis = nowMillis + pace.readPeriodMillis(live.size)
-            readRecords()
-            followSettings(live, nowMillis)
+            // Not awaited: judging and stopping must not wait for a slow platform.
+            control.scope.launch { withTimeoutOrNull(READ_TIMEOUT_MILLIS) { readRecords() } }
         }
         for (rollout in rollouts.values.toList()) {
             rollout.judge(nowMillis)?.let { raise(it) }
@@ -106,6 +107,8 @@
             if (read !is MoverEvent.RecordsRead) continue
             ofTeam.forEach { it.on(read, control.nowMillis()) }
         }
+        followSettings(ports.liveInstances(), control.nowMillis())
+        publishChoices()
     }
 
     private fun report(rollout: TargetRollout, live: List<String>, nowMillis: Long) {
@@ -195,6 +198,7 @@
     private companion object {
         const val TICK_MILLIS = 1_000L
         const val SPREAD_MILLIS = 5_000L
+        const val READ_TIMEOUT_MILLIS = 5_000L
 
         /** A flag reaches 320 instances in about five hops of this fan-out. */
         const val FAN_OUT = 4
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/rollout/RolloutServiceTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/rollout/RolloutServiceTest.kt
@@ -59,6 +59,18 @@
             }
         }
 
+        // Guards against control work that waits for a platform that is slow and not down.
+        test("given calls that get no answer, when a version turns bad, then it is stopped") {
+            fleetTest { fleet ->
+                fleet.run(seconds = 600) { fleet.newShare() > 0.03 }
+                fleet.store.hung = true
+
+                fleet.run(seconds = 300, newFails = true) { fleet.newShare() == 0.0 }
+
+                fleet.newShare() shouldBe 0.0
+            }
+        }
+
         test("given the mover's instance killed, when others run on, then the rollout is done") {
             fleetTest(size = 5) { fleet ->
                 fleet.run(seconds = 600) { fleet.newShare() > 0.03 }
