Wire the ledger and rollouts into the instance; test failures with real processes

(1) Requests right after readiness got no-route, because the rollout service learned of a target only at its next tick: it now takes new settings before the routes do.

The test of a dying engine picks the engine that is busy, since requests with one prompt all go to one server by design.

--- a/core/src/main/kotlin/io/lavenderhinge/core/routing/EntryRouter.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/routing/EntryRouter.kt
@@ -55,6 +55,10 @@
         return effects.toList()
     }
 
+    /** Backend servers for [request] in the order in which their homes would be asked now. */
+    fun explain(request: SlotRequest, nowMillis: Long): List<ServerStanding> =
+        selection.standings(request, nowMillis, directory::homeOf)
+
     private fun requested(request: SlotRequest, nowMillis: Long) {
         budget.requested(request.workspace, nowMillis)
         val refusal =
--- a/core/src/main/kotlin/io/lavenderhinge/core/routing/ServerSelection.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/routing/ServerSelection.kt
@@ -41,6 +41,27 @@
             .minWithOrNull(compareBy<ServerScore> { it.millis }.thenBy { it.book.view.id })
     }
 
+    /** Live backend servers for [request], the one that is asked first at the top. */
+    fun standings(
+        request: SlotRequest,
+        nowMillis: Long,
+        homeOf: (serverId: String) -> String?,
+    ): List<ServerStanding> {
+        val hits = prefixes.expectedTokens(request.prefixHashes)
+        return reachable(live(request), request, nowMillis)
+            .map {
+                ServerStanding(
+                    it.view.id,
+                    it.view.failureDomain,
+                    homeOf(it.view.id),
+                    score(it, request, hits, nowMillis),
+                    it.expectedWaitMillis(request.tier, nowMillis),
+                    it.inService,
+                )
+            }
+            .sortedBy { it.scoreMillis }
+    }
+
     /** Expected wait and prefill for [request], and what spreads the load. */
     private fun score(
         book: ServerBook,
--- a/core/src/test/kotlin/io/lavenderhinge/core/routing/EntryRouterTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/routing/EntryRouterTest.kt
@@ -161,6 +161,6 @@
     }) {
     private companion object {
         fun homeOf(serverId: String, instanceIds: List<String>): String =
-            checkNotNull(RendezvousHash.choose(serverId, instanceIds))
+            checkNotNull(RendezvousHash.highest(serverId, instanceIds))
     }
 }
--- a/e2e/src/test/kotlin/io/lavenderhinge/e2e/ShutdownTest.kt
+++ b/e2e/src/test/kotlin/io/lavenderhinge/e2e/ShutdownTest.kt
@@ -18,8 +18,8 @@
 class ShutdownTest :
     FunSpec({
         lateinit var fleet: Fleet
-        beforeTest { fleet = standardFleet() }
-        afterTest { fleet.close() }
+        beforeSpec { fleet = standardFleet() }
+        afterSpec { fleet.close() }
 
         suspend fun complete(instance: FleetInstance, marker: String, count: Int): List<String> {
             val answer =
@@ -45,6 +45,7 @@
                 }
             }
             instance.process.awaitExit(30) shouldBe 143
+            fleet.restart(instance)
         }
 
         test("given an instance is killed, when others are called, then they go on serving") {
@@ -57,6 +58,7 @@
                         tokens shouldBe (0 until 5).map { "on$number:$it" }
                     }
             }
+            fleet.restart(fleet.instances[0])
         }
 
         test(
--- a/e2e/src/test/kotlin/io/lavenderhinge/e2e/StreamFailureTest.kt
+++ b/e2e/src/test/kotlin/io/lavenderhinge/e2e/StreamFailureTest.kt
@@ -6,6 +6,7 @@
 import io.lavenderhinge.adapters.Json
 import io.lavenderhinge.core.port.MemberKind
 import io.lavenderhinge.e2e.fleet.Fleet
+import io.lavenderhinge.e2e.fleet.FleetServer
 import io.lavenderhinge.e2e.fleet.await
 import io.lavenderhinge.e2e.fleet.chat
 import io.lavenderhinge.e2e.fleet.standardFleet
@@ -73,7 +74,6 @@
         }
 
         test("given an engine dies in a stream, then the caller can tell that it is cut") {
-            val engine = fleet.servers.first { it.member.id == "engine-a" }
             val instance = fleet.instances[0]
             coroutineScope {
                 val calls =
@@ -83,15 +83,13 @@
                                 instance.caller.call(
                                     "POST",
                                     "/v1/chat/completions",
-                                    chat("dead$number", 1_000, stream = true),
+                                    chat("dead$number", 3_000, stream = true),
                                     listOf(token("counter-key")),
                                 )
                             }
                         }
                     }
-                await("engine-a generates") {
-                    engine.api.json("GET", "/v1/load")["running"].asInt() > 0
-                }
+                val engine = busyEngine(fleet)
                 engine.process.kill()
                 val cut = calls.awaitAll().filter { it.isFailure }
                 cut.isNotEmpty() shouldBe true
@@ -119,3 +117,14 @@
     fleet.servers
         .filter { it.member.kind == MemberKind.MODEL_ENGINE && it.process.alive }
         .forEach { it.api.call("POST", "/admin/engine", faults) }
+
+/** Waits for an engine that generates; requests with one prompt may all go to the same one. */
+private suspend fun busyEngine(fleet: Fleet): FleetServer {
+    val engines = fleet.servers.filter { it.member.kind == MemberKind.MODEL_ENGINE }
+    var busy: FleetServer? = null
+    await("an engine generates") {
+        busy = engines.firstOrNull { it.api.json("GET", "/v1/load")["running"].asInt() > 0 }
+        busy != null
+    }
+    return checkNotNull(busy)
+}
--- a/e2e/src/test/kotlin/io/lavenderhinge/e2e/fleet/Fleet.kt
+++ b/e2e/src/test/kotlin/io/lavenderhinge/e2e/fleet/Fleet.kt
@@ -114,6 +114,12 @@
         instance.process = process(instance.id, INSTANCE, "--config", instance.config.toString())
     }
 
+    /** Starts the process of [instance] again under the same id, and waits until it is ready. */
+    suspend fun restart(instance: FleetInstance) {
+        startInstance(instance)
+        await("${instance.id} is ready") { instance.ready() }
+    }
+
     /**
      * Publishes the live list; ids in [leaving] are shown as leaving, those in [without] not at
      * all.
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/Instance.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/Instance.kt
@@ -1,23 +1,17 @@
 package io.lavenderhinge.instance
 
+import arrow.core.right
 import io.lavenderhinge.adapters.CallBudget
 import io.lavenderhinge.adapters.HttpKeyValueStore
 import io.lavenderhinge.adapters.HttpLiveList
-import io.lavenderhinge.core.ledger.LedgerResult
-import io.lavenderhinge.core.ledger.NotRunReason
-import io.lavenderhinge.core.membership.MemberState
+import io.lavenderhinge.adapters.HttpWeightStore
 import io.lavenderhinge.core.membership.SelfDescription
-import io.lavenderhinge.core.port.ListedMember
-import io.lavenderhinge.core.port.MemberKind
-import io.lavenderhinge.core.rollout.RequestOutcome
-import io.lavenderhinge.core.rollout.TeamTarget
+import io.lavenderhinge.core.port.WeightStore
 import io.lavenderhinge.core.scheduling.InstanceView
-import io.lavenderhinge.core.scheduling.ServerView
 import io.lavenderhinge.core.settings.Address
 import io.lavenderhinge.core.settings.Bootstrap
 import io.lavenderhinge.core.settings.Readiness
 import io.lavenderhinge.core.settings.RouteTable
-import io.lavenderhinge.core.settings.Target
 import io.lavenderhinge.http.HttpClient
 import io.lavenderhinge.http.HttpLimits
 import io.lavenderhinge.http.HttpServer
@@ -25,17 +19,19 @@
 import io.lavenderhinge.instance.caller.ModelRequests
 import io.lavenderhinge.instance.caller.RequestServices
 import io.lavenderhinge.instance.caller.ServiceRequests
-import io.lavenderhinge.instance.caller.Versions
 import io.lavenderhinge.instance.control.ControlThread
 import io.lavenderhinge.instance.health.HealthService
 import io.lavenderhinge.instance.health.LoadPoller
-import io.lavenderhinge.instance.ledger.Ledger
+import io.lavenderhinge.instance.ledger.LedgerService
 import io.lavenderhinge.instance.membership.MembershipService
 import io.lavenderhinge.instance.metrics.RequestMetrics
 import io.lavenderhinge.instance.operator.OperatorHandler
 import io.lavenderhinge.instance.operator.OperatorView
+import io.lavenderhinge.instance.operator.StatusReport
 import io.lavenderhinge.instance.peer.GrpcPeerLinks
 import io.lavenderhinge.instance.peer.PeerIdentity
+import io.lavenderhinge.instance.rollout.RolloutPorts
+import io.lavenderhinge.instance.rollout.RolloutService
 import io.lavenderhinge.instance.scheduling.HomeSlotService
 import io.lavenderhinge.instance.settings.SettingsService
 import io.micrometer.prometheusmetrics.PrometheusConfig
@@ -47,20 +43,16 @@
 
 /** One entry instance: wires the decisions of the core to sockets, timers and the platform. */
 class Instance(private val bootstrap: Bootstrap) {
+    private val identity = bootstrap.identity
     private val control = ControlThread()
     private val traffic = MultiThreadIoEventLoopGroup(TRAFFIC_THREADS, NioIoHandler.newFactory())
     private val client = HttpClient(traffic)
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val reads = budget(bootstrap.platform.readsPerSecond)
+    private val writes = budget(bootstrap.platform.writesPerSecond)
     private val store =
-        HttpKeyValueStore(
-            client,
-            socketAddress(bootstrap.platform.keyValue),
-            reads,
-            budget(bootstrap.platform.writesPerSecond),
-        )
+        HttpKeyValueStore(client, socketAddress(bootstrap.platform.keyValue), reads, writes)
     private val list = HttpLiveList(client, socketAddress(bootstrap.platform.liveList), reads)
-    private val identity = bootstrap.identity
     private val links: GrpcPeerLinks =
         GrpcPeerLinks(PeerIdentity(identity.id, identity.failureDomain, identity.region), control) {
             membership.addressOf(it)
@@ -69,19 +61,40 @@
         MembershipService(selfDescription(), bootstrap.seedPeers, list, links, control)
     private val settings =
         SettingsService(identity.failureDomain, store, links, membership, control)
-    @Volatile private var routes: RouteTable? = null
-    @Volatile private var leaving = false
-    private val health = HealthService(control, client, ::backendServers)
+    private val health = HealthService(control, client) { membership.servers().map { it.member } }
+    private val fleet =
+        FleetView(InstanceView(identity.id, identity.failureDomain), membership, health, client)
     private val slots =
-        HomeSlotService(links, control, identity.failureDomain, ::homeCandidates, ::servers)
-    private val poller = LoadPoller(control, client, slots, health, ::backendServers)
+        HomeSlotService(
+            links,
+            control,
+            identity.failureDomain,
+            fleet::homeCandidates,
+            fleet::servers,
+        )
+    private val poller =
+        LoadPoller(control, client, slots, health) { membership.servers().map { it.member } }
+    private val ledger =
+        LedgerService(control, links, store, liveInstanceIds = membership::liveInstances)
+    private val rollouts =
+        RolloutService(
+            RolloutPorts(
+                store,
+                weightStore(),
+                links,
+                settings::current,
+                membership::liveInstances,
+                fleet::rolloutServers,
+            ),
+            control,
+        )
     private val services =
         RequestServices(
-            selfId = bootstrap.identity.id,
+            selfId = identity.id,
             routes = { routes },
             slots = slots,
-            ledger = NoLedger,
-            versions = SettledVersions(),
+            ledger = ledger,
+            versions = rollouts,
             evidence = health,
             metrics = RequestMetrics(registry),
             nowMillis = control::nowMillis,
@@ -92,30 +105,51 @@
             ModelRequests(services, client, control.scope),
             ServiceRequests(services, client),
         )
+    private val status =
+        StatusReport(
+            identity.id,
+            identity.failureDomain,
+            control,
+            settings,
+            membership,
+            health,
+            slots,
+            rollouts,
+            callers::inFlightCount,
+        )
     private val callerServer = HttpServer(traffic, callers, limits())
-    private val operatorServer = HttpServer(traffic, OperatorHandler(operatorView(), registry))
+    private val operatorServer =
+        HttpServer(
+            traffic,
+            OperatorHandler(
+                OperatorView(::notReadyReason, status::status, status::explain),
+                registry,
+            ),
+        )
+    @Volatile private var routes: RouteTable? = null
+    @Volatile private var leaving = false
 
     /** Starts to listen; the instance is ready once settings are in force. */
     fun start() {
         links.start(socketAddress(bootstrap.listen.peer))
         control.execute(::startControl)
-        callerServer.start(socketAddress(bootstrap.listen.caller))
         operatorServer.start(socketAddress(bootstrap.listen.operator))
-        log.info(
-            "instance: {} listens for callers on {}",
-            bootstrap.identity.id,
-            bootstrap.listen.caller,
-        )
+        callerServer.start(socketAddress(bootstrap.listen.caller))
+        log.info("instance: {} listens for callers on {}", identity.id, bootstrap.listen.caller)
     }
 
     private fun startControl() {
         membership.addDigestPart { digest -> digest.addAllServers(slots.summaries()) }
         membership.start()
-        settings.onChange { routes = RouteTable(it) }
+        settings.onChange {
+            rollouts.settingsChanged()
+            routes = RouteTable(it)
+        }
         settings.start()
         health.start()
         slots.start()
         poller.start()
+        rollouts.start()
     }
 
     /**
@@ -130,9 +164,7 @@
         Thread.sleep(NOT_READY_MILLIS)
         callerServer.drain()
         val untilMillis = control.nowMillis() + DRAIN_MILLIS
-        while (callers.inFlightCount > 0 && control.nowMillis() < untilMillis) {
-            Thread.sleep(DRAIN_POLL_MILLIS)
-        }
+        while (isBusy() && control.nowMillis() < untilMillis) Thread.sleep(DRAIN_POLL_MILLIS)
         slots.shutdown()
         callerServer.close()
         operatorServer.close()
@@ -141,6 +173,15 @@
         log.info("instance: {} has shut down, {} cut off", identity.id, callers.inFlightCount)
     }
 
+    // Outcomes that are not recorded yet would be in doubt for every repeat of their key.
+    private fun isBusy(): Boolean = callers.inFlightCount > 0 || openAttempts() > 0
+
+    private fun openAttempts(): Int {
+        val count = java.util.concurrent.CompletableFuture<Int>()
+        control.execute { count.complete(ledger.openAttemptCount) }
+        return count.get()
+    }
+
     private fun notReadyReason(): String? {
         if (leaving) return "the instance shuts down"
         return when (val readiness = settings.ready()) {
@@ -157,47 +198,10 @@
             incarnation = control.nowMillis(),
         )
 
-    private fun homeCandidates(): List<InstanceView> =
-        membership
-            .instances()
-            .filter { it.state == MemberState.LIVE }
-            .map { InstanceView(it.id, it.failureDomain) }
-            // The last instance of a fleet stays home for its own requests while it leaves.
-            .ifEmpty { listOf(InstanceView(identity.id, identity.failureDomain)) }
-
-    private fun backendServers(): List<ListedMember> = membership.servers().map { it.member }
-
-    private fun servers(): List<ServerView> =
-        backendServers().map {
-            val isModel = it.kind == MemberKind.MODEL_ENGINE
-            ServerView(
-                id = it.id,
-                address = it.address,
-                failureDomain = it.failureDomain,
-                target = if (isModel) Target.Model(it.serves) else Target.Service(it.serves),
-                version = it.version,
-                health = health.health(it.id),
-                hardwareGeneration = it.hardwareGeneration,
-            )
-        }
-
-    private fun operatorView() =
-        OperatorView(
-            notReadyReason = ::notReadyReason,
-            status = ::status,
-            explain = { _, _, _ -> emptyMap() },
-        )
-
-    private fun status(): Map<String, Any?> =
-        mapOf(
-            "instance" to identity.id,
-            "failureDomain" to identity.failureDomain,
-            "inFlight" to callers.inFlightCount,
-            "settings" to settings.current().teams.mapValues { it.value.revision },
-            "rejectedSettings" to settings.rejected(),
-            "instances" to membership.instances().associate { it.id to it.state.name.lowercase() },
-            "invariantViolations" to slots.invariantViolations,
-        )
+    // Without a weight store nothing is checked before an order; the engine refuses what it lacks.
+    private fun weightStore(): WeightStore =
+        bootstrap.platform.weightStore?.let { HttpWeightStore(client, socketAddress(it)) }
+            ?: WeightStore { _, _ -> true.right() }
 
     private fun limits(): HttpLimits =
         with(bootstrap.limits) {
@@ -216,38 +220,13 @@
     private fun budget(callsPerSecond: Double) =
         CallBudget(callsPerSecond, burst = callsPerSecond.coerceAtLeast(1.0) * BURST_SECONDS)
 
-    private inner class SettledVersions : Versions {
-        override fun versionFor(target: TeamTarget, requestId: String): String? =
-            settings
-                .current()
-                .teams[target.team]
-                ?.targets
-                ?.firstOrNull { it.target == target.target }
-                ?.version
-
-        override fun observe(
-            target: TeamTarget,
-            route: String,
-            version: String,
-            outcome: RequestOutcome,
-        ) = Unit
-    }
-
     private companion object {
         const val TRAFFIC_THREADS = 2
         const val BURST_SECONDS = 2.0
         const val NOT_READY_MILLIS = 1_000L
         const val DRAIN_MILLIS = 60_000L
         const val DRAIN_POLL_MILLIS = 50L
-        const val RETRY_MILLIS = 1_000L
         val log = LoggerFactory.getLogger(Instance::class.java)
-        val NoLedger = Ledger { _, _ ->
-            LedgerResult.NotRun(
-                NotRunReason.PLATFORM_UNAVAILABLE,
-                "this release has no ledger yet",
-                RETRY_MILLIS,
-            )
-        }
 
         fun socketAddress(address: Address) = InetSocketAddress(address.ip, address.port)
     }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/caller/LedgerProblems.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/caller/LedgerProblems.kt
@@ -40,7 +40,8 @@
     fun of(result: LedgerResult.NotRun): Problem {
         val code =
             when (result.reason) {
-                NotRunReason.PLATFORM_UNAVAILABLE -> "ledger-unavailable"
+                NotRunReason.PLATFORM_UNAVAILABLE,
+                NotRunReason.WRITER_UNREACHABLE -> "ledger-unavailable"
                 NotRunReason.DEADLINE -> "deadline-infeasible"
                 NotRunReason.NEVER_SENT -> "no-backend-server"
             }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/ledger/LedgerWire.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/ledger/LedgerWire.kt
@@ -1,10 +1,10 @@
 package io.lavenderhinge.instance.ledger
 
 import com.google.protobuf.ByteString
-import com.google.protobuf.UnknownFieldSet
 import io.lavenderhinge.core.ledger.LedgerAnswer
 import io.lavenderhinge.core.ledger.LedgerMessage
 import io.lavenderhinge.core.ledger.LedgerOutcome
+import io.lavenderhinge.instance.peer.PROTOCOL_VERSION
 import io.lavenderhinge.protocol.v1.Answer
 import io.lavenderhinge.protocol.v1.Frame
 import io.lavenderhinge.protocol.v1.LedgerOperation
@@ -14,14 +14,6 @@
 
 /** Translates the ledger's messages to frames and back. */
 internal object LedgerWire {
-    private const val PROTOCOL_VERSION = 1
-
-    /**
-     * Field number of `uint64 retention_millis` in LedgerRequest. peer.proto does not declare it
-     * yet; the bytes on the wire are the same as if it did.
-     */
-    private const val RETENTION_FIELD = 10
-
     fun encode(message: LedgerMessage): Frame {
         val frame = Frame.newBuilder().setProtocolVersion(PROTOCOL_VERSION)
         when (message) {
@@ -56,7 +48,7 @@
                     .setKeyTimeMillis(call.keyTimeMillis ?: 0)
                     .setBodyHash(call.bodyHash)
                     .setEntryId(call.entryId)
-                    .setUnknownFields(retention(call.retentionMillis))
+                    .setRetentionMillis(call.retentionMillis)
             is LedgerMessage.Complete -> {
                 request.operation = LedgerOperation.LEDGER_OPERATION_COMPLETE
                 call.answer?.let { request.answer = encodeAnswer(it) }
@@ -81,7 +73,7 @@
                     key,
                     attemptId,
                     request.keyTimeMillis.takeIf { it > 0 },
-                    retentionMillis(request),
+                    request.retentionMillis,
                     request.bodyHash,
                     request.entryId,
                 )
@@ -156,12 +148,4 @@
 
     private fun decodeAnswer(answer: Answer): LedgerAnswer =
         LedgerAnswer(answer.status, answer.contentType, answer.body.toByteArray())
-
-    private fun retention(retentionMillis: Long): UnknownFieldSet {
-        val field = UnknownFieldSet.Field.newBuilder().addVarint(retentionMillis).build()
-        return UnknownFieldSet.newBuilder().addField(RETENTION_FIELD, field).build()
-    }
-
-    private fun retentionMillis(request: LedgerRequest): Long =
-        request.unknownFields.getField(RETENTION_FIELD).varintList.lastOrNull() ?: 0
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/operator/OperatorHandler.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/operator/OperatorHandler.kt
@@ -12,7 +12,7 @@
     /** Null when the instance is ready for traffic, else why it is not. */
     val notReadyReason: () -> String?,
     /** Plain statements of what is in force and under way, as JSON-compatible values. */
-    val status: () -> Map<String, Any?>,
+    val status: suspend () -> Map<String, Any?>,
     /** Where a request of a team, route and workspace would go, and why. */
     val explain: suspend (team: String, route: String, workspace: String) -> Map<String, Any?>,
 )
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/rollout/RolloutFrames.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/rollout/RolloutFrames.kt
@@ -5,6 +5,7 @@
 import io.lavenderhinge.core.rollout.StatsReport
 import io.lavenderhinge.core.rollout.StopFlag
 import io.lavenderhinge.core.rollout.VersionCounts
+import io.lavenderhinge.instance.peer.PROTOCOL_VERSION
 import io.lavenderhinge.protocol.v1.Delta
 import io.lavenderhinge.protocol.v1.Frame
 import io.lavenderhinge.protocol.v1.RouteCount
@@ -14,7 +15,6 @@
 
 /** Conversions between the core's types and frames to peers. */
 internal object RolloutFrames {
-    private const val PROTOCOL_VERSION = 1
 
     /** Bounds what one flag costs in gossip. */
     private const val MAX_EVIDENCE_CHARS = 300
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/rollout/RolloutService.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/rollout/RolloutService.kt
@@ -11,6 +11,7 @@
 import io.lavenderhinge.core.rollout.StopFlags
 import io.lavenderhinge.core.rollout.TeamTarget
 import io.lavenderhinge.core.rollout.VersionSplit
+import io.lavenderhinge.instance.caller.Versions
 import io.lavenderhinge.instance.control.ControlThread
 import io.lavenderhinge.protocol.v1.Frame
 import kotlinx.coroutines.launch
@@ -20,7 +21,8 @@
 /**
  * Runs rollouts on one instance: choice of version, statistics, stops and, when elected, the mover.
  */
-class RolloutService(private val ports: RolloutPorts, private val control: ControlThread) {
+class RolloutService(private val ports: RolloutPorts, private val control: ControlThread) :
+    Versions {
     private val selfId = ports.links.selfId
 
     // Counts only rise while an instance lives; a restarted one reports under another id.
@@ -48,13 +50,18 @@
      * The version that [requestId] is sent to, or null when the settings do not name [target]. May
      * be called on any thread; the same request id gets the same version while the share holds.
      */
-    fun versionFor(target: TeamTarget, requestId: String): String? {
+    override fun versionFor(target: TeamTarget, requestId: String): String? {
         val choice = choices[target] ?: return null
         return choice.split?.versionFor(requestId) ?: choice.version
     }
 
     /** Counts an outcome. May be called on any thread. */
-    fun observe(target: TeamTarget, route: String, version: String, outcome: RequestOutcome) {
+    override fun observe(
+        target: TeamTarget,
+        route: String,
+        version: String,
+        outcome: RequestOutcome,
+    ) {
         if (choices[target]?.split == null) return
         control.execute { rollouts[target]?.observe(route, version, outcome) }
     }
@@ -67,6 +74,15 @@
      */
     fun statements(): Map<String, String> = statements
 
+    /**
+     * Takes new settings at once, on the control thread. Until then requests to a target that the
+     * settings just named would have no version.
+     */
+    fun settingsChanged() {
+        followSettings(ports.liveInstances(), control.nowMillis())
+        publishChoices()
+    }
+
     /** One round of the periodic work, on the control thread. */
     internal fun tick() {
         val nowMillis = control.nowMillis()
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/scheduling/HomeSlotService.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/scheduling/HomeSlotService.kt
@@ -8,6 +8,7 @@
 import io.lavenderhinge.core.routing.EntryEffect
 import io.lavenderhinge.core.routing.EntryEvent
 import io.lavenderhinge.core.routing.EntryRouter
+import io.lavenderhinge.core.routing.ServerStanding
 import io.lavenderhinge.core.routing.SlotRefusal
 import io.lavenderhinge.core.routing.SlotRequest
 import io.lavenderhinge.core.scheduling.HomeEffect
@@ -104,6 +105,10 @@
             checkNotNull(host.home(id)).status(control.nowMillis())
         }
 
+    /** Where [request] would go now; control thread only. */
+    fun explain(request: SlotRequest): List<ServerStanding> =
+        router.explain(request, control.nowMillis())
+
     override fun shutdown() =
         control.execute {
             enqueue {
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/scheduling/PeerFrames.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/scheduling/PeerFrames.kt
@@ -8,6 +8,7 @@
 import io.lavenderhinge.core.scheduling.ResultClass
 import io.lavenderhinge.core.scheduling.SlotAsk
 import io.lavenderhinge.core.scheduling.SlotResult
+import io.lavenderhinge.instance.peer.PROTOCOL_VERSION
 import io.lavenderhinge.protocol.v1.Ask
 import io.lavenderhinge.protocol.v1.Done
 import io.lavenderhinge.protocol.v1.Frame
@@ -228,6 +229,5 @@
 
     private fun bounded(value: Long): Int = value.coerceIn(0, Int.MAX_VALUE.toLong()).toInt()
 
-    private const val PROTOCOL_VERSION = 1
     private const val FIRST_TOKEN_MILLIS = 1_000L
 }
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/LedgerRequest.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/LedgerRequest.java
@@ -282,6 +282,17 @@
     return answer_ == null ? io.lavenderhinge.protocol.v1.Answer.getDefaultInstance() : answer_;
   }
 
+  public static final int RETENTION_MILLIS_FIELD_NUMBER = 10;
+  private long retentionMillis_ = 0L;
+  /**
+   * <code>uint64 retention_millis = 10;</code>
+   * @return The retentionMillis.
+   */
+  @java.lang.Override
+  public long getRetentionMillis() {
+    return retentionMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -323,6 +334,9 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(9, getAnswer());
     }
+    if (retentionMillis_ != 0L) {
+      output.writeUInt64(10, retentionMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -364,6 +378,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(9, getAnswer());
     }
+    if (retentionMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(10, retentionMillis_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -399,6 +417,8 @@
       if (!getAnswer()
           .equals(other.getAnswer())) return false;
     }
+    if (getRetentionMillis()
+        != other.getRetentionMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -432,6 +452,9 @@
       hash = (37 * hash) + ANSWER_FIELD_NUMBER;
       hash = (53 * hash) + getAnswer().hashCode();
     }
+    hash = (37 * hash) + RETENTION_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getRetentionMillis());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -582,6 +605,7 @@
         answerBuilder_.dispose();
         answerBuilder_ = null;
       }
+      retentionMillis_ = 0L;
       return this;
     }
 
@@ -646,6 +670,9 @@
             : answerBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.retentionMillis_ = retentionMillis_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -696,6 +723,9 @@
       if (other.hasAnswer()) {
         mergeAnswer(other.getAnswer());
       }
+      if (other.getRetentionMillis() != 0L) {
+        setRetentionMillis(other.getRetentionMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -769,6 +799,11 @@
               bitField0_ |= 0x00000100;
               break;
             } // case 74
+            case 80: {
+              retentionMillis_ = input.readUInt64();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1342,6 +1377,38 @@
       return answerBuilder_;
     }
 
+    private long retentionMillis_ ;
+    /**
+     * <code>uint64 retention_millis = 10;</code>
+     * @return The retentionMillis.
+     */
+    @java.lang.Override
+    public long getRetentionMillis() {
+      return retentionMillis_;
+    }
+    /**
+     * <code>uint64 retention_millis = 10;</code>
+     * @param value The retentionMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRetentionMillis(long value) {
+
+      retentionMillis_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint64 retention_millis = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRetentionMillis() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      retentionMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:lavenderhinge.v1.LedgerRequest)
   }
 
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/LedgerRequestOrBuilder.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/LedgerRequestOrBuilder.java
@@ -101,4 +101,10 @@
    * <code>.lavenderhinge.v1.Answer answer = 9;</code>
    */
   io.lavenderhinge.protocol.v1.AnswerOrBuilder getAnswerOrBuilder();
+
+  /**
+   * <code>uint64 retention_millis = 10;</code>
+   * @return The retentionMillis.
+   */
+  long getRetentionMillis();
 }
--- a/standins/src/main/kotlin/io/lavenderhinge/standins/engine/EngineHandler.kt
+++ b/standins/src/main/kotlin/io/lavenderhinge/standins/engine/EngineHandler.kt
@@ -102,7 +102,8 @@
         val tokens = body.path("max_tokens").asInt(DEFAULT_TOKENS)
         val generation = Generation(requestId, marker, tokens)
         state.start(generation, version, messages.sumOf { it.split(' ').size })
-        if (body.path("stream").asBoolean(false)) send(exchange, generation, from = 0, resumed = false)
+        if (body.path("stream").asBoolean(false))
+            send(exchange, generation, from = 0, resumed = false)
         else respondWhole(exchange, generation)
     }
 
