Spread the time of a segment write over the next commits; read back conflicts without a value

- A conflict that names no value left a slot unusable for good and cost a write for each seal; it is read back now.
The simulated store withholds the value in a fifth of all conflicts.

--- a/core/src/main/kotlin/io/lavenderhinge/core/ledger/ShardStore.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/ledger/ShardStore.kt
@@ -40,6 +40,9 @@
     private var prepared: PreparedSegment? = null
     private var nextExpiryAtMillis = 0L
 
+    /** Time that written segments used up; later commits wait a little longer each to make up. */
+    private var owedMillis = 0L
+
     /** Null until loaded. No commit may be based on it while [isStale]. */
     var records: ShardRecords? = null
         private set
@@ -130,7 +133,17 @@
 
     private fun start(next: WriterOperation, write: StoreCall.Write, nowMillis: Long) {
         operation = next
-        nextWriteAtMillis = maxOf(nowMillis, nextWriteAtMillis) + limits.writeIntervalMillis
+        val idleMillis = maxOf(0, nowMillis - nextWriteAtMillis)
+        owedMillis = maxOf(0, owedMillis - idleMillis)
+        if (next is WriterOperation.WritingSegment) {
+            nextWriteAtMillis = maxOf(nowMillis, nextWriteAtMillis)
+            owedMillis += limits.writeIntervalMillis
+        } else {
+            val repaidMillis = minOf(owedMillis, limits.writeIntervalMillis / REPAYMENTS)
+            owedMillis -= repaidMillis
+            nextWriteAtMillis =
+                maxOf(nowMillis, nextWriteAtMillis) + limits.writeIntervalMillis + repaidMillis
+        }
         context.emit(LedgerEffect.CallStore(write))
     }
 
@@ -141,7 +154,9 @@
     ) {
         when (val fault = result.leftOrNull()) {
             null -> tookEffect(current, result.getOrNull()!!, nowMillis)
-            is StoreFault.Conflict -> foundInstead(current, fault.current, nowMillis)
+            is StoreFault.Conflict ->
+                if (fault.current == null) readBack(current)
+                else foundInstead(current, fault.current, nowMillis)
             is StoreFault.OutcomeUnknown -> readBack(current)
             else -> fail(fault.message, nowMillis)
         }
@@ -289,5 +304,8 @@
 
     private companion object {
         const val MAX_REPEATS = 3
+
+        /** Commits over which the time of one segment write is spread. */
+        const val REPAYMENTS = 8
     }
 }
--- a/core/src/test/kotlin/io/lavenderhinge/core/ledger/LedgerNodeTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/ledger/LedgerNodeTest.kt
@@ -70,9 +70,11 @@
             world.storeMode = { StoreMode.DOWN }
             world.begin(world.entry, 1, world.key("k"))
             notRun(world.results[1]) shouldBe NotRunReason.PLATFORM_UNAVAILABLE
+            world.begin(world.entry, 2, world.key("k"))
+            notRun(world.results[2]) shouldBe NotRunReason.PLATFORM_UNAVAILABLE
             world.storeMode = { StoreMode.NORMAL }
             world.advance(1_000)
-            world.run(world.entry, 2, world.key("k"))
+            world.run(world.entry, 3, world.key("k"))
         }
 
         test("given a store that hangs, when its write lands late, then not-run stays true") {
@@ -178,6 +180,17 @@
             world.dispatched shouldContainExactly listOf(1L)
         }
 
+        test("given a Recorded that comes after not-run was told, then nothing is dispatched") {
+            val world = LedgerWorld()
+            world.isDropped = { _, message -> isRecorded(message) }
+            world.begin(world.entry, 1, world.key("k"))
+            world.advance(6_000)
+            notRun(world.results[1]) shouldBe NotRunReason.WRITER_UNREACHABLE
+            world.deliverDropped()
+            world.dispatched shouldBe emptyList()
+            world.reports shouldBe emptyList()
+        }
+
         test("given a key, when another body comes with it, then it is refused") {
             val world = LedgerWorld()
             val key = world.key("k")
@@ -338,6 +351,49 @@
             stored(world.results[4]) shouldBe "answer-3"
         }
 
+        test("given many seals, when the latest segment has room, then it is extended") {
+            val world = LedgerWorld(smallLimits)
+            val first = world.key("k1")
+            world.run(world.entry, 1, first)
+            (2L..60L).forEach { world.run(world.entry, it, world.key("k$it")) }
+            (world.head.head.segments.size <= 3) shouldBe true
+            world.begin(world.otherEntry, 100, first)
+            world.advance(1_000)
+            stored(world.results[100]) shouldBe "answer-1"
+        }
+
+        test("given a conflict that names no value, then the slot and the head are read") {
+            val world = LedgerWorld(smallLimits)
+            world.isConflictTold = false
+            (1L..4L).forEach { world.run(world.entry, it, world.key("k$it")) }
+            world.view(world.ids - world.writer)
+            (5L..9L).forEach { world.run(world.otherEntry, it, world.key("k$it")) }
+            world.view(world.ids)
+            (10L..14L).forEach { world.run(world.otherEntry, it, world.key("k$it")) }
+            world.dispatched.toSet() shouldBe (1L..14L).toSet()
+            world.reports shouldBe emptyList()
+        }
+
+        test("given a segment write that fails, then no head refers to it and nothing is lost") {
+            val world = LedgerWorld(smallLimits)
+            world.storeMode = {
+                if (it is StoreCall.Write && it.key.contains("segment")) {
+                    StoreMode.LOSE_ANSWER_BEFORE_EFFECT
+                } else StoreMode.NORMAL
+            }
+            val key = world.key("k1")
+            world.run(world.entry, 1, key)
+            world.begin(world.entry, 2, world.key("k2"))
+            world.advance(1_000)
+            world.storeMode = { StoreMode.NORMAL }
+            world.head.head.segments shouldBe emptyList()
+            world.kill(world.writer)
+            world.view(world.ids - world.writer)
+            world.begin(world.otherEntry, 3, key)
+            world.advance(1_000)
+            stored(world.results[3]) shouldBe "answer-1"
+        }
+
         test("given a shard taken up twice by one process, then its commit ids differ") {
             val world = LedgerWorld()
             world.run(world.entry, 1, world.key("k1"))
--- a/core/src/test/kotlin/io/lavenderhinge/core/ledger/LedgerWorld.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/ledger/LedgerWorld.kt
@@ -33,6 +33,7 @@
     var nowMillis = 1_780_000_000_000L
     var storeMode: (StoreCall) -> StoreMode = { StoreMode.NORMAL }
     var isDropped: (to: String, message: LedgerMessage) -> Boolean = { _, _ -> false }
+    var isConflictTold = true
     val values = HashMap<String, VersionedValue>()
     val writtenValues = ArrayList<String>()
     val dispatched = ArrayList<Long>()
@@ -44,6 +45,7 @@
     private val paused = HashMap<String, ArrayList<LedgerEvent>>()
     private val queue = ArrayDeque<() -> Unit>()
     private val held = ArrayList<() -> Unit>()
+    private val late = ArrayList<() -> Unit>()
     private var seed = 1
 
     init {
@@ -53,8 +55,7 @@
     val head: DecodedHead
         get() = ShardCodec.decodeHead(values.getValue(ShardNames.headKey(0)).value)
 
-    fun key(name: String, ageMillis: Long = 0) =
-        IdempotencyKey("workspace", name, nowMillis - ageMillis)
+    fun key(name: String) = IdempotencyKey("workspace", name, nowMillis)
 
     fun begin(
         id: String,
@@ -109,6 +110,13 @@
     fun view(live: List<String>, exceptId: String? = null) =
         ids.filter { it != exceptId }.forEach { views[it] = live }
 
+    /** Messages that were dropped arrive after all. */
+    fun deliverDropped() {
+        queue += late
+        late.clear()
+        settle()
+    }
+
     fun releaseHeld() {
         val calls = held.toList()
         held.clear()
@@ -159,11 +167,8 @@
     private fun execute(id: String, node: LedgerNode, effect: LedgerEffect) {
         when (effect) {
             is LedgerEffect.Send ->
-                if (!isDropped(effect.toInstanceId, effect.message)) {
-                    queue += {
-                        handle(effect.toInstanceId, LedgerEvent.Received(id, effect.message))
-                    }
-                }
+                if (isDropped(effect.toInstanceId, effect.message)) late += deliver(id, effect)
+                else queue += deliver(id, effect)
             is LedgerEffect.CallStore ->
                 callStore(effect.call) {
                     if (nodes[id] === node) handle(id, LedgerEvent.StoreReplied(it))
@@ -174,6 +179,10 @@
         }
     }
 
+    private fun deliver(from: String, effect: LedgerEffect.Send): () -> Unit = {
+        handle(effect.toInstanceId, LedgerEvent.Received(from, effect.message))
+    }
+
     private fun callStore(call: StoreCall, reply: (StoreResult) -> Unit) {
         val unknown = StoreFault.OutcomeUnknown("lost")
         when (storeMode(call)) {
@@ -193,6 +202,9 @@
         }
     }
 
+    private fun conflict(current: VersionedValue?) =
+        StoreFault.Conflict(current.takeIf { isConflictTold }).left()
+
     private fun fault(call: StoreCall, fault: StoreFault): StoreResult =
         when (call) {
             is StoreCall.Read -> StoreResult.ReadDone(call.callId, call.shard, fault.left())
@@ -206,7 +218,7 @@
         }
         val write = call as StoreCall.Write
         if ((current?.version ?: 0) != write.expectedVersion) {
-            return StoreResult.WriteDone(call.callId, 0, StoreFault.Conflict(current).left())
+            return StoreResult.WriteDone(call.callId, 0, conflict(current))
         }
         val version = write.expectedVersion + 1
         values[call.key] = VersionedValue(call.key, write.value, version)
--- a/experiments/src/main/kotlin/io/lavenderhinge/experiments/ledger/FakeLedgerStore.kt
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/ledger/FakeLedgerStore.kt
@@ -77,7 +77,9 @@
     private fun write(call: StoreCall.Write): Either<StoreFault, Long> {
         val current = values[call.key]
         if ((current?.version ?: 0) != call.expectedVersion) {
-            return StoreFault.Conflict(current).left()
+            // An adapter may not be able to tell what it found.
+            val told = current.takeIf { random.nextInt(5) > 0 }
+            return StoreFault.Conflict(told).left()
         }
         val next = VersionedValue(call.key, call.value, call.expectedVersion + 1)
         values[call.key] = next
