--- a/core/src/main/kotlin/io/lavenderhinge/core/ledger/ShardStore.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/ledger/ShardStore.kt
@@ -139,7 +139,8 @@
             nextWriteAtMillis = maxOf(nowMillis, nextWriteAtMillis)
             owedMillis += limits.writeIntervalMillis
         } else {
-            val repaidMillis = minOf(owedMillis, limits.writeIntervalMillis / REPAYMENTS)
+            val shareMillis = limits.writeIntervalMillis / REPAYMENTS
+            val repaidMillis = minOf(owedMillis, maxOf(shareMillis, owedMillis / MAX_OWED_SHARE))
             owedMillis -= repaidMillis
             nextWriteAtMillis =
                 maxOf(nowMillis, nextWriteAtMillis) + limits.writeIntervalMillis + repaidMillis
@@ -307,5 +308,10 @@
 
         /** Commits over which the time of one segment write is spread. */
         const val REPAYMENTS = 8
+
+        /**
+         * Repays faster when segments follow each other closely; else the rate would be exceeded.
+         */
+        const val MAX_OWED_SHARE = 4
     }
 }
