Find dead instances by notices of broken links

Sending all heartbeats was ruled out: about 1.4 KB a message for one domain, over the 5 KB/s of an instance.

An instance whose link breaks now tells eight peers of its domain, which ask the instance themselves; silence of heartbeats is the slower second line (30 s), another domain is judged by its silence as a whole, and a new instance reads the list often at first.

--- a/core/src/main/kotlin/io/lavenderhinge/core/membership/InstanceEntry.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/membership/InstanceEntry.kt
@@ -11,6 +11,7 @@
     val counter: Long = 0,
     val leaving: Boolean = false,
     val listed: Boolean = false,
+    val wasListed: Boolean = false,
     val linkLostMillis: Long? = null,
     val nextProbeMillis: Long = 0,
     val admitMillis: Long = 0,
--- a/core/src/main/kotlin/io/lavenderhinge/core/membership/InstanceRule.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/membership/InstanceRule.kt
@@ -2,17 +2,24 @@
 
 /** Derives the state of an instance from the evidence on it. */
 internal class InstanceRule(private val ownDomain: String, private val timings: MembershipTimings) {
-    fun state(entry: InstanceEntry, nowMillis: Long): MemberState {
+    /** [domainSignMillis] is when any instance of the entry's domain last gave a sign. */
+    fun state(entry: InstanceEntry, domainSignMillis: Long, nowMillis: Long): MemberState {
         val own = entry.failureDomain == ownDomain
         val silenceMillis = nowMillis - entry.lastSignMillis
+        val domainSilenceMillis = if (own) 0 else nowMillis - domainSignMillis
+        val unlisted = entry.wasListed && !entry.listed
         val linkLost = entry.linkLostMillis
         return when {
             silenceMillis >= timings.deadAfter(own) -> MemberState.DEAD
+            // Some heartbeat of a domain arrives each second, so its silence shows soon.
+            domainSilenceMillis >= timings.domainDeadMillis -> MemberState.DEAD
+            unlisted && silenceMillis >= timings.unlistedDeadMillis -> MemberState.DEAD
             entry.leaving -> MemberState.LEAVING
             // A broken link with no sign since is stronger than silence alone.
             linkLost != null && nowMillis - linkLost >= timings.linkLostDeadMillis ->
                 MemberState.DEAD
             linkLost != null -> MemberState.SUSPECT
+            domainSilenceMillis >= timings.domainSuspectMillis -> MemberState.SUSPECT
             silenceMillis >= timings.suspectAfter(own) -> MemberState.SUSPECT
             nowMillis < entry.admitMillis -> MemberState.SUSPECT
             else -> MemberState.LIVE
--- a/core/src/main/kotlin/io/lavenderhinge/core/membership/InstanceTable.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/membership/InstanceTable.kt
@@ -42,7 +42,9 @@
         if (!heartbeat.isAfter(entry.incarnation, entry.counter)) return false
         val restarted = heartbeat.incarnation > entry.incarnation
         // A relayed heartbeat may be older than the loss of the link; only a direct one refutes it.
-        val linkLostMillis = entry.linkLostMillis.takeUnless { direct || restarted }
+        // Instances of other domains are seldom spoken to directly.
+        val outside = entry.failureDomain != ownDomain
+        val linkLostMillis = entry.linkLostMillis.takeUnless { direct || restarted || outside }
         entries[entry.id] =
             entry.copy(
                 address = heartbeat.address.ifEmpty { entry.address },
@@ -57,17 +59,20 @@
         return true
     }
 
-    /** The link to [id] broke. */
-    fun onLinkLost(id: String, nowMillis: Long) {
-        val entry = entries[id] ?: return
-        if (entry.linkLostMillis != null) return
+    /** The link to [id] broke. Returns its entry when that is new, else null. */
+    fun onLinkLost(id: String, nowMillis: Long): InstanceEntry? {
+        val entry = entries[id] ?: return null
+        if (entry.linkLostMillis != null || entry.state == MemberState.DEAD) return null
         entries[id] = entry.copy(linkLostMillis = nowMillis, nextProbeMillis = nowMillis)
+        return entry
     }
 
     /** Instances behind broken links that are to be asked directly now. */
     fun dueProbes(nowMillis: Long): List<String> {
         val due =
-            entries.values.filter { it.linkLostMillis != null && nowMillis >= it.nextProbeMillis }
+            entries.values
+                .filter { it.failureDomain == ownDomain }
+                .filter { it.linkLostMillis != null && nowMillis >= it.nextProbeMillis }
         due.forEach {
             // Probes of an instance that stays silent become as rare as other gossip.
             val silenceMillis = nowMillis - (it.linkLostMillis ?: nowMillis)
@@ -83,8 +88,10 @@
             !it.listed && nowMillis - it.lastSignMillis >= timings.forgetMillis
         }
         val changes = mutableListOf<MembershipEffect>()
+        val signs = HashMap<String, Long>()
+        entries.values.forEach { signs.merge(it.failureDomain, it.lastSignMillis, ::maxOf) }
         entries.replaceAll { id, entry ->
-            val state = rule.state(entry, nowMillis)
+            val state = rule.state(entry, signs.getValue(entry.failureDomain), nowMillis)
             if (state == entry.state) return@replaceAll entry
             changes += MembershipEffect.InstanceChanged(id, entry.state, state)
             entry.copy(state = state)
@@ -106,6 +113,7 @@
                 failureDomain = member.failureDomain,
                 leaving = entry.leaving || leaving,
                 listed = true,
+                wasListed = true,
             )
     }
 
--- a/core/src/main/kotlin/io/lavenderhinge/core/membership/ListSchedule.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/membership/ListSchedule.kt
@@ -5,12 +5,13 @@
 /**
  * When an instance reads the list.
  *
- * The list grows with the fleet, so the interval does too: each instance spends about 1.5 KB/s on
- * it, and the instances of a domain together still read it more than once a second.
+ * The list grows with the fleet, so the interval does too: each instance spends about 1 KB/s on it,
+ * and the instances of a domain together still read it more than once a second.
  */
 internal class ListSchedule(private val random: Random, startedAtMillis: Long) {
     private var nextMillis = startedAtMillis
     private var pending = false
+    private var ceilingMillis = MINIMUM_MILLIS
 
     /** True when the list is to be read now. */
     fun isDue(nowMillis: Long): Boolean {
@@ -28,7 +29,9 @@
     /** The list was read with [members] members, or not at all. */
     fun onAnswer(members: Int, nowMillis: Long) {
         pending = false
-        nextMillis = nowMillis + jittered(intervalMillis(members))
+        // The lagging list misses those that start together, so a new instance reads it often.
+        nextMillis = nowMillis + jittered(minOf(ceilingMillis, intervalMillis(members)))
+        ceilingMillis = minOf(ceilingMillis * 2, MAXIMUM_MILLIS)
     }
 
     // The jitter spreads the readers of a domain evenly over the interval.
@@ -37,9 +40,10 @@
     companion object {
         private const val LOST_MILLIS = 10_000L
         private const val MEMBER_BYTES = 150
-        private const val BYTES_PER_SECOND = 1_500
+        private const val BYTES_PER_SECOND = 1_000
         private const val MILLIS = 1_000L
         private const val MINIMUM_MILLIS = 2_000L
+        private const val MAXIMUM_MILLIS = 600_000L
 
         /** Mean time between two reads of a list with [members] members. */
         fun intervalMillis(members: Int): Long =
--- a/core/src/main/kotlin/io/lavenderhinge/core/membership/MembershipTable.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/membership/MembershipTable.kt
@@ -28,7 +28,7 @@
     private val self: SelfDescription,
     seeds: List<String>,
     startedAtMillis: Long,
-    random: Random,
+    private val random: Random,
     timings: MembershipTimings = MembershipTimings(),
 ) {
     private val instanceTable = InstanceTable(self.id, self.failureDomain, timings, random)
@@ -83,10 +83,7 @@
                 is MembershipEvent.ListFetched -> onList(event, nowMillis)
                 is MembershipEvent.ListFailed -> onListFailed(event, nowMillis)
                 is MembershipEvent.HeartbeatsReceived -> onHeartbeats(event, nowMillis)
-                is MembershipEvent.LinkLost -> {
-                    instanceTable.onLinkLost(event.instanceId, nowMillis)
-                    exchanges(instanceTable.dueProbes(nowMillis), nowMillis)
-                }
+                is MembershipEvent.LinkLost -> onLinkLost(event, nowMillis)
                 is MembershipEvent.ServerObserved -> {
                     serverTable.onObservation(event.serverId, event.observation, nowMillis)
                     emptyList()
@@ -139,10 +136,35 @@
         return emptyList()
     }
 
+    // Each peer that is told asks the instance itself, so a mistaken notice does no harm.
+    private fun onLinkLost(
+        event: MembershipEvent.LinkLost,
+        nowMillis: Long,
+    ): List<MembershipEffect> {
+        val lost = instanceTable.onLinkLost(event.instanceId, nowMillis)
+        val probes = exchanges(instanceTable.dueProbes(nowMillis), nowMillis)
+        // Only peers of its own domain choose it as a home and need to know at once.
+        if (lost == null || lost.failureDomain != self.failureDomain) return probes
+        val notice = Heartbeat(SUSPECT_PREFIX + lost.id, lost.incarnation, 0, leaving = false)
+        return probes +
+            liveIn(lost.failureDomain)
+                .filter { it != self.id && it != lost.id }
+                .shuffled(random)
+                .take(NOTICES)
+                .map { MembershipEffect.SendDigest(it, listOf(notice), false, exchange = false) }
+    }
+
+    private fun probeOf(notice: Heartbeat): String? {
+        val entry = instanceTable[notice.instanceId.removePrefix(SUSPECT_PREFIX)] ?: return null
+        val known = entry.linkLostMillis != null || entry.incarnation > notice.incarnation
+        return entry.id.takeUnless { known || entry.state != MemberState.LIVE }
+    }
+
     private fun onHeartbeats(
         event: MembershipEvent.HeartbeatsReceived,
         nowMillis: Long,
     ): List<MembershipEffect> {
+        val probes = mutableListOf<String>()
         event.heartbeats.forEach { heartbeat ->
             when {
                 heartbeat.instanceId == self.id -> outlive(heartbeat)
@@ -151,13 +173,15 @@
                         heartbeat.instanceId.removePrefix(SERVER_PREFIX),
                         nowMillis,
                     )
+                heartbeat.instanceId.startsWith(SUSPECT_PREFIX) ->
+                    probeOf(heartbeat)?.let(probes::add)
                 else -> {
                     val direct = heartbeat.instanceId == event.from
                     instanceTable.onHeartbeat(heartbeat, direct, nowMillis)
                 }
             }
         }
-        if (!event.replyWanted) return emptyList()
+        if (!event.replyWanted) return exchanges(probes, nowMillis)
         // The counter rises with each answer, or the answer to a probe would say nothing new.
         own = own.copy(counter = own.counter + 1)
         val reply = heartbeats(nowMillis)
@@ -197,6 +221,12 @@
     private fun ownState() = if (own.leaving) MemberState.LEAVING else MemberState.LIVE
 
     private companion object {
+        // Each step takes the 2 s after which a link is silent; eight reach 64 instances in two.
+        const val NOTICES = 8
+
+        // A heartbeat with this prefix asks its receiver to check an instance.
+        const val SUSPECT_PREFIX = "suspect/"
+
         // A heartbeat with this prefix is a notice that a backend server is leaving.
         const val SERVER_PREFIX = "server/"
     }
--- a/core/src/main/kotlin/io/lavenderhinge/core/membership/MembershipTimings.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/membership/MembershipTimings.kt
@@ -3,15 +3,18 @@
 /**
  * Times of the membership table.
  *
- * Heartbeats of the own domain travel by gossip each second, those of other domains each 5 s. The
- * silence that makes a member suspect is above the 99.9th percentile of the age of its heartbeat at
- * 64 instances a domain with 5% of the messages lost (docs/measurements/settings.md).
+ * Broken links and notices about them find a dead instance within seconds. The silence of
+ * heartbeats is the slower second line: at 64 instances a domain a digest carries a part of them,
+ * so the age of a live instance's heartbeat has a long tail (docs/measurements/settings.md).
  */
 data class MembershipTimings(
-    val suspectMillis: Long = 10_000,
-    val deadMillis: Long = 15_000,
-    val outsideSuspectMillis: Long = 40_000,
-    val outsideDeadMillis: Long = 60_000,
+    val suspectMillis: Long = 30_000,
+    val deadMillis: Long = 45_000,
+    val outsideSuspectMillis: Long = 120_000,
+    val outsideDeadMillis: Long = 180_000,
+    val domainSuspectMillis: Long = 15_000,
+    val domainDeadMillis: Long = 30_000,
+    val unlistedDeadMillis: Long = 60_000,
     val linkLostDeadMillis: Long = 5_000,
     val forgetMillis: Long = 600_000,
     val rejoinJitterMillis: Long = 5_000,
--- a/experiments/src/main/kotlin/io/lavenderhinge/experiments/settings/FleetFaults.kt
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/settings/FleetFaults.kt
@@ -63,7 +63,7 @@
     private fun probes() {
         queue.at(PROBE_MILLIS) { stop(result.crashNoticed, silent = false) }
         queue.at(PROBE_MILLIS + 20_000) { stop(result.silentNoticed, silent = true) }
-        (0 until minOf(LEAVING_SERVERS, plan.servers)).forEach { index ->
+        for (index in 0 until minOf(LEAVING_SERVERS, plan.servers)) {
             queue.at(PROBE_MILLIS + index * 1_000) { fleet.leave("s-$index") }
         }
     }
--- a/experiments/src/main/kotlin/io/lavenderhinge/experiments/settings/RunResult.kt
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/settings/RunResult.kt
@@ -20,6 +20,7 @@
     val bytesPerSecond = Samples()
     var wentBack = 0
     var falseSuspicions = 0
+    var falseOutside = 0
     var processorNanos = 0L
     var processorShare = 0.0
     var platformCallsPerSecond = 0.0
--- a/experiments/src/main/kotlin/io/lavenderhinge/experiments/settings/SettingsCommand.kt
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/settings/SettingsCommand.kt
@@ -66,7 +66,9 @@
         )
         val share = results.maxOf { it.processorShare } * 100
         echo("  processor of an instance  %.3f%% of a core, largest run".format(share))
-        echo("  false suspicions          ${results.sumOf { it.falseSuspicions }}")
+        val outside = results.sumOf { it.falseOutside }
+        val inside = results.sumOf { it.falseSuspicions }
+        echo("  false suspicions          $inside in the domain, $outside outside")
         line("server leaving at its home", merged { it.serverLeft })
         line("crash noticed in domain", merged { it.crashNoticed })
         line("silent host noticed", merged { it.silentNoticed })
