--- a/experiments/src/main/kotlin/io/lavenderhinge/experiments/rollout/ComparedTests.kt
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/rollout/ComparedTests.kt
@@ -11,14 +11,8 @@
 /** The tests that the experiment compares; the first is the one of the core. */
 enum class ComparedTest(val factory: SequentialTestFactory) {
     E_VALUE(TwoSampleEvidence.factory),
-    SPRT(
-        SequentialTestFactory { metric, _, carried ->
-            when (metric) {
-                Metric.ERRORS -> Sprt(effect = 0.05, priorRate = 0.002, carried ?: 0.0)
-                Metric.SLOW -> Sprt(effect = 0.15, priorRate = 0.05, carried ?: 0.0)
-            }
-        }
-    ),
+    SPRT(sprt(restarts = false)),
+    SPRT_RESTARTED(sprt(restarts = true)),
     THRESHOLD(
         SequentialTestFactory { metric, _, _ ->
             when (metric) {
@@ -29,14 +23,26 @@
     ),
 }
 
+private fun sprt(restarts: Boolean) = SequentialTestFactory { metric, _, carried ->
+    when (metric) {
+        Metric.ERRORS -> Sprt(effect = 0.05, priorRate = 0.002, restarts, carried ?: 0.0)
+        Metric.SLOW -> Sprt(effect = 0.15, priorRate = 0.05, restarts, carried ?: 0.0)
+    }
+}
+
 /**
  * Wald's test of the old version's rate against that rate plus [effect].
  *
- * The old rate is estimated from the old version and then taken as known. After the test accepts
- * the version it starts again, since the version must be watched until the end.
+ * The old rate is estimated from the old version and then taken as known. The version must be
+ * watched until the end, so that acceptance does not end the test: with [restarts] it begins again,
+ * without it the evidence for the version is kept.
  */
-class Sprt(private val effect: Double, private val priorRate: Double, carried: Double) :
-    SequentialTest {
+class Sprt(
+    private val effect: Double,
+    private val priorRate: Double,
+    private val restarts: Boolean,
+    carried: Double,
+) : SequentialTest {
     private val oldByRoute = HashMap<String, Pair<Double, Double>>()
     private var logRatio = carried
 
@@ -52,7 +58,7 @@
         val worse = (rate + effect).coerceAtMost(MAX_RATE)
         val good = block.newRequests - block.newEvents
         logRatio += block.newEvents * ln(worse / rate) + good * ln((1 - worse) / (1 - rate))
-        if (logRatio < ACCEPT_LOG) logRatio = 0.0
+        if (restarts && logRatio < ACCEPT_LOG) logRatio = 0.0
     }
 
     private companion object {
