--- a/experiments/src/main/kotlin/io/lavenderhinge/experiments/Main.kt
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/Main.kt
@@ -4,6 +4,7 @@
 import com.github.ajalt.clikt.core.subcommands
 import io.lavenderhinge.experiments.ledger.LedgerCommand
 import io.lavenderhinge.experiments.rollout.RolloutCommand
+import io.lavenderhinge.experiments.rollout.RolloutCostCommand
 import io.lavenderhinge.experiments.settings.SettingsCommand
 
 fun main(arguments: Array<String>) =
@@ -13,6 +14,7 @@
             CompareCommand(),
             LedgerCommand(),
             RolloutCommand(),
+            RolloutCostCommand(),
             ScheduleCommand(),
             SettingsCommand(),
         )
