--- a/core/src/main/kotlin/io/lavenderhinge/core/routing/EntryRouter.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/routing/EntryRouter.kt
@@ -1,6 +1,7 @@
 package io.lavenderhinge.core.routing
 
 import io.lavenderhinge.core.Tier
+import io.lavenderhinge.core.scheduling.AskKey
 import io.lavenderhinge.core.scheduling.HomeDirectory
 import io.lavenderhinge.core.scheduling.HomeEffect
 import io.lavenderhinge.core.scheduling.HomeEvent
@@ -183,7 +184,7 @@
     /** A grant for an ask that was withdrawn meanwhile. */
     private fun rejectGrant(event: EntryEvent.HomeAnswered) {
         if (held.requestOf(event.message.askId) != null) return
-        send(event.homeId, event.serverId, HomeEvent.Released(event.message.askId))
+        send(event.homeId, event.serverId, HomeEvent.Released(AskKey(selfId, event.message.askId)))
     }
 
     private fun granted(
@@ -198,7 +199,7 @@
         releaseAsks(waiting)
         val book = selection[ask.serverId]
         if (book == null) {
-            send(ask.homeId, ask.serverId, HomeEvent.Released(ask.ask.askId))
+            send(ask.homeId, ask.serverId, HomeEvent.Released(ask.ask.key))
             pending[request.requestId] = waiting
             return advance(waiting, nowMillis)
         }
@@ -328,7 +329,7 @@
     }
 
     private fun release(ask: OpenAsk) =
-        send(ask.homeId, ask.serverId, HomeEvent.Released(ask.ask.askId))
+        send(ask.homeId, ask.serverId, HomeEvent.Released(ask.ask.key))
 
     private fun send(homeId: String, serverId: String, event: HomeEvent) {
         effects += EntryEffect.Send(homeId, serverId, event)
--- a/core/src/main/kotlin/io/lavenderhinge/core/routing/HeldSlots.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/routing/HeldSlots.kt
@@ -28,12 +28,12 @@
     fun released(requestId: String) {
         val slot = remove(requestId) ?: return
         selection[slot.serverId]?.let { it.inService-- }
-        slot.homeId?.let { send(it, slot.serverId, HomeEvent.Released(slot.ask.askId)) }
+        slot.homeId?.let { send(it, slot.serverId, HomeEvent.Released(slot.ask.key)) }
     }
 
     fun finished(requestId: String, result: SlotResult, nowMillis: Long) {
         val slot = remove(requestId) ?: return
-        slot.homeId?.let { send(it, slot.serverId, HomeEvent.Finished(slot.ask.askId, result)) }
+        slot.homeId?.let { send(it, slot.serverId, HomeEvent.Finished(slot.ask.key, result)) }
         val book = selection[slot.serverId] ?: return
         book.inService--
         when (result.resultClass) {
--- a/core/src/main/kotlin/io/lavenderhinge/core/routing/RoutingSettings.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/routing/RoutingSettings.kt
@@ -22,7 +22,7 @@
     /** Cost of each own request in service: spreads load while nothing queues. */
     val loadMillis: Double = 4.0,
     /** Greatest bonus by which entries agree on a server for a prefix none of them has seen. */
-    val agreementMillis: Double = 20.0,
+    val agreementMillis: Double = 100.0,
 ) {
     fun maxAsks(tier: Tier): Int =
         if (tier == Tier.INTERACTIVE) maxAsksInteractive else maxAsksLowerTier
--- a/core/src/main/kotlin/io/lavenderhinge/core/scheduling/Home.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/scheduling/Home.kt
@@ -69,8 +69,8 @@
         when (event) {
             is HomeEvent.Asked -> asked(event.ask, nowMillis)
             is HomeEvent.Registered -> registered(event.ask, nowMillis)
-            is HomeEvent.Released -> released(event.askId, nowMillis)
-            is HomeEvent.Finished -> finished(event.askId, event.result, nowMillis)
+            is HomeEvent.Released -> released(event.key, nowMillis)
+            is HomeEvent.Finished -> finished(event.key, event.result, nowMillis)
             is HomeEvent.LoadReported -> loadReported(event.report, nowMillis)
             is HomeEvent.CacheChanged -> state.prefixes.changed(event.events)
             is HomeEvent.LinkLost -> linkLost(event.entryId, nowMillis)
@@ -86,7 +86,7 @@
     }
 
     private fun asked(ask: SlotAsk, nowMillis: Long) {
-        if (queues[ask.askId] != null || service[ask.askId] != null) return
+        if (queues[ask.key] != null || service[ask.key] != null) return
         val refusal = refusalFor(ask, nowMillis)
         if (refusal != null) return refuse(ask, refusal, nowMillis)
         if (queues.size >= settings.queueCapacity && !makeRoomFor(ask, nowMillis)) {
@@ -95,7 +95,7 @@
         val cached = state.prefixes.expectedTokens(ask.prefixHashes).coerceAtMost(ask.promptTokens)
         queues.add(WaitingAsk(ask, arrivals++, cached))
         grantWhatFits(nowMillis)
-        if (queues[ask.askId] != null) {
+        if (queues[ask.key] != null) {
             effects +=
                 HomeEffect.Queued(
                     ask.entryId,
@@ -116,31 +116,31 @@
     private fun makeRoomFor(ask: SlotAsk, nowMillis: Long): Boolean {
         val displaced = queues.displaceableBy(ask.tier)
         if (displaced == null) return admission.mayJumpQueue(ask)
-        queues.remove(displaced.ask.askId)
+        queues.remove(displaced.ask.key)
         refuse(displaced.ask, RefusalReason.DISPLACED, nowMillis)
         return true
     }
 
     private fun registered(ask: SlotAsk, nowMillis: Long) {
-        val known = service[ask.askId]
+        val known = service[ask.key]
         if (known != null) {
             known.isConfirmed = true
             known.orphanedAtMillis = null
             return
         }
-        queues.remove(ask.askId)
+        queues.remove(ask.key)
         startService(ask, 0, nowMillis).isConfirmed = true
     }
 
-    private fun released(askId: String, nowMillis: Long) {
-        if (queues.remove(askId) == null) service.remove(askId, nowMillis)
+    private fun released(key: AskKey, nowMillis: Long) {
+        if (queues.remove(key) == null) service.remove(key, nowMillis)
     }
 
-    private fun finished(askId: String, result: SlotResult, nowMillis: Long) {
+    private fun finished(key: AskKey, result: SlotResult, nowMillis: Long) {
         state.evidence.observe(result.resultClass, nowMillis)
-        val slot = service[askId]
+        val slot = service[key]
         if (slot != null) state.learn(slot, result, nowMillis)
-        service.remove(askId, nowMillis)
+        service.remove(key, nowMillis)
         admission.unavailable(nowMillis)?.let { refuseAll(it, nowMillis) }
     }
 
@@ -157,13 +157,13 @@
         for (slot in
             service.all().filter { (it.orphanedAtMillis ?: nowMillis) < reportedAtMillis }) {
             if (missing-- <= 0) return
-            service.remove(slot.ask.askId, nowMillis)
+            service.remove(slot.ask.key, nowMillis)
         }
     }
 
     private fun linkLost(entryId: String, nowMillis: Long) {
         for (waiting in queues.all()) {
-            if (waiting.ask.entryId == entryId) queues.remove(waiting.ask.askId)
+            if (waiting.ask.entryId == entryId) queues.remove(waiting.ask.key)
         }
         for (slot in service.all()) {
             if (slot.ask.entryId == entryId) slot.orphanedAtMillis = nowMillis
@@ -180,7 +180,7 @@
 
     private fun tick(nowMillis: Long) {
         for (slot in service.all().filter { admission.isExpired(it, nowMillis) }) {
-            service.remove(slot.ask.askId, nowMillis)
+            service.remove(slot.ask.key, nowMillis)
         }
         service.expirePreemptions(nowMillis - settings.preemptionExpiryMillis)
         for (waiting in queues.all()) {
@@ -189,13 +189,13 @@
     }
 
     private fun drop(waiting: WaitingAsk, nowMillis: Long) {
-        queues.remove(waiting.ask.askId)
+        queues.remove(waiting.ask.key)
         refuse(waiting.ask, RefusalReason.DEADLINE, nowMillis)
     }
 
     private fun refuseAll(reason: RefusalReason, nowMillis: Long) {
         for (waiting in queues.all()) {
-            queues.remove(waiting.ask.askId)
+            queues.remove(waiting.ask.key)
             refuse(waiting.ask, reason, nowMillis)
         }
     }
--- a/core/src/main/kotlin/io/lavenderhinge/core/scheduling/HomeEvent.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/scheduling/HomeEvent.kt
@@ -14,10 +14,10 @@
     data class Registered(val ask: SlotAsk) : HomeEvent
 
     /** An entry withdraws an ask or returns an unused grant. */
-    data class Released(val askId: String) : HomeEvent
+    data class Released(val key: AskKey) : HomeEvent
 
     /** A request in service ended. */
-    data class Finished(val askId: String, val result: SlotResult) : HomeEvent
+    data class Finished(val key: AskKey, val result: SlotResult) : HomeEvent
 
     /** The backend server reported its load. */
     data class LoadReported(val report: LoadReport) : HomeEvent
--- a/core/src/main/kotlin/io/lavenderhinge/core/scheduling/ServiceTable.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/scheduling/ServiceTable.kt
@@ -5,7 +5,7 @@
 
 /** The slots that a home has granted. Counters are kept in step and checked on every change. */
 internal class ServiceTable(private val invariants: Invariants) {
-    private val byId = LinkedHashMap<String, InService>()
+    private val byId = LinkedHashMap<AskKey, InService>()
     private val byTier = IntArray(Tier.entries.size)
     val load = LoadIntegral()
 
@@ -19,20 +19,20 @@
     val size: Int
         get() = byId.size
 
-    operator fun get(askId: String): InService? = byId[askId]
+    operator fun get(key: AskKey): InService? = byId[key]
 
     fun all(): Collection<InService> = byId.values
 
     fun add(slot: InService, nowMillis: Long) {
-        val previous = byId.put(slot.ask.askId, slot)
+        val previous = byId.put(slot.ask.key, slot)
         invariants.check(previous == null) { "ask ${slot.ask.askId} was granted twice" }
         byTier[slot.ask.tier.ordinal]++
         contextTokens += slot.contextTokens
         changed(nowMillis)
     }
 
-    fun remove(askId: String, nowMillis: Long): InService? {
-        val slot = byId.remove(askId) ?: return null
+    fun remove(key: AskKey, nowMillis: Long): InService? {
+        val slot = byId.remove(key) ?: return null
         byTier[slot.ask.tier.ordinal]--
         contextTokens -= slot.contextTokens
         if (slot.preemptedAtMillis != null) preempting--
--- a/core/src/main/kotlin/io/lavenderhinge/core/scheduling/SlotAsk.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/scheduling/SlotAsk.kt
@@ -7,8 +7,8 @@
 /**
  * A request for one slot of a backend server.
  *
- * [askId] is unique for each ask: an entry that asks again for the same request uses a new id, so a
- * late grant cannot be mistaken for the answer to a newer ask. [deadlineMillis] and
+ * [askId] is unique for each ask of one entry: an entry that asks again for the same request uses a
+ * new id, so a late grant cannot be mistaken for the answer to a newer ask. [deadlineMillis] and
  * [firstTokenDueMillis] are on the home's clock. Token counts are estimates and zero for a plain
  * service. [prefixHashes] are those on [PrefixMilestones]. [mayPreempt] is set once the entry found
  * no other home that can answer in time.
@@ -25,7 +25,11 @@
     val prefixHashes: ImmutableList<Long> = persistentListOf(),
     val firstTokenDueMillis: Long = Long.MAX_VALUE,
     val mayPreempt: Boolean = false,
-)
+) {
+    /** Identity of this ask at a home. */
+    val key: AskKey
+        get() = AskKey(entryId, askId)
+}
 
 /** Tokens covered by one prefix hash. */
 const val PREFIX_BLOCK_TOKENS = 64
--- a/core/src/main/kotlin/io/lavenderhinge/core/scheduling/TierQueues.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/scheduling/TierQueues.kt
@@ -11,16 +11,16 @@
 internal class TierQueues {
     private val onTime = Tier.entries.map { FairQueue() }
     private val late = Tier.entries.map { FairQueue() }
-    private val byId = HashMap<String, WaitingAsk>()
+    private val byId = HashMap<AskKey, WaitingAsk>()
 
     val size: Int
         get() = byId.size
 
-    operator fun get(askId: String): WaitingAsk? = byId[askId]
+    operator fun get(key: AskKey): WaitingAsk? = byId[key]
 
     fun add(waiting: WaitingAsk) {
         lane(waiting).add(waiting)
-        byId[waiting.ask.askId] = waiting
+        byId[waiting.ask.key] = waiting
     }
 
     /** The next ask to serve: highest tier, on time before late, fair among workspaces. */
@@ -30,11 +30,11 @@
 
     fun serve(waiting: WaitingAsk) {
         lane(waiting).serve(waiting)
-        byId.remove(waiting.ask.askId)
+        byId.remove(waiting.ask.key)
     }
 
-    fun remove(askId: String): WaitingAsk? {
-        val waiting = byId.remove(askId) ?: return null
+    fun remove(key: AskKey): WaitingAsk? {
+        val waiting = byId.remove(key) ?: return null
         lane(waiting).remove(waiting)
         return waiting
     }
--- a/core/src/test/kotlin/io/lavenderhinge/core/scheduling/HomeFixture.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/scheduling/HomeFixture.kt
@@ -48,7 +48,7 @@
     fun asked(ask: SlotAsk): List<String> = handle(HomeEvent.Asked(ask))
 
     fun finished(id: String, resultClass: ResultClass = ResultClass.OK): List<String> =
-        handle(HomeEvent.Finished(id, SlotResult(resultClass)))
+        handle(HomeEvent.Finished(AskKey("e", id), SlotResult(resultClass)))
 
     fun reported(running: Int): List<String> =
         handle(HomeEvent.LoadReported(LoadReport(running, 0, 0, "1", 0)))
--- a/core/src/test/kotlin/io/lavenderhinge/core/scheduling/HomeRandomTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/scheduling/HomeRandomTest.kt
@@ -16,35 +16,45 @@
         }
     }) {
     private companion object {
+        val ENTRIES = listOf("entry-0", "entry-1", "entry-2")
+
         fun run(random: Random) {
             val home = Home("s", EngineLimit(), HomeSettings(queueCapacity = 30))
-            val granted = HashSet<String>()
+            val granted = HashSet<AskKey>()
             var nowMillis = 0L
             repeat(3_000) { step ->
                 nowMillis += random.nextLong(20)
                 for (effect in home.handle(event(step, granted, random, nowMillis), nowMillis)) {
                     if (effect !is HomeEffect.Grant) continue
-                    withClue(effect) { granted.add(effect.askId) shouldBe true }
+                    withClue(effect) {
+                        granted.add(AskKey(effect.entryId, effect.askId)) shouldBe true
+                    }
                 }
             }
             home.handle(HomeEvent.Closed(RefusalReason.SHUTDOWN), nowMillis)
-            for (askId in granted) home.handle(HomeEvent.Released(askId), nowMillis)
-            (0..3_000).forEach { home.handle(HomeEvent.Released("ask-$it"), nowMillis) }
+            for (number in 0..3_000) {
+                for (entry in ENTRIES) {
+                    home.handle(HomeEvent.Released(AskKey(entry, "ask-$number")), nowMillis)
+                }
+            }
             val status = home.status(nowMillis)
             status.inService shouldBe 0
             status.contextTokens shouldBe 0
             status.waiting.sum() shouldBe 0
         }
 
-        fun event(step: Int, granted: Set<String>, random: Random, nowMillis: Long): HomeEvent {
-            val known = if (granted.isEmpty()) "none" else granted.random(random)
+        fun event(step: Int, granted: Set<AskKey>, random: Random, nowMillis: Long): HomeEvent {
+            val known = if (granted.isEmpty()) AskKey("none", "none") else granted.random(random)
             return when (random.nextInt(16)) {
                 in 0..5 -> HomeEvent.Asked(ask("ask-$step", random, nowMillis))
                 in 6..9 -> HomeEvent.Finished(known, result(random))
-                10 -> HomeEvent.Released("ask-${random.nextInt(step + 1)}")
+                10 ->
+                    HomeEvent.Released(
+                        AskKey(ENTRIES.random(random), "ask-${random.nextInt(step + 1)}")
+                    )
                 11 ->
                     HomeEvent.Registered(ask("ask-${random.nextInt(step + 1)}", random, nowMillis))
-                12 -> HomeEvent.LinkLost("entry-${random.nextInt(3)}")
+                12 -> HomeEvent.LinkLost(ENTRIES.random(random))
                 13 -> HomeEvent.LoadReported(LoadReport(random.nextInt(40), 0, 0, "1", 200))
                 else -> HomeEvent.Tick
             }
@@ -53,7 +63,7 @@
         fun ask(id: String, random: Random, nowMillis: Long) =
             SlotAsk(
                 askId = id,
-                entryId = "entry-${random.nextInt(3)}",
+                entryId = ENTRIES.random(random),
                 tier = Tier.entries.random(random),
                 workspace = "workspace-${random.nextInt(5)}",
                 weight = 1.0 + random.nextInt(3),
--- a/core/src/test/kotlin/io/lavenderhinge/core/scheduling/HomeTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/scheduling/HomeTest.kt
@@ -218,6 +218,14 @@
             home.inService() shouldBe 1
         }
 
+        test("given two entries, when their asks carry the same number, then both are granted") {
+            val home = HomeFixture(slots = 2)
+            home.asked(home.ask("1", entry = "e"))
+
+            home.asked(home.ask("1", entry = "f")) shouldContain "grant 1"
+            home.inService() shouldBe 2
+        }
+
         test("given a pool that protects the top tier, when batch would wait, then it is refused") {
             val home = HomeFixture(slots = 1)
             home.asked(home.ask("running"))
--- a/experiments/src/main/kotlin/io/lavenderhinge/experiments/hinge/HingeMessages.kt
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/hinge/HingeMessages.kt
@@ -15,8 +15,8 @@
                 when (event) {
                     is HomeEvent.Asked -> askBytes(event.ask) + 8 * event.ask.prefixHashes.size
                     is HomeEvent.Registered -> askBytes(event.ask)
-                    is HomeEvent.Released -> event.askId.length
-                    is HomeEvent.Finished -> event.askId.length + RESULT_BYTES
+                    is HomeEvent.Released -> event.key.askId.length
+                    is HomeEvent.Finished -> event.key.askId.length + RESULT_BYTES
                     else -> 0
                 }
 
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/scheduling/HomeSlotService.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/scheduling/HomeSlotService.kt
@@ -10,6 +10,7 @@
 import io.lavenderhinge.core.routing.EntryRouter
 import io.lavenderhinge.core.routing.SlotRefusal
 import io.lavenderhinge.core.routing.SlotRequest
+import io.lavenderhinge.core.scheduling.AskKey
 import io.lavenderhinge.core.scheduling.HomeEffect
 import io.lavenderhinge.core.scheduling.HomeEvent
 import io.lavenderhinge.core.scheduling.HomeHost
@@ -28,6 +29,7 @@
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.toImmutableList
 import kotlinx.coroutines.CancellableContinuation
+import kotlinx.coroutines.async
 import kotlinx.coroutines.suspendCancellableCoroutine
 import org.slf4j.LoggerFactory
 
@@ -104,6 +106,10 @@
             checkNotNull(host.home(id)).status(control.nowMillis())
         }
 
+    /** Requests that wait at the homes here; callable from any thread. */
+    suspend fun waitingCount(): Int =
+        control.scope.async { homes().values.sumOf { it.waiting.sum() } }.await()
+
     override fun shutdown() =
         control.execute {
             enqueue {
@@ -178,7 +184,12 @@
             when (effect) {
                 // The entry does not learn of its grant, so nothing will run under it.
                 is HomeEffect.Grant ->
-                    enqueue { toHost(message.serverId, HomeEvent.Released(effect.askId)) }
+                    enqueue {
+                        toHost(
+                            message.serverId,
+                            HomeEvent.Released(AskKey(effect.entryId, effect.askId)),
+                        )
+                    }
                 is HomeEffect.Refuse -> keep(effect.entryId, frame)
                 is HomeEffect.Queued,
                 is HomeEffect.Preempt -> Unit
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/scheduling/PeerFrames.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/scheduling/PeerFrames.kt
@@ -1,6 +1,7 @@
 package io.lavenderhinge.instance.scheduling
 
 import io.lavenderhinge.core.Tier
+import io.lavenderhinge.core.scheduling.AskKey
 import io.lavenderhinge.core.scheduling.HomeEffect
 import io.lavenderhinge.core.scheduling.HomeEvent
 import io.lavenderhinge.core.scheduling.HomeSummary
@@ -36,8 +37,11 @@
         when (frame.bodyCase) {
             Frame.BodyCase.ASK -> ask(fromInstanceId, frame.ask, nowMillis)
             Frame.BodyCase.RELEASE ->
-                toHome(frame.release.serverId, HomeEvent.Released(frame.release.requestId))
-            Frame.BodyCase.DONE -> toHome(frame.done.serverId, finished(frame.done))
+                toHome(
+                    frame.release.serverId,
+                    HomeEvent.Released(AskKey(fromInstanceId, frame.release.requestId)),
+                )
+            Frame.BodyCase.DONE -> toHome(frame.done.serverId, finished(fromInstanceId, frame.done))
             Frame.BodyCase.GRANT ->
                 toEntry(
                     frame.grant.serverId,
@@ -68,11 +72,11 @@
             is HomeEvent.Released ->
                 frame
                     .setRelease(
-                        Release.newBuilder().setRequestId(event.askId).setServerId(serverId)
+                        Release.newBuilder().setRequestId(event.key.askId).setServerId(serverId)
                     )
                     .build()
             is HomeEvent.Finished ->
-                frame.setDone(done(serverId, event.askId, event.result)).build()
+                frame.setDone(done(serverId, event.key.askId, event.result)).build()
             else -> null
         }
     }
@@ -177,9 +181,9 @@
         if (tier == Tier.INTERACTIVE && promptTokens > 0) nowMillis + FIRST_TOKEN_MILLIS
         else Long.MAX_VALUE
 
-    private fun finished(done: Done) =
+    private fun finished(fromInstanceId: String, done: Done) =
         HomeEvent.Finished(
-            done.requestId,
+            AskKey(fromInstanceId, done.requestId),
             SlotResult(
                 resultClass =
                     ResultClass.entries.getOrElse(done.result.ordinal - 1) {
