Add the scheduling-cost command

Measures processor time, memory and control traffic of one instance's routing and homes at 10, 40, 160 and 320 instances. Times are elapsed, not processor time, and so an upper bound on a busy machine.

--- /dev/null
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/SchedulingCostCommand.kt
@@ -0,0 +1,28 @@
+package io.lavenderhinge.experiments
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.int
+import com.github.ajalt.clikt.parameters.types.long
+import io.lavenderhinge.experiments.cost.SchedulingCost
+import io.lavenderhinge.experiments.report.textTable
+
+/** Measures what scheduling costs one instance of fleets of several sizes. */
+internal class SchedulingCostCommand : CliktCommand(name = "scheduling-cost") {
+    private val seed by option(help = "Seed").long().default(1)
+    private val seconds by option(help = "Measured seconds of virtual time").int().default(30)
+
+    override fun help(context: Context) =
+        "Measures processor time, memory and control traffic of one instance's scheduling."
+
+    override fun run() {
+        val rows = FLEETS.map { SchedulingCost(it, seed, seconds).measure().row() }
+        echo(textTable(SchedulingCost.HEADER, rows))
+    }
+
+    private companion object {
+        val FLEETS = listOf(10, 40, 160, 320)
+    }
+}
--- /dev/null
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/cost/SchedulingCost.kt
@@ -0,0 +1,246 @@
+package io.lavenderhinge.experiments.cost
+
+import io.lavenderhinge.core.Tier
+import io.lavenderhinge.core.routing.EntryEffect
+import io.lavenderhinge.core.routing.EntryEvent
+import io.lavenderhinge.core.routing.EntryRouter
+import io.lavenderhinge.core.routing.SlotRequest
+import io.lavenderhinge.core.scheduling.AskKey
+import io.lavenderhinge.core.scheduling.HomeEffect
+import io.lavenderhinge.core.scheduling.HomeEvent
+import io.lavenderhinge.core.scheduling.HomeHost
+import io.lavenderhinge.core.scheduling.HomeMessage
+import io.lavenderhinge.core.scheduling.InstanceView
+import io.lavenderhinge.core.scheduling.ResultClass
+import io.lavenderhinge.core.scheduling.ServerView
+import io.lavenderhinge.core.scheduling.SlotAsk
+import io.lavenderhinge.core.scheduling.SlotResult
+import io.lavenderhinge.core.settings.Target
+import io.lavenderhinge.experiments.hinge.ToEntry
+import io.lavenderhinge.experiments.hinge.ToHome
+import java.lang.management.ManagementFactory
+import java.util.PriorityQueue
+import kotlin.random.Random
+import kotlinx.collections.immutable.toImmutableList
+
+/**
+ * One instance of a fleet of [instances], which is a part of the design scale of 320 instances, 600
+ * backend servers, 4,800 workspaces and 9,500 requests a second.
+ *
+ * The instance routes its share of the requests and hosts its share of the homes. The other homes
+ * are stood in for by immediate grants, the other entries by asks of the same number and form.
+ */
+internal class SchedulingCost(private val instances: Int, seed: Long, private val seconds: Int) {
+    private val random = Random(seed)
+    private val servers = 600 * instances / 320
+    private val workspaces = 4_800 * instances / 320
+    private val requestsPerSecond = 9_500.0 * instances / 320 / instances
+    private val host = HomeHost(SELF)
+    private val router = EntryRouter(SELF, "domain-0", random)
+    private val ends = PriorityQueue<End>(compareBy { it.atMillis })
+    private val templates = List(workspaces) { List(8) { random.nextLong() } }
+    private var sentBytes = 0L
+    private var nowMillis = 0L
+    private var number = 0L
+    private var hostNanos = 0L
+    private var routerNanos = 0L
+
+    private class End(val atMillis: Long, val run: () -> Unit)
+
+    data class Result(
+        val instances: Int,
+        val servers: Int,
+        val workspaces: Int,
+        val hostedHomes: Int,
+        val routerCoreFraction: Double,
+        val homeCoreFraction: Double,
+        val stateBytes: Long,
+        val sentBytesPerSecond: Double,
+    ) {
+        fun row(): List<String> =
+            listOf(
+                "$instances",
+                "$servers",
+                "$workspaces",
+                "$hostedHomes",
+                "%.3f%%".format(routerCoreFraction * 100),
+                "%.3f%%".format(homeCoreFraction * 100),
+                "%.1f".format(stateBytes / 1e6),
+                "%.0f".format(sentBytesPerSecond),
+            )
+    }
+
+    fun measure(): Result {
+        val emptyBytes = usedBytes()
+        view()
+        run(WARM_UP_SECONDS)
+        hostNanos = 0
+        routerNanos = 0
+        sentBytes = 0
+        run(seconds)
+        val nanos = seconds * 1e9
+        val result =
+            Result(
+                instances,
+                servers,
+                workspaces,
+                host.hostedServerIds.size,
+                routerNanos / nanos,
+                hostNanos / nanos,
+                usedBytes() - emptyBytes,
+                sentBytes.toDouble() / seconds,
+            )
+        check(templates.isNotEmpty())
+        return result
+    }
+
+    private fun view() {
+        val instanceViews =
+            List(instances) { InstanceView("instance-$it", "domain-${it % 5}") }.toImmutableList()
+        val serverViews =
+            List(servers) {
+                    ServerView(
+                        "engine-$it",
+                        "10.0.0.1:8000",
+                        "domain-${it % 5}",
+                        Target.Model("model-${it % 4}"),
+                        "1",
+                    )
+                }
+                .toImmutableList()
+        host.viewChanged(instanceViews, serverViews, nowMillis)
+        handle(EntryEvent.ViewChanged(instanceViews, serverViews))
+    }
+
+    private fun run(forSeconds: Int) {
+        val untilMillis = nowMillis + forSeconds * 1_000L
+        var due = 0.0
+        while (nowMillis < untilMillis) {
+            nowMillis++
+            while ((ends.peek()?.atMillis ?: Long.MAX_VALUE) <= nowMillis) ends.poll().run()
+            due += requestsPerSecond / 1_000
+            while (due >= 1) {
+                due--
+                handle(EntryEvent.Requested(request()))
+                foreignAsk()
+            }
+            if (nowMillis % TICK_MILLIS == 0L) {
+                timedHost { host.tick(nowMillis) }
+                handle(EntryEvent.Tick)
+            }
+        }
+    }
+
+    /** An ask of another entry for a home here: as many as this entry sends elsewhere. */
+    private fun foreignAsk() {
+        val serverId = host.hostedServerIds.randomOrNull(random) ?: return
+        val event = HomeEvent.Asked(otherEntryAsk(request()))
+        timedHost { host.handle(serverId, event, nowMillis) }
+    }
+
+    private fun otherEntryAsk(request: SlotRequest) =
+        SlotAsk(
+            askId = "x${number++}",
+            entryId = "instance-x",
+            tier = request.tier,
+            workspace = request.workspace,
+            weight = 1.0,
+            promptTokens = request.promptTokens,
+            outputTokens = request.outputTokens,
+            deadlineMillis = request.deadlineMillis,
+            prefixHashes = request.prefixHashes,
+        )
+
+    private fun request(): SlotRequest {
+        val workspace = random.nextInt(workspaces)
+        return SlotRequest(
+            requestId = "request-${number++}",
+            target = Target.Model("model-${random.nextInt(4)}"),
+            version = "1",
+            tier = Tier.entries.random(random),
+            workspace = "workspace-$workspace",
+            weight = 1.0,
+            deadlineMillis = nowMillis + 60_000,
+            promptTokens = 1_000,
+            outputTokens = 512,
+            prefixHashes = (templates[workspace] + List(8) { random.nextLong() }).toImmutableList(),
+        )
+    }
+
+    private fun handle(event: EntryEvent) {
+        val before = System.nanoTime()
+        val effects = router.handle(event, nowMillis)
+        routerNanos += System.nanoTime() - before
+        for (effect in effects) execute(effect)
+    }
+
+    private fun execute(effect: EntryEffect) {
+        when (effect) {
+            is EntryEffect.Send -> send(effect)
+            is EntryEffect.Granted -> {
+                val end = EntryEvent.Finished(effect.requestId, RESULT)
+                ends += End(nowMillis + SERVICE_MILLIS) { handle(end) }
+            }
+            is EntryEffect.Refused,
+            is EntryEffect.Preempted -> Unit
+        }
+    }
+
+    private fun send(effect: EntryEffect.Send) {
+        if (effect.homeId == SELF) {
+            return timedHost { host.handle(effect.serverId, effect.event, nowMillis) }
+        }
+        sentBytes += ToHome(effect.serverId, effect.event).sizeBytes
+        val ask = (effect.event as? HomeEvent.Asked)?.ask ?: return
+        val grant = HomeEffect.Grant(SELF, ask.askId, 0)
+        handle(EntryEvent.HomeAnswered(effect.homeId, effect.serverId, grant))
+    }
+
+    private fun timedHost(action: () -> List<HomeMessage>) {
+        val before = System.nanoTime()
+        val messages = action()
+        hostNanos += System.nanoTime() - before
+        for (message in messages) deliver(message)
+    }
+
+    private fun deliver(message: HomeMessage) {
+        val effect = message.effect
+        if (effect.entryId == SELF) {
+            return handle(EntryEvent.HomeAnswered(SELF, message.serverId, effect))
+        }
+        sentBytes += ToEntry(message.serverId, effect).sizeBytes
+        if (effect !is HomeEffect.Grant) return
+        val key = AskKey(effect.entryId, effect.askId)
+        ends +=
+            End(nowMillis + SERVICE_MILLIS) {
+                timedHost {
+                    host.handle(message.serverId, HomeEvent.Finished(key, RESULT), nowMillis)
+                }
+            }
+    }
+
+    private fun usedBytes(): Long {
+        repeat(3) { System.gc() }
+        return ManagementFactory.getMemoryMXBean().heapMemoryUsage.used
+    }
+
+    companion object {
+        val HEADER =
+            listOf(
+                "instances",
+                "servers",
+                "workspaces",
+                "homes here",
+                "routing, core",
+                "homes, core",
+                "state MB",
+                "sent bytes/s",
+            )
+        private const val SELF = "instance-0"
+        private const val WARM_UP_SECONDS = 120
+        private const val TICK_MILLIS = 100L
+        // Confirmed after 1 s in reality; shorter than the expiry of a grant that nobody confirms.
+        private const val SERVICE_MILLIS = 1_500L
+        private val RESULT = SlotResult(ResultClass.OK, 200, 30_000, 1_000, 100)
+    }
+}
