--- a/instance/src/main/kotlin/io/lavenderhinge/instance/scheduling/PeerFrames.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/scheduling/PeerFrames.kt
@@ -144,16 +144,17 @@
                 .setRequestId(ask.askId)
                 .setServerId(serverId)
                 .setTier(tier(ask.tier))
-                .setWorkspace(ask.workspace)
-                .setWeight(ask.weight)
                 .setPromptTokens(ask.promptTokens)
                 .setOutputTokens(ask.outputTokens)
                 .setDeadlineLeftMillis(bounded(ask.deadlineMillis - nowMillis))
                 .setInService(isInService)
                 .setPreemptLowerTier(ask.mayPreempt)
-        // A request in service needs no estimate of its prefix hit any more.
-        if (!isInService) builder.addAllPrefixHashes(ask.prefixHashes)
+        if (isInService) return builder
+        // A request in service needs neither a fair share nor an estimate of its prefix hit.
         return builder
+            .setWorkspace(ask.workspace)
+            .setWeight(ask.weight)
+            .addAllPrefixHashes(ask.prefixHashes)
     }
 
     private fun ask(fromInstanceId: String, frame: Ask, nowMillis: Long): SchedulingMessage? {
--- /dev/null
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/scheduling/PeerFramesTest.kt
@@ -0,0 +1,80 @@
+package io.lavenderhinge.instance.scheduling
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import io.lavenderhinge.core.Tier
+import io.lavenderhinge.core.scheduling.AskKey
+import io.lavenderhinge.core.scheduling.HomeEffect
+import io.lavenderhinge.core.scheduling.HomeEvent
+import io.lavenderhinge.core.scheduling.RefusalReason
+import io.lavenderhinge.core.scheduling.ResultClass
+import io.lavenderhinge.core.scheduling.SlotAsk
+import io.lavenderhinge.core.scheduling.SlotResult
+import kotlinx.collections.immutable.toImmutableList
+
+class PeerFramesTest :
+    FunSpec({
+        val ask =
+            SlotAsk(
+                askId = "kf12oi",
+                entryId = "entry",
+                tier = Tier.STANDARD,
+                workspace = "counter-lubbock",
+                weight = 4.0,
+                promptTokens = 1_000,
+                outputTokens = 512,
+                deadlineMillis = 31_000,
+                prefixHashes = List(8) { it.toLong() }.toImmutableList(),
+                mayPreempt = true,
+            )
+
+        fun received(event: HomeEvent): HomeEvent {
+            val frame = checkNotNull(PeerFrames.encode("engine-1", event, nowMillis = 1_000))
+            val message = PeerFrames.decode("entry", "home", frame, nowMillis = 501_000)
+            return (message as SchedulingMessage.ToHome).event
+        }
+
+        test("given clocks that differ by 500 s, when an ask travels, then its time left is kept") {
+            val expected = ask.copy(deadlineMillis = 531_000)
+
+            received(HomeEvent.Asked(ask)) shouldBe HomeEvent.Asked(expected)
+        }
+
+        test("given every result class, when it travels, then it arrives unchanged") {
+            for (resultClass in ResultClass.entries) {
+                val event =
+                    HomeEvent.Finished(
+                        AskKey("entry", "1"),
+                        SlotResult(resultClass, 200, 30_000, 1_000, 100),
+                    )
+                received(event) shouldBe event
+            }
+        }
+
+        test("given every refusal, when it travels, then its reason arrives unchanged") {
+            for (reason in RefusalReason.entries) {
+                val refusal = HomeEffect.Refuse("entry", "1", reason, 1_500, 3)
+                val frame = PeerFrames.encode("engine-1", refusal)
+
+                PeerFrames.decode("home", "entry", frame, nowMillis = 0) shouldBe
+                    SchedulingMessage.ToEntry("engine-1", refusal)
+            }
+        }
+
+        test("given a usual request, when its four messages travel, then they fit 260 bytes") {
+            val result = SlotResult(ResultClass.OK, 200, 30_000, 1_000, 100)
+            val frames =
+                listOf(
+                    PeerFrames.encode("engine-1", HomeEvent.Asked(ask), 0),
+                    PeerFrames.encode("engine-1", HomeEffect.Grant("entry", ask.askId, 512)),
+                    PeerFrames.encode("engine-1", HomeEvent.Registered(ask), 0),
+                    PeerFrames.encode("engine-1", HomeEvent.Finished(ask.key, result), 0),
+                )
+
+            // 30 requests a second must leave room for gossip in 5 KB a second each way.
+            val sizes = frames.map { checkNotNull(it).serializedSize }
+            println("frame sizes in bytes: $sizes")
+            sizes.sum() shouldBeLessThanOrEqual 260
+        }
+    })
