--- a/experiments/src/main/kotlin/io/lavenderhinge/experiments/Main.kt
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/Main.kt
@@ -16,6 +16,7 @@
             RolloutCommand(),
             RolloutCostCommand(),
             ScheduleCommand(),
+            SchedulingCostCommand(),
             SettingsCommand(),
         )
         .main(arguments)
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/scheduling/PeerFrames.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/scheduling/PeerFrames.kt
@@ -1,6 +1,7 @@
 package io.lavenderhinge.instance.scheduling
 
 import io.lavenderhinge.core.Tier
+import io.lavenderhinge.core.scheduling.AskKey
 import io.lavenderhinge.core.scheduling.HomeEffect
 import io.lavenderhinge.core.scheduling.HomeEvent
 import io.lavenderhinge.core.scheduling.HomeSummary
@@ -37,8 +38,11 @@
         when (frame.bodyCase) {
             Frame.BodyCase.ASK -> ask(fromInstanceId, frame.ask, nowMillis)
             Frame.BodyCase.RELEASE ->
-                toHome(frame.release.serverId, HomeEvent.Released(frame.release.requestId))
-            Frame.BodyCase.DONE -> toHome(frame.done.serverId, finished(frame.done))
+                toHome(
+                    frame.release.serverId,
+                    HomeEvent.Released(AskKey(fromInstanceId, frame.release.requestId)),
+                )
+            Frame.BodyCase.DONE -> toHome(frame.done.serverId, finished(fromInstanceId, frame.done))
             Frame.BodyCase.GRANT ->
                 toEntry(
                     frame.grant.serverId,
@@ -69,11 +73,11 @@
             is HomeEvent.Released ->
                 frame
                     .setRelease(
-                        Release.newBuilder().setRequestId(event.askId).setServerId(serverId)
+                        Release.newBuilder().setRequestId(event.key.askId).setServerId(serverId)
                     )
                     .build()
             is HomeEvent.Finished ->
-                frame.setDone(done(serverId, event.askId, event.result)).build()
+                frame.setDone(done(serverId, event.key.askId, event.result)).build()
             else -> null
         }
     }
@@ -141,16 +145,17 @@
                 .setRequestId(ask.askId)
                 .setServerId(serverId)
                 .setTier(tier(ask.tier))
-                .setWorkspace(ask.workspace)
-                .setWeight(ask.weight)
                 .setPromptTokens(ask.promptTokens)
                 .setOutputTokens(ask.outputTokens)
                 .setDeadlineLeftMillis(bounded(ask.deadlineMillis - nowMillis))
                 .setInService(isInService)
                 .setPreemptLowerTier(ask.mayPreempt)
-        // A request in service needs no estimate of its prefix hit any more.
-        if (!isInService) builder.addAllPrefixHashes(ask.prefixHashes)
+        if (isInService) return builder
+        // A request in service needs neither a fair share nor an estimate of its prefix hit.
         return builder
+            .setWorkspace(ask.workspace)
+            .setWeight(ask.weight)
+            .addAllPrefixHashes(ask.prefixHashes)
     }
 
     private fun ask(fromInstanceId: String, frame: Ask, nowMillis: Long): SchedulingMessage? {
@@ -178,9 +183,9 @@
         if (tier == Tier.INTERACTIVE && promptTokens > 0) nowMillis + FIRST_TOKEN_MILLIS
         else Long.MAX_VALUE
 
-    private fun finished(done: Done) =
+    private fun finished(fromInstanceId: String, done: Done) =
         HomeEvent.Finished(
-            done.requestId,
+            AskKey(fromInstanceId, done.requestId),
             SlotResult(
                 resultClass =
                     ResultClass.entries.getOrElse(done.result.ordinal - 1) {
