--- a/ctl/src/main/kotlin/io/lavenderhinge/ctl/Main.kt
+++ b/ctl/src/main/kotlin/io/lavenderhinge/ctl/Main.kt
@@ -17,5 +17,7 @@
             ExplainCommand(environment),
         )
 
-fun main(arguments: Array<String>) =
+fun main(arguments: Array<String>) {
+    System.setProperty("logback.configurationFile", "logback-ctl.xml")
     SystemEnvironment().use { environment -> ctl(environment).main(arguments) }
+}
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/scheduling/HomeSlotServiceTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/scheduling/HomeSlotServiceTest.kt
@@ -60,7 +60,7 @@
         }
 
         test("given a home that dies, when a request waits there, then the next home grants it") {
-            val homeId = checkNotNull(RendezvousHash.choose("s1", listOf("a", "b")))
+            val homeId = checkNotNull(RendezvousHash.highest("s1", listOf("a", "b")))
             val entryId = if (homeId == "a") "b" else "a"
             LocalLinks(listOf("a", "b"), listOf("s1")).use { links ->
                 links.start()
--- a/standins/src/main/kotlin/io/lavenderhinge/standins/Main.kt
+++ b/standins/src/main/kotlin/io/lavenderhinge/standins/Main.kt
@@ -9,6 +9,12 @@
 fun main(arguments: Array<String>) {
     System.setProperty("logback.configurationFile", "logback-standins.xml")
     StandinsCommand()
-        .subcommands(PlatformCommand(), EngineCommand(), ServiceCommand(), CallCommand())
+        .subcommands(
+            PlatformCommand(),
+            EngineCommand(),
+            ServiceCommand(),
+            CallCommand(),
+            LoadCommand(),
+        )
         .main(arguments)
 }
