Add the soak command

The invariants have to hold under faults in combination, which the fixed faults of the schedule command do not draw. Starting the fleet is a step of its own, so that a scheduler that throws on start is reported with its seed.

Ruled out: one fleet for the whole duration, whose records would fill the memory and whose failure could not be reproduced alone.

I2 is demanded only of schedulers that keep priority.

--- a/experiments/src/main/kotlin/io/lavenderhinge/experiments/Main.kt
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/Main.kt
@@ -4,4 +4,6 @@
 import com.github.ajalt.clikt.core.subcommands
 
 fun main(arguments: Array<String>) =
-    ExperimentsCommand().subcommands(ScheduleCommand(), CompareCommand()).main(arguments)
+    ExperimentsCommand()
+        .subcommands(ScheduleCommand(), CompareCommand(), SoakCommand())
+        .main(arguments)
--- a/experiments/src/main/kotlin/io/lavenderhinge/experiments/cluster/Cluster.kt
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/cluster/Cluster.kt
@@ -46,6 +46,10 @@
 
     init {
         deployment.backends.forEach { streams.backends[it.id] = newBackend(it) }
+    }
+
+    /** Starts the reports and all instances. To be called once, before the first arrival. */
+    fun start() {
         streams.backends.values.forEach(reports::watch)
         reports.watchList(::liveMembers)
         deployment.instances.forEach { startInstance(it.id) }
--- a/experiments/src/main/kotlin/io/lavenderhinge/experiments/run/ExperimentRun.kt
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/run/ExperimentRun.kt
@@ -16,36 +16,30 @@
     private val cluster =
         Cluster(scenario.deployment, scenario.scheduler.factory, loop, scenario.seed)
     private val actions = FaultActions(cluster, loop)
-    private val generator = RequestGenerator(scenario.deployment, scenario.seed)
-    private val arrivals =
-        ArrivalProcess(scenario.capacityPerSecond * scenario.loadFactor, scenario.seed)
+    private val feed =
+        RequestFeed(
+            cluster,
+            loop,
+            RequestGenerator(scenario.deployment, scenario.seed),
+            ArrivalProcess(scenario.capacityPerSecond * scenario.loadFactor, scenario.seed),
+            maxFactor = if (scenario.fault == FaultKind.BURST) FaultPlan.BURST_FACTOR else 1.0,
+            factor = actions::arrivalFactor,
+        )
     private val startMicros = (scenario.startSeconds * MICROS_PER_SECOND).toLong()
     private val endMicros = (scenario.endSeconds * MICROS_PER_SECOND).toLong()
 
     fun run(): RunResult {
+        cluster.start()
         FaultPlan(scenario, loop, actions).schedule()
-        scheduleArrival()
+        feed.start()
         loop.runUntil(endMicros)
         loop.runWhile { hasMeasuredActive() }
-        isArriving = false
+        feed.stop()
         loop.runWhile { cluster.book.active.isNotEmpty() }
         cluster.book.checkAllEnded()
         return result()
     }
 
-    private var isArriving = true
-
-    private fun scheduleArrival() {
-        val maxFactor = if (scenario.fault == FaultKind.BURST) FaultPlan.BURST_FACTOR else 1.0
-        val nowSeconds = loop.nowMicros.toDouble() / MICROS_PER_SECOND
-        val nextSeconds = arrivals.next(nowSeconds, maxFactor) { actions.arrivalFactor }
-        loop.at((nextSeconds * MICROS_PER_SECOND).toLong()) {
-            if (!isArriving) return@at
-            cluster.arrive(generator.next(loop.nowMillis))
-            scheduleArrival()
-        }
-    }
-
     // Requests are kept in the order of arrival, so that the first one tells.
     private fun hasMeasuredActive(): Boolean =
         (cluster.book.active.firstOrNull()?.arrivalMicros ?: Long.MAX_VALUE) < endMicros
--- /dev/null
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/run/RequestFeed.kt
@@ -0,0 +1,35 @@
+package io.lavenderhinge.experiments.run
+
+import io.lavenderhinge.experiments.cluster.Cluster
+import io.lavenderhinge.experiments.time.EventLoop
+import io.lavenderhinge.experiments.time.MICROS_PER_SECOND
+import io.lavenderhinge.experiments.workload.ArrivalProcess
+import io.lavenderhinge.experiments.workload.RequestGenerator
+
+/** Lets requests arrive until it is stopped; [factor], at most [maxFactor], scales their rate. */
+internal class RequestFeed(
+    private val cluster: Cluster,
+    private val loop: EventLoop,
+    private val generator: RequestGenerator,
+    private val arrivals: ArrivalProcess,
+    private val maxFactor: Double,
+    private val factor: () -> Double,
+) {
+    private var isStopped = false
+
+    fun start() = scheduleNext()
+
+    fun stop() {
+        isStopped = true
+    }
+
+    private fun scheduleNext() {
+        val nowSeconds = loop.nowMicros.toDouble() / MICROS_PER_SECOND
+        val nextSeconds = arrivals.next(nowSeconds, maxFactor) { factor() }
+        loop.at((nextSeconds * MICROS_PER_SECOND).toLong()) {
+            if (isStopped) return@at
+            cluster.arrive(generator.next(loop.nowMillis))
+            scheduleNext()
+        }
+    }
+}
--- /dev/null
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/run/SoakEpisode.kt
@@ -0,0 +1,87 @@
+package io.lavenderhinge.experiments.run
+
+import io.lavenderhinge.experiments.cluster.Cluster
+import io.lavenderhinge.experiments.cluster.FaultActions
+import io.lavenderhinge.experiments.cluster.Invariant
+import io.lavenderhinge.experiments.scheduler.NamedScheduler
+import io.lavenderhinge.experiments.time.EventLoop
+import io.lavenderhinge.experiments.time.MICROS_PER_SECOND
+import io.lavenderhinge.experiments.workload.ArrivalProcess
+import io.lavenderhinge.experiments.workload.Deployment
+import io.lavenderhinge.experiments.workload.RequestGenerator
+import io.lavenderhinge.experiments.workload.seededRandom
+
+/** One fleet under random faults for [durationSeconds]; [seed] alone reproduces it. */
+internal data class SoakPlan(
+    val deployment: Deployment,
+    val scheduler: NamedScheduler,
+    val seed: Long,
+    val durationSeconds: Int,
+    val capacityPerSecond: Double,
+)
+
+/** What an episode showed. [failure] is set when the scheduler threw an exception. */
+internal data class SoakResult(
+    val seed: Long,
+    val requests: Int,
+    val goodFraction: Double,
+    val faults: Int,
+    val violations: Map<Invariant, Int>,
+    val violationTexts: List<String>,
+    val failure: String?,
+) {
+    val isClean: Boolean
+        get() = violations.isEmpty() && failure == null
+}
+
+/** Runs a scheduler at about capacity, draws faults at random and checks the invariants. */
+internal class SoakEpisode(private val plan: SoakPlan) {
+    private val loop = EventLoop()
+    private val cluster = Cluster(plan.deployment, plan.scheduler.factory, loop, plan.seed)
+    private val actions = FaultActions(cluster, loop)
+    private val faults =
+        RandomFaults(plan.deployment, loop, actions, seededRandom(plan.seed, "faults"))
+    private val feed =
+        RequestFeed(
+            cluster,
+            loop,
+            RequestGenerator(plan.deployment, plan.seed),
+            ArrivalProcess(plan.capacityPerSecond, plan.seed),
+            RandomFaults.MAX_ARRIVAL_FACTOR,
+            actions::arrivalFactor,
+        )
+
+    fun run(): SoakResult {
+        val failure = runCatching { runToEnd() }.exceptionOrNull()
+        val records = cluster.book.records
+        return SoakResult(
+            plan.seed,
+            records.size,
+            records.count { it.isGood }.toDouble() / maxOf(1, records.size),
+            faults.count,
+            demandedInvariants().associateWith(cluster.violations::count).filterValues { it > 0 },
+            cluster.violations.texts,
+            failure?.stackTraceToString(),
+        )
+    }
+
+    private fun runToEnd() {
+        cluster.start()
+        feed.start()
+        faults.start()
+        loop.runUntil(plan.durationSeconds * MICROS_PER_SECOND)
+        feed.stop()
+        faults.stop()
+        loop.runWhile { cluster.book.active.isNotEmpty() }
+        // What the scheduler still has to say after the last request must not disturb anything.
+        loop.runUntil(loop.nowMicros + SETTLE_SECONDS * MICROS_PER_SECOND)
+        cluster.book.checkAllEnded()
+    }
+
+    private fun demandedInvariants(): List<Invariant> =
+        Invariant.entries.filter { it != Invariant.TOP_TIER_FIRST || plan.scheduler.keepsPriority }
+
+    private companion object {
+        const val SETTLE_SECONDS = 60L
+    }
+}
--- a/experiments/src/test/kotlin/io/lavenderhinge/experiments/cluster/ClusterFixture.kt
+++ b/experiments/src/test/kotlin/io/lavenderhinge/experiments/cluster/ClusterFixture.kt
@@ -37,6 +37,11 @@
             reports,
         )
     val faults = FaultActions(cluster, loop)
+
+    init {
+        cluster.start()
+    }
+
     private val generator = RequestGenerator(Deployments.caprock, seed = 1)
 
     /** Lets a request of route [routeName] arrive now. */
