Describe the shed request in a report of I2

The first soak of the decision core reported I2 violations whose cause could not be read from the id alone. The text now has route, prompt length, age and the engine of the lower tier.

--- a/experiments/src/main/kotlin/io/lavenderhinge/experiments/cluster/TopTierFirst.kt
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/cluster/TopTierFirst.kt
@@ -22,15 +22,16 @@
         loop.after(GRACE_MICROS) {
             val stillServed = servedLower.filter { it.phase == Phase.IN_SERVICE }
             if (stillServed.isNotEmpty()) {
-                violations.add(
-                    Invariant.TOP_TIER_FIRST,
-                    "${shed.request.id} shed ($reason) while ${stillServed.size} of a lower tier " +
-                        "are served, first ${stillServed[0].request.id}",
-                )
+                violations.add(Invariant.TOP_TIER_FIRST, text(shed, reason, stillServed))
             }
         }
     }
 
+    private fun text(shed: RequestRecord, reason: ShedReason, served: List<RequestRecord>): String =
+        "${shed.request.id} (${shed.request.route}, ${shed.request.promptTokens} tokens) shed " +
+            "($reason) after ${shed.endMillis} ms while ${served.size} of a lower tier are " +
+            "served, first ${served[0].request.id} on ${served[0].serverId}"
+
     private fun isServedLower(record: RequestRecord, shed: RequestRecord): Boolean {
         val serverId = record.serverId ?: return false
         return record.phase == Phase.IN_SERVICE &&
