--- a/experiments/src/main/kotlin/io/lavenderhinge/experiments/Main.kt
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/Main.kt
@@ -5,5 +5,5 @@
 
 fun main(arguments: Array<String>) =
     ExperimentsCommand()
-        .subcommands(ScheduleCommand(), CompareCommand(), SoakCommand())
+        .subcommands(ScheduleCommand(), CompareCommand(), SoakCommand(), SchedulingCostCommand())
         .main(arguments)
