--- a/experiments/src/main/kotlin/io/lavenderhinge/experiments/Main.kt
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/Main.kt
@@ -18,5 +18,6 @@
             ScheduleCommand(),
             SchedulingCostCommand(),
             SettingsCommand(),
+            SoakCommand(),
         )
         .main(arguments)
