--- a/core/src/main/kotlin/io/lavenderhinge/core/rollout/Mover.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/rollout/Mover.kt
@@ -164,7 +164,7 @@
         nowMillis: Long,
     ): List<MoverEffect> {
         val record = stored.record
-        val progress = MoverProgress(reason, MoverRules.strongest(view))
+        val progress = MoverProgress(reason, view.strongest)
         val effects = mutableListOf<MoverEffect>()
         if (record.phase == RolloutPhase.PLANNED) {
             warmUp.dueWeightCheck(nowMillis)?.let(effects::add)
@@ -182,7 +182,7 @@
         val view = view(record)
         val pool = view.pool ?: return emptyList()
         if (pool.logEvidence < view.logThreshold) return emptyList()
-        return raise(record.plan, MoverRules.strongest(view) ?: "all routes together")
+        return raise(record.plan, view.strongest ?: "all routes together")
     }
 
     private fun raise(plan: RolloutPlan, detail: String): List<MoverEffect> {
--- a/core/src/main/kotlin/io/lavenderhinge/core/rollout/MoverDecision.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/rollout/MoverDecision.kt
@@ -15,7 +15,11 @@
     val totalServers: Int,
     val weightsPresent: Boolean?,
     val logThreshold: Double,
-)
+) {
+    /** The strongest test with its counts, as text. */
+    val strongest: String?
+        get() = pool?.strongest?.let { Statements.describe(it, inStep) }
+}
 
 /** The outcome of one decision: a changed record, or what the rollout waits for. */
 internal sealed interface MoverDecision {
@@ -26,9 +30,6 @@
 
 /** Rules by which a rollout proceeds; a pure function of the record and what the mover knows. */
 internal object MoverRules {
-    /** Evidence of 20 to 1 holds the step: more data decides, at the share reached so far. */
-    private const val HOLD_LOG_EVIDENCE = 2.995732273553991
-
     fun decide(
         record: RolloutRecord,
         declared: RolloutPlan?,
@@ -64,7 +65,7 @@
             return Evidence(UndoReason.WITHDRAWN, "the settings no longer declare this move")
         }
         if (view.pool != null && view.pool.logEvidence >= view.logThreshold) {
-            return Evidence(UndoReason.TEST, strongest(view) ?: "all routes together")
+            return Evidence(UndoReason.TEST, view.strongest ?: "all routes together")
         }
         if (nowMillis < declared.deadlineMillis) return null
         return Evidence(UndoReason.DEADLINE, deadlineDetail(record, view, nowMillis))
@@ -97,7 +98,7 @@
 
     private fun warm(record: RolloutRecord, view: MoverView, nowMillis: Long): MoverDecision {
         val steps = RolloutSteps(record.plan.unprovedShareFraction)
-        capacityShortage(steps.shares.first(), record, view)?.let {
+        StepGate.capacityShortage(steps.shares.first(), record, view)?.let {
             return MoverDecision.Wait(it)
         }
         return MoverDecision.Change(
@@ -112,7 +113,7 @@
     }
 
     private fun move(record: RolloutRecord, view: MoverView, nowMillis: Long): MoverDecision {
-        waitReason(record, view, nowMillis)?.let {
+        StepGate.waitReason(record, view, nowMillis)?.let {
             return MoverDecision.Wait(it)
         }
         val steps = RolloutSteps(record.plan.unprovedShareFraction)
@@ -130,38 +131,6 @@
         )
     }
 
-    private fun waitReason(record: RolloutRecord, view: MoverView, nowMillis: Long): String? {
-        val steps = RolloutSteps(record.plan.unprovedShareFraction)
-        val pool = view.pool
-        if (pool == null || pool.routes.isEmpty())
-            return "waits for traffic: no request was counted"
-        val thin = SampleGate.thinRoutes(pool.routes, view.inStep)
-        if (thin.isNotEmpty()) return thinReason(thin)
-        if (pool.logEvidence >= HOLD_LOG_EVIDENCE) {
-            return "holds the share because of evidence against the new version: ${strongest(view)}"
-        }
-        capacityShortage(steps.shares[record.step + 1], record, view)?.let {
-            return it
-        }
-        val since = record.stepSinceMillis
-        val until = since + steps.stayMillis(record.step, since, record.plan.deadlineMillis)
-        return if (nowMillis < until) "next step not before ${Statements.time(until)}" else null
-    }
-
-    private fun thinReason(thin: List<ThinRoute>): String {
-        val routes =
-            thin.joinToString { "${it.route} (new ${it.newRequests}, old ${it.oldRequests})" }
-        return "waits for ${SampleGate.MIN_SAMPLES} requests of each version on each route, " +
-            "too few on: $routes"
-    }
-
-    private fun capacityShortage(share: Double, record: RolloutRecord, view: MoverView): String? {
-        val enough = view.readyServers > 0 && view.readyServers >= share * view.totalServers
-        if (enough) return null
-        return "waits for servers: ${view.readyServers} of ${view.totalServers} have version " +
-            "${record.plan.toVersion}, too few for a share of ${Statements.percent(share)}"
-    }
-
     /**
      * A lowered unproved share lowers the share at once when the present one is not a step any
      * more; the share never rises by a change of settings alone.
@@ -195,7 +164,4 @@
             stepSinceMillis = nowMillis,
             evidence = evidence,
         )
-
-    fun strongest(view: MoverView): String? =
-        view.pool?.strongest?.let { Statements.describe(it, view.inStep) }
 }
--- a/core/src/main/kotlin/io/lavenderhinge/core/rollout/RolloutSteps.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/rollout/RolloutSteps.kt
@@ -22,7 +22,7 @@
      */
     fun stayMillis(step: Int, sinceMillis: Long, deadlineMillis: Long): Long {
         val stepsLeft = max(1, shares.size - 1 - step)
-        val part = (deadlineMillis - sinceMillis) * PACE_PERCENT / 100 / stepsLeft
+        val part = (deadlineMillis - sinceMillis) * PACE_PERCENT / PERCENT / stepsLeft
         return min(max(part, MIN_STAY_MILLIS), MAX_STAY_MILLIS)
     }
 
@@ -30,6 +30,7 @@
         const val FIRST_SHARE = 0.01
         val LATER_SHARES = listOf(0.25, 0.5, 1.0)
         const val PACE_PERCENT = 60
+        const val PERCENT = 100
         const val MIN_STAY_MILLIS = 10_000L
         const val MAX_STAY_MILLIS = 30 * 60_000L
     }
--- a/core/src/main/kotlin/io/lavenderhinge/core/rollout/Statements.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/rollout/Statements.kt
@@ -6,20 +6,15 @@
 /** Plain sentences about rollouts for operators. */
 object Statements {
     /** The state of a rollout; [progress] is null on an instance that does not move it. */
-    fun of(record: RolloutRecord, progress: MoverProgress?): String {
-        val plan = record.plan
-        val move = "${plan.name}: ${plan.target.name} ${plan.fromVersion} -> ${plan.toVersion}"
-        return "$move: ${state(record, progress)}"
-    }
+    fun of(record: RolloutRecord, progress: MoverProgress?): String =
+        "${move(record.plan)}: ${state(record, progress)}"
 
     /** A rollout that has no record yet. */
-    fun waiting(plan: RolloutPlan, reason: String): String =
-        "${plan.name}: ${plan.target.name} ${plan.fromVersion} -> ${plan.toVersion}: planned, $reason"
+    fun waiting(plan: RolloutPlan, reason: String): String = "${move(plan)}: planned, $reason"
 
     /** A stop that the record does not show yet. */
     fun stopped(plan: RolloutPlan, flag: StopFlag): String =
-        "${plan.name}: ${plan.target.name} ${plan.fromVersion} -> ${plan.toVersion}: stopped, " +
-            "no request goes to ${plan.toVersion}; ${flag.evidence}"
+        "${move(plan)}: stopped, no request goes to ${plan.toVersion}; ${flag.evidence}"
 
     /** One test with the counts of its routes. */
     fun describe(result: TestResult, byRoute: Map<String, RouteCounts>): String {
@@ -38,6 +33,9 @@
             "old version $old of ${counts.old.requests} in this step; odds ${result.odds}"
     }
 
+    private fun move(plan: RolloutPlan): String =
+        "${plan.name}: ${plan.target.name} ${plan.fromVersion} -> ${plan.toVersion}"
+
     private fun state(record: RolloutRecord, progress: MoverProgress?): String =
         when (record.phase) {
             RolloutPhase.PLANNED -> "planned, ${progress?.waitsFor ?: "starts soon"}"
--- a/core/src/main/kotlin/io/lavenderhinge/core/rollout/VersionChoice.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/rollout/VersionChoice.kt
@@ -33,13 +33,14 @@
         for (char in text) {
             hash = (hash xor char.code.toLong()) * FNV_PRIME
         }
-        hash = (hash xor (hash ushr 33)) * MIX_1
-        hash = (hash xor (hash ushr 33)) * MIX_2
-        return hash xor (hash ushr 33)
+        hash = (hash xor (hash ushr MIX_BITS)) * MIX_1
+        hash = (hash xor (hash ushr MIX_BITS)) * MIX_2
+        return hash xor (hash ushr MIX_BITS)
     }
 
     private const val FNV_OFFSET = -3750763034362895579L
     private const val FNV_PRIME = 1099511628211L
+    private const val MIX_BITS = 33
     private const val MIX_1 = -49064778989728563L
     private const val MIX_2 = -4265267296055464877L
 }
--- a/experiments/src/main/kotlin/io/lavenderhinge/experiments/rollout/CostProbe.kt
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/rollout/CostProbe.kt
@@ -51,12 +51,12 @@
     }
 
     fun moverBytes(): Long = heapOf {
-        mover().also { mover -> (1L..60).forEach { feedMover(mover, it) } }
+        mover().also { for (second in 1L..60) feedMover(it, second) }
     }
 
     fun instanceBytes(): Long = heapOf {
         val random = Random(1)
-        statistics().also { own -> (1L..60).forEach { feedInstance(own, random, it) } }
+        statistics().also { for (second in 1L..60) feedInstance(it, random, second) }
     }
 
     private fun mover(): Mover {
