--- a/core/src/main/kotlin/io/lavenderhinge/core/routing/EntryRouter.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/routing/EntryRouter.kt
@@ -51,7 +51,10 @@
             is EntryEvent.SummariesReceived -> summarized(event.summaries, nowMillis)
             is EntryEvent.CacheChanged -> selection.prefixes.changed(event.serverId, event.events)
             EntryEvent.Tick -> tick(nowMillis)
-            EntryEvent.Closed -> closed()
+            EntryEvent.Closed -> {
+                isClosed = true
+                pending.values.toList().forEach { shed(it, refusals.shutdown()) }
+            }
         }
         return effects.toList()
     }
@@ -61,8 +64,7 @@
         val refusal =
             when {
                 isClosed -> refusals.shutdown()
-                request.attempt > 0 && !budget.take(request.workspace, nowMillis) ->
-                    refusals.retryBudget()
+                request.attempt > 0 && !mayRetry(request, nowMillis) -> refusals.retryBudget()
                 else -> null
             }
         if (refusal != null) {
@@ -74,6 +76,10 @@
         advance(waiting, nowMillis)
     }
 
+    /** Charges the budget; it must not shed an interactive request while lower tiers run. */
+    private fun mayRetry(request: SlotRequest, nowMillis: Long): Boolean =
+        budget.take(request.workspace, nowMillis) || request.tier == Tier.INTERACTIVE
+
     /** Takes the next step for a request that no home considers. */
     private fun advance(waiting: PendingRequest, nowMillis: Long) {
         if (waiting.asks.values.any { !it.isSilent }) return
@@ -270,7 +276,7 @@
             for (ask in waiting.asks.values.toList()) {
                 if (!isLost(ask) && directory.homeOf(ask.serverId) == ask.homeId) continue
                 forget(waiting, ask)
-                if (!isLost(ask)) release(ask)
+                if (!isLost(ask)) send(ask.homeId, ask.serverId, HomeEvent.Released(ask.ask.key))
             }
             advance(waiting, nowMillis)
         }
@@ -307,19 +313,10 @@
         advance(waiting, nowMillis)
     }
 
-    private fun closed() {
-        isClosed = true
-        for (waiting in pending.values.toList()) {
-            pending.remove(waiting.request.requestId)
-            releaseAsks(waiting)
-            effects += EntryEffect.Refused(waiting.request.requestId, refusals.shutdown())
-        }
-    }
-
     private fun releaseAsks(waiting: PendingRequest) {
         for (ask in waiting.asks.values.toList()) {
             forget(waiting, ask)
-            release(ask)
+            send(ask.homeId, ask.serverId, HomeEvent.Released(ask.ask.key))
         }
     }
 
@@ -328,9 +325,6 @@
         requestByAsk.remove(ask.ask.askId)
     }
 
-    private fun release(ask: OpenAsk) =
-        send(ask.homeId, ask.serverId, HomeEvent.Released(ask.ask.key))
-
     private fun send(homeId: String, serverId: String, event: HomeEvent) {
         effects += EntryEffect.Send(homeId, serverId, event)
     }
--- a/core/src/test/kotlin/io/lavenderhinge/core/limit/EngineLimitTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/limit/EngineLimitTest.kt
@@ -39,9 +39,7 @@
             limit.sequences shouldBe 50
         }
 
-        test(
-            "given a queue inside the engine, when reports show it, then the limit falls to what runs"
-        ) {
+        test("given a queue inside the engine, when reported, then the limit is what runs") {
             val limit = EngineLimit(EngineLimitSettings(initialSequences = 50.0))
             repeat(2) { limit.reported(running = 12, waiting = 5, nowMillis = it * 500L) }
 
--- a/core/src/test/kotlin/io/lavenderhinge/core/routing/EntryRouterTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/routing/EntryRouterTest.kt
@@ -96,6 +96,16 @@
                 listOf("refused second OVERLOADED")
         }
 
+        test("given a used-up retry budget, when an interactive one fails over, then it is asked") {
+            val entry = EntryFixture(servers = listOf(server("s1")))
+            val batch = request("batch", tier = Tier.BATCH, attempt = 1)
+            entry.requested(batch) shouldContainExactly listOf("ask s1")
+            entry.requested(batch.copy(requestId = "next")) shouldContainExactly
+                listOf("refused next RETRY_BUDGET")
+
+            entry.requested(request(attempt = 1)) shouldContainExactly listOf("ask s1")
+        }
+
         test("given a home whose link breaks, when a request waits, then another home is asked") {
             val servers = listOf(server("s1"))
             val entry = EntryFixture(instances = listOf("h1", "h2"), servers = servers)
