--- a/experiments/src/main/kotlin/io/lavenderhinge/experiments/settings/SimulatedInstance.kt
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/settings/SimulatedInstance.kt
@@ -35,6 +35,7 @@
     var receivedBytes = 0L
     var readyMillis: Long? = null
     private var membersChanged = true
+    private var ticks = 0
 
     fun start() = tick()
 
@@ -66,7 +67,8 @@
     private fun tick() {
         if (!alive) return
         membership(MembershipEvent.Tick)
-        if (membersChanged) {
+        // A newly listed instance is live from the start and changes no state.
+        if (membersChanged || ticks++ % TICKS_PER_VIEW == 0) {
             membersChanged = false
             replica(ReplicaEvent.InstancesChanged(table.liveIn(domain).toImmutableSet()))
         }
@@ -133,5 +135,6 @@
 
     private companion object {
         const val TICK_MILLIS = 250L
+        const val TICKS_PER_VIEW = 4
     }
 }
