--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/rollout/EvidencePool.kt
@@ -0,0 +1,104 @@
+package io.lavenderhinge.core.rollout
+
+import kotlin.math.exp
+import kotlin.math.ln
+
+/**
+ * All tests of one rollout (each metric on each route), combined into one with one error
+ * probability.
+ *
+ * The weighted sum of e-values is an e-value under any dependence. Half of the weight goes to tests
+ * over all routes, which find a fault that shows on every route from fewer requests; half goes to
+ * single routes, where the weights fall with the order in which routes appear, so that their number
+ * need not be known.
+ */
+class EvidencePool(
+    private val window: TestWindow,
+    private val factory: SequentialTestFactory = TwoSampleEvidence.factory,
+    private val carried: Map<String, Double> = emptyMap(),
+) {
+    private val tests = LinkedHashMap<String, WeightedTest>()
+
+    init {
+        add(ALL_ROUTES, ALL_ROUTES_WEIGHT)
+        carried.keys.map(::routeOf).distinct().filter { it != ALL_ROUTES }.forEach(::addRoute)
+    }
+
+    /** Routes that have had traffic. */
+    val routes: Set<String>
+        get() = tests.keys.map(::routeOf).filterTo(LinkedHashSet()) { it != ALL_ROUTES }
+
+    /** Logarithm of the combined evidence against the new version. */
+    val logEvidence: Double
+        get() {
+            val weighted = tests.values.map { ln(it.weight) + it.test.logEvidence }
+            return logSum(weighted.toDoubleArray())
+        }
+
+    /**
+     * The test with the most weighted evidence; null before any traffic. Its route is [ALL_ROUTES]
+     * for a test over several routes.
+     */
+    val strongest: TestResult?
+        get() {
+            val single = routes.size == 1
+            return tests.entries
+                .filterNot { single && routeOf(it.key) == ALL_ROUTES }
+                .maxByOrNull { ln(it.value.weight) + it.value.test.logEvidence }
+                ?.let { TestResult(routeOf(it.key), metricOf(it.key), it.value.test.logEvidence) }
+        }
+
+    /** Adds the counts of [route] in one interval. */
+    fun observe(route: String, counts: RouteCounts, nowMillis: Long) {
+        if (testName(route, Metric.ERRORS) !in tests) addRoute(route)
+        for (metric in Metric.entries) {
+            val block = Block.of(counts, metric)
+            for (scope in listOf(ALL_ROUTES, route)) {
+                tests.getValue(testName(scope, metric)).test.observe(route, block, nowMillis)
+            }
+        }
+    }
+
+    /** Evidence by test name, to be carried over a change of step or of mover. */
+    fun snapshot(): Map<String, Double> = tests.mapValues { it.value.test.logEvidence }
+
+    private fun addRoute(route: String) {
+        val order = tests.size / Metric.entries.size - 1
+        add(route, (1 - ALL_ROUTES_WEIGHT) / ((order + 1) * (order + 2)))
+    }
+
+    private fun add(route: String, weight: Double) {
+        for (metric in Metric.entries) {
+            val name = testName(route, metric)
+            val test = factory.create(metric, window, carried[name])
+            tests[name] = WeightedTest(weight / Metric.entries.size, test)
+        }
+    }
+
+    private class WeightedTest(val weight: Double, val test: SequentialTest)
+
+    /** Names of tests. */
+    companion object {
+        /** Stands for all routes in the result of a test. */
+        const val ALL_ROUTES = "*"
+        private const val ALL_ROUTES_WEIGHT = 0.5
+
+        private fun testName(route: String, metric: Metric) = "${metric.name.lowercase()}:$route"
+
+        private fun routeOf(testName: String) = testName.substringAfter(':')
+
+        private fun metricOf(testName: String) =
+            Metric.valueOf(testName.substringBefore(':').uppercase())
+    }
+}
+
+/** State of the test of [metric] on [route]. */
+data class TestResult(val route: String, val metric: Metric, val logEvidence: Double) {
+    /** The evidence as odds for operators, such as "3 to 1". */
+    val odds: String
+        get() = "%.0f to 1".format(java.util.Locale.ROOT, exp(logEvidence.coerceIn(0.0, MAX_LOG)))
+
+    private companion object {
+        const val MAX_LOG = 30.0
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/io/lavenderhinge/core/rollout/TwoSampleEvidenceTest.kt
@@ -0,0 +1,67 @@
+package io.lavenderhinge.core.rollout
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeGreaterThanOrEqual
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import kotlin.math.ln
+import kotlin.random.Random
+
+private const val RUNS = 600
+
+/** Bound of the tests: one run in 20 may reach evidence of 20. */
+private const val FRACTION = 0.05
+
+// Three standard deviations above the stated probability: 30 + 3 * sqrt(600 * 0.05 * 0.95).
+private const val MOST_ALARMS = 46
+
+private fun draw(random: Random, requests: Long, rate: Double): Long =
+    (1..requests).count { random.nextDouble() < rate }.toLong()
+
+/** The first of 1,000 blocks at which the evidence reaches 20, if any. */
+private fun firstAlarm(seed: Int, rateAt: (Int) -> Pair<Double, Double>): Int? {
+    val random = Random(seed)
+    val test = TwoSampleEvidence(0.002, 0.002, TestWindow(0, 2_000_000))
+    return (1..1_000).firstOrNull { round ->
+        val (old, new) = rateAt(round)
+        val block = Block(60, draw(random, 60, old), 12, draw(random, 12, new))
+        test.observe("draft", block, round * 2_000L)
+        test.logEvidence >= ln(1 / FRACTION)
+    }
+}
+
+private fun alarms(rateAt: (Int) -> Pair<Double, Double>) =
+    (1..RUNS).count { firstAlarm(it, rateAt) != null }
+
+private fun foundWithin(blocks: Int, begin: Int, rateAt: (Int) -> Pair<Double, Double>) =
+    (1..100).count { seed ->
+        firstAlarm(seed, rateAt)?.let { it in begin..(begin + blocks) } == true
+    }
+
+class TwoSampleEvidenceTest :
+    FunSpec({
+        test("given equal rates, when looked at after each block, then alarms stay in the bound") {
+            alarms { 0.02 to 0.02 } shouldBeLessThanOrEqual MOST_ALARMS
+        }
+
+        // Guards against taking a fault of the platform, which hits both versions, for a bad one.
+        test("given bursts that hit both versions, when judged, then alarms stay in the bound") {
+            alarms { if (it % 20 < 3) 0.4 to 0.4 else 0.01 to 0.01 } shouldBeLessThanOrEqual
+                MOST_ALARMS
+        }
+
+        // Guards against early good evidence that a late fault must first outweigh.
+        test("given a fault that begins late, when judged, then it is found within 6 blocks") {
+            val found = foundWithin(6, begin = 900) { 0.01 to if (it < 900) 0.01 else 0.3 }
+
+            found shouldBeGreaterThanOrEqual 90
+        }
+
+        test("given a fault after a burst that hit both, when judged, then it is found") {
+            val found =
+                foundWithin(6, begin = 100) {
+                    if (it in 20..40) 0.4 to 0.4 else 0.01 to (if (it < 100) 0.01 else 0.3)
+                }
+
+            found shouldBeGreaterThanOrEqual 90
+        }
+    })
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/caller/ModelRequests.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/caller/ModelRequests.kt
@@ -57,7 +57,7 @@
             val run = Run(exchange, context, target, slot, answer, upstreamBody(body))
             if (run.execute() == RunEnd.ANSWERED) return
         }
-        refuse(exchange, context, NO_SERVER_TOOK_IT)
+        refuse(exchange, context, Problem.NO_SERVER_TOOK_IT)
     }
 
     private fun slotRequest(context: RequestContext, version: String, estimate: PromptEstimate) =
@@ -72,8 +72,12 @@
             promptTokens = estimate.promptTokens,
             outputTokens = estimate.outputTokens,
             prefixHashes = estimate.prefixHashes,
+            firstTokenDueMillis = context.receivedMillis + context.route.firstTokenMillis,
         )
 
+    private fun attempt(request: SlotRequest, attempt: Int) =
+        request.copy(requestId = "${request.requestId}.$attempt", attempt = attempt)
+
     /** The engine always streams, so that progress can be watched and a cut answer resumed. */
     private fun upstreamBody(body: ObjectNode): ByteArray =
         Json.render(body.deepCopy().put("stream", true))
@@ -234,10 +238,7 @@
     }
 
     private companion object {
-        const val DISPATCH_ATTEMPTS = 3
         const val MICROS = 1_000L
         const val BYTES_PER_TOKEN = 4
-        val NO_SERVER_TOOK_IT =
-            Problem.notRun(503, "no-backend-server", "retry; no backend server took it", 1_000)
     }
 }
--- a/standins/src/main/kotlin/io/lavenderhinge/standins/engine/EngineHandler.kt
+++ b/standins/src/main/kotlin/io/lavenderhinge/standins/engine/EngineHandler.kt
@@ -4,6 +4,7 @@
 import io.lavenderhinge.http.HttpExchange
 import io.lavenderhinge.http.HttpField
 import io.lavenderhinge.http.HttpHandler
+import io.lavenderhinge.http.HttpStatus
 import io.lavenderhinge.standins.json
 import io.lavenderhinge.standins.jsonBody
 import io.lavenderhinge.standins.parameter
@@ -37,7 +38,7 @@
             path == "/v1/cache-events" -> exchange.respondJson(emptyList<Any>())
             path == "/v1/chat/completions" -> complete(exchange)
             path.startsWith("/v1/streams/") -> stream(exchange)
-            else -> exchange.respondJson(mapOf("error" to "no such path"), NOT_FOUND)
+            else -> exchange.respondJson(mapOf("error" to "no such path"), HttpStatus.NOT_FOUND)
         }
     }
 
@@ -68,7 +69,10 @@
                 checksOrders,
             )
         if (current != null) {
-            return exchange.respondJson(mapOf("currentFencingNumber" to current), FENCED)
+            return exchange.respondJson(
+                mapOf("currentFencingNumber" to current),
+                HttpStatus.PRECONDITION_FAILED,
+            )
         }
         exchange.respondJson(mapOf("done" to true))
     }
@@ -78,11 +82,15 @@
         val version = exchange.request.header("X-Model-Version") ?: state.versions.first()
         val fault = state.faults.versions[version]
         when {
-            state.faults.draining -> exchange.respondJson(mapOf("draining" to true), UNAVAILABLE)
+            state.faults.draining ->
+                exchange.respondJson(mapOf("draining" to true), HttpStatus.UNAVAILABLE)
             version !in state.versions ->
-                exchange.respondJson(mapOf("error" to "version $version is not loaded"), NOT_FOUND)
+                exchange.respondJson(
+                    mapOf("error" to "version $version is not loaded"),
+                    HttpStatus.NOT_FOUND,
+                )
             fault != null && Random.nextDouble() < fault.errorFraction ->
-                exchange.respondJson(mapOf("error" to "model failed"), SERVER_ERROR)
+                exchange.respondJson(mapOf("error" to "model failed"), HttpStatus.SERVER_ERROR)
             else -> generate(exchange, body, version)
         }
     }
@@ -94,7 +102,8 @@
         val tokens = body.path("max_tokens").asInt(DEFAULT_TOKENS)
         val generation = Generation(requestId, marker, tokens)
         state.start(generation, version, messages.sumOf { it.split(' ').size })
-        if (body.path("stream").asBoolean(false)) send(exchange, generation, from = 0)
+        if (body.path("stream").asBoolean(false))
+            send(exchange, generation, from = 0, resumed = false)
         else respondWhole(exchange, generation)
     }
 
@@ -114,18 +123,30 @@
         }
         val generation =
             state.generations[requestId]
-                ?: return exchange.respondJson(mapOf("error" to "no such stream"), NOT_FOUND)
-        send(exchange, generation, exchange.parameter("from")?.toIntOrNull() ?: 0)
+                ?: return exchange.respondJson(
+                    mapOf("error" to "no such stream"),
+                    HttpStatus.NOT_FOUND,
+                )
+        send(exchange, generation, exchange.parameter("from")?.toIntOrNull() ?: 0, resumed = true)
     }
 
-    private suspend fun send(exchange: HttpExchange, generation: Generation, from: Int) {
+    private suspend fun send(
+        exchange: HttpExchange,
+        generation: Generation,
+        from: Int,
+        resumed: Boolean,
+    ) {
         val writer =
-            exchange.startStream(OK, "text/event-stream", listOf(HttpField("X-Resumable", "true")))
+            exchange.startStream(
+                HttpStatus.OK,
+                "text/event-stream",
+                listOf(HttpField("X-Resumable", "true")),
+            )
         for (index in from until generation.tokens) {
             generation.produced.first { it > index }
             // A resumed stream is not cut again, so that one fault can be recovered from.
-            if (from == 0 && state.faults.dropAfterTokens == index) return
-            if (from == 0 && state.faults.stallAfterTokens == index) awaitCancellation()
+            if (!resumed && state.faults.dropAfterTokens == index) return
+            if (!resumed && state.faults.stallAfterTokens == index) awaitCancellation()
             writer.write(event(generation, index))
         }
         writer.write("data: [DONE]\n\n".toByteArray())
@@ -143,11 +164,6 @@
     }
 
     private companion object {
-        const val OK = 200
-        const val NOT_FOUND = 404
-        const val FENCED = 412
-        const val SERVER_ERROR = 500
-        const val UNAVAILABLE = 503
         const val DEFAULT_TOKENS = 16
     }
 }
