--- a/instance/src/test/kotlin/io/lavenderhinge/instance/rollout/RolloutFleet.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/rollout/RolloutFleet.kt
@@ -150,22 +150,22 @@
         return SettingsTree(persistentMapOf("caprock" to team))
     }
 
-    /** Runs [seconds] of virtual time with [requests] a second at each instance. */
+    /** Runs [seconds]; version 8 fails at the instances [failsAt], or at all with [newFails]. */
     fun run(
         seconds: Int,
-        requests: Int = 20,
         newFails: Boolean = false,
+        failsAt: Set<String> = if (newFails) live.toSet() else emptySet(),
         done: () -> Boolean = { false },
     ) {
         repeat(seconds) {
             if (done()) return
             nowMillis += 1_000
-            for (id in live.toList()) second(services.getValue(id), requests, newFails)
+            for (id in live.toList()) second(services.getValue(id), id in failsAt)
         }
     }
 
-    private fun second(service: RolloutService, requests: Int, newFails: Boolean) = onControl {
-        repeat(requests) {
+    private fun second(service: RolloutService, newFails: Boolean) = onControl {
+        repeat(REQUESTS) {
             val version = service.versionFor(drafting, "$nowMillis-$it-${service.hashCode()}")
             val failed = newFails && version == "8"
             val outcome = if (failed) RequestOutcome.Failed else RequestOutcome.Answered(100L + it)
@@ -210,6 +210,7 @@
     }
 
     companion object {
+        const val REQUESTS = 20
         const val DEADLINE = 1_000_000L + 1_800_000L
     }
 }
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/rollout/RolloutServiceTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/rollout/RolloutServiceTest.kt
@@ -48,7 +48,8 @@
                 fleet.run(seconds = 20)
                 (fleet.newShare() > 0.0) shouldBe true
 
-                fleet.run(seconds = 300, newFails = true) { fleet.newShare() == 0.0 }
+                // Only one instance sees it: the others must be told.
+                fleet.run(seconds = 300, failsAt = setOf("i3")) { fleet.newShare() == 0.0 }
 
                 fleet.newShare() shouldBe 0.0
                 fleet.phase() shouldBe RolloutPhase.MOVING
