--- a/core/src/main/kotlin/io/lavenderhinge/core/routing/EntryRouter.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/routing/EntryRouter.kt
@@ -28,6 +28,9 @@
     private val directory = HomeDirectory()
     private val selection = ServerSelection(failureDomain, settings)
     private val budget = RetryBudget()
+
+    /** Where requests would go now, for operators. */
+    val standings = Standings(selection, directory)
     private val refusals = RefusalPolicy(settings, random)
     private val pending = LinkedHashMap<String, PendingRequest>()
     private val held = HeldSlots(settings, directory, selection, ::send)
@@ -59,10 +62,6 @@
         return effects.toList()
     }
 
-    /** Backend servers for [request] in the order in which their homes would be asked now. */
-    fun explain(request: SlotRequest, nowMillis: Long): List<ServerStanding> =
-        selection.standings(request, nowMillis, directory::homeOf)
-
     private fun requested(request: SlotRequest, nowMillis: Long) {
         budget.requested(request.workspace, nowMillis)
         val refusal =
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/scheduling/HomeSlotService.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/scheduling/HomeSlotService.kt
@@ -109,7 +109,7 @@
 
     /** Where [request] would go now; control thread only. */
     fun explain(request: SlotRequest): List<ServerStanding> =
-        router.explain(request, control.nowMillis())
+        router.standings.of(request, control.nowMillis())
 
     /** Requests that wait at the homes here; callable from any thread. */
     suspend fun waitingCount(): Int =
