--- a/instance/src/main/kotlin/io/lavenderhinge/instance/scheduling/PeerFrames.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/scheduling/FrameDecoder.kt
@@ -16,22 +16,11 @@
 import io.lavenderhinge.protocol.v1.Preempt
 import io.lavenderhinge.protocol.v1.Queued
 import io.lavenderhinge.protocol.v1.Refuse
-import io.lavenderhinge.protocol.v1.RefuseReason
-import io.lavenderhinge.protocol.v1.Release
 import io.lavenderhinge.protocol.v1.ServerSummary
 import kotlinx.collections.immutable.toImmutableList
 
-/** A frame of the scheduling part of `peer.proto` in the terms of the core. */
-internal sealed interface SchedulingMessage {
-    val serverId: String
-
-    data class ToHome(override val serverId: String, val event: HomeEvent) : SchedulingMessage
-
-    data class ToEntry(override val serverId: String, val effect: HomeEffect) : SchedulingMessage
-}
-
-/** Translates between frames and the events of the core. Deadlines travel as time left. */
-internal object PeerFrames {
+/** Reads frames as events of the core. Deadlines travel as time left. */
+internal object FrameDecoder {
     /** The message in [frame], or null for frames of other concerns and unknown values. */
     fun decode(fromInstanceId: String, selfId: String, frame: Frame, nowMillis: Long) =
         when (frame.bodyCase) {
@@ -62,68 +51,6 @@
             else -> null
         }
 
-    /** The frame for [event], which an entry sends about [serverId]. */
-    fun encode(serverId: String, event: HomeEvent, nowMillis: Long): Frame? {
-        val frame = Frame.newBuilder().setProtocolVersion(PROTOCOL_VERSION)
-        return when (event) {
-            is HomeEvent.Asked -> frame.setAsk(ask(serverId, event.ask, false, nowMillis)).build()
-            is HomeEvent.Registered ->
-                frame.setAsk(ask(serverId, event.ask, true, nowMillis)).build()
-            is HomeEvent.Released ->
-                frame
-                    .setRelease(
-                        Release.newBuilder().setRequestId(event.key.askId).setServerId(serverId)
-                    )
-                    .build()
-            is HomeEvent.Finished ->
-                frame.setDone(done(serverId, event.key.askId, event.result)).build()
-            else -> null
-        }
-    }
-
-    /** The frame for [effect], which the home of [serverId] sends. */
-    fun encode(serverId: String, effect: HomeEffect): Frame {
-        val frame = Frame.newBuilder().setProtocolVersion(PROTOCOL_VERSION)
-        val id = effect.askId
-        when (effect) {
-            is HomeEffect.Grant ->
-                frame.setGrant(
-                    Grant.newBuilder()
-                        .setRequestId(id)
-                        .setServerId(serverId)
-                        .setCachedPrefixTokens(effect.cachedPrefixTokens)
-                )
-            is HomeEffect.Queued ->
-                frame.setQueued(
-                    Queued.newBuilder()
-                        .setRequestId(id)
-                        .setServerId(serverId)
-                        .setExpectedWaitMillis(bounded(effect.expectedWaitMillis))
-                )
-            is HomeEffect.Refuse ->
-                frame.setRefuse(
-                    Refuse.newBuilder()
-                        .setRequestId(id)
-                        .setServerId(serverId)
-                        .setReason(RefuseReason.forNumber(effect.reason.ordinal + 1))
-                        .setExpectedWaitMillis(bounded(effect.expectedWaitMillis))
-                        .setLowerTierCount(effect.lowerTierCount)
-                )
-            is HomeEffect.Preempt ->
-                frame.setPreempt(Preempt.newBuilder().setRequestId(id).setServerId(serverId))
-        }
-        return frame.build()
-    }
-
-    fun encode(summary: HomeSummary): ServerSummary =
-        ServerSummary.newBuilder()
-            .setServerId(summary.serverId)
-            .setExpectedWaitMillis(bounded(summary.expectedWaitMillis))
-            .setFreeSlots(summary.freeSlots)
-            .setLowestOpenTier(tier(summary.lowestOpenTier))
-            .setSequence(summary.sequence)
-            .build()
-
     fun decode(summary: ServerSummary): HomeSummary =
         HomeSummary(
             serverId = summary.serverId,
@@ -133,30 +60,6 @@
             sequence = summary.sequence,
         )
 
-    private fun ask(
-        serverId: String,
-        ask: SlotAsk,
-        isInService: Boolean,
-        nowMillis: Long,
-    ): Ask.Builder {
-        val builder =
-            Ask.newBuilder()
-                .setRequestId(ask.askId)
-                .setServerId(serverId)
-                .setTier(tier(ask.tier))
-                .setPromptTokens(ask.promptTokens)
-                .setOutputTokens(ask.outputTokens)
-                .setDeadlineLeftMillis(bounded(ask.deadlineMillis - nowMillis))
-                .setInService(isInService)
-                .setPreemptLowerTier(ask.mayPreempt)
-        if (isInService) return builder
-        // A request in service needs neither a fair share nor an estimate of its prefix hit.
-        return builder
-            .setWorkspace(ask.workspace)
-            .setWeight(ask.weight)
-            .addAllPrefixHashes(ask.prefixHashes)
-    }
-
     private fun ask(fromInstanceId: String, frame: Ask, nowMillis: Long): SchedulingMessage? {
         val tier = tier(frame.tier) ?: return null
         val ask =
@@ -197,16 +100,6 @@
             ),
         )
 
-    private fun done(serverId: String, askId: String, result: SlotResult) =
-        Done.newBuilder()
-            .setRequestId(askId)
-            .setServerId(serverId)
-            .setResultValue(result.resultClass.ordinal + 1)
-            .setFirstTokenMillis(bounded(result.firstTokenMillis))
-            .setBetweenTokensMicros(bounded(result.betweenTokensMicros))
-            .setPromptTokens(result.promptTokens)
-            .setOutputTokens(result.outputTokens)
-
     private fun refuse(selfId: String, refuse: Refuse) =
         HomeEffect.Refuse(
             entryId = selfId,
@@ -226,13 +119,8 @@
     private fun toEntry(serverId: String, effect: HomeEffect): SchedulingMessage =
         SchedulingMessage.ToEntry(serverId, effect)
 
-    private fun tier(tier: Tier) = io.lavenderhinge.protocol.v1.Tier.forNumber(tier.ordinal + 1)
-
     private fun tier(tier: io.lavenderhinge.protocol.v1.Tier): Tier? =
         Tier.entries.getOrNull(tier.ordinal - 1)
 
-    private fun bounded(value: Long): Int = value.coerceIn(0, Int.MAX_VALUE.toLong()).toInt()
-
-    private const val PROTOCOL_VERSION = 1
     private const val FIRST_TOKEN_MILLIS = 1_000L
 }
--- /dev/null
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/scheduling/FrameEncoder.kt
@@ -0,0 +1,123 @@
+package io.lavenderhinge.instance.scheduling
+
+import io.lavenderhinge.core.Tier
+import io.lavenderhinge.core.scheduling.HomeEffect
+import io.lavenderhinge.core.scheduling.HomeEvent
+import io.lavenderhinge.core.scheduling.HomeSummary
+import io.lavenderhinge.core.scheduling.SlotAsk
+import io.lavenderhinge.core.scheduling.SlotResult
+import io.lavenderhinge.protocol.v1.Ask
+import io.lavenderhinge.protocol.v1.Done
+import io.lavenderhinge.protocol.v1.Frame
+import io.lavenderhinge.protocol.v1.Grant
+import io.lavenderhinge.protocol.v1.Preempt
+import io.lavenderhinge.protocol.v1.Queued
+import io.lavenderhinge.protocol.v1.Refuse
+import io.lavenderhinge.protocol.v1.RefuseReason
+import io.lavenderhinge.protocol.v1.Release
+import io.lavenderhinge.protocol.v1.ServerSummary
+
+/** Writes the events of the core as frames. Deadlines travel as time left. */
+internal object FrameEncoder {
+    /** The frame for [event], which an entry sends about [serverId]. */
+    fun encode(serverId: String, event: HomeEvent, nowMillis: Long): Frame? {
+        val frame = Frame.newBuilder().setProtocolVersion(PROTOCOL_VERSION)
+        return when (event) {
+            is HomeEvent.Asked -> frame.setAsk(ask(serverId, event.ask, false, nowMillis)).build()
+            is HomeEvent.Registered ->
+                frame.setAsk(ask(serverId, event.ask, true, nowMillis)).build()
+            is HomeEvent.Released ->
+                frame
+                    .setRelease(
+                        Release.newBuilder().setRequestId(event.key.askId).setServerId(serverId)
+                    )
+                    .build()
+            is HomeEvent.Finished ->
+                frame.setDone(done(serverId, event.key.askId, event.result)).build()
+            else -> null
+        }
+    }
+
+    /** The frame for [effect], which the home of [serverId] sends. */
+    fun encode(serverId: String, effect: HomeEffect): Frame {
+        val frame = Frame.newBuilder().setProtocolVersion(PROTOCOL_VERSION)
+        val id = effect.askId
+        when (effect) {
+            is HomeEffect.Grant ->
+                frame.setGrant(
+                    Grant.newBuilder()
+                        .setRequestId(id)
+                        .setServerId(serverId)
+                        .setCachedPrefixTokens(effect.cachedPrefixTokens)
+                )
+            is HomeEffect.Queued ->
+                frame.setQueued(
+                    Queued.newBuilder()
+                        .setRequestId(id)
+                        .setServerId(serverId)
+                        .setExpectedWaitMillis(bounded(effect.expectedWaitMillis))
+                )
+            is HomeEffect.Refuse ->
+                frame.setRefuse(
+                    Refuse.newBuilder()
+                        .setRequestId(id)
+                        .setServerId(serverId)
+                        .setReason(RefuseReason.forNumber(effect.reason.ordinal + 1))
+                        .setExpectedWaitMillis(bounded(effect.expectedWaitMillis))
+                        .setLowerTierCount(effect.lowerTierCount)
+                )
+            is HomeEffect.Preempt ->
+                frame.setPreempt(Preempt.newBuilder().setRequestId(id).setServerId(serverId))
+        }
+        return frame.build()
+    }
+
+    fun encode(summary: HomeSummary): ServerSummary =
+        ServerSummary.newBuilder()
+            .setServerId(summary.serverId)
+            .setExpectedWaitMillis(bounded(summary.expectedWaitMillis))
+            .setFreeSlots(summary.freeSlots)
+            .setLowestOpenTier(tier(summary.lowestOpenTier))
+            .setSequence(summary.sequence)
+            .build()
+
+    private fun ask(
+        serverId: String,
+        ask: SlotAsk,
+        isInService: Boolean,
+        nowMillis: Long,
+    ): Ask.Builder {
+        val builder =
+            Ask.newBuilder()
+                .setRequestId(ask.askId)
+                .setServerId(serverId)
+                .setTier(tier(ask.tier))
+                .setPromptTokens(ask.promptTokens)
+                .setOutputTokens(ask.outputTokens)
+                .setDeadlineLeftMillis(bounded(ask.deadlineMillis - nowMillis))
+                .setInService(isInService)
+                .setPreemptLowerTier(ask.mayPreempt)
+        if (isInService) return builder
+        // A request in service needs neither a fair share nor an estimate of its prefix hit.
+        return builder
+            .setWorkspace(ask.workspace)
+            .setWeight(ask.weight)
+            .addAllPrefixHashes(ask.prefixHashes)
+    }
+
+    private fun done(serverId: String, askId: String, result: SlotResult) =
+        Done.newBuilder()
+            .setRequestId(askId)
+            .setServerId(serverId)
+            .setResultValue(result.resultClass.ordinal + 1)
+            .setFirstTokenMillis(bounded(result.firstTokenMillis))
+            .setBetweenTokensMicros(bounded(result.betweenTokensMicros))
+            .setPromptTokens(result.promptTokens)
+            .setOutputTokens(result.outputTokens)
+
+    private fun tier(tier: Tier) = io.lavenderhinge.protocol.v1.Tier.forNumber(tier.ordinal + 1)
+
+    private fun bounded(value: Long): Int = value.coerceIn(0, Int.MAX_VALUE.toLong()).toInt()
+
+    private const val PROTOCOL_VERSION = 1
+}
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/scheduling/HomeSlotService.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/scheduling/HomeSlotService.kt
@@ -98,7 +98,7 @@
     override fun hostedServerIds(): Set<String> = host.hostedServerIds
 
     override fun summaries(): List<ServerSummary> =
-        host.summaries(control.nowMillis()).map(PeerFrames::encode)
+        host.summaries(control.nowMillis()).map(FrameEncoder::encode)
 
     /** State of the homes here, for the status page; control thread only. */
     fun homes(): Map<String, HomeStatus> =
@@ -127,7 +127,7 @@
     private fun received(fromInstanceId: String, frame: Frame) {
         if (frame.bodyCase == Frame.BodyCase.DIGEST) return summarized(frame.digest)
         val message =
-            PeerFrames.decode(fromInstanceId, links.selfId, frame, control.nowMillis()) ?: return
+            FrameDecoder.decode(fromInstanceId, links.selfId, frame, control.nowMillis()) ?: return
         enqueue {
             when (message) {
                 is SchedulingMessage.ToHome -> toHost(message.serverId, message.event)
@@ -139,7 +139,7 @@
 
     private fun summarized(digest: Digest) {
         if (digest.serversCount == 0) return
-        val summaries = digest.serversList.map(PeerFrames::decode).toImmutableList()
+        val summaries = digest.serversList.map(FrameDecoder::decode).toImmutableList()
         enqueue {
             deliver(host.summariesReceived(summaries, control.nowMillis()))
             route(EntryEvent.SummariesReceived(summaries))
@@ -157,7 +157,7 @@
         followMembership()
         repeat(unsent.size) {
             val next = unsent.removeFirst()
-            transmit(next.instanceId, next.frame)
+            if (!links.send(next.instanceId, next.frame)) keep(next.instanceId, next.frame)
         }
         deliver(host.tick(control.nowMillis()))
         route(EntryEvent.Tick)
@@ -179,7 +179,7 @@
     private fun deliver(messages: List<HomeMessage>) {
         for (message in messages) {
             val effect = message.effect
-            val frame = PeerFrames.encode(message.serverId, effect)
+            val frame = FrameEncoder.encode(message.serverId, effect)
             if (links.send(effect.entryId, frame)) continue
             when (effect) {
                 // The entry does not learn of its grant, so nothing will run under it.
@@ -203,7 +203,7 @@
                 is EntryEffect.Send -> send(effect)
                 is EntryEffect.Granted -> granted(effect)
                 is EntryEffect.Refused ->
-                    waiting.remove(effect.requestId)?.let { resume(it, effect.refusal.left()) {} }
+                    waiting.remove(effect.requestId)?.resume(effect.refusal.left()) { _, _, _ -> }
                 is EntryEffect.Preempted -> held[effect.requestId]?.preempted?.complete(Unit)
             }
         }
@@ -211,7 +211,7 @@
 
     private fun send(effect: EntryEffect.Send) {
         val event = effect.event
-        val frame = PeerFrames.encode(effect.serverId, event, control.nowMillis()) ?: return
+        val frame = FrameEncoder.encode(effect.serverId, event, control.nowMillis()) ?: return
         if (links.send(effect.homeId, frame)) return
         if (event !is HomeEvent.Asked) return keep(effect.homeId, frame)
         val refusal = HomeEffect.Refuse(links.selfId, event.ask.askId, RefusalReason.NOT_HOME, 0, 0)
@@ -230,25 +230,16 @@
             )
         held[requestId] = slot
         val caller = waiting.remove(requestId)
-        if (caller == null) slot.release() else resume(caller, slot.right()) { slot.release() }
+        if (caller == null) return slot.release()
+        caller.resume(slot.right()) { _, _, _ -> slot.release() }
     }
 
-    private fun resume(
-        caller: CancellableContinuation<Either<SlotRefusal, Slot>>,
-        answer: Either<SlotRefusal, Slot>,
-        onCancellation: () -> Unit,
-    ) = caller.resume(answer) { _, _, _ -> onCancellation() }
-
     private fun ended(requestId: String, event: EntryEvent) =
         control.execute {
             held.remove(requestId)
             enqueue { route(event) }
         }
 
-    private fun transmit(instanceId: String, frame: Frame) {
-        if (!links.send(instanceId, frame)) keep(instanceId, frame)
-    }
-
     /** Keeps a message that must arrive for the next tick. A broken link makes it void. */
     private fun keep(instanceId: String, frame: Frame) {
         if (instances().none { it.id == instanceId }) return
--- /dev/null
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/scheduling/SchedulingMessage.kt
@@ -0,0 +1,13 @@
+package io.lavenderhinge.instance.scheduling
+
+import io.lavenderhinge.core.scheduling.HomeEffect
+import io.lavenderhinge.core.scheduling.HomeEvent
+
+/** A frame of the scheduling part of `peer.proto` in the terms of the core. */
+internal sealed interface SchedulingMessage {
+    val serverId: String
+
+    data class ToHome(override val serverId: String, val event: HomeEvent) : SchedulingMessage
+
+    data class ToEntry(override val serverId: String, val effect: HomeEffect) : SchedulingMessage
+}
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/scheduling/PeerFramesTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/scheduling/FrameEncoderTest.kt
@@ -13,7 +13,7 @@
 import io.lavenderhinge.core.scheduling.SlotResult
 import kotlinx.collections.immutable.toImmutableList
 
-class PeerFramesTest :
+class FrameEncoderTest :
     FunSpec({
         val ask =
             SlotAsk(
@@ -30,8 +30,8 @@
             )
 
         fun received(event: HomeEvent): HomeEvent {
-            val frame = checkNotNull(PeerFrames.encode("engine-1", event, nowMillis = 1_000))
-            val message = PeerFrames.decode("entry", "home", frame, nowMillis = 501_000)
+            val frame = checkNotNull(FrameEncoder.encode("engine-1", event, nowMillis = 1_000))
+            val message = FrameDecoder.decode("entry", "home", frame, nowMillis = 501_000)
             return (message as SchedulingMessage.ToHome).event
         }
 
@@ -55,9 +55,9 @@
         test("given every refusal, when it travels, then its reason arrives unchanged") {
             for (reason in RefusalReason.entries) {
                 val refusal = HomeEffect.Refuse("entry", "1", reason, 1_500, 3)
-                val frame = PeerFrames.encode("engine-1", refusal)
+                val frame = FrameEncoder.encode("engine-1", refusal)
 
-                PeerFrames.decode("home", "entry", frame, nowMillis = 0) shouldBe
+                FrameDecoder.decode("home", "entry", frame, nowMillis = 0) shouldBe
                     SchedulingMessage.ToEntry("engine-1", refusal)
             }
         }
@@ -66,10 +66,10 @@
             val result = SlotResult(ResultClass.OK, 200, 30_000, 1_000, 100)
             val frames =
                 listOf(
-                    PeerFrames.encode("engine-1", HomeEvent.Asked(ask), 0),
-                    PeerFrames.encode("engine-1", HomeEffect.Grant("entry", ask.askId, 512)),
-                    PeerFrames.encode("engine-1", HomeEvent.Registered(ask), 0),
-                    PeerFrames.encode("engine-1", HomeEvent.Finished(ask.key, result), 0),
+                    FrameEncoder.encode("engine-1", HomeEvent.Asked(ask), 0),
+                    FrameEncoder.encode("engine-1", HomeEffect.Grant("entry", ask.askId, 512)),
+                    FrameEncoder.encode("engine-1", HomeEvent.Registered(ask), 0),
+                    FrameEncoder.encode("engine-1", HomeEvent.Finished(ask.key, result), 0),
                 )
 
             // 30 requests a second must leave room for gossip in 5 KB a second each way.
