--- a/core/src/test/kotlin/io/lavenderhinge/core/rollout/TwoSampleEvidenceTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/rollout/TwoSampleEvidenceTest.kt
@@ -6,13 +6,13 @@
 import kotlin.math.ln
 import kotlin.random.Random
 
-private const val RUNS = 600
+private const val RUNS = 2_000
 
 /** Bound of the tests: one run in 20 may reach evidence of 20. */
 private const val FRACTION = 0.05
 
-// Three standard deviations above the stated probability: 30 + 3 * sqrt(600 * 0.05 * 0.95).
-private const val MOST_ALARMS = 46
+// Three standard deviations above the stated probability: 100 + 3 * sqrt(2000 * 0.05 * 0.95).
+private const val MOST_ALARMS = 129
 
 private fun draw(random: Random, requests: Long, rate: Double): Long =
     (1..requests).count { random.nextDouble() < rate }.toLong()
--- a/experiments/src/test/kotlin/io/lavenderhinge/experiments/rollout/RolloutSimulationTest.kt
+++ b/experiments/src/test/kotlin/io/lavenderhinge/experiments/rollout/RolloutSimulationTest.kt
@@ -5,7 +5,7 @@
 import io.kotest.matchers.shouldBe
 import io.lavenderhinge.core.rollout.RolloutPhase
 
-private val seeds = 1..3
+private val seeds = 1..4
 
 private fun run(deployment: Deployment, kind: VersionKind, outage: Boolean = false) =
     seeds.map {
@@ -14,15 +14,15 @@
 
 class RolloutSimulationTest :
     FunSpec({
-        // With 0.1% false alarms for each rollout, two or more in 12 runs have a probability of
-        // 6.6e-5 (12 * 11 / 2 * 0.001^2).
-        test("given good versions, when moved, then at most one of 12 is not done in time") {
+        // With 0.1% false alarms for each rollout, two or more in 16 runs have a probability of
+        // 1.2e-4 (16 * 15 / 2 * 0.001^2).
+        test("given good versions, when moved, then at most one of 16 is not done in time") {
             val results =
                 Deployment.all.flatMap {
                     run(it, VersionKind.GOOD) + run(it, VersionKind.GOOD_WITH_BURSTS)
                 }
 
-            results.size shouldBe 12
+            results.size shouldBe 16
             results.count { it.phase != RolloutPhase.DONE } shouldBeLessThanOrEqual 1
         }
 
