Send the first-token target with an ask and keep unsent frames in one place

The home used 1 s for every interactive model request, whatever the route said; the ask now carries the time left, and a test sends one. The order of operators' explain hashed whole prompts against an index of milestones, so that it never found a hit.

--- a/core/src/main/kotlin/io/lavenderhinge/core/routing/ServerSelection.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/routing/ServerSelection.kt
@@ -1,5 +1,6 @@
 package io.lavenderhinge.core.routing
 
+import io.lavenderhinge.core.scheduling.PrefixMilestones
 import io.lavenderhinge.core.scheduling.ServerState
 import io.lavenderhinge.core.scheduling.ServerView
 import io.lavenderhinge.core.settings.Target
@@ -47,7 +48,7 @@
         nowMillis: Long,
         homeOf: (serverId: String) -> String?,
     ): List<ServerStanding> {
-        val hits = prefixes.expectedTokens(request.prefixHashes)
+        val hits = prefixes.expectedTokens(PrefixMilestones.select(request.prefixHashes))
         return reachable(live(request), request, nowMillis)
             .map {
                 ServerStanding(
--- a/e2e/src/test/kotlin/io/lavenderhinge/e2e/fleet/Fleet.kt
+++ b/e2e/src/test/kotlin/io/lavenderhinge/e2e/fleet/Fleet.kt
@@ -105,12 +105,12 @@
     fun instance(id: String, domain: String): FleetInstance {
         val instance =
             FleetInstance(id, domain, freePort(), freePort(), freePort(), folder.resolve("$id.ini"))
-        Files.writeString(instance.config, bootstrap(instance))
         instances.add(instance)
         return instance
     }
 
     fun startInstance(instance: FleetInstance) {
+        Files.writeString(instance.config, bootstrap(instance))
         instance.process = process(instance.id, INSTANCE, "--config", instance.config.toString())
     }
 
@@ -192,6 +192,9 @@
         live-list = http://127.0.0.1:$platformPort
         reads-per-second = 50
         writes-per-second = 20
+
+        [seeds]
+        peers = ${instances.joinToString(", ") { "127.0.0.1:${it.peerPort}" }}
         """
             .trimIndent()
 
--- a/e2e/src/test/kotlin/io/lavenderhinge/e2e/fleet/StandardFleet.kt
+++ b/e2e/src/test/kotlin/io/lavenderhinge/e2e/fleet/StandardFleet.kt
@@ -49,7 +49,10 @@
         .trimIndent()
 
 /** Three instances in two failure domains before two engines and two booking services. */
-suspend fun standardFleet(settings: String = STANDARD_SETTINGS): Fleet {
+suspend fun standardFleet(
+    settings: String = STANDARD_SETTINGS,
+    more: Fleet.() -> Unit = {},
+): Fleet {
     val fleet = Fleet(Files.createTempDirectory("lavenderhinge-e2e"))
     fleet.server(MemberKind.MODEL_ENGINE, "engine-a", "a", "drafting", "7", "--step-millis", "2")
     fleet.server(MemberKind.MODEL_ENGINE, "engine-b", "b", "drafting", "7", "--step-millis", "2")
@@ -58,6 +61,7 @@
     fleet.instance("one", "a")
     fleet.instance("two", "a")
     fleet.instance("three", "b")
+    fleet.more()
     fleet.start(mapOf("caprock" to settings))
     return fleet
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/scheduling/FrameDecoder.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/scheduling/FrameDecoder.kt
@@ -73,16 +73,15 @@
                 outputTokens = frame.outputTokens,
                 deadlineMillis = nowMillis + frame.deadlineLeftMillis,
                 prefixHashes = frame.prefixHashesList.toImmutableList(),
-                firstTokenDueMillis = firstTokenDue(tier, frame.promptTokens, nowMillis),
+                firstTokenDueMillis = firstTokenDue(frame, nowMillis),
                 mayPreempt = frame.preemptLowerTier,
             )
         val event = if (frame.inService) HomeEvent.Registered(ask) else HomeEvent.Asked(ask)
         return toHome(frame.serverId, event)
     }
 
-    /** `Ask` does not carry the route's first-token target; the design's stands in for it. */
-    private fun firstTokenDue(tier: Tier, promptTokens: Int, nowMillis: Long): Long =
-        if (tier == Tier.INTERACTIVE && promptTokens > 0) nowMillis + FIRST_TOKEN_MILLIS
+    private fun firstTokenDue(frame: Ask, nowMillis: Long): Long =
+        if (frame.hasFirstTokenLeftMillis()) nowMillis + frame.firstTokenLeftMillis
         else Long.MAX_VALUE
 
     private fun finished(fromInstanceId: String, done: Done) =
@@ -121,6 +120,4 @@
 
     private fun tier(tier: io.lavenderhinge.protocol.v1.Tier): Tier? =
         Tier.entries.getOrNull(tier.ordinal - 1)
-
-    private const val FIRST_TOKEN_MILLIS = 1_000L
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/scheduling/FrameEncoder.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/scheduling/FrameEncoder.kt
@@ -98,6 +98,9 @@
                 .setDeadlineLeftMillis(bounded(ask.deadlineMillis - nowMillis))
                 .setInService(isInService)
                 .setPreemptLowerTier(ask.mayPreempt)
+        if (ask.firstTokenDueMillis != Long.MAX_VALUE) {
+            builder.firstTokenLeftMillis = bounded(ask.firstTokenDueMillis - nowMillis)
+        }
         if (isInService) return builder
         // A request in service needs neither a fair share nor an estimate of its prefix hit.
         return builder
@@ -119,5 +122,4 @@
     private fun tier(tier: Tier) = io.lavenderhinge.protocol.v1.Tier.forNumber(tier.ordinal + 1)
 
     private fun bounded(value: Long): Int = value.coerceIn(0, Int.MAX_VALUE.toLong()).toInt()
-
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/scheduling/HomeSlotService.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/scheduling/HomeSlotService.kt
@@ -54,14 +54,12 @@
         EntryRouter(links.selfId, failureDomain, control.random, invariants = invariants)
     private val waiting = HashMap<String, CancellableContinuation<Either<SlotRefusal, Slot>>>()
     private val held = HashMap<String, HeldByCaller>()
-    private val unsent = ArrayDeque<Unsent>()
+    private val outbox = RetryingOutbox(links) { id -> instances().any { it.id == id } }
     private val work = ArrayDeque<() -> Unit>()
     private var isWorking = false
     private var knownInstances: List<InstanceView> = emptyList()
     private var knownServers: List<ServerView> = emptyList()
 
-    private class Unsent(val instanceId: String, val frame: Frame)
-
     /** Violated invariants since the start; anything but zero is a fault of this program. */
     val invariantViolations: Long
         get() = violations.get()
@@ -153,17 +151,14 @@
 
     private fun linkLost(instanceId: String) {
         log.info("home: link to instance {} broke; its waiting requests are dropped", instanceId)
-        unsent.removeIf { it.instanceId == instanceId }
+        outbox.drop(instanceId)
         deliver(host.linkLost(instanceId, control.nowMillis()))
         route(EntryEvent.LinkLost(instanceId))
     }
 
     private fun tick() = enqueue {
         followMembership()
-        repeat(unsent.size) {
-            val next = unsent.removeFirst()
-            if (!links.send(next.instanceId, next.frame)) keep(next.instanceId, next.frame)
-        }
+        outbox.retry()
         deliver(host.tick(control.nowMillis()))
         route(EntryEvent.Tick)
     }
@@ -195,7 +190,7 @@
                             HomeEvent.Released(AskKey(effect.entryId, effect.askId)),
                         )
                     }
-                is HomeEffect.Refuse -> keep(effect.entryId, frame)
+                is HomeEffect.Refuse -> outbox.keep(effect.entryId, frame)
                 is HomeEffect.Queued,
                 is HomeEffect.Preempt -> Unit
             }
@@ -218,7 +213,7 @@
         val event = effect.event
         val frame = FrameEncoder.encode(effect.serverId, event, control.nowMillis()) ?: return
         if (links.send(effect.homeId, frame)) return
-        if (event !is HomeEvent.Asked) return keep(effect.homeId, frame)
+        if (event !is HomeEvent.Asked) return outbox.keep(effect.homeId, frame)
         val refusal = HomeEffect.Refuse(links.selfId, event.ask.askId, RefusalReason.NOT_HOME, 0, 0)
         enqueue { route(EntryEvent.HomeAnswered(effect.homeId, effect.serverId, refusal)) }
     }
@@ -245,13 +240,6 @@
             enqueue { route(event) }
         }
 
-    /** Keeps a message that must arrive for the next tick. A broken link makes it void. */
-    private fun keep(instanceId: String, frame: Frame) {
-        if (instances().none { it.id == instanceId }) return
-        if (unsent.size >= MAX_UNSENT) unsent.removeFirst()
-        unsent.addLast(Unsent(instanceId, frame))
-    }
-
     /**
      * Runs [action] after the one in progress. A frame to this instance itself is delivered inside
      * `send`; without the queue its answer would overtake the effects not yet executed.
@@ -274,7 +262,6 @@
 
     private companion object {
         const val TICK_MILLIS = 100L
-        const val MAX_UNSENT = 10_000
         val log = LoggerFactory.getLogger(HomeSlotService::class.java)
     }
 }
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/scheduling/FrameEncoderTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/scheduling/FrameEncoderTest.kt
@@ -26,6 +26,7 @@
                 outputTokens = 512,
                 deadlineMillis = 31_000,
                 prefixHashes = List(8) { it.toLong() }.toImmutableList(),
+                firstTokenDueMillis = 1_700,
                 mayPreempt = true,
             )
 
@@ -36,7 +37,7 @@
         }
 
         test("given clocks that differ by 500 s, when an ask travels, then its time left is kept") {
-            val expected = ask.copy(deadlineMillis = 531_000)
+            val expected = ask.copy(deadlineMillis = 531_000, firstTokenDueMillis = 501_700)
 
             received(HomeEvent.Asked(ask)) shouldBe HomeEvent.Asked(expected)
         }
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/Ask.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/Ask.java
@@ -54,6 +54,7 @@
             io.lavenderhinge.protocol.v1.Ask.class, io.lavenderhinge.protocol.v1.Ask.Builder.class);
   }
 
+  private int bitField0_;
   public static final int REQUEST_ID_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object requestId_ = "";
@@ -367,6 +368,33 @@
     return preemptLowerTier_;
   }
 
+  public static final int FIRST_TOKEN_LEFT_MILLIS_FIELD_NUMBER = 14;
+  private int firstTokenLeftMillis_ = 0;
+  /**
+   * <pre>
+   * Absent when the first token has no due time.
+   * </pre>
+   *
+   * <code>optional uint32 first_token_left_millis = 14;</code>
+   * @return Whether the firstTokenLeftMillis field is set.
+   */
+  @java.lang.Override
+  public boolean hasFirstTokenLeftMillis() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * Absent when the first token has no due time.
+   * </pre>
+   *
+   * <code>optional uint32 first_token_left_millis = 14;</code>
+   * @return The firstTokenLeftMillis.
+   */
+  @java.lang.Override
+  public int getFirstTokenLeftMillis() {
+    return firstTokenLeftMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -425,6 +453,9 @@
     if (preemptLowerTier_ != false) {
       output.writeBool(13, preemptLowerTier_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeUInt32(14, firstTokenLeftMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -488,6 +519,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(13, preemptLowerTier_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(14, firstTokenLeftMillis_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -529,6 +564,11 @@
         != other.getInService()) return false;
     if (getPreemptLowerTier()
         != other.getPreemptLowerTier()) return false;
+    if (hasFirstTokenLeftMillis() != other.hasFirstTokenLeftMillis()) return false;
+    if (hasFirstTokenLeftMillis()) {
+      if (getFirstTokenLeftMillis()
+          != other.getFirstTokenLeftMillis()) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -571,6 +611,10 @@
     hash = (37 * hash) + PREEMPT_LOWER_TIER_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getPreemptLowerTier());
+    if (hasFirstTokenLeftMillis()) {
+      hash = (37 * hash) + FIRST_TOKEN_LEFT_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + getFirstTokenLeftMillis();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -719,6 +763,7 @@
       deadlineLeftMillis_ = 0;
       inService_ = false;
       preemptLowerTier_ = false;
+      firstTokenLeftMillis_ = 0;
       return this;
     }
 
@@ -792,6 +837,12 @@
       if (((from_bitField0_ & 0x00001000) != 0)) {
         result.preemptLowerTier_ = preemptLowerTier_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00002000) != 0)) {
+        result.firstTokenLeftMillis_ = firstTokenLeftMillis_;
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -863,6 +914,9 @@
       if (other.getPreemptLowerTier() != false) {
         setPreemptLowerTier(other.getPreemptLowerTier());
       }
+      if (other.hasFirstTokenLeftMillis()) {
+        setFirstTokenLeftMillis(other.getFirstTokenLeftMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -966,6 +1020,11 @@
               bitField0_ |= 0x00001000;
               break;
             } // case 104
+            case 112: {
+              firstTokenLeftMillis_ = input.readUInt32();
+              bitField0_ |= 0x00002000;
+              break;
+            } // case 112
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1688,6 +1747,62 @@
       return this;
     }
 
+    private int firstTokenLeftMillis_ ;
+    /**
+     * <pre>
+     * Absent when the first token has no due time.
+     * </pre>
+     *
+     * <code>optional uint32 first_token_left_millis = 14;</code>
+     * @return Whether the firstTokenLeftMillis field is set.
+     */
+    @java.lang.Override
+    public boolean hasFirstTokenLeftMillis() {
+      return ((bitField0_ & 0x00002000) != 0);
+    }
+    /**
+     * <pre>
+     * Absent when the first token has no due time.
+     * </pre>
+     *
+     * <code>optional uint32 first_token_left_millis = 14;</code>
+     * @return The firstTokenLeftMillis.
+     */
+    @java.lang.Override
+    public int getFirstTokenLeftMillis() {
+      return firstTokenLeftMillis_;
+    }
+    /**
+     * <pre>
+     * Absent when the first token has no due time.
+     * </pre>
+     *
+     * <code>optional uint32 first_token_left_millis = 14;</code>
+     * @param value The firstTokenLeftMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFirstTokenLeftMillis(int value) {
+
+      firstTokenLeftMillis_ = value;
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent when the first token has no due time.
+     * </pre>
+     *
+     * <code>optional uint32 first_token_left_millis = 14;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFirstTokenLeftMillis() {
+      bitField0_ = (bitField0_ & ~0x00002000);
+      firstTokenLeftMillis_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:lavenderhinge.v1.Ask)
   }
 
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/AskOrBuilder.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/AskOrBuilder.java
@@ -137,4 +137,23 @@
    * @return The preemptLowerTier.
    */
   boolean getPreemptLowerTier();
+
+  /**
+   * <pre>
+   * Absent when the first token has no due time.
+   * </pre>
+   *
+   * <code>optional uint32 first_token_left_millis = 14;</code>
+   * @return Whether the firstTokenLeftMillis field is set.
+   */
+  boolean hasFirstTokenLeftMillis();
+  /**
+   * <pre>
+   * Absent when the first token has no due time.
+   * </pre>
+   *
+   * <code>optional uint32 first_token_left_millis = 14;</code>
+   * @return The firstTokenLeftMillis.
+   */
+  int getFirstTokenLeftMillis();
 }
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/PeerOuterClass.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/PeerOuterClass.java
@@ -159,100 +159,102 @@
       "erhinge.v1.VersionStatsH\000B\006\n\004body\"U\n\005Hel" +
       "lo\022\023\n\013instance_id\030\001 \001(\t\022\026\n\016failure_domai" +
       "n\030\002 \001(\t\022\016\n\006region\030\003 \001(\t\022\017\n\007leaving\030\004 \001(\010" +
-      "\"\250\002\n\003Ask\022\022\n\nrequest_id\030\001 \001(\t\022\021\n\tserver_i" +
+      "\"\352\002\n\003Ask\022\022\n\nrequest_id\030\001 \001(\t\022\021\n\tserver_i" +
       "d\030\002 \001(\t\022\r\n\005model\030\003 \001(\t\022\017\n\007version\030\004 \001(\t\022" +
       "$\n\004tier\030\005 \001(\0162\026.lavenderhinge.v1.Tier\022\021\n" +
       "\tworkspace\030\006 \001(\t\022\016\n\006weight\030\007 \001(\001\022\025\n\rprom" +
       "pt_tokens\030\010 \001(\r\022\025\n\routput_tokens\030\t \001(\r\022\025" +
       "\n\rprefix_hashes\030\n \003(\006\022\034\n\024deadline_left_m" +
       "illis\030\013 \001(\r\022\022\n\nin_service\030\014 \001(\010\022\032\n\022preem" +
-      "pt_lower_tier\030\r \001(\010\"L\n\005Grant\022\022\n\nrequest_" +
-      "id\030\001 \001(\t\022\021\n\tserver_id\030\002 \001(\t\022\034\n\024cached_pr" +
-      "efix_tokens\030\003 \001(\r\"M\n\006Queued\022\022\n\nrequest_i" +
-      "d\030\001 \001(\t\022\021\n\tserver_id\030\002 \001(\t\022\034\n\024expected_w" +
-      "ait_millis\030\003 \001(\r\"\227\001\n\006Refuse\022\022\n\nrequest_i" +
-      "d\030\001 \001(\t\022\021\n\tserver_id\030\002 \001(\t\022.\n\006reason\030\003 \001" +
-      "(\0162\036.lavenderhinge.v1.RefuseReason\022\034\n\024ex" +
-      "pected_wait_millis\030\004 \001(\r\022\030\n\020lower_tier_c" +
-      "ount\030\005 \001(\r\"0\n\007Release\022\022\n\nrequest_id\030\001 \001(" +
-      "\t\022\021\n\tserver_id\030\002 \001(\t\"\305\001\n\004Done\022\022\n\nrequest" +
-      "_id\030\001 \001(\t\022\021\n\tserver_id\030\002 \001(\t\022-\n\006result\030\003" +
-      " \001(\0162\035.lavenderhinge.v1.ResultClass\022\032\n\022f" +
-      "irst_token_millis\030\004 \001(\r\022\035\n\025between_token" +
-      "s_micros\030\005 \001(\r\022\025\n\rprompt_tokens\030\006 \001(\r\022\025\n" +
-      "\routput_tokens\030\007 \001(\r\"0\n\007Preempt\022\022\n\nreque" +
-      "st_id\030\001 \001(\t\022\021\n\tserver_id\030\002 \001(\t\"\210\002\n\rLedge" +
-      "rRequest\022\017\n\007call_id\030\001 \001(\004\0224\n\toperation\030\002" +
-      " \001(\0162!.lavenderhinge.v1.LedgerOperation\022" +
-      "\r\n\005shard\030\003 \001(\r\022\013\n\003key\030\004 \001(\t\022\027\n\017key_time_" +
-      "millis\030\005 \001(\004\022\021\n\tbody_hash\030\006 \001(\t\022\022\n\nattem" +
-      "pt_id\030\007 \001(\t\022\020\n\010entry_id\030\010 \001(\t\022(\n\006answer\030" +
-      "\t \001(\0132\030.lavenderhinge.v1.Answer\022\030\n\020reten" +
-      "tion_millis\030\n \001(\004\"\245\001\n\013LedgerReply\022\017\n\007cal" +
-      "l_id\030\001 \001(\004\0220\n\007outcome\030\002 \001(\0162\037.lavenderhi" +
-      "nge.v1.LedgerOutcome\022(\n\006answer\030\003 \001(\0132\030.l" +
-      "avenderhinge.v1.Answer\022\016\n\006detail\030\004 \001(\t\022\031" +
-      "\n\021expires_at_millis\030\005 \001(\004\"<\n\006Answer\022\016\n\006s" +
-      "tatus\030\001 \001(\r\022\024\n\014content_type\030\002 \001(\t\022\014\n\004bod" +
-      "y\030\003 \001(\014\"/\n\rRevisionEntry\022\014\n\004team\030\001 \001(\t\022\020" +
-      "\n\010revision\030\002 \001(\004\"\200\001\n\tHeartbeat\022\023\n\013instan" +
-      "ce_id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\017\n\007coun" +
-      "ter\030\003 \001(\004\022\017\n\007leaving\030\004 \001(\010\022\017\n\007address\030\005 " +
-      "\001(\t\022\026\n\016failure_domain\030\006 \001(\t\"\230\001\n\rServerSu" +
-      "mmary\022\021\n\tserver_id\030\001 \001(\t\022\034\n\024expected_wai" +
-      "t_millis\030\002 \001(\r\022\022\n\nfree_slots\030\003 \001(\r\0220\n\020lo" +
-      "west_open_tier\030\004 \001(\0162\026.lavenderhinge.v1." +
-      "Tier\022\020\n\010sequence\030\005 \001(\004\"Q\n\010StopFlag\022\016\n\006ta" +
-      "rget\030\001 \001(\t\022\017\n\007version\030\002 \001(\t\022\022\n\nrollout_i" +
-      "d\030\003 \001(\t\022\020\n\010evidence\030\004 \001(\t\"\345\001\n\006Digest\0222\n\t" +
-      "revisions\030\001 \003(\0132\037.lavenderhinge.v1.Revis" +
-      "ionEntry\022/\n\nheartbeats\030\002 \003(\0132\033.lavenderh" +
-      "inge.v1.Heartbeat\022.\n\nstop_flags\030\003 \003(\0132\032." +
-      "lavenderhinge.v1.StopFlag\0220\n\007servers\030\004 \003" +
-      "(\0132\037.lavenderhinge.v1.ServerSummary\022\024\n\014r" +
-      "eply_wanted\030\005 \001(\010\"<\n\014TeamSettings\022\014\n\004tea" +
-      "m\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\014\n\004text\030\003 \001(\t\"" +
-      "\177\n\005Delta\0220\n\010settings\030\001 \003(\0132\036.lavenderhin" +
-      "ge.v1.TeamSettings\022\024\n\014wanted_teams\030\002 \003(\t" +
-      "\022.\n\nstop_flags\030\003 \003(\0132\032.lavenderhinge.v1." +
-      "StopFlag\"\\\n\nRouteCount\022\r\n\005route\030\001 \001(\t\022\017\n" +
-      "\007version\030\002 \001(\t\022\020\n\010requests\030\003 \001(\004\022\016\n\006erro" +
-      "rs\030\004 \001(\004\022\014\n\004slow\030\005 \001(\004\"s\n\014VersionStats\022\022" +
-      "\n\nrollout_id\030\001 \001(\t\022\014\n\004step\030\002 \001(\r\022\023\n\013inst" +
-      "ance_id\030\003 \001(\t\022,\n\006counts\030\004 \003(\0132\034.lavender" +
-      "hinge.v1.RouteCount*U\n\004Tier\022\024\n\020TIER_UNSP" +
-      "ECIFIED\020\000\022\024\n\020TIER_INTERACTIVE\020\001\022\021\n\rTIER_" +
-      "STANDARD\020\002\022\016\n\nTIER_BATCH\020\003*\234\002\n\014RefuseRea" +
-      "son\022\035\n\031REFUSE_REASON_UNSPECIFIED\020\000\022\032\n\026RE" +
-      "FUSE_REASON_NOT_HOME\020\001\022\034\n\030REFUSE_REASON_" +
-      "QUEUE_FULL\020\002\022\032\n\026REFUSE_REASON_DEADLINE\020\003" +
-      "\022\033\n\027REFUSE_REASON_DISPLACED\020\004\022\035\n\031REFUSE_" +
-      "REASON_TIER_CLOSED\020\005\022 \n\034REFUSE_REASON_SE" +
-      "RVER_LEAVING\020\006\022\035\n\031REFUSE_REASON_SERVER_D" +
-      "OWN\020\007\022\032\n\026REFUSE_REASON_SHUTDOWN\020\010*\324\001\n\013Re" +
-      "sultClass\022\034\n\030RESULT_CLASS_UNSPECIFIED\020\000\022" +
-      "\023\n\017RESULT_CLASS_OK\020\001\022\035\n\031RESULT_CLASS_SER" +
-      "VER_ERROR\020\002\022\"\n\036RESULT_CLASS_CONNECTION_F" +
-      "AILED\020\003\022\030\n\024RESULT_CLASS_TIMEOUT\020\004\022\032\n\026RES" +
-      "ULT_CLASS_CANCELLED\020\005\022\031\n\025RESULT_CLASS_DR" +
-      "AINING\020\006*\255\001\n\017LedgerOperation\022 \n\034LEDGER_O" +
-      "PERATION_UNSPECIFIED\020\000\022\034\n\030LEDGER_OPERATI" +
-      "ON_RESERVE\020\001\022\035\n\031LEDGER_OPERATION_COMPLET" +
-      "E\020\002\022\031\n\025LEDGER_OPERATION_VOID\020\003\022 \n\034LEDGER" +
-      "_OPERATION_OWNER_QUERY\020\004*\217\003\n\rLedgerOutco" +
-      "me\022\036\n\032LEDGER_OUTCOME_UNSPECIFIED\020\000\022\033\n\027LE" +
-      "DGER_OUTCOME_RECORDED\020\001\022\034\n\030LEDGER_OUTCOM" +
-      "E_COMPLETED\020\002\022\034\n\030LEDGER_OUTCOME_IN_FLIGH" +
-      "T\020\003\022\033\n\027LEDGER_OUTCOME_IN_DOUBT\020\004\022\033\n\027LEDG" +
-      "ER_OUTCOME_MISMATCH\020\005\022\032\n\026LEDGER_OUTCOME_" +
-      "TOO_OLD\020\006\022\035\n\031LEDGER_OUTCOME_NOT_WRITER\020\007" +
-      "\022\036\n\032LEDGER_OUTCOME_UNAVAILABLE\020\010\022#\n\037LEDG" +
-      "ER_OUTCOME_OWNER_DISPATCHED\020\t\022)\n%LEDGER_" +
-      "OUTCOME_OWNER_NEVER_DISPATCHED\020\n\022 \n\034LEDG" +
-      "ER_OUTCOME_OWNER_UNKNOWN\020\0132D\n\004Peer\022<\n\004Li" +
-      "nk\022\027.lavenderhinge.v1.Frame\032\027.lavenderhi" +
-      "nge.v1.Frame(\0010\001B \n\034io.lavenderhinge.pro" +
-      "tocol.v1P\001b\006proto3"
+      "pt_lower_tier\030\r \001(\010\022$\n\027first_token_left_" +
+      "millis\030\016 \001(\rH\000\210\001\001B\032\n\030_first_token_left_m" +
+      "illis\"L\n\005Grant\022\022\n\nrequest_id\030\001 \001(\t\022\021\n\tse" +
+      "rver_id\030\002 \001(\t\022\034\n\024cached_prefix_tokens\030\003 " +
+      "\001(\r\"M\n\006Queued\022\022\n\nrequest_id\030\001 \001(\t\022\021\n\tser" +
+      "ver_id\030\002 \001(\t\022\034\n\024expected_wait_millis\030\003 \001" +
+      "(\r\"\227\001\n\006Refuse\022\022\n\nrequest_id\030\001 \001(\t\022\021\n\tser" +
+      "ver_id\030\002 \001(\t\022.\n\006reason\030\003 \001(\0162\036.lavenderh" +
+      "inge.v1.RefuseReason\022\034\n\024expected_wait_mi" +
+      "llis\030\004 \001(\r\022\030\n\020lower_tier_count\030\005 \001(\r\"0\n\007" +
+      "Release\022\022\n\nrequest_id\030\001 \001(\t\022\021\n\tserver_id" +
+      "\030\002 \001(\t\"\305\001\n\004Done\022\022\n\nrequest_id\030\001 \001(\t\022\021\n\ts" +
+      "erver_id\030\002 \001(\t\022-\n\006result\030\003 \001(\0162\035.lavende" +
+      "rhinge.v1.ResultClass\022\032\n\022first_token_mil" +
+      "lis\030\004 \001(\r\022\035\n\025between_tokens_micros\030\005 \001(\r" +
+      "\022\025\n\rprompt_tokens\030\006 \001(\r\022\025\n\routput_tokens" +
+      "\030\007 \001(\r\"0\n\007Preempt\022\022\n\nrequest_id\030\001 \001(\t\022\021\n" +
+      "\tserver_id\030\002 \001(\t\"\210\002\n\rLedgerRequest\022\017\n\007ca" +
+      "ll_id\030\001 \001(\004\0224\n\toperation\030\002 \001(\0162!.lavende" +
+      "rhinge.v1.LedgerOperation\022\r\n\005shard\030\003 \001(\r" +
+      "\022\013\n\003key\030\004 \001(\t\022\027\n\017key_time_millis\030\005 \001(\004\022\021" +
+      "\n\tbody_hash\030\006 \001(\t\022\022\n\nattempt_id\030\007 \001(\t\022\020\n" +
+      "\010entry_id\030\010 \001(\t\022(\n\006answer\030\t \001(\0132\030.lavend" +
+      "erhinge.v1.Answer\022\030\n\020retention_millis\030\n " +
+      "\001(\004\"\245\001\n\013LedgerReply\022\017\n\007call_id\030\001 \001(\004\0220\n\007" +
+      "outcome\030\002 \001(\0162\037.lavenderhinge.v1.LedgerO" +
+      "utcome\022(\n\006answer\030\003 \001(\0132\030.lavenderhinge.v" +
+      "1.Answer\022\016\n\006detail\030\004 \001(\t\022\031\n\021expires_at_m" +
+      "illis\030\005 \001(\004\"<\n\006Answer\022\016\n\006status\030\001 \001(\r\022\024\n" +
+      "\014content_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"/\n\rRev" +
+      "isionEntry\022\014\n\004team\030\001 \001(\t\022\020\n\010revision\030\002 \001" +
+      "(\004\"\200\001\n\tHeartbeat\022\023\n\013instance_id\030\001 \001(\t\022\023\n" +
+      "\013incarnation\030\002 \001(\004\022\017\n\007counter\030\003 \001(\004\022\017\n\007l" +
+      "eaving\030\004 \001(\010\022\017\n\007address\030\005 \001(\t\022\026\n\016failure" +
+      "_domain\030\006 \001(\t\"\230\001\n\rServerSummary\022\021\n\tserve" +
+      "r_id\030\001 \001(\t\022\034\n\024expected_wait_millis\030\002 \001(\r" +
+      "\022\022\n\nfree_slots\030\003 \001(\r\0220\n\020lowest_open_tier" +
+      "\030\004 \001(\0162\026.lavenderhinge.v1.Tier\022\020\n\010sequen" +
+      "ce\030\005 \001(\004\"Q\n\010StopFlag\022\016\n\006target\030\001 \001(\t\022\017\n\007" +
+      "version\030\002 \001(\t\022\022\n\nrollout_id\030\003 \001(\t\022\020\n\010evi" +
+      "dence\030\004 \001(\t\"\345\001\n\006Digest\0222\n\trevisions\030\001 \003(" +
+      "\0132\037.lavenderhinge.v1.RevisionEntry\022/\n\nhe" +
+      "artbeats\030\002 \003(\0132\033.lavenderhinge.v1.Heartb" +
+      "eat\022.\n\nstop_flags\030\003 \003(\0132\032.lavenderhinge." +
+      "v1.StopFlag\0220\n\007servers\030\004 \003(\0132\037.lavenderh" +
+      "inge.v1.ServerSummary\022\024\n\014reply_wanted\030\005 " +
+      "\001(\010\"<\n\014TeamSettings\022\014\n\004team\030\001 \001(\t\022\020\n\010rev" +
+      "ision\030\002 \001(\004\022\014\n\004text\030\003 \001(\t\"\177\n\005Delta\0220\n\010se" +
+      "ttings\030\001 \003(\0132\036.lavenderhinge.v1.TeamSett" +
+      "ings\022\024\n\014wanted_teams\030\002 \003(\t\022.\n\nstop_flags" +
+      "\030\003 \003(\0132\032.lavenderhinge.v1.StopFlag\"\\\n\nRo" +
+      "uteCount\022\r\n\005route\030\001 \001(\t\022\017\n\007version\030\002 \001(\t" +
+      "\022\020\n\010requests\030\003 \001(\004\022\016\n\006errors\030\004 \001(\004\022\014\n\004sl" +
+      "ow\030\005 \001(\004\"s\n\014VersionStats\022\022\n\nrollout_id\030\001" +
+      " \001(\t\022\014\n\004step\030\002 \001(\r\022\023\n\013instance_id\030\003 \001(\t\022" +
+      ",\n\006counts\030\004 \003(\0132\034.lavenderhinge.v1.Route" +
+      "Count*U\n\004Tier\022\024\n\020TIER_UNSPECIFIED\020\000\022\024\n\020T" +
+      "IER_INTERACTIVE\020\001\022\021\n\rTIER_STANDARD\020\002\022\016\n\n" +
+      "TIER_BATCH\020\003*\234\002\n\014RefuseReason\022\035\n\031REFUSE_" +
+      "REASON_UNSPECIFIED\020\000\022\032\n\026REFUSE_REASON_NO" +
+      "T_HOME\020\001\022\034\n\030REFUSE_REASON_QUEUE_FULL\020\002\022\032" +
+      "\n\026REFUSE_REASON_DEADLINE\020\003\022\033\n\027REFUSE_REA" +
+      "SON_DISPLACED\020\004\022\035\n\031REFUSE_REASON_TIER_CL" +
+      "OSED\020\005\022 \n\034REFUSE_REASON_SERVER_LEAVING\020\006" +
+      "\022\035\n\031REFUSE_REASON_SERVER_DOWN\020\007\022\032\n\026REFUS" +
+      "E_REASON_SHUTDOWN\020\010*\324\001\n\013ResultClass\022\034\n\030R" +
+      "ESULT_CLASS_UNSPECIFIED\020\000\022\023\n\017RESULT_CLAS" +
+      "S_OK\020\001\022\035\n\031RESULT_CLASS_SERVER_ERROR\020\002\022\"\n" +
+      "\036RESULT_CLASS_CONNECTION_FAILED\020\003\022\030\n\024RES" +
+      "ULT_CLASS_TIMEOUT\020\004\022\032\n\026RESULT_CLASS_CANC" +
+      "ELLED\020\005\022\031\n\025RESULT_CLASS_DRAINING\020\006*\255\001\n\017L" +
+      "edgerOperation\022 \n\034LEDGER_OPERATION_UNSPE" +
+      "CIFIED\020\000\022\034\n\030LEDGER_OPERATION_RESERVE\020\001\022\035" +
+      "\n\031LEDGER_OPERATION_COMPLETE\020\002\022\031\n\025LEDGER_" +
+      "OPERATION_VOID\020\003\022 \n\034LEDGER_OPERATION_OWN" +
+      "ER_QUERY\020\004*\217\003\n\rLedgerOutcome\022\036\n\032LEDGER_O" +
+      "UTCOME_UNSPECIFIED\020\000\022\033\n\027LEDGER_OUTCOME_R" +
+      "ECORDED\020\001\022\034\n\030LEDGER_OUTCOME_COMPLETED\020\002\022" +
+      "\034\n\030LEDGER_OUTCOME_IN_FLIGHT\020\003\022\033\n\027LEDGER_" +
+      "OUTCOME_IN_DOUBT\020\004\022\033\n\027LEDGER_OUTCOME_MIS" +
+      "MATCH\020\005\022\032\n\026LEDGER_OUTCOME_TOO_OLD\020\006\022\035\n\031L" +
+      "EDGER_OUTCOME_NOT_WRITER\020\007\022\036\n\032LEDGER_OUT" +
+      "COME_UNAVAILABLE\020\010\022#\n\037LEDGER_OUTCOME_OWN" +
+      "ER_DISPATCHED\020\t\022)\n%LEDGER_OUTCOME_OWNER_" +
+      "NEVER_DISPATCHED\020\n\022 \n\034LEDGER_OUTCOME_OWN" +
+      "ER_UNKNOWN\020\0132D\n\004Peer\022<\n\004Link\022\027.lavenderh" +
+      "inge.v1.Frame\032\027.lavenderhinge.v1.Frame(\001" +
+      "0\001B \n\034io.lavenderhinge.protocol.v1P\001b\006pr" +
+      "oto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -275,7 +277,7 @@
     internal_static_lavenderhinge_v1_Ask_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_Ask_descriptor,
-        new java.lang.String[] { "RequestId", "ServerId", "Model", "Version", "Tier", "Workspace", "Weight", "PromptTokens", "OutputTokens", "PrefixHashes", "DeadlineLeftMillis", "InService", "PreemptLowerTier", });
+        new java.lang.String[] { "RequestId", "ServerId", "Model", "Version", "Tier", "Workspace", "Weight", "PromptTokens", "OutputTokens", "PrefixHashes", "DeadlineLeftMillis", "InService", "PreemptLowerTier", "FirstTokenLeftMillis", });
     internal_static_lavenderhinge_v1_Grant_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_lavenderhinge_v1_Grant_fieldAccessorTable = new
