--- a/core/src/test/kotlin/io/lavenderhinge/core/ledger/LedgerNodeTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/ledger/LedgerNodeTest.kt
@@ -203,7 +203,7 @@
         test("given an abandoned attempt, when its key is repeated, then a write frees it first") {
             val world = LedgerWorld()
             val key = world.key("k")
-            world.isDropped = { _, it -> isRecorded(it) || it is LedgerMessage.Void }
+            world.isDropped = { _, message -> isRecorded(message) || message is LedgerMessage.Void }
             world.begin(world.entry, 1, key)
             world.advance(6_000)
             notRun(world.results[1]) shouldBe NotRunReason.WRITER_UNREACHABLE
@@ -325,7 +325,7 @@
             val world = LedgerWorld()
             val key = world.key("k")
             val others = world.ids - world.writer
-            world.isDropped = { _, it -> isRecorded(it) || it is LedgerMessage.Void }
+            world.isDropped = { _, message -> isRecorded(message) || message is LedgerMessage.Void }
             world.begin(world.entry, 1, key)
             world.advance(6_000)
             world.isDropped = { _, _ -> false }
--- a/experiments/src/main/kotlin/io/lavenderhinge/experiments/ledger/TakeoverFigures.kt
+++ b/experiments/src/main/kotlin/io/lavenderhinge/experiments/ledger/TakeoverFigures.kt
@@ -11,7 +11,8 @@
 ) {
     fun print(echo: (String) -> Unit) {
         for ((shard, millis) in millisByShard) {
-            echo("takeover of shard $shard: %.1f ms to the next dispatch".format(millis))
+            val time = millis?.let { "%.1f ms to the next dispatch".format(it) }
+            echo("takeover of shard $shard: ${time ?: "no request came"}")
         }
         echo("takeover: $reads reads, $readBytes bytes in 5 s, other reads included")
     }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/ledger/LedgerWire.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/ledger/LedgerWire.kt
@@ -147,16 +147,6 @@
             else -> null
         }
 
-    private fun encodeAnswer(answer: LedgerAnswer): Answer =
-        Answer.newBuilder()
-            .setStatus(answer.status)
-            .setContentType(answer.contentType)
-            .setBody(ByteString.copyFrom(answer.body))
-            .build()
-
-    private fun decodeAnswer(answer: Answer): LedgerAnswer =
-        LedgerAnswer(answer.status, answer.contentType, answer.body.toByteArray())
-
     private fun retention(retentionMillis: Long): UnknownFieldSet {
         val field = UnknownFieldSet.Field.newBuilder().addVarint(retentionMillis).build()
         return UnknownFieldSet.newBuilder().addField(RETENTION_FIELD, field).build()
@@ -165,3 +155,13 @@
     private fun retentionMillis(request: LedgerRequest): Long =
         request.unknownFields.getField(RETENTION_FIELD).varintList.lastOrNull() ?: 0
 }
+
+private fun encodeAnswer(answer: LedgerAnswer): Answer =
+    Answer.newBuilder()
+        .setStatus(answer.status)
+        .setContentType(answer.contentType)
+        .setBody(ByteString.copyFrom(answer.body))
+        .build()
+
+private fun decodeAnswer(answer: Answer): LedgerAnswer =
+    LedgerAnswer(answer.status, answer.contentType, answer.body.toByteArray())
