Make the test of conflicts without a value show the fault it guards against

The earlier form passed with the read-back disabled: its writers never needed the slot again. It now starts from a slot that another writer left behind; without the read-back the shard never seals and the test fails (1 failed), with it it passes. The strictness otherwise stays: takeovers with conflicts are covered by the paused writer and the taken-up shard, and the randomised run withholds values.

--- a/core/src/test/kotlin/io/lavenderhinge/core/ledger/LedgerNodeTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/ledger/LedgerNodeTest.kt
@@ -7,6 +7,7 @@
 import io.kotest.matchers.maps.shouldNotContainKey
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
+import io.lavenderhinge.core.port.VersionedValue
 
 /** Each test produces one failure that the ledger is meant for. */
 class LedgerNodeTest :
@@ -362,15 +363,14 @@
             stored(world.results[100]) shouldBe "answer-1"
         }
 
-        test("given a conflict that names no value, then the slot and the head are read") {
+        test("given a conflict that names no value, then the slot is read and used again") {
             val world = LedgerWorld(smallLimits)
             world.isConflictTold = false
-            (1L..4L).forEach { world.run(world.entry, it, world.key("k$it")) }
-            world.view(world.ids - world.writer)
-            (5L..9L).forEach { world.run(world.otherEntry, it, world.key("k$it")) }
-            world.view(world.ids)
-            (10L..14L).forEach { world.run(world.otherEntry, it, world.key("k$it")) }
-            world.dispatched.toSet() shouldBe (1L..14L).toSet()
+            // Another writer left a segment in the first slot and never referred to it.
+            val slot = ShardNames.segmentKey(0, 0)
+            world.values[slot] = VersionedValue(slot, "orphan", 7)
+            (1L..8L).forEach { world.run(world.entry, it, world.key("k$it")) }
+            world.head.head.segments.any { it.slot == 0 } shouldBe true
             world.reports shouldBe emptyList()
         }
 
