--- a/instance/src/main/kotlin/io/lavenderhinge/instance/ledger/LedgerWire.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/ledger/LedgerWire.kt
@@ -138,14 +138,14 @@
             WireOutcome.LEDGER_OUTCOME_OWNER_UNKNOWN -> LedgerOutcome.OwnerUnknown
             else -> null
         }
+}
 
-    private fun encodeAnswer(answer: LedgerAnswer): Answer =
-        Answer.newBuilder()
-            .setStatus(answer.status)
-            .setContentType(answer.contentType)
-            .setBody(ByteString.copyFrom(answer.body))
-            .build()
+private fun encodeAnswer(answer: LedgerAnswer): Answer =
+    Answer.newBuilder()
+        .setStatus(answer.status)
+        .setContentType(answer.contentType)
+        .setBody(ByteString.copyFrom(answer.body))
+        .build()
 
-    private fun decodeAnswer(answer: Answer): LedgerAnswer =
-        LedgerAnswer(answer.status, answer.contentType, answer.body.toByteArray())
-}
+private fun decodeAnswer(answer: Answer): LedgerAnswer =
+    LedgerAnswer(answer.status, answer.contentType, answer.body.toByteArray())
