Judge another domain by direct signs of it

Cause: relayed heartbeats of a domain that is cut off go round for over a minute, so at 160 instances only 4 of 128 observers called it lost within a cut of 60 s. Digests now carry the age of the last direct sign of each domain, which needs no common clock. Fewer heartbeats of other domains travel in return, and their single members are suspect after 300 s: the list and the domain's sign are the quicker evidence.

The new test of the table fails with signs taken from relayed heartbeats, which is the former rule.

--- a/core/src/main/kotlin/io/lavenderhinge/core/membership/HeartbeatSelection.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/membership/HeartbeatSelection.kt
@@ -42,7 +42,7 @@
     private companion object {
         const val INSIDE_COUNT = 14
         const val INSIDE_POOL = 32
-        const val OUTSIDE_COUNT = 6
+        const val OUTSIDE_COUNT = 3
         const val OUTSIDE_POOL = 64
         const val ADDRESS_MILLIS = 20_000L
         const val ADDRESS_REPEAT = 16
--- a/core/src/main/kotlin/io/lavenderhinge/core/membership/InstanceRule.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/membership/InstanceRule.kt
@@ -2,7 +2,7 @@
 
 /** Derives the state of an instance from the evidence on it. */
 internal class InstanceRule(private val ownDomain: String, private val timings: MembershipTimings) {
-    /** [domainSignMillis] is when any instance of the entry's domain last gave a sign. */
+    /** [domainSignMillis] is when the entry's domain was last heard directly. */
     fun state(entry: InstanceEntry, domainSignMillis: Long, nowMillis: Long): MemberState {
         val own = entry.failureDomain == ownDomain
         val silenceMillis = nowMillis - entry.lastSignMillis
@@ -11,7 +11,7 @@
         val linkLost = entry.linkLostMillis
         return when {
             silenceMillis >= timings.deadAfter(own) -> MemberState.DEAD
-            // Some heartbeat of a domain arrives each second, so its silence shows soon.
+            // Relayed heartbeats of a lost domain go round for minutes; direct signs end with it.
             domainSilenceMillis >= timings.domainDeadMillis -> MemberState.DEAD
             unlisted && silenceMillis >= timings.unlistedDeadMillis -> MemberState.DEAD
             entry.leaving -> MemberState.LEAVING
--- a/core/src/main/kotlin/io/lavenderhinge/core/membership/InstanceTable.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/membership/InstanceTable.kt
@@ -16,6 +16,9 @@
     // Incarnation that was known when the list began to call a member leaving.
     private val listedLeaving = HashMap<String, Long>()
 
+    // When an instance of this domain last heard one of another domain directly.
+    private val domainSigns = HashMap<String, Long>()
+
     val all: Collection<InstanceEntry>
         get() = entries.values
 
@@ -39,6 +42,7 @@
             entries[heartbeat.instanceId] = created(heartbeat, nowMillis)
             return true
         }
+        if (direct) onDomainSign(entry.failureDomain, ageMillis = 0, nowMillis)
         if (!heartbeat.isAfter(entry.incarnation, entry.counter)) return false
         val restarted = heartbeat.incarnation > entry.incarnation
         // A relayed heartbeat may be older than the loss of the link; only a direct one refutes it.
@@ -67,6 +71,15 @@
         return entry
     }
 
+    /** Age of the last direct sign of each other domain. */
+    fun domainAges(nowMillis: Long): Map<String, Long> =
+        domainSigns.mapValues { nowMillis - it.value }
+
+    /** An instance of this or another domain heard [domain] directly [ageMillis] ago. */
+    fun onDomainSign(domain: String, ageMillis: Long, nowMillis: Long) {
+        if (domain != ownDomain) domainSigns.merge(domain, nowMillis - ageMillis, ::maxOf)
+    }
+
     /** Instances behind broken links that are to be asked directly now. */
     fun dueProbes(nowMillis: Long): List<String> {
         val due =
@@ -88,10 +101,9 @@
             !it.listed && nowMillis - it.lastSignMillis >= timings.forgetMillis
         }
         val changes = mutableListOf<MembershipEffect>()
-        val signs = HashMap<String, Long>()
-        entries.values.forEach { signs.merge(it.failureDomain, it.lastSignMillis, ::maxOf) }
+        entries.values.forEach { domainSigns.putIfAbsent(it.failureDomain, nowMillis) }
         entries.replaceAll { id, entry ->
-            val state = rule.state(entry, signs.getValue(entry.failureDomain), nowMillis)
+            val state = rule.state(entry, domainSigns.getValue(entry.failureDomain), nowMillis)
             if (state == entry.state) return@replaceAll entry
             changes += MembershipEffect.InstanceChanged(id, entry.state, state)
             entry.copy(state = state)
--- a/core/src/main/kotlin/io/lavenderhinge/core/membership/MembershipTable.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/membership/MembershipTable.kt
@@ -73,7 +73,10 @@
 
     /** Heartbeats for a digest. */
     fun heartbeats(nowMillis: Long): List<Heartbeat> =
-        selection.select(own, instanceTable.all, nowMillis)
+        selection.select(own, instanceTable.all, nowMillis) +
+            instanceTable.domainAges(nowMillis).map { (domain, ageMillis) ->
+                Heartbeat(DOMAIN_PREFIX + domain, 0, ageMillis / MILLIS_PER_SECOND, false)
+            }
 
     /** Handles [event] and returns what is to be done. */
     fun handle(event: MembershipEvent, nowMillis: Long): List<MembershipEffect> {
@@ -173,6 +176,12 @@
                         heartbeat.instanceId.removePrefix(SERVER_PREFIX),
                         nowMillis,
                     )
+                heartbeat.instanceId.startsWith(DOMAIN_PREFIX) ->
+                    instanceTable.onDomainSign(
+                        heartbeat.instanceId.removePrefix(DOMAIN_PREFIX),
+                        (heartbeat.counter + 1) * MILLIS_PER_SECOND,
+                        nowMillis,
+                    )
                 heartbeat.instanceId.startsWith(SUSPECT_PREFIX) ->
                     probeOf(heartbeat)?.let(probes::add)
                 else -> {
@@ -224,6 +233,12 @@
         // Each step takes the 2 s after which a link is silent; eight reach 64 instances in two.
         const val NOTICES = 8
 
+        // A heartbeat with this prefix says how many seconds ago a domain was heard directly. An
+        // age
+        // needs no common clock; the second that is added keeps it from being passed on for ever.
+        const val DOMAIN_PREFIX = "domain/"
+        const val MILLIS_PER_SECOND = 1_000L
+
         // A heartbeat with this prefix asks its receiver to check an instance.
         const val SUSPECT_PREFIX = "suspect/"
 
--- a/core/src/main/kotlin/io/lavenderhinge/core/membership/MembershipTimings.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/membership/MembershipTimings.kt
@@ -10,8 +10,8 @@
 data class MembershipTimings(
     val suspectMillis: Long = 30_000,
     val deadMillis: Long = 45_000,
-    val outsideSuspectMillis: Long = 120_000,
-    val outsideDeadMillis: Long = 180_000,
+    val outsideSuspectMillis: Long = 300_000,
+    val outsideDeadMillis: Long = 420_000,
     val domainSuspectMillis: Long = 15_000,
     val domainDeadMillis: Long = 30_000,
     val unlistedDeadMillis: Long = 60_000,
--- a/core/src/test/kotlin/io/lavenderhinge/core/membership/MembershipTableTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/membership/MembershipTableTest.kt
@@ -123,6 +123,16 @@
             table.liveIn("a") shouldContainExactlyInAnyOrder listOf("i-2", "i-3")
         }
 
+        test("given a lost domain, when its heartbeats are still relayed, then it stays lost") {
+            val table = table()
+            table.handle(list(instance("i-9", "b")), 0)
+            val sign = Heartbeat("i-9", 1, 3, false, "10.0.0.2:1", "b")
+            val relayed = heard("i-9", 3, from = "i-2").copy(heartbeats = persistentListOf(sign))
+            table.handle(relayed, 29_000)
+            table.handle(MembershipEvent.Tick, 30_000)
+            table.lostDomains() shouldBe setOf("b")
+        }
+
         test("given a lost domain, when it is heard again, then it is admitted within 5 s") {
             val table = table()
             table.handle(list(instance("i-9", "b")), 0)
