--- a/core/src/main/kotlin/io/lavenderhinge/core/routing/EntryRouter.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/routing/EntryRouter.kt
@@ -28,6 +28,9 @@
     private val directory = HomeDirectory()
     private val selection = ServerSelection(failureDomain, settings)
     private val budget = RetryBudget()
+
+    /** Where requests would go now, for operators. */
+    val standings = Standings(selection, directory)
     private val refusals = RefusalPolicy(settings, random)
     private val pending = LinkedHashMap<String, PendingRequest>()
     private val held = HeldSlots(settings, directory, selection, ::send)
@@ -51,22 +54,20 @@
             is EntryEvent.SummariesReceived -> summarized(event.summaries, nowMillis)
             is EntryEvent.CacheChanged -> selection.prefixes.changed(event.serverId, event.events)
             EntryEvent.Tick -> tick(nowMillis)
-            EntryEvent.Closed -> closed()
+            EntryEvent.Closed -> {
+                isClosed = true
+                pending.values.toList().forEach { shed(it, refusals.shutdown()) }
+            }
         }
         return effects.toList()
     }
 
-    /** Backend servers for [request] in the order in which their homes would be asked now. */
-    fun explain(request: SlotRequest, nowMillis: Long): List<ServerStanding> =
-        selection.standings(request, nowMillis, directory::homeOf)
-
     private fun requested(request: SlotRequest, nowMillis: Long) {
         budget.requested(request.workspace, nowMillis)
         val refusal =
             when {
                 isClosed -> refusals.shutdown()
-                request.attempt > 0 && !budget.take(request.workspace, nowMillis) ->
-                    refusals.retryBudget()
+                request.attempt > 0 && !mayRetry(request, nowMillis) -> refusals.retryBudget()
                 else -> null
             }
         if (refusal != null) {
@@ -78,6 +79,10 @@
         advance(waiting, nowMillis)
     }
 
+    /** Charges the budget; it must not shed an interactive request while lower tiers run. */
+    private fun mayRetry(request: SlotRequest, nowMillis: Long): Boolean =
+        budget.take(request.workspace, nowMillis) || request.tier == Tier.INTERACTIVE
+
     /** Takes the next step for a request that no home considers. */
     private fun advance(waiting: PendingRequest, nowMillis: Long) {
         if (waiting.asks.values.any { !it.isSilent }) return
@@ -274,7 +279,7 @@
             for (ask in waiting.asks.values.toList()) {
                 if (!isLost(ask) && directory.homeOf(ask.serverId) == ask.homeId) continue
                 forget(waiting, ask)
-                if (!isLost(ask)) release(ask)
+                if (!isLost(ask)) send(ask.homeId, ask.serverId, HomeEvent.Released(ask.ask.key))
             }
             advance(waiting, nowMillis)
         }
@@ -311,19 +316,10 @@
         advance(waiting, nowMillis)
     }
 
-    private fun closed() {
-        isClosed = true
-        for (waiting in pending.values.toList()) {
-            pending.remove(waiting.request.requestId)
-            releaseAsks(waiting)
-            effects += EntryEffect.Refused(waiting.request.requestId, refusals.shutdown())
-        }
-    }
-
     private fun releaseAsks(waiting: PendingRequest) {
         for (ask in waiting.asks.values.toList()) {
             forget(waiting, ask)
-            release(ask)
+            send(ask.homeId, ask.serverId, HomeEvent.Released(ask.ask.key))
         }
     }
 
@@ -332,9 +328,6 @@
         requestByAsk.remove(ask.ask.askId)
     }
 
-    private fun release(ask: OpenAsk) =
-        send(ask.homeId, ask.serverId, HomeEvent.Released(ask.ask.key))
-
     private fun send(homeId: String, serverId: String, event: HomeEvent) {
         effects += EntryEffect.Send(homeId, serverId, event)
     }
--- /dev/null
+++ b/e2e/src/test/kotlin/io/lavenderhinge/e2e/RolloutFailureTest.kt
@@ -0,0 +1,103 @@
+package io.lavenderhinge.e2e
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.doubles.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.lavenderhinge.core.port.MemberKind
+import io.lavenderhinge.e2e.fleet.Fleet
+import io.lavenderhinge.e2e.fleet.STANDARD_SETTINGS
+import io.lavenderhinge.e2e.fleet.chat
+import io.lavenderhinge.e2e.fleet.standardFleet
+import io.lavenderhinge.e2e.fleet.token
+import io.lavenderhinge.standins.engine.EngineFaults
+import io.lavenderhinge.standins.engine.VersionFault
+import java.time.Instant
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.withTimeout
+
+/**
+ * A rollout of a version that fails every request; guards against it keeping or regaining traffic.
+ */
+class RolloutFailureTest :
+    FunSpec({
+        lateinit var fleet: Fleet
+        beforeSpec {
+            fleet = standardFleet {
+                server(
+                    MemberKind.MODEL_ENGINE,
+                    "engine-new",
+                    "a",
+                    "drafting",
+                    "8",
+                    "--step-millis",
+                    "2",
+                )
+            }
+        }
+        afterSpec { fleet.close() }
+
+        suspend fun send(count: Int) = coroutineScope {
+            (0 until count)
+                .map { number ->
+                    async {
+                        fleet.instances[number % 3]
+                            .caller
+                            .call(
+                                "POST",
+                                "/v1/chat/completions",
+                                chat("r$number", 2, stream = false),
+                                listOf(token("counter-key")),
+                            )
+                    }
+                }
+                .awaitAll()
+        }
+
+        suspend fun statement(): String =
+            fleet.instances[0].operator.json("GET", "/status").path("rollouts").toString()
+
+        suspend fun dispatchedToNew(): Int =
+            fleet.instances.sumOf { instance ->
+                val metrics = String(instance.operator.call("GET", "/metrics").body)
+                Regex("""lavenderhinge_dispatched_total\{target="drafting",version="8"} (\S+)""")
+                    .find(metrics)
+                    ?.groupValues
+                    ?.get(1)
+                    ?.toDouble()
+                    ?.toInt() ?: 0
+            }
+
+        test("given a version that fails, when it is rolled out, then it is undone and stays so") {
+            val engine = fleet.servers.first { it.member.id == "engine-new" }
+            val faults = EngineFaults(versions = mapOf("8" to VersionFault(errorFraction = 1.0)))
+            engine.api.call("POST", "/admin/engine", faults)
+            val rollout =
+                """
+                [rollout.drafting]
+                target = model.drafting
+                from = 7
+                to = 8
+                deadline = ${Instant.now().plusSeconds(3_600)}
+                unproved-share = 5%
+                """
+                    .trimIndent()
+            fleet.applySettings("caprock", 2, "$STANDARD_SETTINGS\n\n$rollout")
+            val sent = AtomicInteger()
+            withTimeout(120.seconds) {
+                while ("undone" !in statement()) {
+                    send(30)
+                    sent.addAndGet(30)
+                }
+            }
+            statement() shouldContain "undone"
+            val spoiled = dispatchedToNew()
+            (spoiled.toDouble() / sent.get()) shouldBeLessThan 0.05
+            send(300).count { it.status != 200 } shouldBe 0
+            dispatchedToNew() shouldBe spoiled
+        }
+    })
