--- a/ctl/src/test/kotlin/io/lavenderhinge/ctl/CommandsTest.kt
+++ b/ctl/src/test/kotlin/io/lavenderhinge/ctl/CommandsTest.kt
@@ -65,7 +65,7 @@
             environment.operators["/explain?team=t&route=r&workspace=w"] =
                 OperatorAnswer(200, """{"server":"s-1","because":["lowest expected wait"]}""")
             environment.run("explain --operator 127.0.0.1:1 t r w").stdout shouldBe
-                "server: s-1\nbecause:\n  lowest expected wait\n"
+                "server: s-1\nbecause: lowest expected wait\n"
             environment.run("explain --operator 127.0.0.1:1 t r x").statusCode shouldBe 4
         }
 
