Share the live list with instances that start while the platform is away

Cause: the process test of a start during an outage failed with 503. The instance took the settings from its peers and called itself ready, but it had no backend servers, since the live list was away too. Ruled out: the settings (revision 4 was in force) and health. Now it asks a peer for the last list until it has one, and is not ready before.

--- a/e2e/src/test/kotlin/io/lavenderhinge/e2e/SettingsFailureTest.kt
+++ b/e2e/src/test/kotlin/io/lavenderhinge/e2e/SettingsFailureTest.kt
@@ -18,6 +18,7 @@
         lateinit var fleet: Fleet
         beforeSpec { fleet = standardFleet() }
         afterSpec { fleet.close() }
+        afterTest { fleet.platform.faults(Faults()) }
 
         suspend fun revision(instance: FleetInstance): Long =
             instance.operator.json("GET", "/status").path("settings").path("caprock").asLong()
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/Instance.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/Instance.kt
@@ -184,6 +184,7 @@
 
     private fun notReadyReason(): String? {
         if (leaving) return "the instance shuts down"
+        if (!membership.isListKnown()) return "the live list was not read and no peer has it"
         return when (val readiness = settings.ready()) {
             is Readiness.Ready -> null
             is Readiness.NotReady -> readiness.reason
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/membership/MembershipService.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/membership/MembershipService.kt
@@ -45,6 +45,10 @@
         seeds.filter { it.toString() != self.address }.associateBy { "$SEED_PREFIX$it" }
     private val table =
         MembershipTable(self, seedAddresses.keys.toList(), control.nowMillis(), control.random)
+    private val sharing =
+        ListSharing(links, control.random, ::peersAndSeeds) {
+            handle(MembershipEvent.ListFetched(it.toImmutableList()))
+        }
     private val parts = mutableListOf<DigestPart>()
     private val listeners = mutableListOf<(MembershipEffect) -> Unit>()
     @Volatile private var view = currentView()
@@ -53,9 +57,13 @@
     fun start() {
         links.onFrame { from, frame ->
             if (frame.bodyCase == Frame.BodyCase.DIGEST) receive(from, frame.digest)
+            if (frame.bodyCase == Frame.BodyCase.MEMBER_LIST) {
+                sharing.received(from, frame.memberList)
+            }
         }
         links.onLinkLost { handle(MembershipEvent.LinkLost(it)) }
         control.every(TICK_MILLIS) { handle(MembershipEvent.Tick) }
+        control.every(ASK_MILLIS) { sharing.askWhileUnknown() }
     }
 
     /** Adds [part] to every digest that is exchanged. */
@@ -84,6 +92,9 @@
     /** Failure domains of which no instance is heard. */
     fun lostDomains(): Set<String> = view.lostDomains
 
+    /** True once the live list was read, or taken from a peer while the platform is away. */
+    fun isListKnown(): Boolean = sharing.isKnown
+
     /** Why the list could not be read the last time; null when it was. */
     fun listFault(): String? = view.listFault
 
@@ -145,7 +156,10 @@
                 .fetch()
                 .fold(
                     { handle(MembershipEvent.ListFailed(it.message)) },
-                    { handle(MembershipEvent.ListFetched(it)) },
+                    {
+                        sharing.read(it)
+                        handle(MembershipEvent.ListFetched(it))
+                    },
                 )
         }
     }
@@ -160,11 +174,15 @@
         links.send(effect.to, Frame.newBuilder().setDigest(digest).build())
     }
 
+    private fun peersAndSeeds(): List<String> =
+        liveInstances().filter { it != links.selfId }.ifEmpty { seedAddresses.keys.toList() }
+
     private fun currentView() =
         View(table.instances, table.servers, table.lostDomains(), table.listFault)
 
     private companion object {
         const val TICK_MILLIS = 250L
+        const val ASK_MILLIS = 500L
         const val SEED_PREFIX = "seed/"
         val log = LoggerFactory.getLogger(MembershipService::class.java)
     }
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/Frame.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/Frame.java
@@ -62,6 +62,7 @@
     DIGEST(12),
     DELTA(13),
     VERSION_STATS(14),
+    MEMBER_LIST(15),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -92,6 +93,7 @@
         case 12: return DIGEST;
         case 13: return DELTA;
         case 14: return VERSION_STATS;
+        case 15: return MEMBER_LIST;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -521,6 +523,37 @@
     return io.lavenderhinge.protocol.v1.VersionStats.getDefaultInstance();
   }
 
+  public static final int MEMBER_LIST_FIELD_NUMBER = 15;
+  /**
+   * <code>.lavenderhinge.v1.MemberList member_list = 15;</code>
+   * @return Whether the memberList field is set.
+   */
+  @java.lang.Override
+  public boolean hasMemberList() {
+    return bodyCase_ == 15;
+  }
+  /**
+   * <code>.lavenderhinge.v1.MemberList member_list = 15;</code>
+   * @return The memberList.
+   */
+  @java.lang.Override
+  public io.lavenderhinge.protocol.v1.MemberList getMemberList() {
+    if (bodyCase_ == 15) {
+       return (io.lavenderhinge.protocol.v1.MemberList) body_;
+    }
+    return io.lavenderhinge.protocol.v1.MemberList.getDefaultInstance();
+  }
+  /**
+   * <code>.lavenderhinge.v1.MemberList member_list = 15;</code>
+   */
+  @java.lang.Override
+  public io.lavenderhinge.protocol.v1.MemberListOrBuilder getMemberListOrBuilder() {
+    if (bodyCase_ == 15) {
+       return (io.lavenderhinge.protocol.v1.MemberList) body_;
+    }
+    return io.lavenderhinge.protocol.v1.MemberList.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -577,6 +610,9 @@
     if (bodyCase_ == 14) {
       output.writeMessage(14, (io.lavenderhinge.protocol.v1.VersionStats) body_);
     }
+    if (bodyCase_ == 15) {
+      output.writeMessage(15, (io.lavenderhinge.protocol.v1.MemberList) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -642,6 +678,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(14, (io.lavenderhinge.protocol.v1.VersionStats) body_);
     }
+    if (bodyCase_ == 15) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(15, (io.lavenderhinge.protocol.v1.MemberList) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -713,6 +753,10 @@
         if (!getVersionStats()
             .equals(other.getVersionStats())) return false;
         break;
+      case 15:
+        if (!getMemberList()
+            .equals(other.getMemberList())) return false;
+        break;
       case 0:
       default:
     }
@@ -782,6 +826,10 @@
         hash = (37 * hash) + VERSION_STATS_FIELD_NUMBER;
         hash = (53 * hash) + getVersionStats().hashCode();
         break;
+      case 15:
+        hash = (37 * hash) + MEMBER_LIST_FIELD_NUMBER;
+        hash = (53 * hash) + getMemberList().hashCode();
+        break;
       case 0:
       default:
     }
@@ -956,6 +1004,9 @@
       if (versionStatsBuilder_ != null) {
         versionStatsBuilder_.clear();
       }
+      if (memberListBuilder_ != null) {
+        memberListBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1052,6 +1103,10 @@
           versionStatsBuilder_ != null) {
         result.body_ = versionStatsBuilder_.build();
       }
+      if (bodyCase_ == 15 &&
+          memberListBuilder_ != null) {
+        result.body_ = memberListBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1122,6 +1177,10 @@
           mergeVersionStats(other.getVersionStats());
           break;
         }
+        case MEMBER_LIST: {
+          mergeMemberList(other.getMemberList());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1248,6 +1307,13 @@
               bodyCase_ = 14;
               break;
             } // case 114
+            case 122: {
+              input.readMessage(
+                  internalGetMemberListFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 15;
+              break;
+            } // case 122
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3158,6 +3224,148 @@
       return versionStatsBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        io.lavenderhinge.protocol.v1.MemberList, io.lavenderhinge.protocol.v1.MemberList.Builder, io.lavenderhinge.protocol.v1.MemberListOrBuilder> memberListBuilder_;
+    /**
+     * <code>.lavenderhinge.v1.MemberList member_list = 15;</code>
+     * @return Whether the memberList field is set.
+     */
+    @java.lang.Override
+    public boolean hasMemberList() {
+      return bodyCase_ == 15;
+    }
+    /**
+     * <code>.lavenderhinge.v1.MemberList member_list = 15;</code>
+     * @return The memberList.
+     */
+    @java.lang.Override
+    public io.lavenderhinge.protocol.v1.MemberList getMemberList() {
+      if (memberListBuilder_ == null) {
+        if (bodyCase_ == 15) {
+          return (io.lavenderhinge.protocol.v1.MemberList) body_;
+        }
+        return io.lavenderhinge.protocol.v1.MemberList.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 15) {
+          return memberListBuilder_.getMessage();
+        }
+        return io.lavenderhinge.protocol.v1.MemberList.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.lavenderhinge.v1.MemberList member_list = 15;</code>
+     */
+    public Builder setMemberList(io.lavenderhinge.protocol.v1.MemberList value) {
+      if (memberListBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        memberListBuilder_.setMessage(value);
+      }
+      bodyCase_ = 15;
+      return this;
+    }
+    /**
+     * <code>.lavenderhinge.v1.MemberList member_list = 15;</code>
+     */
+    public Builder setMemberList(
+        io.lavenderhinge.protocol.v1.MemberList.Builder builderForValue) {
+      if (memberListBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        memberListBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 15;
+      return this;
+    }
+    /**
+     * <code>.lavenderhinge.v1.MemberList member_list = 15;</code>
+     */
+    public Builder mergeMemberList(io.lavenderhinge.protocol.v1.MemberList value) {
+      if (memberListBuilder_ == null) {
+        if (bodyCase_ == 15 &&
+            body_ != io.lavenderhinge.protocol.v1.MemberList.getDefaultInstance()) {
+          body_ = io.lavenderhinge.protocol.v1.MemberList.newBuilder((io.lavenderhinge.protocol.v1.MemberList) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 15) {
+          memberListBuilder_.mergeFrom(value);
+        } else {
+          memberListBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 15;
+      return this;
+    }
+    /**
+     * <code>.lavenderhinge.v1.MemberList member_list = 15;</code>
+     */
+    public Builder clearMemberList() {
+      if (memberListBuilder_ == null) {
+        if (bodyCase_ == 15) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 15) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        memberListBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.lavenderhinge.v1.MemberList member_list = 15;</code>
+     */
+    public io.lavenderhinge.protocol.v1.MemberList.Builder getMemberListBuilder() {
+      return internalGetMemberListFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.lavenderhinge.v1.MemberList member_list = 15;</code>
+     */
+    @java.lang.Override
+    public io.lavenderhinge.protocol.v1.MemberListOrBuilder getMemberListOrBuilder() {
+      if ((bodyCase_ == 15) && (memberListBuilder_ != null)) {
+        return memberListBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 15) {
+          return (io.lavenderhinge.protocol.v1.MemberList) body_;
+        }
+        return io.lavenderhinge.protocol.v1.MemberList.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.lavenderhinge.v1.MemberList member_list = 15;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.lavenderhinge.protocol.v1.MemberList, io.lavenderhinge.protocol.v1.MemberList.Builder, io.lavenderhinge.protocol.v1.MemberListOrBuilder> 
+        internalGetMemberListFieldBuilder() {
+      if (memberListBuilder_ == null) {
+        if (!(bodyCase_ == 15)) {
+          body_ = io.lavenderhinge.protocol.v1.MemberList.getDefaultInstance();
+        }
+        memberListBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.lavenderhinge.protocol.v1.MemberList, io.lavenderhinge.protocol.v1.MemberList.Builder, io.lavenderhinge.protocol.v1.MemberListOrBuilder>(
+                (io.lavenderhinge.protocol.v1.MemberList) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 15;
+      onChanged();
+      return memberListBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:lavenderhinge.v1.Frame)
   }
 
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/FrameOrBuilder.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/FrameOrBuilder.java
@@ -211,5 +211,20 @@
    */
   io.lavenderhinge.protocol.v1.VersionStatsOrBuilder getVersionStatsOrBuilder();
 
+  /**
+   * <code>.lavenderhinge.v1.MemberList member_list = 15;</code>
+   * @return Whether the memberList field is set.
+   */
+  boolean hasMemberList();
+  /**
+   * <code>.lavenderhinge.v1.MemberList member_list = 15;</code>
+   * @return The memberList.
+   */
+  io.lavenderhinge.protocol.v1.MemberList getMemberList();
+  /**
+   * <code>.lavenderhinge.v1.MemberList member_list = 15;</code>
+   */
+  io.lavenderhinge.protocol.v1.MemberListOrBuilder getMemberListOrBuilder();
+
   io.lavenderhinge.protocol.v1.Frame.BodyCase getBodyCase();
 }
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/PeerOuterClass.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/PeerOuterClass.java
@@ -101,6 +101,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_lavenderhinge_v1_ServerSummary_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_lavenderhinge_v1_Member_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_lavenderhinge_v1_Member_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_lavenderhinge_v1_MemberList_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_lavenderhinge_v1_MemberList_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_lavenderhinge_v1_StopFlag_descriptor;
   static final 
@@ -140,7 +150,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\020lavenderhinge.v1\"\200\005\n\005Frame" +
+      "\n\npeer.proto\022\020lavenderhinge.v1\"\265\005\n\005Frame" +
       "\022\030\n\020protocol_version\030\001 \001(\r\022(\n\005hello\030\002 \001(" +
       "\0132\027.lavenderhinge.v1.HelloH\000\022$\n\003ask\030\003 \001(" +
       "\0132\025.lavenderhinge.v1.AskH\000\022(\n\005grant\030\004 \001(" +
@@ -156,105 +166,117 @@
       "H\000\022*\n\006digest\030\014 \001(\0132\030.lavenderhinge.v1.Di" +
       "gestH\000\022(\n\005delta\030\r \001(\0132\027.lavenderhinge.v1" +
       ".DeltaH\000\0227\n\rversion_stats\030\016 \001(\0132\036.lavend" +
-      "erhinge.v1.VersionStatsH\000B\006\n\004body\"U\n\005Hel" +
-      "lo\022\023\n\013instance_id\030\001 \001(\t\022\026\n\016failure_domai" +
-      "n\030\002 \001(\t\022\016\n\006region\030\003 \001(\t\022\017\n\007leaving\030\004 \001(\010" +
-      "\"\352\002\n\003Ask\022\022\n\nrequest_id\030\001 \001(\t\022\021\n\tserver_i" +
-      "d\030\002 \001(\t\022\r\n\005model\030\003 \001(\t\022\017\n\007version\030\004 \001(\t\022" +
-      "$\n\004tier\030\005 \001(\0162\026.lavenderhinge.v1.Tier\022\021\n" +
-      "\tworkspace\030\006 \001(\t\022\016\n\006weight\030\007 \001(\001\022\025\n\rprom" +
-      "pt_tokens\030\010 \001(\r\022\025\n\routput_tokens\030\t \001(\r\022\025" +
-      "\n\rprefix_hashes\030\n \003(\006\022\034\n\024deadline_left_m" +
-      "illis\030\013 \001(\r\022\022\n\nin_service\030\014 \001(\010\022\032\n\022preem" +
-      "pt_lower_tier\030\r \001(\010\022$\n\027first_token_left_" +
-      "millis\030\016 \001(\rH\000\210\001\001B\032\n\030_first_token_left_m" +
-      "illis\"L\n\005Grant\022\022\n\nrequest_id\030\001 \001(\t\022\021\n\tse" +
-      "rver_id\030\002 \001(\t\022\034\n\024cached_prefix_tokens\030\003 " +
-      "\001(\r\"M\n\006Queued\022\022\n\nrequest_id\030\001 \001(\t\022\021\n\tser" +
-      "ver_id\030\002 \001(\t\022\034\n\024expected_wait_millis\030\003 \001" +
-      "(\r\"\227\001\n\006Refuse\022\022\n\nrequest_id\030\001 \001(\t\022\021\n\tser" +
-      "ver_id\030\002 \001(\t\022.\n\006reason\030\003 \001(\0162\036.lavenderh" +
-      "inge.v1.RefuseReason\022\034\n\024expected_wait_mi" +
-      "llis\030\004 \001(\r\022\030\n\020lower_tier_count\030\005 \001(\r\"0\n\007" +
-      "Release\022\022\n\nrequest_id\030\001 \001(\t\022\021\n\tserver_id" +
-      "\030\002 \001(\t\"\305\001\n\004Done\022\022\n\nrequest_id\030\001 \001(\t\022\021\n\ts" +
-      "erver_id\030\002 \001(\t\022-\n\006result\030\003 \001(\0162\035.lavende" +
-      "rhinge.v1.ResultClass\022\032\n\022first_token_mil" +
-      "lis\030\004 \001(\r\022\035\n\025between_tokens_micros\030\005 \001(\r" +
-      "\022\025\n\rprompt_tokens\030\006 \001(\r\022\025\n\routput_tokens" +
-      "\030\007 \001(\r\"0\n\007Preempt\022\022\n\nrequest_id\030\001 \001(\t\022\021\n" +
-      "\tserver_id\030\002 \001(\t\"\210\002\n\rLedgerRequest\022\017\n\007ca" +
-      "ll_id\030\001 \001(\004\0224\n\toperation\030\002 \001(\0162!.lavende" +
-      "rhinge.v1.LedgerOperation\022\r\n\005shard\030\003 \001(\r" +
-      "\022\013\n\003key\030\004 \001(\t\022\027\n\017key_time_millis\030\005 \001(\004\022\021" +
-      "\n\tbody_hash\030\006 \001(\t\022\022\n\nattempt_id\030\007 \001(\t\022\020\n" +
-      "\010entry_id\030\010 \001(\t\022(\n\006answer\030\t \001(\0132\030.lavend" +
-      "erhinge.v1.Answer\022\030\n\020retention_millis\030\n " +
-      "\001(\004\"\245\001\n\013LedgerReply\022\017\n\007call_id\030\001 \001(\004\0220\n\007" +
-      "outcome\030\002 \001(\0162\037.lavenderhinge.v1.LedgerO" +
-      "utcome\022(\n\006answer\030\003 \001(\0132\030.lavenderhinge.v" +
-      "1.Answer\022\016\n\006detail\030\004 \001(\t\022\031\n\021expires_at_m" +
-      "illis\030\005 \001(\004\"<\n\006Answer\022\016\n\006status\030\001 \001(\r\022\024\n" +
-      "\014content_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"/\n\rRev" +
-      "isionEntry\022\014\n\004team\030\001 \001(\t\022\020\n\010revision\030\002 \001" +
-      "(\004\"\200\001\n\tHeartbeat\022\023\n\013instance_id\030\001 \001(\t\022\023\n" +
-      "\013incarnation\030\002 \001(\004\022\017\n\007counter\030\003 \001(\004\022\017\n\007l" +
-      "eaving\030\004 \001(\010\022\017\n\007address\030\005 \001(\t\022\026\n\016failure" +
-      "_domain\030\006 \001(\t\"\230\001\n\rServerSummary\022\021\n\tserve" +
-      "r_id\030\001 \001(\t\022\034\n\024expected_wait_millis\030\002 \001(\r" +
-      "\022\022\n\nfree_slots\030\003 \001(\r\0220\n\020lowest_open_tier" +
-      "\030\004 \001(\0162\026.lavenderhinge.v1.Tier\022\020\n\010sequen" +
-      "ce\030\005 \001(\004\"Q\n\010StopFlag\022\016\n\006target\030\001 \001(\t\022\017\n\007" +
-      "version\030\002 \001(\t\022\022\n\nrollout_id\030\003 \001(\t\022\020\n\010evi" +
-      "dence\030\004 \001(\t\"\345\001\n\006Digest\0222\n\trevisions\030\001 \003(" +
-      "\0132\037.lavenderhinge.v1.RevisionEntry\022/\n\nhe" +
-      "artbeats\030\002 \003(\0132\033.lavenderhinge.v1.Heartb" +
-      "eat\022.\n\nstop_flags\030\003 \003(\0132\032.lavenderhinge." +
-      "v1.StopFlag\0220\n\007servers\030\004 \003(\0132\037.lavenderh" +
-      "inge.v1.ServerSummary\022\024\n\014reply_wanted\030\005 " +
-      "\001(\010\"<\n\014TeamSettings\022\014\n\004team\030\001 \001(\t\022\020\n\010rev" +
-      "ision\030\002 \001(\004\022\014\n\004text\030\003 \001(\t\"\177\n\005Delta\0220\n\010se" +
-      "ttings\030\001 \003(\0132\036.lavenderhinge.v1.TeamSett" +
-      "ings\022\024\n\014wanted_teams\030\002 \003(\t\022.\n\nstop_flags" +
-      "\030\003 \003(\0132\032.lavenderhinge.v1.StopFlag\"\\\n\nRo" +
-      "uteCount\022\r\n\005route\030\001 \001(\t\022\017\n\007version\030\002 \001(\t" +
-      "\022\020\n\010requests\030\003 \001(\004\022\016\n\006errors\030\004 \001(\004\022\014\n\004sl" +
-      "ow\030\005 \001(\004\"s\n\014VersionStats\022\022\n\nrollout_id\030\001" +
-      " \001(\t\022\014\n\004step\030\002 \001(\r\022\023\n\013instance_id\030\003 \001(\t\022" +
-      ",\n\006counts\030\004 \003(\0132\034.lavenderhinge.v1.Route" +
-      "Count*U\n\004Tier\022\024\n\020TIER_UNSPECIFIED\020\000\022\024\n\020T" +
-      "IER_INTERACTIVE\020\001\022\021\n\rTIER_STANDARD\020\002\022\016\n\n" +
-      "TIER_BATCH\020\003*\234\002\n\014RefuseReason\022\035\n\031REFUSE_" +
-      "REASON_UNSPECIFIED\020\000\022\032\n\026REFUSE_REASON_NO" +
-      "T_HOME\020\001\022\034\n\030REFUSE_REASON_QUEUE_FULL\020\002\022\032" +
-      "\n\026REFUSE_REASON_DEADLINE\020\003\022\033\n\027REFUSE_REA" +
-      "SON_DISPLACED\020\004\022\035\n\031REFUSE_REASON_TIER_CL" +
-      "OSED\020\005\022 \n\034REFUSE_REASON_SERVER_LEAVING\020\006" +
-      "\022\035\n\031REFUSE_REASON_SERVER_DOWN\020\007\022\032\n\026REFUS" +
-      "E_REASON_SHUTDOWN\020\010*\324\001\n\013ResultClass\022\034\n\030R" +
-      "ESULT_CLASS_UNSPECIFIED\020\000\022\023\n\017RESULT_CLAS" +
-      "S_OK\020\001\022\035\n\031RESULT_CLASS_SERVER_ERROR\020\002\022\"\n" +
-      "\036RESULT_CLASS_CONNECTION_FAILED\020\003\022\030\n\024RES" +
-      "ULT_CLASS_TIMEOUT\020\004\022\032\n\026RESULT_CLASS_CANC" +
-      "ELLED\020\005\022\031\n\025RESULT_CLASS_DRAINING\020\006*\255\001\n\017L" +
-      "edgerOperation\022 \n\034LEDGER_OPERATION_UNSPE" +
-      "CIFIED\020\000\022\034\n\030LEDGER_OPERATION_RESERVE\020\001\022\035" +
-      "\n\031LEDGER_OPERATION_COMPLETE\020\002\022\031\n\025LEDGER_" +
-      "OPERATION_VOID\020\003\022 \n\034LEDGER_OPERATION_OWN" +
-      "ER_QUERY\020\004*\217\003\n\rLedgerOutcome\022\036\n\032LEDGER_O" +
-      "UTCOME_UNSPECIFIED\020\000\022\033\n\027LEDGER_OUTCOME_R" +
-      "ECORDED\020\001\022\034\n\030LEDGER_OUTCOME_COMPLETED\020\002\022" +
-      "\034\n\030LEDGER_OUTCOME_IN_FLIGHT\020\003\022\033\n\027LEDGER_" +
-      "OUTCOME_IN_DOUBT\020\004\022\033\n\027LEDGER_OUTCOME_MIS" +
-      "MATCH\020\005\022\032\n\026LEDGER_OUTCOME_TOO_OLD\020\006\022\035\n\031L" +
-      "EDGER_OUTCOME_NOT_WRITER\020\007\022\036\n\032LEDGER_OUT" +
-      "COME_UNAVAILABLE\020\010\022#\n\037LEDGER_OUTCOME_OWN" +
-      "ER_DISPATCHED\020\t\022)\n%LEDGER_OUTCOME_OWNER_" +
-      "NEVER_DISPATCHED\020\n\022 \n\034LEDGER_OUTCOME_OWN" +
-      "ER_UNKNOWN\020\0132D\n\004Peer\022<\n\004Link\022\027.lavenderh" +
-      "inge.v1.Frame\032\027.lavenderhinge.v1.Frame(\001" +
-      "0\001B \n\034io.lavenderhinge.protocol.v1P\001b\006pr" +
-      "oto3"
+      "erhinge.v1.VersionStatsH\000\0223\n\013member_list" +
+      "\030\017 \001(\0132\034.lavenderhinge.v1.MemberListH\000B\006" +
+      "\n\004body\"U\n\005Hello\022\023\n\013instance_id\030\001 \001(\t\022\026\n\016" +
+      "failure_domain\030\002 \001(\t\022\016\n\006region\030\003 \001(\t\022\017\n\007" +
+      "leaving\030\004 \001(\010\"\352\002\n\003Ask\022\022\n\nrequest_id\030\001 \001(" +
+      "\t\022\021\n\tserver_id\030\002 \001(\t\022\r\n\005model\030\003 \001(\t\022\017\n\007v" +
+      "ersion\030\004 \001(\t\022$\n\004tier\030\005 \001(\0162\026.lavenderhin" +
+      "ge.v1.Tier\022\021\n\tworkspace\030\006 \001(\t\022\016\n\006weight\030" +
+      "\007 \001(\001\022\025\n\rprompt_tokens\030\010 \001(\r\022\025\n\routput_t" +
+      "okens\030\t \001(\r\022\025\n\rprefix_hashes\030\n \003(\006\022\034\n\024de" +
+      "adline_left_millis\030\013 \001(\r\022\022\n\nin_service\030\014" +
+      " \001(\010\022\032\n\022preempt_lower_tier\030\r \001(\010\022$\n\027firs" +
+      "t_token_left_millis\030\016 \001(\rH\000\210\001\001B\032\n\030_first" +
+      "_token_left_millis\"L\n\005Grant\022\022\n\nrequest_i" +
+      "d\030\001 \001(\t\022\021\n\tserver_id\030\002 \001(\t\022\034\n\024cached_pre" +
+      "fix_tokens\030\003 \001(\r\"M\n\006Queued\022\022\n\nrequest_id" +
+      "\030\001 \001(\t\022\021\n\tserver_id\030\002 \001(\t\022\034\n\024expected_wa" +
+      "it_millis\030\003 \001(\r\"\227\001\n\006Refuse\022\022\n\nrequest_id" +
+      "\030\001 \001(\t\022\021\n\tserver_id\030\002 \001(\t\022.\n\006reason\030\003 \001(" +
+      "\0162\036.lavenderhinge.v1.RefuseReason\022\034\n\024exp" +
+      "ected_wait_millis\030\004 \001(\r\022\030\n\020lower_tier_co" +
+      "unt\030\005 \001(\r\"0\n\007Release\022\022\n\nrequest_id\030\001 \001(\t" +
+      "\022\021\n\tserver_id\030\002 \001(\t\"\305\001\n\004Done\022\022\n\nrequest_" +
+      "id\030\001 \001(\t\022\021\n\tserver_id\030\002 \001(\t\022-\n\006result\030\003 " +
+      "\001(\0162\035.lavenderhinge.v1.ResultClass\022\032\n\022fi" +
+      "rst_token_millis\030\004 \001(\r\022\035\n\025between_tokens" +
+      "_micros\030\005 \001(\r\022\025\n\rprompt_tokens\030\006 \001(\r\022\025\n\r" +
+      "output_tokens\030\007 \001(\r\"0\n\007Preempt\022\022\n\nreques" +
+      "t_id\030\001 \001(\t\022\021\n\tserver_id\030\002 \001(\t\"\210\002\n\rLedger" +
+      "Request\022\017\n\007call_id\030\001 \001(\004\0224\n\toperation\030\002 " +
+      "\001(\0162!.lavenderhinge.v1.LedgerOperation\022\r" +
+      "\n\005shard\030\003 \001(\r\022\013\n\003key\030\004 \001(\t\022\027\n\017key_time_m" +
+      "illis\030\005 \001(\004\022\021\n\tbody_hash\030\006 \001(\t\022\022\n\nattemp" +
+      "t_id\030\007 \001(\t\022\020\n\010entry_id\030\010 \001(\t\022(\n\006answer\030\t" +
+      " \001(\0132\030.lavenderhinge.v1.Answer\022\030\n\020retent" +
+      "ion_millis\030\n \001(\004\"\245\001\n\013LedgerReply\022\017\n\007call" +
+      "_id\030\001 \001(\004\0220\n\007outcome\030\002 \001(\0162\037.lavenderhin" +
+      "ge.v1.LedgerOutcome\022(\n\006answer\030\003 \001(\0132\030.la" +
+      "venderhinge.v1.Answer\022\016\n\006detail\030\004 \001(\t\022\031\n" +
+      "\021expires_at_millis\030\005 \001(\004\"<\n\006Answer\022\016\n\006st" +
+      "atus\030\001 \001(\r\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body" +
+      "\030\003 \001(\014\"/\n\rRevisionEntry\022\014\n\004team\030\001 \001(\t\022\020\n" +
+      "\010revision\030\002 \001(\004\"\200\001\n\tHeartbeat\022\023\n\013instanc" +
+      "e_id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\017\n\007count" +
+      "er\030\003 \001(\004\022\017\n\007leaving\030\004 \001(\010\022\017\n\007address\030\005 \001" +
+      "(\t\022\026\n\016failure_domain\030\006 \001(\t\"\230\001\n\rServerSum" +
+      "mary\022\021\n\tserver_id\030\001 \001(\t\022\034\n\024expected_wait" +
+      "_millis\030\002 \001(\r\022\022\n\nfree_slots\030\003 \001(\r\0220\n\020low" +
+      "est_open_tier\030\004 \001(\0162\026.lavenderhinge.v1.T" +
+      "ier\022\020\n\010sequence\030\005 \001(\004\"\337\001\n\006Member\022\n\n\002id\030\001" +
+      " \001(\t\022*\n\004kind\030\002 \001(\0162\034.lavenderhinge.v1.Me" +
+      "mberKind\022\017\n\007address\030\003 \001(\t\022\026\n\016failure_dom" +
+      "ain\030\004 \001(\t\022\016\n\006region\030\005 \001(\t\022\017\n\007leaving\030\006 \001" +
+      "(\010\022\016\n\006serves\030\007 \001(\t\022\017\n\007version\030\010 \001(\t\022\033\n\023h" +
+      "ardware_generation\030\t \001(\r\022\025\n\rchecks_order" +
+      "s\030\n \001(\010\"G\n\nMemberList\022\016\n\006wanted\030\001 \001(\010\022)\n" +
+      "\007members\030\002 \003(\0132\030.lavenderhinge.v1.Member" +
+      "\"Q\n\010StopFlag\022\016\n\006target\030\001 \001(\t\022\017\n\007version\030" +
+      "\002 \001(\t\022\022\n\nrollout_id\030\003 \001(\t\022\020\n\010evidence\030\004 " +
+      "\001(\t\"\345\001\n\006Digest\0222\n\trevisions\030\001 \003(\0132\037.lave" +
+      "nderhinge.v1.RevisionEntry\022/\n\nheartbeats" +
+      "\030\002 \003(\0132\033.lavenderhinge.v1.Heartbeat\022.\n\ns" +
+      "top_flags\030\003 \003(\0132\032.lavenderhinge.v1.StopF" +
+      "lag\0220\n\007servers\030\004 \003(\0132\037.lavenderhinge.v1." +
+      "ServerSummary\022\024\n\014reply_wanted\030\005 \001(\010\"<\n\014T" +
+      "eamSettings\022\014\n\004team\030\001 \001(\t\022\020\n\010revision\030\002 " +
+      "\001(\004\022\014\n\004text\030\003 \001(\t\"\177\n\005Delta\0220\n\010settings\030\001" +
+      " \003(\0132\036.lavenderhinge.v1.TeamSettings\022\024\n\014" +
+      "wanted_teams\030\002 \003(\t\022.\n\nstop_flags\030\003 \003(\0132\032" +
+      ".lavenderhinge.v1.StopFlag\"\\\n\nRouteCount" +
+      "\022\r\n\005route\030\001 \001(\t\022\017\n\007version\030\002 \001(\t\022\020\n\010requ" +
+      "ests\030\003 \001(\004\022\016\n\006errors\030\004 \001(\004\022\014\n\004slow\030\005 \001(\004" +
+      "\"s\n\014VersionStats\022\022\n\nrollout_id\030\001 \001(\t\022\014\n\004" +
+      "step\030\002 \001(\r\022\023\n\013instance_id\030\003 \001(\t\022,\n\006count" +
+      "s\030\004 \003(\0132\034.lavenderhinge.v1.RouteCount*U\n" +
+      "\004Tier\022\024\n\020TIER_UNSPECIFIED\020\000\022\024\n\020TIER_INTE" +
+      "RACTIVE\020\001\022\021\n\rTIER_STANDARD\020\002\022\016\n\nTIER_BAT" +
+      "CH\020\003*\234\002\n\014RefuseReason\022\035\n\031REFUSE_REASON_U" +
+      "NSPECIFIED\020\000\022\032\n\026REFUSE_REASON_NOT_HOME\020\001" +
+      "\022\034\n\030REFUSE_REASON_QUEUE_FULL\020\002\022\032\n\026REFUSE" +
+      "_REASON_DEADLINE\020\003\022\033\n\027REFUSE_REASON_DISP" +
+      "LACED\020\004\022\035\n\031REFUSE_REASON_TIER_CLOSED\020\005\022 " +
+      "\n\034REFUSE_REASON_SERVER_LEAVING\020\006\022\035\n\031REFU" +
+      "SE_REASON_SERVER_DOWN\020\007\022\032\n\026REFUSE_REASON" +
+      "_SHUTDOWN\020\010*\324\001\n\013ResultClass\022\034\n\030RESULT_CL" +
+      "ASS_UNSPECIFIED\020\000\022\023\n\017RESULT_CLASS_OK\020\001\022\035" +
+      "\n\031RESULT_CLASS_SERVER_ERROR\020\002\022\"\n\036RESULT_" +
+      "CLASS_CONNECTION_FAILED\020\003\022\030\n\024RESULT_CLAS" +
+      "S_TIMEOUT\020\004\022\032\n\026RESULT_CLASS_CANCELLED\020\005\022" +
+      "\031\n\025RESULT_CLASS_DRAINING\020\006*\255\001\n\017LedgerOpe" +
+      "ration\022 \n\034LEDGER_OPERATION_UNSPECIFIED\020\000" +
+      "\022\034\n\030LEDGER_OPERATION_RESERVE\020\001\022\035\n\031LEDGER" +
+      "_OPERATION_COMPLETE\020\002\022\031\n\025LEDGER_OPERATIO" +
+      "N_VOID\020\003\022 \n\034LEDGER_OPERATION_OWNER_QUERY" +
+      "\020\004*\217\003\n\rLedgerOutcome\022\036\n\032LEDGER_OUTCOME_U" +
+      "NSPECIFIED\020\000\022\033\n\027LEDGER_OUTCOME_RECORDED\020" +
+      "\001\022\034\n\030LEDGER_OUTCOME_COMPLETED\020\002\022\034\n\030LEDGE" +
+      "R_OUTCOME_IN_FLIGHT\020\003\022\033\n\027LEDGER_OUTCOME_" +
+      "IN_DOUBT\020\004\022\033\n\027LEDGER_OUTCOME_MISMATCH\020\005\022" +
+      "\032\n\026LEDGER_OUTCOME_TOO_OLD\020\006\022\035\n\031LEDGER_OU" +
+      "TCOME_NOT_WRITER\020\007\022\036\n\032LEDGER_OUTCOME_UNA" +
+      "VAILABLE\020\010\022#\n\037LEDGER_OUTCOME_OWNER_DISPA" +
+      "TCHED\020\t\022)\n%LEDGER_OUTCOME_OWNER_NEVER_DI" +
+      "SPATCHED\020\n\022 \n\034LEDGER_OUTCOME_OWNER_UNKNO" +
+      "WN\020\013*\200\001\n\nMemberKind\022\033\n\027MEMBER_KIND_UNSPE" +
+      "CIFIED\020\000\022\030\n\024MEMBER_KIND_INSTANCE\020\001\022\034\n\030ME" +
+      "MBER_KIND_MODEL_ENGINE\020\002\022\035\n\031MEMBER_KIND_" +
+      "PLAIN_SERVICE\020\0032D\n\004Peer\022<\n\004Link\022\027.lavend" +
+      "erhinge.v1.Frame\032\027.lavenderhinge.v1.Fram" +
+      "e(\0010\001B \n\034io.lavenderhinge.protocol.v1P\001b" +
+      "\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -265,7 +287,7 @@
     internal_static_lavenderhinge_v1_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_Frame_descriptor,
-        new java.lang.String[] { "ProtocolVersion", "Hello", "Ask", "Grant", "Queued", "Refuse", "Release", "Done", "Preempt", "LedgerRequest", "LedgerReply", "Digest", "Delta", "VersionStats", "Body", });
+        new java.lang.String[] { "ProtocolVersion", "Hello", "Ask", "Grant", "Queued", "Refuse", "Release", "Done", "Preempt", "LedgerRequest", "LedgerReply", "Digest", "Delta", "VersionStats", "MemberList", "Body", });
     internal_static_lavenderhinge_v1_Hello_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_lavenderhinge_v1_Hello_fieldAccessorTable = new
@@ -350,38 +372,50 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_ServerSummary_descriptor,
         new java.lang.String[] { "ServerId", "ExpectedWaitMillis", "FreeSlots", "LowestOpenTier", "Sequence", });
-    internal_static_lavenderhinge_v1_StopFlag_descriptor =
+    internal_static_lavenderhinge_v1_Member_descriptor =
       getDescriptor().getMessageType(15);
+    internal_static_lavenderhinge_v1_Member_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_lavenderhinge_v1_Member_descriptor,
+        new java.lang.String[] { "Id", "Kind", "Address", "FailureDomain", "Region", "Leaving", "Serves", "Version", "HardwareGeneration", "ChecksOrders", });
+    internal_static_lavenderhinge_v1_MemberList_descriptor =
+      getDescriptor().getMessageType(16);
+    internal_static_lavenderhinge_v1_MemberList_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_lavenderhinge_v1_MemberList_descriptor,
+        new java.lang.String[] { "Wanted", "Members", });
+    internal_static_lavenderhinge_v1_StopFlag_descriptor =
+      getDescriptor().getMessageType(17);
     internal_static_lavenderhinge_v1_StopFlag_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_StopFlag_descriptor,
         new java.lang.String[] { "Target", "Version", "RolloutId", "Evidence", });
     internal_static_lavenderhinge_v1_Digest_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(18);
     internal_static_lavenderhinge_v1_Digest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_Digest_descriptor,
         new java.lang.String[] { "Revisions", "Heartbeats", "StopFlags", "Servers", "ReplyWanted", });
     internal_static_lavenderhinge_v1_TeamSettings_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(19);
     internal_static_lavenderhinge_v1_TeamSettings_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_TeamSettings_descriptor,
         new java.lang.String[] { "Team", "Revision", "Text", });
     internal_static_lavenderhinge_v1_Delta_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(20);
     internal_static_lavenderhinge_v1_Delta_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_Delta_descriptor,
         new java.lang.String[] { "Settings", "WantedTeams", "StopFlags", });
     internal_static_lavenderhinge_v1_RouteCount_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(21);
     internal_static_lavenderhinge_v1_RouteCount_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_RouteCount_descriptor,
         new java.lang.String[] { "Route", "Version", "Requests", "Errors", "Slow", });
     internal_static_lavenderhinge_v1_VersionStats_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(22);
     internal_static_lavenderhinge_v1_VersionStats_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_VersionStats_descriptor,
