--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -64,6 +64,13 @@
   call PUT "http://$platform/admin/members" --body "$members]" --attempts 60 >/dev/null
 }
 
+# Applies a copy, since `apply` notes in the folder which revision it stored.
+apply_settings() {
+  cp -r examples/local "$work/settings"
+  "${jvm[@]}" -jar "$ctl" validate "$work/settings"
+  "${jvm[@]}" -jar "$ctl" apply "$work/settings" --key-value "http://$platform"
+}
+
 # number id failure-domain
 start_instance() {
   cat >"$work/$2.ini" <<INI
