End a start that cannot listen, and fix the mover's publish step

(1) Its caller port had been taken by an outgoing connection between the test's choice of the port and the start; the instance logged the failed bind and lived on without a listener. Ruled out: the rollout, which had been undone on all three instances.

--- a/e2e/src/test/kotlin/io/lavenderhinge/e2e/fleet/Fleet.kt
+++ b/e2e/src/test/kotlin/io/lavenderhinge/e2e/fleet/Fleet.kt
@@ -4,11 +4,14 @@
 import io.lavenderhinge.core.port.ListedMember
 import io.lavenderhinge.core.port.MemberKind
 import io.lavenderhinge.http.HttpCallException
+import java.net.BindException
 import java.net.InetAddress
 import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.nio.file.Files
 import java.nio.file.Path
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.delay
@@ -23,8 +26,20 @@
     }
 }
 
-internal fun freePort(): Int =
-    ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+// Below the range from which the system takes ports of outgoing connections: one of those took a
+// port between its choice here and the start of the instance.
+private val nextPort = AtomicInteger(Random.nextInt(12_000, 30_000))
+
+internal fun freePort(): Int {
+    while (true) {
+        val port = nextPort.getAndIncrement()
+        try {
+            return ServerSocket(port, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+        } catch (_: BindException) {
+            continue
+        }
+    }
+}
 
 private fun loopback(port: Int) = InetSocketAddress("127.0.0.1", port)
 
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/InstanceCommand.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/InstanceCommand.kt
@@ -8,8 +8,10 @@
 import com.github.ajalt.clikt.parameters.types.path
 import io.lavenderhinge.core.settings.Bootstrap
 import io.lavenderhinge.core.settings.BootstrapParser
+import java.io.IOException
 import java.nio.file.Path
 import kotlin.io.path.readText
+import kotlin.system.exitProcess
 
 /** Runs one entry instance until it is told to end; SIGTERM shuts it down gracefully. */
 class InstanceCommand : CliktCommand(name = "lavenderhinge") {
@@ -23,8 +25,14 @@
 
     override fun run() {
         val instance = Instance(read(config))
+        try {
+            instance.start()
+        } catch (e: IOException) {
+            // The other listeners' threads would keep a half-started process alive.
+            echo("cannot listen: ${e.message}; check [listen] in $config", err = true)
+            exitProcess(CANNOT_LISTEN)
+        }
         Runtime.getRuntime().addShutdownHook(Thread { instance.shutdown() })
-        instance.start()
         Thread.currentThread().join()
     }
 
@@ -40,5 +48,6 @@
 
     private companion object {
         const val INVALID_SETTINGS = 2
+        const val CANNOT_LISTEN = 3
     }
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/control/ControlThread.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/control/ControlThread.kt
@@ -4,6 +4,7 @@
 import java.util.concurrent.ScheduledThreadPoolExecutor
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
+import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
@@ -25,7 +26,12 @@
         ScheduledThreadPoolExecutor(1) { task -> Thread(task, "control").apply { isDaemon = true } }
 
     /** Coroutines started here run on the control thread. */
-    val scope = CoroutineScope(SupervisorJob() + executor.asCoroutineDispatcher())
+    val scope =
+        CoroutineScope(
+            SupervisorJob() +
+                executor.asCoroutineDispatcher() +
+                CoroutineExceptionHandler { _, e -> log.error("control: a task failed", e) }
+        )
 
     /** Wall-clock time in epoch milliseconds. */
     fun nowMillis(): Long = clock.millis()
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/rollout/MoverShell.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/rollout/MoverShell.kt
@@ -28,7 +28,7 @@
             is MoverEffect.WriteRecord -> write(effect)
             is MoverEffect.CheckWeights -> checkWeights(effect)
             is MoverEffect.OrderLoad -> order(effect)
-            is MoverEffect.Publish -> null.also { publish(effect) }
+            is MoverEffect.Publish -> publish(effect)
             is MoverEffect.RaiseStop -> null
         }
 
@@ -80,14 +80,22 @@
     }
 
     // A statement is written again when it changes; one that could not be written is not repeated.
-    private suspend fun publish(effect: MoverEffect.Publish) {
+    private suspend fun publish(effect: MoverEffect.Publish): MoverEvent? {
         val key = effect.plan.statusKey
-        ports.store.get(key).onRight { current ->
-            if (current?.value == effect.statement) return
-            ports.store.compareAndSwap(key, current?.version ?: 0, effect.statement).onLeft {
-                log.warn("rollout: {} was not written: {}", key, it.message)
-            }
+        val current =
+            ports.store
+                .get(key)
+                .fold(
+                    {
+                        return null
+                    },
+                    { it },
+                )
+        if (current?.value == effect.statement) return null
+        ports.store.compareAndSwap(key, current?.version ?: 0, effect.statement).onLeft {
+            log.warn("rollout: {} was not written: {}", key, it.message)
         }
+        return null
     }
 
     companion object {
