--- a/adapters/src/main/kotlin/io/lavenderhinge/adapters/JsonClient.kt
+++ b/adapters/src/main/kotlin/io/lavenderhinge/adapters/JsonClient.kt
@@ -13,23 +13,27 @@
 import java.net.URLEncoder
 
 /** A JSON response; [body] is null when the response carried no JSON. */
-internal data class JsonResponse(val status: Int, val body: JsonNode?)
+data class JsonResponse(val status: Int, val body: JsonNode?)
 
 /** Why a call gave no response. */
-internal sealed interface CallFault {
+sealed interface CallFault {
+    /** What went wrong. */
     val message: String
 
+    /** Nothing was sent. */
     data class NotSent(override val message: String) : CallFault
 
+    /** The call may have taken effect. */
     data class Unknown(override val message: String) : CallFault
 }
 
 /** Calls one HTTP endpoint that speaks JSON. */
-internal class JsonClient(
+class JsonClient(
     private val client: HttpClient,
     private val address: InetSocketAddress,
     private val timeouts: CallTimeouts,
 ) {
+    /** Calls [path] and returns the response whatever its status. */
     suspend fun call(
         method: String,
         path: String,
@@ -48,4 +52,5 @@
         }
 }
 
-internal fun encode(text: String): String = URLEncoder.encode(text, Charsets.UTF_8)
+/** Encodes [text] for a path segment or a query. */
+fun encode(text: String): String = URLEncoder.encode(text, Charsets.UTF_8)
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QuotaLedger.kt
@@ -0,0 +1,124 @@
+package io.lavenderhinge.core.forwarding
+
+/**
+ * Enforces the quotas of workspaces over all instances.
+ *
+ * Each instance keeps one token bucket for each workspace at the full rate. It charges its own
+ * admissions at once and those of its peers when their reports arrive. A peer that is silent is
+ * assumed to spend an equal share of the rate, so that the parts of a partitioned fleet together
+ * stay within the quota. Confined to one thread.
+ */
+class QuotaLedger {
+    private class Bucket(var level: Double, var refilledMillis: Long)
+
+    private class PeerSpending(var incarnation: Long) {
+        val reported = HashMap<String, Double>()
+        val assumed = HashMap<String, Double>()
+        var heardMillis = 0L
+    }
+
+    private val buckets = HashMap<String, Bucket>()
+    private val spent = HashMap<String, Double>()
+    private val peers = HashMap<String, PeerSpending>()
+    private var chargedMillis = 0L
+
+    /** Total cost admitted here for each workspace since the start of the process. */
+    val totals: Map<String, Double>
+        get() = spent
+
+    /** Admits a request of [cost] if the workspace is within its quota. */
+    fun tryAdmit(workspace: ForwardWorkspace, cost: Double, nowMillis: Long): Boolean {
+        val quota = workspace.quota ?: return true
+        if (quota.ratePerSecond <= 0) return true
+        val bucket = refill(workspace.name, quota, nowMillis)
+        if (bucket.level <= 0) return false
+        bucket.level -= cost
+        spent.merge(workspace.name, cost, Double::plus)
+        return true
+    }
+
+    /** Milliseconds until the bucket of [workspace] is above zero again. */
+    fun retryAfterMillis(workspace: ForwardWorkspace): Long {
+        val quota = workspace.quota ?: return 0
+        val level = buckets[workspace.name]?.level ?: return 0
+        return (-level / quota.ratePerSecond * MILLIS_PER_SECOND).toLong().coerceAtLeast(0)
+    }
+
+    /** Takes over the [totals] that a peer reports. */
+    fun onPeerReport(
+        peer: String,
+        incarnation: Long,
+        totals: Map<String, Double>,
+        nowMillis: Long,
+    ) {
+        val known = peers[peer]
+        if (known == null || known.incarnation != incarnation) {
+            // What the peer spent before it was first heard is not known to be recent.
+            peers[peer] =
+                PeerSpending(incarnation).also {
+                    it.reported.putAll(totals)
+                    it.heardMillis = nowMillis
+                }
+            return
+        }
+        known.heardMillis = nowMillis
+        totals.forEach { (workspace, total) ->
+            val before = known.reported.put(workspace, total) ?: 0.0
+            val assumed = known.assumed.remove(workspace) ?: 0.0
+            buckets[workspace]?.let { it.level -= (total - before).coerceAtLeast(0.0) - assumed }
+        }
+    }
+
+    /** Charges peers that have been silent with their share. Call it a few times a second. */
+    fun chargeSilentPeers(
+        members: Set<String>,
+        workspaces: Collection<ForwardWorkspace>,
+        nowMillis: Long,
+    ) {
+        peers.keys.retainAll(members)
+        val elapsedMillis = (nowMillis - chargedMillis).coerceIn(0, MAX_CHARGE_MILLIS)
+        chargedMillis = nowMillis
+        val silent = members.filter { isSilent(it, nowMillis) }
+        if (silent.isEmpty()) return
+        val share = elapsedMillis / MILLIS_PER_SECOND / (members.size + 1)
+        workspaces.forEach { workspace ->
+            val quota = workspace.quota ?: return@forEach
+            val bucket = buckets[workspace.name] ?: return@forEach
+            val cost = quota.ratePerSecond * share
+            silent.forEach { peer ->
+                bucket.level -= cost
+                peers[peer]?.assumed?.merge(workspace.name, cost, Double::plus)
+            }
+        }
+    }
+
+    private fun isSilent(peer: String, nowMillis: Long): Boolean {
+        val heardMillis = peers[peer]?.heardMillis ?: return true
+        return nowMillis - heardMillis > SILENCE_MILLIS
+    }
+
+    private fun refill(name: String, quota: WorkspaceQuota, nowMillis: Long): Bucket {
+        val bucket =
+            buckets.getOrPut(name) { Bucket(quota.burst * INITIAL_LEVEL_FRACTION, nowMillis) }
+        val elapsedSeconds = (nowMillis - bucket.refilledMillis) / MILLIS_PER_SECOND
+        val floor = -quota.ratePerSecond * MAX_DEBT_SECONDS
+        bucket.level =
+            (bucket.level + elapsedSeconds * quota.ratePerSecond).coerceIn(
+                floor,
+                maxOf(quota.burst, 1.0),
+            )
+        bucket.refilledMillis = nowMillis
+        return bucket
+    }
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1_000.0
+        /** Several missed reports; a lost datagram alone is no silence. */
+        const val SILENCE_MILLIS = 800L
+        const val MAX_CHARGE_MILLIS = 1_000L
+        /** A restarted instance does not know what the others admitted just before. */
+        const val INITIAL_LEVEL_FRACTION = 0.5
+        /** Bounds how long a workspace is refused after a burst that several instances admitted. */
+        const val MAX_DEBT_SECONDS = 4.0
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -0,0 +1,124 @@
+package io.lavenderhinge.core.forwarding
+
+/** Where a request goes now. */
+internal sealed interface Placement {
+    class Send(val server: ServerEntry, val expectedMillis: Double) : Placement
+
+    data object Wait : Placement
+
+    data object NoServer : Placement
+}
+
+/** The backend servers of one service and what is known of them. */
+internal class ServerPool {
+    private val records = LinkedHashMap<String, ServerRecord>()
+    private val model = FirstEventModel()
+
+    fun record(serverId: String): ServerRecord? = records[serverId]
+
+    fun update(entries: List<ServerEntry>) {
+        val listed = entries.associateBy { it.id }
+        // A record with requests in flight stays until they end.
+        records.values.removeIf { it.entry.id !in listed && it.inFlight == 0 }
+        records.values.forEach { record ->
+            if (record.entry.id !in listed) record.entry = record.entry.copy(acceptsWork = false)
+        }
+        entries.forEach { entry ->
+            val record = records.getOrPut(entry.id) { ServerRecord(entry) }
+            if (record.entry.startedMillis != entry.startedMillis) record.reset()
+            record.entry = entry
+        }
+    }
+
+    fun uses(): List<Pair<String, ServerUse>> =
+        records.values
+            .filter { it.inFlight > 0 }
+            .map { it.entry.id to ServerUse(it.inFlight, it.pendingTokens) }
+
+    fun started(serverId: String, promptTokens: Double) {
+        val record = records[serverId] ?: return
+        record.inFlight++
+        record.pendingTokens += promptTokens
+    }
+
+    fun finished(serverId: String, outcome: ServerOutcome, pendingTokens: Double, nowMillis: Long) {
+        val record = records[serverId] ?: return
+        record.inFlight = (record.inFlight - 1).coerceAtLeast(0)
+        record.pendingTokens = (record.pendingTokens - pendingTokens).coerceAtLeast(0.0)
+        record.observe(outcome, model, nowMillis)
+    }
+
+    /**
+     * Servers that may get [ask]. When all of them rest after failures they are used all the same:
+     * a suspicion about every server is more likely wrong than useful.
+     */
+    fun usable(ask: DispatchAsk, nowMillis: Long): List<ServerRecord> {
+        val accepting =
+            records.values.filter { it.entry.acceptsWork && it.entry.id !in ask.excludedServers }
+        return accepting.filterNot { it.isResting(nowMillis) }.ifEmpty { accepting }
+    }
+
+    /** Mean time between two slots that become free in the whole pool. */
+    fun millisPerSlot(nowMillis: Long): Double {
+        val slotsPerMillis =
+            records.values
+                .filter { it.entry.acceptsWork && !it.isResting(nowMillis) }
+                .sumOf { it.entry.slots / it.holdMillis.coerceAtLeast(MIN_HOLD_MILLIS) }
+        return if (slotsPerMillis <= 0) MIN_HOLD_MILLIS else 1 / slotsPerMillis
+    }
+
+    fun place(
+        ask: DispatchAsk,
+        peers: PeerLoads,
+        reserved: MutableMap<String, Int>,
+        moreUrgentAtPeers: Int,
+        failureDomain: String,
+        nowMillis: Long,
+    ): Placement {
+        val usable = usable(ask, nowMillis)
+        if (usable.isEmpty()) return Placement.NoServer
+        val estimates = usable.map { estimate(it, ask, peers, reserved, failureDomain) }
+        val best = estimates.minBy { it.millis }
+        val freeSlots = estimates.sumOf { it.freeSlots.coerceAtLeast(0) }
+        if (best.freeSlots > 0 && freeSlots > moreUrgentAtPeers) {
+            return Placement.Send(best.record.entry, best.millis)
+        }
+        // The slot that this request waits for is not offered to less urgent ones.
+        reserved.merge(best.record.entry.id, 1, Int::plus)
+        return Placement.Wait
+    }
+
+    private class Estimate(val record: ServerRecord, val freeSlots: Int, val millis: Double)
+
+    private fun estimate(
+        record: ServerRecord,
+        ask: DispatchAsk,
+        peers: PeerLoads,
+        reserved: Map<String, Int>,
+        failureDomain: String,
+    ): Estimate {
+        val id = record.entry.id
+        val busy = record.inFlight + peers.inFlight(id) + (reserved[id] ?: 0)
+        val slots = if (record.isOnTrial) 1 else record.entry.slots
+        val pending = record.pendingTokens + peers.pendingTokens(id)
+        val alone = model.predictMillis(ask.promptTokens + pending)
+        val shared = 1 + SLOWDOWN_FOR_EACH_REQUEST * busy
+        val slotWait =
+            if (busy < slots) 0.0
+            else record.holdMillis.coerceAtLeast(MIN_HOLD_MILLIS) * (busy - slots + 1) / slots
+        val reliability = 1 / (1 - record.failureFraction.coerceAtMost(MAX_FAILURE_FRACTION))
+        val distance =
+            if (record.entry.failureDomain == failureDomain) 0.0 else FOREIGN_DOMAIN_MILLIS
+        val millis =
+            (record.slowness * alone * shared + slotWait) * reliability * reliability + distance
+        return Estimate(record, slots - busy, millis)
+    }
+
+    private companion object {
+        const val MIN_HOLD_MILLIS = 20.0
+        const val SLOWDOWN_FOR_EACH_REQUEST = 0.1
+        const val MAX_FAILURE_FRACTION = 0.8
+        /** More than the way there and back; bytes between domains cost the users money. */
+        const val FOREIGN_DOMAIN_MILLIS = 8.0
+    }
+}
--- a/core/src/main/kotlin/io/lavenderhinge/core/port/KeyValueStore.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/port/KeyValueStore.kt
@@ -2,12 +2,21 @@
 
 import arrow.core.Either
 import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.persistentListOf
 
 /** A value at the platform's key-value service. [version] rises with every write of the key. */
 data class VersionedValue(val key: String, val value: String, val version: Long)
 
 /** Result of a watch: the changes after the asked revision, and the revision to ask from next. */
-data class WatchResult(val changes: ImmutableList<VersionedValue>, val revision: Long)
+data class WatchResult(
+    val changes: ImmutableList<VersionedValue>,
+    val revision: Long,
+    /** Keys that were deleted or whose lease lapsed, and that were not written again since. */
+    val removedKeys: ImmutableList<String> = persistentListOf(),
+)
+
+/** The values under a prefix as of [revision], from which a watch can go on. */
+data class Snapshot(val values: ImmutableList<VersionedValue>, val revision: Long)
 
 /** A lease of the platform; keys written with [id] vanish when it lapses. */
 data class Lease(val id: String, val timeToLiveMillis: Long)
@@ -29,6 +38,11 @@
     /** The answer was lost; a write may have taken effect. Read the key back before going on. */
     data class OutcomeUnknown(override val message: String) : StoreFault
 
+    /** The service has dropped the history that a watch asked for; nothing was missed yet. */
+    data object HistoryLost : StoreFault {
+        override val message = "the history is gone; read the keys anew and watch from there"
+    }
+
     /** The value is over the service's limit of 1 MB; nothing was written. */
     data class TooLarge(val sizeBytes: Int) : StoreFault {
         override val message = "a value of $sizeBytes bytes is over 1 MB; split it"
@@ -80,3 +94,12 @@
     /** Renews a lease; [StoreFault.Conflict] with null when it has lapsed. */
     suspend fun renewLease(leaseId: String): Either<StoreFault, Lease>
 }
+
+/** A [KeyValueStore] whose reads tell the revision that a watch goes on from. */
+interface SnapshotStore : KeyValueStore {
+    /**
+     * Reads all keys that start with [prefix]. With [allowStale] the result may be seconds old and
+     * costs less; it must not decide anything that depends on the newest state.
+     */
+    suspend fun snapshot(prefix: String, allowStale: Boolean = false): Either<StoreFault, Snapshot>
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySettingsParser.kt
@@ -0,0 +1,59 @@
+package io.lavenderhinge.core.settings
+
+import arrow.core.Either
+import arrow.core.NonEmptyList
+import arrow.core.left
+import arrow.core.nonEmptyListOf
+import arrow.core.right
+import arrow.core.toNonEmptyListOrNull
+import kotlinx.collections.immutable.persistentListOf
+
+/** Parses the file of an instance on the platform. */
+object GatewaySettingsParser {
+    private val nowhere = Address("0.0.0.0", 0)
+
+    /** Returns the settings in [text], or all its faults. [file] is named in the faults. */
+    fun parse(text: String, file: String): Either<NonEmptyList<SettingsFault>, GatewaySettings> {
+        val sections =
+            IniText.read(text, file)
+                .fold(
+                    {
+                        return nonEmptyListOf(it).left()
+                    },
+                    { it },
+                )
+        val document = SettingsDocument(file, sections, GatewaySchema.sections)
+        val settings =
+            GatewaySettings(
+                identity(document.single("instance")),
+                listen(document.single("listen")),
+                document.single("platform").value(GatewaySchema.store) ?: nowhere,
+                bounds(document.single("bounds")),
+                document.single("seeds").value(GatewaySchema.seeds) ?: persistentListOf(),
+            )
+        return document.faults.toNonEmptyListOrNull()?.left() ?: settings.right()
+    }
+
+    // A missing value has been reported as a fault, so its placeholder is never returned.
+    private fun identity(section: SectionReader) =
+        InstanceIdentity(
+            section.value(GatewaySchema.id).orEmpty(),
+            section.value(GatewaySchema.domain).orEmpty(),
+            section.value(GatewaySchema.region).orEmpty(),
+        )
+
+    private fun listen(section: SectionReader) =
+        GatewayListeners(
+            section.value(GatewaySchema.caller) ?: nowhere,
+            section.value(GatewaySchema.ready) ?: nowhere,
+            section.value(GatewaySchema.peer) ?: nowhere,
+            section.value(GatewaySchema.operator) ?: nowhere,
+        )
+
+    private fun bounds(section: SectionReader) =
+        GatewayBounds(
+            section.value(GatewaySchema.gracePeriod) ?: 0,
+            section.value(GatewaySchema.repeatRatio) ?: 0.0,
+            section.value(GatewaySchema.repeatSlack) ?: 0.0,
+        )
+}
--- a/http/src/main/kotlin/io/lavenderhinge/http/ClientConnection.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/ClientConnection.kt
@@ -7,9 +7,11 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse as NettyResponse
+import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
@@ -33,14 +35,27 @@
     private lateinit var context: ChannelHandlerContext
     private val bufferedBytes = AtomicInteger()
     private var keepAlive = true
+    private var inService = false
+    private var skipping = false
+    private var accepts: (HttpHeaders) -> Boolean = { true }
     @Volatile private var events = Channel<ClientEvent>(Channel.UNLIMITED)
 
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         context = ctx
     }
 
-    suspend fun send(request: HttpRequest, address: InetSocketAddress) {
+    /**
+     * Sends [request]. Responses whose header fields [accepts] refuses belong to an earlier request
+     * and are skipped, as are interim ones.
+     */
+    suspend fun send(
+        request: HttpRequest,
+        address: InetSocketAddress,
+        accepts: (HttpHeaders) -> Boolean,
+    ) {
         events = Channel(Channel.UNLIMITED)
+        this.accepts = accepts
+        inService = true
         val message =
             DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
@@ -49,7 +64,9 @@
                 Unpooled.wrappedBuffer(request.body),
             )
         message.headers().set(request.headers)
-        message.headers().set(HttpHeaderNames.HOST, "${address.hostString}:${address.port}")
+        if (!request.headers.contains(HttpHeaderNames.HOST)) {
+            message.headers().set(HttpHeaderNames.HOST, "${address.hostString}:${address.port}")
+        }
         message.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, request.body.size)
         try {
             context.writeAndFlush(message).awaitDone()
@@ -98,12 +115,28 @@
             context.close()
             return
         }
-        if (message is NettyResponse) {
-            keepAlive = HttpUtil.isKeepAlive(message)
-            events.trySend(ClientEvent.Head(message))
+        if (!inService) {
+            // Bytes after a complete answer belong to no request.
+            context.close()
+            return
+        }
+        if (message is NettyResponse) startResponse(message)
+        if (skipping) {
+            if (message is LastHttpContent) skipping = false
+            return
         }
         if (message is HttpContent && message.content().isReadable) deliver(message)
-        if (message is LastHttpContent) events.trySend(ClientEvent.End(keepAlive))
+        if (message is LastHttpContent) {
+            inService = false
+            events.trySend(ClientEvent.End(keepAlive))
+        }
+    }
+
+    private fun startResponse(response: NettyResponse) {
+        val isInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
+        skipping = isInterim || !accepts(response.headers())
+        keepAlive = HttpUtil.isKeepAlive(response)
+        if (!skipping) events.trySend(ClientEvent.Head(response))
     }
 
     private fun deliver(content: HttpContent) {
--- a/http/src/main/kotlin/io/lavenderhinge/http/ClientResponse.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/ClientResponse.kt
@@ -8,9 +8,12 @@
 class ClientResponse
 internal constructor(
     private val connection: ClientConnection,
-    private val timeouts: CallTimeouts,
-    private val release: () -> Unit,
+    timeouts: CallTimeouts,
+    private val release: (HttpHeaders) -> Unit,
 ) {
+    /** The longest silence before the next part of the response. */
+    var progressMillis: Long = timeouts.progressMillis
+
     private lateinit var head: ClientEvent.Head
     private var finished = false
 
@@ -55,20 +58,18 @@
 
     private fun finish(reusable: Boolean): ByteArray? {
         finished = true
-        if (reusable) release() else connection.close()
+        if (reusable) release(headers) else connection.close()
         return null
     }
 
     private suspend fun nextEvent(silence: String): ClientEvent {
         var closed = false
         val event =
-            withTimeoutOrNull(timeouts.progressMillis) {
-                connection.next().also { closed = it == null }
-            }
+            withTimeoutOrNull(progressMillis) { connection.next().also { closed = it == null } }
         if (event != null) return event
         abort()
         if (closed) throw unknown("closed the connection before the answer was whole")
-        throw unknown("$silence for ${timeouts.progressMillis} ms")
+        throw unknown("$silence for $progressMillis ms")
     }
 
     private fun unknown(what: String) = HttpCallException.OutcomeUnknown("the server $what")
--- a/http/src/main/kotlin/io/lavenderhinge/http/HttpClient.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/HttpClient.kt
@@ -8,9 +8,11 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpHeaders
 import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedDeque
+import java.util.concurrent.TimeUnit
 import kotlin.coroutines.cancellation.CancellationException
 import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.withTimeout
@@ -33,25 +35,28 @@
 class HttpClient(private val group: EventLoopGroup) {
     private val idle = ConcurrentHashMap<InetSocketAddress, ConcurrentLinkedDeque<IdleConnection>>()
 
-    private class IdleConnection(val channel: Channel, val sinceNanos: Long)
+    private class IdleConnection(val channel: Channel, val untilNanos: Long)
 
     /**
      * Sends [request] to [address] and returns when the response head is there.
      *
      * With [reuseConnection] false a new connection is made, so that a connection that has gone
-     * silent cannot leave the outcome unknown.
+     * silent cannot leave the outcome unknown. Responses whose header fields [accepts] refuses are
+     * skipped.
      */
     suspend fun send(
         address: InetSocketAddress,
         request: HttpRequest,
         timeouts: CallTimeouts = CallTimeouts(),
         reuseConnection: Boolean = true,
+        accepts: (HttpHeaders) -> Boolean = { true },
     ): ClientResponse {
-        val channel = pooled(address).takeIf { reuseConnection } ?: connect(address, timeouts)
+        val reused = if (reuseConnection) pooled(address) else null
+        val channel = reused ?: connect(address, timeouts)
         val handler = channel.pipeline().get(ClientConnection::class.java)
-        val response = ClientResponse(handler, timeouts) { release(address, channel) }
+        val response = ClientResponse(handler, timeouts) { release(address, channel, it) }
         try {
-            handler.send(request, address)
+            handler.send(request, address, accepts)
             response.awaitHead()
             return response
         } catch (e: Exception) {
@@ -88,17 +93,30 @@
         val connections = idle[address] ?: return null
         while (true) {
             val candidate = connections.pollLast() ?: return null
-            val ageNanos = System.nanoTime() - candidate.sinceNanos
-            if (candidate.channel.isActive && ageNanos < REUSE_NANOS) return candidate.channel
+            val isFresh = System.nanoTime() - candidate.untilNanos < 0
+            if (candidate.channel.isActive && isFresh) return candidate.channel
             candidate.channel.close()
         }
     }
 
-    private fun release(address: InetSocketAddress, channel: Channel) {
+    private fun release(address: InetSocketAddress, channel: Channel, headers: HttpHeaders) {
         if (!channel.isActive) return
+        val keepNanos = keepNanos(headers)
         val connections = idle.computeIfAbsent(address) { ConcurrentLinkedDeque() }
         if (connections.size >= IDLE_CONNECTIONS) channel.close()
-        else connections.addLast(IdleConnection(channel, System.nanoTime()))
+        else connections.addLast(IdleConnection(channel, System.nanoTime() + keepNanos))
+    }
+
+    // The server may close an idle connection while a request is on its way, so it is used only
+    // for the first part of the time that the server states.
+    private fun keepNanos(headers: HttpHeaders): Long {
+        val statedSeconds =
+            headers
+                .get("Keep-Alive")
+                ?.substringAfter("timeout=", "")
+                ?.takeWhile(Char::isDigit)
+                ?.toLongOrNull() ?: return REUSE_NANOS
+        return minOf(REUSE_NANOS, TimeUnit.SECONDS.toNanos(statedSeconds) / KEPT_DIVISOR)
     }
 
     private suspend fun connect(address: InetSocketAddress, timeouts: CallTimeouts): Channel {
@@ -134,5 +152,6 @@
         const val IDLE_CONNECTIONS = 64
         const val CONNECT_GRACE_MILLIS = 100L
         const val REUSE_NANOS = 10_000_000_000L
+        const val KEPT_DIVISOR = 2
     }
 }
--- a/http/src/main/kotlin/io/lavenderhinge/http/HttpMessages.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/HttpMessages.kt
@@ -9,11 +9,9 @@
     val query: String,
     val headers: HttpHeaders,
     val body: ByteArray,
-) {
     /** The path with its query, as sent on the wire. */
-    val target: String
-        get() = if (query.isEmpty()) path else "$path?$query"
-
+    val target: String = if (query.isEmpty()) path else "$path?$query",
+) {
     /** The first value of header [name], or null. */
     fun header(name: String): String? = headers.get(name)
 }
--- a/http/src/main/kotlin/io/lavenderhinge/http/HttpServer.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/HttpServer.kt
@@ -9,7 +9,7 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
-import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.handler.codec.http.HttpResponseEncoder
 import io.netty.util.concurrent.GlobalEventExecutor
 import java.net.InetSocketAddress
 import java.util.concurrent.atomic.AtomicBoolean
@@ -58,6 +58,11 @@
                 .channel()
     }
 
+    /** Lets each connection close after its next answer; connections are still accepted. */
+    fun endKeepAlive() {
+        draining.set(true)
+    }
+
     /**
      * Stops accepting connections and closes idle ones. Requests in service are answered, and each
      * connection closes after its answer.
@@ -80,7 +85,7 @@
             HttpDecoderConfig()
                 .setMaxInitialLineLength(limits.requestLineBytes)
                 .setMaxHeaderSize(limits.headBytes)
-        channel.pipeline().addLast(HttpServerCodec(decoder))
+        channel.pipeline().addLast(StrictRequestDecoder(decoder), HttpResponseEncoder())
         if (connections.incrementAndGet() > limits.connections) {
             connections.decrementAndGet()
             channel.pipeline().addLast(RefusingConnection(faults))
--- a/http/src/main/kotlin/io/lavenderhinge/http/ServerConnection.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/ServerConnection.kt
@@ -104,6 +104,7 @@
     }
 
     private fun startRequest(request: NettyRequest) {
+        if (!hasPlainFraming(request)) return refuse(HttpFault.MALFORMED)
         head = request
         body = ByteArrayOutputStream()
         armTimer(limits.bodyMillis) { refuse(HttpFault.BODY_TIMEOUT) }
@@ -117,6 +118,16 @@
         }
     }
 
+    private fun hasPlainFraming(request: NettyRequest): Boolean {
+        val encodings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
+        val hosts = request.headers().getAll(HttpHeaderNames.HOST)
+        val isPlainOrChunked =
+            encodings.isEmpty() ||
+                encodings.size == 1 &&
+                    HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encodings.single().trim())
+        return isPlainOrChunked && hosts.size <= 1
+    }
+
     private fun appendBody(content: HttpContent) {
         if (body.size() + content.content().readableBytes() > limits.bodyBytes) {
             return refuse(HttpFault.BODY_TOO_LARGE)
@@ -145,6 +156,7 @@
             query,
             request.headers(),
             body.toByteArray(),
+            request.uri(),
         )
     }
 
--- /dev/null
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
@@ -0,0 +1,166 @@
+package io.lavenderhinge.instance.gateway
+
+import io.lavenderhinge.core.forwarding.QuotaLedger
+import io.lavenderhinge.core.forwarding.RepeatBudget
+import io.lavenderhinge.core.forwarding.RequestAdmission
+import io.lavenderhinge.core.forwarding.ServerEntry
+import io.lavenderhinge.core.settings.Address
+import io.lavenderhinge.core.settings.GatewaySettings
+import io.lavenderhinge.http.HttpClient
+import io.lavenderhinge.http.HttpHandler
+import io.lavenderhinge.http.HttpLimits
+import io.lavenderhinge.http.HttpServer
+import io.lavenderhinge.http.HttpStatus
+import io.lavenderhinge.instance.control.ControlThread
+import io.lavenderhinge.instance.peer.GrpcPeerLinks
+import io.lavenderhinge.instance.peer.PeerIdentity
+import io.lavenderhinge.platform.PlatformKeys
+import io.lavenderhinge.platform.PlatformStore
+import java.net.InetSocketAddress
+import kotlinx.coroutines.launch
+import org.slf4j.LoggerFactory
+
+/**
+ * One instance on the users' platform: wires the decisions of the core to clients, backend servers,
+ * the store and the other instances.
+ */
+class Gateway(private val settings: GatewaySettings) {
+    private val identity = settings.identity
+    private val loop = TrafficLoop()
+    private val control = ControlThread()
+    private val client = HttpClient(loop.group)
+    private val store = PlatformStore(client, socketAddress(settings.store))
+    private val configuration = ConfigurationHolder()
+    private val quotas = QuotaLedger()
+    private val broker = SlotBroker(identity.failureDomain, loop)
+    private val servers = ServerWatch(control, ::publish)
+    private val exchange =
+        LoadExchange(
+            ReportIdentity(identity.id, System.currentTimeMillis(), settings.listen.peer),
+            // Every instance uses the same port for its peers.
+            settings.seeds.map { Address(it.ip, settings.listen.peer.port) },
+            loop,
+            broker,
+            quotas,
+            KnownVersions(configuration::version) { servers.revision },
+        )
+    private val links =
+        GrpcPeerLinks(PeerIdentity(identity.id, identity.failureDomain, identity.region), control) {
+            exchange.address(it)?.let(::socketAddress)
+        }
+    private val copies = StateCopies(links, control, configuration, servers)
+    private val members =
+        MemberRegistry(identity.id, settings.listen.peer, store, control) { members ->
+            loop.execute { exchange.onMembers(members) }
+        }
+    private val services =
+        ForwardingServices(
+            loop,
+            client,
+            broker,
+            RepeatBudget(settings.bounds.repeatRatio * OWN_PART, settings.bounds.repeatSlack),
+            RequestJournal(configuration::version),
+            instanceCount = { exchange.peerIds.size + 1 },
+        )
+    private val forwarder = RequestForwarder(services, configuration, RequestAdmission(quotas))
+    private val callerServer = HttpServer(loop.group, forwarder, CALLER_LIMITS)
+    private val readyServer = HttpServer(loop.group, HttpHandler { it.respond(readiness()) })
+    @Volatile private var areServersKnown = false
+    @Volatile private var isLeaving = false
+
+    /** Starts to listen; the instance is ready once a configuration and the servers are known. */
+    fun start() {
+        readyServer.start(socketAddress(settings.listen.ready))
+        callerServer.start(socketAddress(settings.listen.caller))
+        control.scope.launch { operatorWatch().run() }
+        control.scope.launch { serverWatch().run() }
+        servers.start()
+        loop.execute {
+            exchange.onReport = { report -> control.execute { copies.onReport(report) } }
+        }
+        exchange.start()
+        loop.every(QUOTA_MILLIS, ::chargeSilentPeers)
+        control.execute {
+            links.start(socketAddress(settings.listen.peer))
+            copies.start()
+        }
+        members.start()
+        log.info("gateway: {} listens for clients on {}", identity.id, settings.listen.caller)
+    }
+
+    /**
+     * Reports not ready, serves until clients have left, and returns when the requests in flight
+     * have ended or most of the grace period is over.
+     */
+    fun shutdown() {
+        log.info("gateway: {} shuts down", identity.id)
+        val endMillis = loop.nowMillis() + settings.bounds.gracePeriodMillis - LEFT_FOR_EXIT_MILLIS
+        isLeaving = true
+        members.stop()
+        callerServer.endKeepAlive()
+        Thread.sleep(NOT_READY_MILLIS)
+        callerServer.drain()
+        while (forwarder.inFlightCount > 0 && loop.nowMillis() < endMillis) {
+            Thread.sleep(DRAIN_POLL_MILLIS)
+        }
+        log.info("gateway: {} ends with {} in flight", identity.id, forwarder.inFlightCount)
+        // The last answers are still on their way out of the event loop.
+        Thread.sleep(DRAIN_POLL_MILLIS)
+    }
+
+    private fun operatorWatch() =
+        StoreWatch(
+            store,
+            PlatformKeys.OPERATOR_PREFIX,
+            OperatorWatch(configuration),
+            WATCH_MILLIS,
+            OPERATOR_PAUSE_MILLIS,
+        )
+
+    private fun serverWatch() =
+        StoreWatch(store, PlatformKeys.SERVER_PREFIX, servers, WATCH_MILLIS, SERVER_PAUSE_MILLIS)
+
+    private fun publish(entries: List<ServerEntry>) {
+        areServersKnown = true
+        loop.execute { broker.onServers(entries) }
+    }
+
+    private fun chargeSilentPeers() {
+        val workspaces = configuration.table?.config?.workspaces.orEmpty()
+        quotas.chargeSilentPeers(exchange.peerIds, workspaces, loop.nowMillis())
+    }
+
+    private fun readiness() =
+        problem(
+            if (isLeaving || configuration.table == null || !areServersKnown) {
+                HttpStatus.UNAVAILABLE
+            } else {
+                HttpStatus.OK
+            }
+        )
+
+    private companion object {
+        /** Half of the budget of repeats; clients' own retries and rejections may use the rest. */
+        const val OWN_PART = 0.5
+        /** Also the longest time that a connection to the store is silent without being noticed. */
+        const val WATCH_MILLIS = 1_200L
+        const val OPERATOR_PAUSE_MILLIS = 20L
+        /** Servers write their entries all the time; what they write in this time comes at once. */
+        const val SERVER_PAUSE_MILLIS = 300L
+        const val QUOTA_MILLIS = 200L
+        /** The platform stops sending new connections after two failed checks a second apart. */
+        const val NOT_READY_MILLIS = 2_300L
+        const val DRAIN_POLL_MILLIS = 25L
+        const val LEFT_FOR_EXIT_MILLIS = 700L
+        val CALLER_LIMITS =
+            HttpLimits(
+                requestLineBytes = 8_192,
+                headBytes = 32_768,
+                bodyBytes = 8_388_608,
+                pipelinedRequests = 64,
+            )
+        val log = LoggerFactory.getLogger(Gateway::class.java)
+
+        fun socketAddress(address: Address) = InetSocketAddress(address.ip, address.port)
+    }
+}
--- /dev/null
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportWire.kt
@@ -0,0 +1,47 @@
+package io.lavenderhinge.instance.gateway
+
+import io.lavenderhinge.core.forwarding.LoadReport
+import io.lavenderhinge.core.forwarding.QueueKey
+import io.lavenderhinge.core.forwarding.ServerUse
+import io.lavenderhinge.protocol.v1.LoadReport as LoadReportMessage
+import io.lavenderhinge.protocol.v1.QueueLength
+import io.lavenderhinge.protocol.v1.ServerUse as ServerUseMessage
+import io.lavenderhinge.protocol.v1.WorkspaceSpending
+
+/** Adds [report] and [spending] to a message. */
+internal fun LoadReportMessage.Builder.with(
+    report: LoadReport,
+    spending: Map<String, Double>,
+): LoadReportMessage.Builder {
+    report.servers.forEach { (id, use) ->
+        addServers(
+            ServerUseMessage.newBuilder()
+                .setServerId(id)
+                .setInFlight(use.inFlight)
+                .setPendingTokens(use.pendingTokens)
+        )
+    }
+    report.waiting.forEach { (key, count) ->
+        addQueues(
+            QueueLength.newBuilder()
+                .setService(key.service)
+                .setPriority(key.priority)
+                .setWaiting(count)
+        )
+    }
+    spending.forEach { (workspace, cost) ->
+        addWorkspaces(WorkspaceSpending.newBuilder().setWorkspace(workspace).setTotalCost(cost))
+    }
+    return this
+}
+
+/** What a message tells of the use of the servers. */
+internal fun LoadReportMessage.toReport() =
+    LoadReport(
+        serversList.associate { it.serverId to ServerUse(it.inFlight, it.pendingTokens) },
+        queuesList.associate { QueueKey(it.service, it.priority) to it.waiting },
+    )
+
+/** What a message tells of the cost that its sender admitted. */
+internal fun LoadReportMessage.toSpending(): Map<String, Double> =
+    workspacesList.associate { it.workspace to it.totalCost }
--- /dev/null
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Problems.kt
@@ -0,0 +1,34 @@
+package io.lavenderhinge.instance.gateway
+
+import io.lavenderhinge.core.forwarding.Admission
+import io.lavenderhinge.core.forwarding.Rejection
+import io.lavenderhinge.http.HttpField
+import io.lavenderhinge.http.HttpResponse
+import io.lavenderhinge.http.HttpStatus
+import java.util.Locale
+
+private const val MILLIS_PER_SECOND = 1_000.0
+
+/** An answer of this instance itself; a client may return after [retryAfterMillis]. */
+internal fun problem(status: Int, retryAfterMillis: Long = 0): HttpResponse {
+    val fields =
+        if (retryAfterMillis <= 0) emptyList()
+        else listOf(HttpField("Retry-After", seconds(retryAfterMillis)))
+    return HttpResponse(status, ByteArray(0), fields)
+}
+
+/** The answer to a request that was not admitted. */
+internal fun problem(rejected: Admission.Rejected): HttpResponse =
+    problem(statusOf(rejected.reason), rejected.retryAfterMillis)
+
+private fun statusOf(reason: Rejection): Int =
+    when (reason) {
+        Rejection.NO_CONFIGURATION,
+        Rejection.CONFIGURATION_UNCONFIRMED -> HttpStatus.UNAVAILABLE
+        Rejection.NO_ROUTE -> HttpStatus.NOT_FOUND
+        Rejection.UNKNOWN_CREDENTIAL -> HttpStatus.UNAUTHORIZED
+        Rejection.OVER_QUOTA -> HttpStatus.TOO_MANY_REQUESTS
+    }
+
+private fun seconds(millis: Long): String =
+    String.format(Locale.ROOT, "%.3f", millis / MILLIS_PER_SECOND)
--- /dev/null
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestForwarder.kt
@@ -0,0 +1,65 @@
+package io.lavenderhinge.instance.gateway
+
+import io.lavenderhinge.core.forwarding.Admission
+import io.lavenderhinge.core.forwarding.RepeatBudget
+import io.lavenderhinge.core.forwarding.RequestAdmission
+import io.lavenderhinge.core.forwarding.RequestDescription
+import io.lavenderhinge.http.HttpClient
+import io.lavenderhinge.http.HttpExchange
+import io.lavenderhinge.http.HttpHandler
+import io.lavenderhinge.platform.RequestFacts
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.random.Random
+
+/** What requests share. Confined to the traffic thread. */
+internal class ForwardingServices(
+    val loop: TrafficLoop,
+    val client: HttpClient,
+    val broker: SlotBroker,
+    val repeats: RepeatBudget,
+    val journal: RequestJournal,
+    val instanceCount: () -> Int,
+    val random: Random = Random.Default,
+)
+
+/** Serves the clients of the platform. */
+internal class RequestForwarder(
+    private val services: ForwardingServices,
+    private val configuration: ConfigurationHolder,
+    private val admission: RequestAdmission,
+) : HttpHandler {
+    private val inFlight = AtomicInteger()
+
+    /** Requests that have been read and not answered. */
+    val inFlightCount: Int
+        get() = inFlight.get()
+
+    override suspend fun handle(exchange: HttpExchange) {
+        inFlight.incrementAndGet()
+        try {
+            decide(exchange)
+        } finally {
+            inFlight.decrementAndGet()
+        }
+    }
+
+    private suspend fun decide(exchange: HttpExchange) {
+        val arrivedMillis = services.loop.nowMillis()
+        val facts = RequestFacts.read(exchange.request.headers)
+        val description =
+            RequestDescription(
+                host = exchange.request.header("Host").orEmpty().substringBefore(':'),
+                path = exchange.request.path,
+                credential = facts.credential,
+                tokens = facts.promptTokens?.let { it + (facts.maxOutputTokens ?: 0) },
+            )
+        when (val result = admission.decide(configuration.view(), description, arrivedMillis)) {
+            is Admission.Admitted ->
+                ForwardedRequest(services, exchange, result, facts, arrivedMillis).run()
+            is Admission.Rejected -> {
+                services.journal.rejected(facts, description.host, description.path, result.reason)
+                exchange.respond(problem(result))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestJournal.kt
@@ -0,0 +1,40 @@
+package io.lavenderhinge.instance.gateway
+
+import io.lavenderhinge.core.forwarding.Rejection
+import io.lavenderhinge.platform.RequestFacts
+import org.slf4j.LoggerFactory
+
+/** Writes one log line for each request: what decided it, its sends and its outcome. */
+internal class RequestJournal(private val configurationVersion: () -> Long) {
+    /** A request that was admitted has ended. */
+    fun record(trail: RequestTrail, nowMillis: Long) {
+        log.atInfo()
+            .addKeyValue("request", trail.requestId)
+            .addKeyValue("route", trail.route.name)
+            .addKeyValue("service", trail.service)
+            .addKeyValue("workspace", trail.admitted.workspace?.name)
+            .addKeyValue("priority", trail.admitted.priority)
+            .addKeyValue("configuration", configurationVersion())
+            .addKeyValue("status", trail.status)
+            .addKeyValue("refusal", trail.refusal)
+            .addKeyValue("failure", trail.failure)
+            .addKeyValue("sends", trail.history)
+            .addKeyValue("millis", nowMillis - trail.arrivedMillis)
+            .log("request: ended")
+    }
+
+    /** A request was answered without being admitted. */
+    fun rejected(facts: RequestFacts, host: String, path: String, reason: Rejection) {
+        log.atInfo()
+            .addKeyValue("request", facts.requestId)
+            .addKeyValue("host", host)
+            .addKeyValue("path", path)
+            .addKeyValue("configuration", configurationVersion())
+            .addKeyValue("reason", reason)
+            .log("request: rejected")
+    }
+
+    private companion object {
+        val log = LoggerFactory.getLogger(RequestJournal::class.java)
+    }
+}
--- /dev/null
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestTrail.kt
@@ -0,0 +1,55 @@
+package io.lavenderhinge.instance.gateway
+
+import io.lavenderhinge.core.forwarding.Admission
+import io.lavenderhinge.core.forwarding.DispatchEffect
+import io.lavenderhinge.core.forwarding.ForwardRoute
+
+/** What happened to one request, for its log line. */
+internal class RequestTrail(
+    val requestId: String?,
+    val route: ForwardRoute,
+    val admitted: Admission.Admitted,
+    val arrivedMillis: Long,
+) {
+    private val steps = mutableListOf<String>()
+    private var sentCount = 0
+    private var endedCount = 0
+
+    /** Service that was chosen. */
+    var service: String? = null
+
+    /** Status that the client got; null when it got a stream or nothing. */
+    var status: Int? = null
+
+    /** Why the dispatcher refused it. */
+    var refusal: String? = null
+
+    /** Why it got no answer of a backend server. */
+    var failure: String? = null
+
+    /** True between a send and its end. */
+    val isInFlight: Boolean
+        get() = sentCount > endedCount
+
+    /** Sends and their ends in order. */
+    val history: String
+        get() = steps.joinToString("; ")
+
+    /** The request was given to a server. */
+    fun sent(grant: DispatchEffect.Assign, nowMillis: Long) {
+        sentCount++
+        val waitMillis = nowMillis - arrivedMillis
+        steps += "sent to ${grant.server.id} after $waitMillis ms"
+    }
+
+    /** The send ended. */
+    fun ended(result: AttemptResult) {
+        endedCount++
+        when (result) {
+            is AttemptResult.Delivered -> steps += "delivered"
+            is AttemptResult.Answer -> steps += "status ${result.status}"
+            is AttemptResult.NotRun -> steps += "not run: ${result.reason}"
+            is AttemptResult.Lost -> steps += "lost: ${result.reason}"
+        }
+    }
+}
--- /dev/null
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotBroker.kt
@@ -0,0 +1,107 @@
+package io.lavenderhinge.instance.gateway
+
+import io.lavenderhinge.core.forwarding.DispatchAsk
+import io.lavenderhinge.core.forwarding.DispatchEffect
+import io.lavenderhinge.core.forwarding.Dispatcher
+import io.lavenderhinge.core.forwarding.LoadReport
+import io.lavenderhinge.core.forwarding.ServerEntry
+import io.lavenderhinge.core.forwarding.ServerOutcome
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
+
+/**
+ * Hands the slots that the [Dispatcher] grants to waiting coroutines. Confined to the traffic
+ * thread.
+ */
+internal class SlotBroker(failureDomain: String, private val loop: TrafficLoop) {
+    private val dispatcher = Dispatcher(failureDomain)
+    private val waiting = HashMap<Long, Waiter>()
+    private var lastAskId = 0L
+    private var isTickScheduled = false
+
+    private class Waiter {
+        val answer = CompletableDeferred<DispatchEffect>()
+        var effect: DispatchEffect? = null
+    }
+
+    /** Called when what this instance uses of the servers has changed. */
+    var onChange: () -> Unit = {}
+
+    /** An id for the next ask. */
+    fun nextAskId(): Long = ++lastAskId
+
+    /** Waits for a slot or a refusal. A caller that is cancelled gives up its place. */
+    suspend fun acquire(ask: DispatchAsk): DispatchEffect {
+        val waiter = Waiter()
+        waiting[ask.id] = waiter
+        complete(dispatcher.ask(ask, loop.nowMillis()))
+        onChange()
+        scheduleTick()
+        try {
+            return waiter.answer.await()
+        } catch (e: CancellationException) {
+            abandon(ask, waiter)
+            throw e
+        }
+    }
+
+    /** Tells that the first event of a request came. */
+    fun firstEvent(server: ServerEntry, promptTokens: Double) {
+        dispatcher.firstEvent(server.id, server.service, promptTokens)
+        onChange()
+    }
+
+    /** Returns a slot. */
+    fun release(
+        server: ServerEntry,
+        outcome: ServerOutcome,
+        promptTokens: Double,
+        promptPending: Boolean,
+    ) {
+        val nowMillis = loop.nowMillis()
+        complete(dispatcher.finished(server, outcome, promptTokens, promptPending, nowMillis))
+        onChange()
+    }
+
+    /** Replaces the known servers. */
+    fun onServers(servers: List<ServerEntry>) =
+        complete(dispatcher.onServers(servers, loop.nowMillis()))
+
+    /** Takes over what a peer tells. */
+    fun onPeerReport(peer: String, report: LoadReport) =
+        complete(dispatcher.onPeerReport(peer, report, loop.nowMillis()))
+
+    /** What to tell the peers. */
+    fun report(): LoadReport = dispatcher.report()
+
+    private fun abandon(ask: DispatchAsk, waiter: Waiter) {
+        waiting.remove(ask.id)
+        dispatcher.withdraw(ask.id)
+        val effect = waiter.effect
+        if (effect is DispatchEffect.Assign) {
+            release(effect.server, ServerOutcome.Withdrawn, ask.promptTokens, promptPending = true)
+        }
+    }
+
+    private fun complete(effects: List<DispatchEffect>) =
+        effects.forEach { effect ->
+            waiting.remove(effect.askId)?.let {
+                it.effect = effect
+                it.answer.complete(effect)
+            }
+        }
+
+    private fun scheduleTick() {
+        if (isTickScheduled || !dispatcher.hasWaiting) return
+        isTickScheduled = true
+        loop.after(TICK_MILLIS) {
+            isTickScheduled = false
+            complete(dispatcher.advance(loop.nowMillis()))
+            scheduleTick()
+        }
+    }
+
+    private companion object {
+        const val TICK_MILLIS = 10L
+    }
+}
--- /dev/null
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/StreamRelay.kt
@@ -0,0 +1,64 @@
+package io.lavenderhinge.instance.gateway
+
+import io.lavenderhinge.core.forwarding.EventStreamSplitter
+import io.lavenderhinge.http.ClientResponse
+import io.lavenderhinge.http.HttpBodyWriter
+import io.lavenderhinge.http.HttpCallException
+import io.lavenderhinge.http.HttpExchange
+import java.io.ByteArrayOutputStream
+
+/**
+ * Passes the events of a stream to the client as they come. A stream that breaks can go on with
+ * another response: only whole events are passed, and none twice.
+ */
+internal class StreamRelay(private val exchange: HttpExchange, resumedAfter: Long?) {
+    private var writer: HttpBodyWriter? = null
+
+    /** Id of the last event that the client has. */
+    var lastEventId: Long? = resumedAfter
+        private set
+
+    /** True when the client has the head of the answer. */
+    val isStarted: Boolean
+        get() = writer != null
+
+    /** Passes [response] to its end; throws when it breaks before. */
+    suspend fun relay(response: ClientResponse, onFirstEvent: () -> Unit, gapMillis: Long) {
+        val splitter = EventStreamSplitter()
+        while (true) {
+            val chunk = response.readChunk() ?: break
+            val bytes = newEvents(splitter, chunk)
+            if (bytes.isEmpty()) continue
+            onFirstEvent()
+            response.progressMillis = gapMillis
+            start(response).write(bytes)
+        }
+        if (splitter.hasPartialEvent) {
+            throw HttpCallException.OutcomeUnknown("the server ended its stream inside an event")
+        }
+        onFirstEvent()
+        start(response).end()
+    }
+
+    private fun newEvents(splitter: EventStreamSplitter, chunk: ByteArray): ByteArray {
+        val bytes = ByteArrayOutputStream()
+        splitter.accept(chunk).forEach { event ->
+            val last = lastEventId
+            val isRepeated = event.id != null && last != null && event.id!! <= last
+            if (isRepeated) return@forEach
+            bytes.write(event.bytes)
+            lastEventId = event.id ?: last
+        }
+        return bytes.toByteArray()
+    }
+
+    private suspend fun start(response: ClientResponse): HttpBodyWriter {
+        writer?.let {
+            return it
+        }
+        val (types, fields) =
+            responseFields(response.headers).partition { it.name.equals("content-type", true) }
+        val type = types.firstOrNull()?.value ?: "text/event-stream"
+        return exchange.startStream(response.status, type, fields).also { writer = it }
+    }
+}
--- /dev/null
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/TrafficLoop.kt
@@ -0,0 +1,53 @@
+package io.lavenderhinge.instance.gateway
+
+import io.netty.channel.EventLoop
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import java.util.concurrent.TimeUnit
+import org.slf4j.LoggerFactory
+
+/**
+ * The thread that carries traffic. An instance has a part of one core, so one thread serves all
+ * connections and the state of the dispatcher needs no locks.
+ */
+internal class TrafficLoop : AutoCloseable {
+    /** The event loop group of this one thread. */
+    val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val loop: EventLoop = group.next()
+
+    /** Monotonic time in milliseconds. */
+    fun nowMillis(): Long = TimeUnit.NANOSECONDS.toMillis(System.nanoTime())
+
+    /** Runs [action] soon on the traffic thread. */
+    fun execute(action: () -> Unit) = loop.execute { guarded(action) }
+
+    /** Runs [action] once after [delayMillis] on the traffic thread. */
+    fun after(delayMillis: Long, action: () -> Unit) {
+        loop.schedule({ guarded(action) }, delayMillis, TimeUnit.MILLISECONDS)
+    }
+
+    /** Runs [action] every [periodMillis] on the traffic thread. */
+    fun every(periodMillis: Long, action: () -> Unit) {
+        loop.scheduleWithFixedDelay(
+            { guarded(action) },
+            periodMillis,
+            periodMillis,
+            TimeUnit.MILLISECONDS,
+        )
+    }
+
+    override fun close() {
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)
+    }
+
+    private fun guarded(action: () -> Unit) =
+        try {
+            action()
+        } catch (e: Exception) {
+            log.error("traffic: a task failed", e)
+        }
+
+    private companion object {
+        val log = LoggerFactory.getLogger(TrafficLoop::class.java)
+    }
+}
--- /dev/null
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamRequests.kt
@@ -0,0 +1,67 @@
+package io.lavenderhinge.instance.gateway
+
+import io.lavenderhinge.core.forwarding.ServerEntry
+import io.lavenderhinge.http.HttpField
+import io.lavenderhinge.http.HttpRequest
+import io.lavenderhinge.platform.PlatformHeaders
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
+
+/** Header fields that concern one connection and are not passed on. */
+private val connectionFields: List<CharSequence> =
+    listOf(
+        HttpHeaderNames.CONNECTION,
+        "Proxy-Connection",
+        HttpHeaderNames.TE,
+        HttpHeaderNames.TRAILER,
+        HttpHeaderNames.TRANSFER_ENCODING,
+        HttpHeaderNames.UPGRADE,
+        HttpHeaderNames.CONTENT_LENGTH,
+        HttpHeaderNames.EXPECT,
+        "Keep-Alive",
+    )
+
+/** What this instance states about a request to a backend server. */
+internal data class UpstreamFields(
+    val server: ServerEntry,
+    val workspace: String?,
+    val remainingMillis: Long,
+    /** Event after which a stream goes on; null for its start. */
+    val lastEventId: Long?,
+)
+
+/** Builds the request for a backend server from the one of the client. */
+internal fun upstreamRequest(request: HttpRequest, fields: UpstreamFields): HttpRequest {
+    val headers = DefaultHttpHeaders()
+    headers.set(request.headers)
+    removeConnectionFields(headers)
+    PlatformHeaders.RESERVED.forEach { headers.remove(it) }
+    headers.set(PlatformHeaders.EXPECTED_SERVER, fields.server.id)
+    headers.set(PlatformHeaders.DEADLINE_MILLIS, fields.remainingMillis.coerceAtLeast(1))
+    fields.workspace?.let { headers.set(PlatformHeaders.WORKSPACE, it) }
+    fields.lastEventId?.let { headers.set(PlatformHeaders.LAST_EVENT_ID, it) }
+    return HttpRequest(
+        request.method,
+        request.path,
+        request.query,
+        headers,
+        request.body,
+        request.target,
+    )
+}
+
+/** The header fields of a backend server's response that reach the client. */
+internal fun responseFields(headers: HttpHeaders): List<HttpField> {
+    val kept = DefaultHttpHeaders()
+    kept.set(headers)
+    removeConnectionFields(kept)
+    return kept.map { HttpField(it.key, it.value) }
+}
+
+private fun removeConnectionFields(headers: HttpHeaders) {
+    headers.getAll(HttpHeaderNames.CONNECTION).forEach { value ->
+        value.split(',').map { it.trim() }.filter { it.isNotEmpty() }.forEach { headers.remove(it) }
+    }
+    connectionFields.forEach { headers.remove(it) }
+}
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/rollout/MoverShell.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/rollout/MoverShell.kt
@@ -53,7 +53,8 @@
             is StoreFault.OutcomeUnknown -> MoverEvent.WriteUndecided
             is StoreFault.Unavailable,
             is StoreFault.TooLarge,
-            is StoreFault.BudgetExhausted -> MoverEvent.StoreUnavailable
+            is StoreFault.BudgetExhausted,
+            is StoreFault.HistoryLost -> MoverEvent.StoreUnavailable
         }
     }
 
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/Frame.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/Frame.java
@@ -63,6 +63,8 @@
     DELTA(13),
     VERSION_STATS(14),
     MEMBER_LIST(15),
+    STATE_REQUEST(16),
+    STATE_COPY(17),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -94,6 +96,8 @@
         case 13: return DELTA;
         case 14: return VERSION_STATS;
         case 15: return MEMBER_LIST;
+        case 16: return STATE_REQUEST;
+        case 17: return STATE_COPY;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -554,6 +558,68 @@
     return io.lavenderhinge.protocol.v1.MemberList.getDefaultInstance();
   }
 
+  public static final int STATE_REQUEST_FIELD_NUMBER = 16;
+  /**
+   * <code>.lavenderhinge.v1.StateRequest state_request = 16;</code>
+   * @return Whether the stateRequest field is set.
+   */
+  @java.lang.Override
+  public boolean hasStateRequest() {
+    return bodyCase_ == 16;
+  }
+  /**
+   * <code>.lavenderhinge.v1.StateRequest state_request = 16;</code>
+   * @return The stateRequest.
+   */
+  @java.lang.Override
+  public io.lavenderhinge.protocol.v1.StateRequest getStateRequest() {
+    if (bodyCase_ == 16) {
+       return (io.lavenderhinge.protocol.v1.StateRequest) body_;
+    }
+    return io.lavenderhinge.protocol.v1.StateRequest.getDefaultInstance();
+  }
+  /**
+   * <code>.lavenderhinge.v1.StateRequest state_request = 16;</code>
+   */
+  @java.lang.Override
+  public io.lavenderhinge.protocol.v1.StateRequestOrBuilder getStateRequestOrBuilder() {
+    if (bodyCase_ == 16) {
+       return (io.lavenderhinge.protocol.v1.StateRequest) body_;
+    }
+    return io.lavenderhinge.protocol.v1.StateRequest.getDefaultInstance();
+  }
+
+  public static final int STATE_COPY_FIELD_NUMBER = 17;
+  /**
+   * <code>.lavenderhinge.v1.StateCopy state_copy = 17;</code>
+   * @return Whether the stateCopy field is set.
+   */
+  @java.lang.Override
+  public boolean hasStateCopy() {
+    return bodyCase_ == 17;
+  }
+  /**
+   * <code>.lavenderhinge.v1.StateCopy state_copy = 17;</code>
+   * @return The stateCopy.
+   */
+  @java.lang.Override
+  public io.lavenderhinge.protocol.v1.StateCopy getStateCopy() {
+    if (bodyCase_ == 17) {
+       return (io.lavenderhinge.protocol.v1.StateCopy) body_;
+    }
+    return io.lavenderhinge.protocol.v1.StateCopy.getDefaultInstance();
+  }
+  /**
+   * <code>.lavenderhinge.v1.StateCopy state_copy = 17;</code>
+   */
+  @java.lang.Override
+  public io.lavenderhinge.protocol.v1.StateCopyOrBuilder getStateCopyOrBuilder() {
+    if (bodyCase_ == 17) {
+       return (io.lavenderhinge.protocol.v1.StateCopy) body_;
+    }
+    return io.lavenderhinge.protocol.v1.StateCopy.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -613,6 +679,12 @@
     if (bodyCase_ == 15) {
       output.writeMessage(15, (io.lavenderhinge.protocol.v1.MemberList) body_);
     }
+    if (bodyCase_ == 16) {
+      output.writeMessage(16, (io.lavenderhinge.protocol.v1.StateRequest) body_);
+    }
+    if (bodyCase_ == 17) {
+      output.writeMessage(17, (io.lavenderhinge.protocol.v1.StateCopy) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -682,6 +754,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(15, (io.lavenderhinge.protocol.v1.MemberList) body_);
     }
+    if (bodyCase_ == 16) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(16, (io.lavenderhinge.protocol.v1.StateRequest) body_);
+    }
+    if (bodyCase_ == 17) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(17, (io.lavenderhinge.protocol.v1.StateCopy) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -757,6 +837,14 @@
         if (!getMemberList()
             .equals(other.getMemberList())) return false;
         break;
+      case 16:
+        if (!getStateRequest()
+            .equals(other.getStateRequest())) return false;
+        break;
+      case 17:
+        if (!getStateCopy()
+            .equals(other.getStateCopy())) return false;
+        break;
       case 0:
       default:
     }
@@ -830,6 +918,14 @@
         hash = (37 * hash) + MEMBER_LIST_FIELD_NUMBER;
         hash = (53 * hash) + getMemberList().hashCode();
         break;
+      case 16:
+        hash = (37 * hash) + STATE_REQUEST_FIELD_NUMBER;
+        hash = (53 * hash) + getStateRequest().hashCode();
+        break;
+      case 17:
+        hash = (37 * hash) + STATE_COPY_FIELD_NUMBER;
+        hash = (53 * hash) + getStateCopy().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1007,6 +1103,12 @@
       if (memberListBuilder_ != null) {
         memberListBuilder_.clear();
       }
+      if (stateRequestBuilder_ != null) {
+        stateRequestBuilder_.clear();
+      }
+      if (stateCopyBuilder_ != null) {
+        stateCopyBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1107,6 +1209,14 @@
           memberListBuilder_ != null) {
         result.body_ = memberListBuilder_.build();
       }
+      if (bodyCase_ == 16 &&
+          stateRequestBuilder_ != null) {
+        result.body_ = stateRequestBuilder_.build();
+      }
+      if (bodyCase_ == 17 &&
+          stateCopyBuilder_ != null) {
+        result.body_ = stateCopyBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1181,6 +1291,14 @@
           mergeMemberList(other.getMemberList());
           break;
         }
+        case STATE_REQUEST: {
+          mergeStateRequest(other.getStateRequest());
+          break;
+        }
+        case STATE_COPY: {
+          mergeStateCopy(other.getStateCopy());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1314,6 +1432,20 @@
               bodyCase_ = 15;
               break;
             } // case 122
+            case 130: {
+              input.readMessage(
+                  internalGetStateRequestFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 16;
+              break;
+            } // case 130
+            case 138: {
+              input.readMessage(
+                  internalGetStateCopyFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 17;
+              break;
+            } // case 138
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3366,6 +3498,290 @@
       return memberListBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        io.lavenderhinge.protocol.v1.StateRequest, io.lavenderhinge.protocol.v1.StateRequest.Builder, io.lavenderhinge.protocol.v1.StateRequestOrBuilder> stateRequestBuilder_;
+    /**
+     * <code>.lavenderhinge.v1.StateRequest state_request = 16;</code>
+     * @return Whether the stateRequest field is set.
+     */
+    @java.lang.Override
+    public boolean hasStateRequest() {
+      return bodyCase_ == 16;
+    }
+    /**
+     * <code>.lavenderhinge.v1.StateRequest state_request = 16;</code>
+     * @return The stateRequest.
+     */
+    @java.lang.Override
+    public io.lavenderhinge.protocol.v1.StateRequest getStateRequest() {
+      if (stateRequestBuilder_ == null) {
+        if (bodyCase_ == 16) {
+          return (io.lavenderhinge.protocol.v1.StateRequest) body_;
+        }
+        return io.lavenderhinge.protocol.v1.StateRequest.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 16) {
+          return stateRequestBuilder_.getMessage();
+        }
+        return io.lavenderhinge.protocol.v1.StateRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.lavenderhinge.v1.StateRequest state_request = 16;</code>
+     */
+    public Builder setStateRequest(io.lavenderhinge.protocol.v1.StateRequest value) {
+      if (stateRequestBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        stateRequestBuilder_.setMessage(value);
+      }
+      bodyCase_ = 16;
+      return this;
+    }
+    /**
+     * <code>.lavenderhinge.v1.StateRequest state_request = 16;</code>
+     */
+    public Builder setStateRequest(
+        io.lavenderhinge.protocol.v1.StateRequest.Builder builderForValue) {
+      if (stateRequestBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        stateRequestBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 16;
+      return this;
+    }
+    /**
+     * <code>.lavenderhinge.v1.StateRequest state_request = 16;</code>
+     */
+    public Builder mergeStateRequest(io.lavenderhinge.protocol.v1.StateRequest value) {
+      if (stateRequestBuilder_ == null) {
+        if (bodyCase_ == 16 &&
+            body_ != io.lavenderhinge.protocol.v1.StateRequest.getDefaultInstance()) {
+          body_ = io.lavenderhinge.protocol.v1.StateRequest.newBuilder((io.lavenderhinge.protocol.v1.StateRequest) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 16) {
+          stateRequestBuilder_.mergeFrom(value);
+        } else {
+          stateRequestBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 16;
+      return this;
+    }
+    /**
+     * <code>.lavenderhinge.v1.StateRequest state_request = 16;</code>
+     */
+    public Builder clearStateRequest() {
+      if (stateRequestBuilder_ == null) {
+        if (bodyCase_ == 16) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 16) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        stateRequestBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.lavenderhinge.v1.StateRequest state_request = 16;</code>
+     */
+    public io.lavenderhinge.protocol.v1.StateRequest.Builder getStateRequestBuilder() {
+      return internalGetStateRequestFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.lavenderhinge.v1.StateRequest state_request = 16;</code>
+     */
+    @java.lang.Override
+    public io.lavenderhinge.protocol.v1.StateRequestOrBuilder getStateRequestOrBuilder() {
+      if ((bodyCase_ == 16) && (stateRequestBuilder_ != null)) {
+        return stateRequestBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 16) {
+          return (io.lavenderhinge.protocol.v1.StateRequest) body_;
+        }
+        return io.lavenderhinge.protocol.v1.StateRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.lavenderhinge.v1.StateRequest state_request = 16;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.lavenderhinge.protocol.v1.StateRequest, io.lavenderhinge.protocol.v1.StateRequest.Builder, io.lavenderhinge.protocol.v1.StateRequestOrBuilder> 
+        internalGetStateRequestFieldBuilder() {
+      if (stateRequestBuilder_ == null) {
+        if (!(bodyCase_ == 16)) {
+          body_ = io.lavenderhinge.protocol.v1.StateRequest.getDefaultInstance();
+        }
+        stateRequestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.lavenderhinge.protocol.v1.StateRequest, io.lavenderhinge.protocol.v1.StateRequest.Builder, io.lavenderhinge.protocol.v1.StateRequestOrBuilder>(
+                (io.lavenderhinge.protocol.v1.StateRequest) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 16;
+      onChanged();
+      return stateRequestBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        io.lavenderhinge.protocol.v1.StateCopy, io.lavenderhinge.protocol.v1.StateCopy.Builder, io.lavenderhinge.protocol.v1.StateCopyOrBuilder> stateCopyBuilder_;
+    /**
+     * <code>.lavenderhinge.v1.StateCopy state_copy = 17;</code>
+     * @return Whether the stateCopy field is set.
+     */
+    @java.lang.Override
+    public boolean hasStateCopy() {
+      return bodyCase_ == 17;
+    }
+    /**
+     * <code>.lavenderhinge.v1.StateCopy state_copy = 17;</code>
+     * @return The stateCopy.
+     */
+    @java.lang.Override
+    public io.lavenderhinge.protocol.v1.StateCopy getStateCopy() {
+      if (stateCopyBuilder_ == null) {
+        if (bodyCase_ == 17) {
+          return (io.lavenderhinge.protocol.v1.StateCopy) body_;
+        }
+        return io.lavenderhinge.protocol.v1.StateCopy.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 17) {
+          return stateCopyBuilder_.getMessage();
+        }
+        return io.lavenderhinge.protocol.v1.StateCopy.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.lavenderhinge.v1.StateCopy state_copy = 17;</code>
+     */
+    public Builder setStateCopy(io.lavenderhinge.protocol.v1.StateCopy value) {
+      if (stateCopyBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        stateCopyBuilder_.setMessage(value);
+      }
+      bodyCase_ = 17;
+      return this;
+    }
+    /**
+     * <code>.lavenderhinge.v1.StateCopy state_copy = 17;</code>
+     */
+    public Builder setStateCopy(
+        io.lavenderhinge.protocol.v1.StateCopy.Builder builderForValue) {
+      if (stateCopyBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        stateCopyBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 17;
+      return this;
+    }
+    /**
+     * <code>.lavenderhinge.v1.StateCopy state_copy = 17;</code>
+     */
+    public Builder mergeStateCopy(io.lavenderhinge.protocol.v1.StateCopy value) {
+      if (stateCopyBuilder_ == null) {
+        if (bodyCase_ == 17 &&
+            body_ != io.lavenderhinge.protocol.v1.StateCopy.getDefaultInstance()) {
+          body_ = io.lavenderhinge.protocol.v1.StateCopy.newBuilder((io.lavenderhinge.protocol.v1.StateCopy) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 17) {
+          stateCopyBuilder_.mergeFrom(value);
+        } else {
+          stateCopyBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 17;
+      return this;
+    }
+    /**
+     * <code>.lavenderhinge.v1.StateCopy state_copy = 17;</code>
+     */
+    public Builder clearStateCopy() {
+      if (stateCopyBuilder_ == null) {
+        if (bodyCase_ == 17) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 17) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        stateCopyBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.lavenderhinge.v1.StateCopy state_copy = 17;</code>
+     */
+    public io.lavenderhinge.protocol.v1.StateCopy.Builder getStateCopyBuilder() {
+      return internalGetStateCopyFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.lavenderhinge.v1.StateCopy state_copy = 17;</code>
+     */
+    @java.lang.Override
+    public io.lavenderhinge.protocol.v1.StateCopyOrBuilder getStateCopyOrBuilder() {
+      if ((bodyCase_ == 17) && (stateCopyBuilder_ != null)) {
+        return stateCopyBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 17) {
+          return (io.lavenderhinge.protocol.v1.StateCopy) body_;
+        }
+        return io.lavenderhinge.protocol.v1.StateCopy.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.lavenderhinge.v1.StateCopy state_copy = 17;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.lavenderhinge.protocol.v1.StateCopy, io.lavenderhinge.protocol.v1.StateCopy.Builder, io.lavenderhinge.protocol.v1.StateCopyOrBuilder> 
+        internalGetStateCopyFieldBuilder() {
+      if (stateCopyBuilder_ == null) {
+        if (!(bodyCase_ == 17)) {
+          body_ = io.lavenderhinge.protocol.v1.StateCopy.getDefaultInstance();
+        }
+        stateCopyBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.lavenderhinge.protocol.v1.StateCopy, io.lavenderhinge.protocol.v1.StateCopy.Builder, io.lavenderhinge.protocol.v1.StateCopyOrBuilder>(
+                (io.lavenderhinge.protocol.v1.StateCopy) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 17;
+      onChanged();
+      return stateCopyBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:lavenderhinge.v1.Frame)
   }
 
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/FrameOrBuilder.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/FrameOrBuilder.java
@@ -226,5 +226,35 @@
    */
   io.lavenderhinge.protocol.v1.MemberListOrBuilder getMemberListOrBuilder();
 
+  /**
+   * <code>.lavenderhinge.v1.StateRequest state_request = 16;</code>
+   * @return Whether the stateRequest field is set.
+   */
+  boolean hasStateRequest();
+  /**
+   * <code>.lavenderhinge.v1.StateRequest state_request = 16;</code>
+   * @return The stateRequest.
+   */
+  io.lavenderhinge.protocol.v1.StateRequest getStateRequest();
+  /**
+   * <code>.lavenderhinge.v1.StateRequest state_request = 16;</code>
+   */
+  io.lavenderhinge.protocol.v1.StateRequestOrBuilder getStateRequestOrBuilder();
+
+  /**
+   * <code>.lavenderhinge.v1.StateCopy state_copy = 17;</code>
+   * @return Whether the stateCopy field is set.
+   */
+  boolean hasStateCopy();
+  /**
+   * <code>.lavenderhinge.v1.StateCopy state_copy = 17;</code>
+   * @return The stateCopy.
+   */
+  io.lavenderhinge.protocol.v1.StateCopy getStateCopy();
+  /**
+   * <code>.lavenderhinge.v1.StateCopy state_copy = 17;</code>
+   */
+  io.lavenderhinge.protocol.v1.StateCopyOrBuilder getStateCopyOrBuilder();
+
   io.lavenderhinge.protocol.v1.Frame.BodyCase getBodyCase();
 }
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/PeerOuterClass.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/PeerOuterClass.java
@@ -141,6 +141,41 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_lavenderhinge_v1_VersionStats_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_lavenderhinge_v1_ServerUse_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_lavenderhinge_v1_ServerUse_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_lavenderhinge_v1_QueueLength_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_lavenderhinge_v1_QueueLength_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_lavenderhinge_v1_WorkspaceSpending_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_lavenderhinge_v1_WorkspaceSpending_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_lavenderhinge_v1_LoadReport_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_lavenderhinge_v1_LoadReport_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_lavenderhinge_v1_StateRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_lavenderhinge_v1_StateRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_lavenderhinge_v1_StoredValue_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_lavenderhinge_v1_StoredValue_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_lavenderhinge_v1_StateCopy_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_lavenderhinge_v1_StateCopy_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -150,7 +185,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\020lavenderhinge.v1\"\265\005\n\005Frame" +
+      "\n\npeer.proto\022\020lavenderhinge.v1\"\241\006\n\005Frame" +
       "\022\030\n\020protocol_version\030\001 \001(\r\022(\n\005hello\030\002 \001(" +
       "\0132\027.lavenderhinge.v1.HelloH\000\022$\n\003ask\030\003 \001(" +
       "\0132\025.lavenderhinge.v1.AskH\000\022(\n\005grant\030\004 \001(" +
@@ -167,116 +202,137 @@
       "gestH\000\022(\n\005delta\030\r \001(\0132\027.lavenderhinge.v1" +
       ".DeltaH\000\0227\n\rversion_stats\030\016 \001(\0132\036.lavend" +
       "erhinge.v1.VersionStatsH\000\0223\n\013member_list" +
-      "\030\017 \001(\0132\034.lavenderhinge.v1.MemberListH\000B\006" +
-      "\n\004body\"U\n\005Hello\022\023\n\013instance_id\030\001 \001(\t\022\026\n\016" +
-      "failure_domain\030\002 \001(\t\022\016\n\006region\030\003 \001(\t\022\017\n\007" +
-      "leaving\030\004 \001(\010\"\352\002\n\003Ask\022\022\n\nrequest_id\030\001 \001(" +
-      "\t\022\021\n\tserver_id\030\002 \001(\t\022\r\n\005model\030\003 \001(\t\022\017\n\007v" +
-      "ersion\030\004 \001(\t\022$\n\004tier\030\005 \001(\0162\026.lavenderhin" +
-      "ge.v1.Tier\022\021\n\tworkspace\030\006 \001(\t\022\016\n\006weight\030" +
-      "\007 \001(\001\022\025\n\rprompt_tokens\030\010 \001(\r\022\025\n\routput_t" +
-      "okens\030\t \001(\r\022\025\n\rprefix_hashes\030\n \003(\006\022\034\n\024de" +
-      "adline_left_millis\030\013 \001(\r\022\022\n\nin_service\030\014" +
-      " \001(\010\022\032\n\022preempt_lower_tier\030\r \001(\010\022$\n\027firs" +
-      "t_token_left_millis\030\016 \001(\rH\000\210\001\001B\032\n\030_first" +
-      "_token_left_millis\"L\n\005Grant\022\022\n\nrequest_i" +
-      "d\030\001 \001(\t\022\021\n\tserver_id\030\002 \001(\t\022\034\n\024cached_pre" +
-      "fix_tokens\030\003 \001(\r\"M\n\006Queued\022\022\n\nrequest_id" +
-      "\030\001 \001(\t\022\021\n\tserver_id\030\002 \001(\t\022\034\n\024expected_wa" +
-      "it_millis\030\003 \001(\r\"\227\001\n\006Refuse\022\022\n\nrequest_id" +
-      "\030\001 \001(\t\022\021\n\tserver_id\030\002 \001(\t\022.\n\006reason\030\003 \001(" +
-      "\0162\036.lavenderhinge.v1.RefuseReason\022\034\n\024exp" +
-      "ected_wait_millis\030\004 \001(\r\022\030\n\020lower_tier_co" +
-      "unt\030\005 \001(\r\"0\n\007Release\022\022\n\nrequest_id\030\001 \001(\t" +
-      "\022\021\n\tserver_id\030\002 \001(\t\"\305\001\n\004Done\022\022\n\nrequest_" +
-      "id\030\001 \001(\t\022\021\n\tserver_id\030\002 \001(\t\022-\n\006result\030\003 " +
-      "\001(\0162\035.lavenderhinge.v1.ResultClass\022\032\n\022fi" +
-      "rst_token_millis\030\004 \001(\r\022\035\n\025between_tokens" +
-      "_micros\030\005 \001(\r\022\025\n\rprompt_tokens\030\006 \001(\r\022\025\n\r" +
-      "output_tokens\030\007 \001(\r\"0\n\007Preempt\022\022\n\nreques" +
-      "t_id\030\001 \001(\t\022\021\n\tserver_id\030\002 \001(\t\"\210\002\n\rLedger" +
-      "Request\022\017\n\007call_id\030\001 \001(\004\0224\n\toperation\030\002 " +
-      "\001(\0162!.lavenderhinge.v1.LedgerOperation\022\r" +
-      "\n\005shard\030\003 \001(\r\022\013\n\003key\030\004 \001(\t\022\027\n\017key_time_m" +
-      "illis\030\005 \001(\004\022\021\n\tbody_hash\030\006 \001(\t\022\022\n\nattemp" +
-      "t_id\030\007 \001(\t\022\020\n\010entry_id\030\010 \001(\t\022(\n\006answer\030\t" +
-      " \001(\0132\030.lavenderhinge.v1.Answer\022\030\n\020retent" +
-      "ion_millis\030\n \001(\004\"\245\001\n\013LedgerReply\022\017\n\007call" +
-      "_id\030\001 \001(\004\0220\n\007outcome\030\002 \001(\0162\037.lavenderhin" +
-      "ge.v1.LedgerOutcome\022(\n\006answer\030\003 \001(\0132\030.la" +
-      "venderhinge.v1.Answer\022\016\n\006detail\030\004 \001(\t\022\031\n" +
-      "\021expires_at_millis\030\005 \001(\004\"<\n\006Answer\022\016\n\006st" +
-      "atus\030\001 \001(\r\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body" +
-      "\030\003 \001(\014\"/\n\rRevisionEntry\022\014\n\004team\030\001 \001(\t\022\020\n" +
-      "\010revision\030\002 \001(\004\"\200\001\n\tHeartbeat\022\023\n\013instanc" +
-      "e_id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\017\n\007count" +
-      "er\030\003 \001(\004\022\017\n\007leaving\030\004 \001(\010\022\017\n\007address\030\005 \001" +
-      "(\t\022\026\n\016failure_domain\030\006 \001(\t\"\230\001\n\rServerSum" +
-      "mary\022\021\n\tserver_id\030\001 \001(\t\022\034\n\024expected_wait" +
-      "_millis\030\002 \001(\r\022\022\n\nfree_slots\030\003 \001(\r\0220\n\020low" +
-      "est_open_tier\030\004 \001(\0162\026.lavenderhinge.v1.T" +
-      "ier\022\020\n\010sequence\030\005 \001(\004\"\337\001\n\006Member\022\n\n\002id\030\001" +
-      " \001(\t\022*\n\004kind\030\002 \001(\0162\034.lavenderhinge.v1.Me" +
-      "mberKind\022\017\n\007address\030\003 \001(\t\022\026\n\016failure_dom" +
-      "ain\030\004 \001(\t\022\016\n\006region\030\005 \001(\t\022\017\n\007leaving\030\006 \001" +
-      "(\010\022\016\n\006serves\030\007 \001(\t\022\017\n\007version\030\010 \001(\t\022\033\n\023h" +
-      "ardware_generation\030\t \001(\r\022\025\n\rchecks_order" +
-      "s\030\n \001(\010\"G\n\nMemberList\022\016\n\006wanted\030\001 \001(\010\022)\n" +
-      "\007members\030\002 \003(\0132\030.lavenderhinge.v1.Member" +
-      "\"Q\n\010StopFlag\022\016\n\006target\030\001 \001(\t\022\017\n\007version\030" +
-      "\002 \001(\t\022\022\n\nrollout_id\030\003 \001(\t\022\020\n\010evidence\030\004 " +
-      "\001(\t\"\345\001\n\006Digest\0222\n\trevisions\030\001 \003(\0132\037.lave" +
-      "nderhinge.v1.RevisionEntry\022/\n\nheartbeats" +
-      "\030\002 \003(\0132\033.lavenderhinge.v1.Heartbeat\022.\n\ns" +
-      "top_flags\030\003 \003(\0132\032.lavenderhinge.v1.StopF" +
-      "lag\0220\n\007servers\030\004 \003(\0132\037.lavenderhinge.v1." +
-      "ServerSummary\022\024\n\014reply_wanted\030\005 \001(\010\"<\n\014T" +
-      "eamSettings\022\014\n\004team\030\001 \001(\t\022\020\n\010revision\030\002 " +
-      "\001(\004\022\014\n\004text\030\003 \001(\t\"\177\n\005Delta\0220\n\010settings\030\001" +
-      " \003(\0132\036.lavenderhinge.v1.TeamSettings\022\024\n\014" +
-      "wanted_teams\030\002 \003(\t\022.\n\nstop_flags\030\003 \003(\0132\032" +
-      ".lavenderhinge.v1.StopFlag\"\\\n\nRouteCount" +
-      "\022\r\n\005route\030\001 \001(\t\022\017\n\007version\030\002 \001(\t\022\020\n\010requ" +
-      "ests\030\003 \001(\004\022\016\n\006errors\030\004 \001(\004\022\014\n\004slow\030\005 \001(\004" +
-      "\"s\n\014VersionStats\022\022\n\nrollout_id\030\001 \001(\t\022\014\n\004" +
-      "step\030\002 \001(\r\022\023\n\013instance_id\030\003 \001(\t\022,\n\006count" +
-      "s\030\004 \003(\0132\034.lavenderhinge.v1.RouteCount*U\n" +
-      "\004Tier\022\024\n\020TIER_UNSPECIFIED\020\000\022\024\n\020TIER_INTE" +
-      "RACTIVE\020\001\022\021\n\rTIER_STANDARD\020\002\022\016\n\nTIER_BAT" +
-      "CH\020\003*\234\002\n\014RefuseReason\022\035\n\031REFUSE_REASON_U" +
-      "NSPECIFIED\020\000\022\032\n\026REFUSE_REASON_NOT_HOME\020\001" +
-      "\022\034\n\030REFUSE_REASON_QUEUE_FULL\020\002\022\032\n\026REFUSE" +
-      "_REASON_DEADLINE\020\003\022\033\n\027REFUSE_REASON_DISP" +
-      "LACED\020\004\022\035\n\031REFUSE_REASON_TIER_CLOSED\020\005\022 " +
-      "\n\034REFUSE_REASON_SERVER_LEAVING\020\006\022\035\n\031REFU" +
-      "SE_REASON_SERVER_DOWN\020\007\022\032\n\026REFUSE_REASON" +
-      "_SHUTDOWN\020\010*\324\001\n\013ResultClass\022\034\n\030RESULT_CL" +
-      "ASS_UNSPECIFIED\020\000\022\023\n\017RESULT_CLASS_OK\020\001\022\035" +
-      "\n\031RESULT_CLASS_SERVER_ERROR\020\002\022\"\n\036RESULT_" +
-      "CLASS_CONNECTION_FAILED\020\003\022\030\n\024RESULT_CLAS" +
-      "S_TIMEOUT\020\004\022\032\n\026RESULT_CLASS_CANCELLED\020\005\022" +
-      "\031\n\025RESULT_CLASS_DRAINING\020\006*\255\001\n\017LedgerOpe" +
-      "ration\022 \n\034LEDGER_OPERATION_UNSPECIFIED\020\000" +
-      "\022\034\n\030LEDGER_OPERATION_RESERVE\020\001\022\035\n\031LEDGER" +
-      "_OPERATION_COMPLETE\020\002\022\031\n\025LEDGER_OPERATIO" +
-      "N_VOID\020\003\022 \n\034LEDGER_OPERATION_OWNER_QUERY" +
-      "\020\004*\217\003\n\rLedgerOutcome\022\036\n\032LEDGER_OUTCOME_U" +
-      "NSPECIFIED\020\000\022\033\n\027LEDGER_OUTCOME_RECORDED\020" +
-      "\001\022\034\n\030LEDGER_OUTCOME_COMPLETED\020\002\022\034\n\030LEDGE" +
-      "R_OUTCOME_IN_FLIGHT\020\003\022\033\n\027LEDGER_OUTCOME_" +
-      "IN_DOUBT\020\004\022\033\n\027LEDGER_OUTCOME_MISMATCH\020\005\022" +
-      "\032\n\026LEDGER_OUTCOME_TOO_OLD\020\006\022\035\n\031LEDGER_OU" +
-      "TCOME_NOT_WRITER\020\007\022\036\n\032LEDGER_OUTCOME_UNA" +
-      "VAILABLE\020\010\022#\n\037LEDGER_OUTCOME_OWNER_DISPA" +
-      "TCHED\020\t\022)\n%LEDGER_OUTCOME_OWNER_NEVER_DI" +
-      "SPATCHED\020\n\022 \n\034LEDGER_OUTCOME_OWNER_UNKNO" +
-      "WN\020\013*\200\001\n\nMemberKind\022\033\n\027MEMBER_KIND_UNSPE" +
-      "CIFIED\020\000\022\030\n\024MEMBER_KIND_INSTANCE\020\001\022\034\n\030ME" +
-      "MBER_KIND_MODEL_ENGINE\020\002\022\035\n\031MEMBER_KIND_" +
-      "PLAIN_SERVICE\020\0032D\n\004Peer\022<\n\004Link\022\027.lavend" +
-      "erhinge.v1.Frame\032\027.lavenderhinge.v1.Fram" +
-      "e(\0010\001B \n\034io.lavenderhinge.protocol.v1P\001b" +
-      "\006proto3"
+      "\030\017 \001(\0132\034.lavenderhinge.v1.MemberListH\000\0227" +
+      "\n\rstate_request\030\020 \001(\0132\036.lavenderhinge.v1" +
+      ".StateRequestH\000\0221\n\nstate_copy\030\021 \001(\0132\033.la" +
+      "venderhinge.v1.StateCopyH\000B\006\n\004body\"U\n\005He" +
+      "llo\022\023\n\013instance_id\030\001 \001(\t\022\026\n\016failure_doma" +
+      "in\030\002 \001(\t\022\016\n\006region\030\003 \001(\t\022\017\n\007leaving\030\004 \001(" +
+      "\010\"\352\002\n\003Ask\022\022\n\nrequest_id\030\001 \001(\t\022\021\n\tserver_" +
+      "id\030\002 \001(\t\022\r\n\005model\030\003 \001(\t\022\017\n\007version\030\004 \001(\t" +
+      "\022$\n\004tier\030\005 \001(\0162\026.lavenderhinge.v1.Tier\022\021" +
+      "\n\tworkspace\030\006 \001(\t\022\016\n\006weight\030\007 \001(\001\022\025\n\rpro" +
+      "mpt_tokens\030\010 \001(\r\022\025\n\routput_tokens\030\t \001(\r\022" +
+      "\025\n\rprefix_hashes\030\n \003(\006\022\034\n\024deadline_left_" +
+      "millis\030\013 \001(\r\022\022\n\nin_service\030\014 \001(\010\022\032\n\022pree" +
+      "mpt_lower_tier\030\r \001(\010\022$\n\027first_token_left" +
+      "_millis\030\016 \001(\rH\000\210\001\001B\032\n\030_first_token_left_" +
+      "millis\"L\n\005Grant\022\022\n\nrequest_id\030\001 \001(\t\022\021\n\ts" +
+      "erver_id\030\002 \001(\t\022\034\n\024cached_prefix_tokens\030\003" +
+      " \001(\r\"M\n\006Queued\022\022\n\nrequest_id\030\001 \001(\t\022\021\n\tse" +
+      "rver_id\030\002 \001(\t\022\034\n\024expected_wait_millis\030\003 " +
+      "\001(\r\"\227\001\n\006Refuse\022\022\n\nrequest_id\030\001 \001(\t\022\021\n\tse" +
+      "rver_id\030\002 \001(\t\022.\n\006reason\030\003 \001(\0162\036.lavender" +
+      "hinge.v1.RefuseReason\022\034\n\024expected_wait_m" +
+      "illis\030\004 \001(\r\022\030\n\020lower_tier_count\030\005 \001(\r\"0\n" +
+      "\007Release\022\022\n\nrequest_id\030\001 \001(\t\022\021\n\tserver_i" +
+      "d\030\002 \001(\t\"\305\001\n\004Done\022\022\n\nrequest_id\030\001 \001(\t\022\021\n\t" +
+      "server_id\030\002 \001(\t\022-\n\006result\030\003 \001(\0162\035.lavend" +
+      "erhinge.v1.ResultClass\022\032\n\022first_token_mi" +
+      "llis\030\004 \001(\r\022\035\n\025between_tokens_micros\030\005 \001(" +
+      "\r\022\025\n\rprompt_tokens\030\006 \001(\r\022\025\n\routput_token" +
+      "s\030\007 \001(\r\"0\n\007Preempt\022\022\n\nrequest_id\030\001 \001(\t\022\021" +
+      "\n\tserver_id\030\002 \001(\t\"\210\002\n\rLedgerRequest\022\017\n\007c" +
+      "all_id\030\001 \001(\004\0224\n\toperation\030\002 \001(\0162!.lavend" +
+      "erhinge.v1.LedgerOperation\022\r\n\005shard\030\003 \001(" +
+      "\r\022\013\n\003key\030\004 \001(\t\022\027\n\017key_time_millis\030\005 \001(\004\022" +
+      "\021\n\tbody_hash\030\006 \001(\t\022\022\n\nattempt_id\030\007 \001(\t\022\020" +
+      "\n\010entry_id\030\010 \001(\t\022(\n\006answer\030\t \001(\0132\030.laven" +
+      "derhinge.v1.Answer\022\030\n\020retention_millis\030\n" +
+      " \001(\004\"\245\001\n\013LedgerReply\022\017\n\007call_id\030\001 \001(\004\0220\n" +
+      "\007outcome\030\002 \001(\0162\037.lavenderhinge.v1.Ledger" +
+      "Outcome\022(\n\006answer\030\003 \001(\0132\030.lavenderhinge." +
+      "v1.Answer\022\016\n\006detail\030\004 \001(\t\022\031\n\021expires_at_" +
+      "millis\030\005 \001(\004\"<\n\006Answer\022\016\n\006status\030\001 \001(\r\022\024" +
+      "\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"/\n\rRe" +
+      "visionEntry\022\014\n\004team\030\001 \001(\t\022\020\n\010revision\030\002 " +
+      "\001(\004\"\200\001\n\tHeartbeat\022\023\n\013instance_id\030\001 \001(\t\022\023" +
+      "\n\013incarnation\030\002 \001(\004\022\017\n\007counter\030\003 \001(\004\022\017\n\007" +
+      "leaving\030\004 \001(\010\022\017\n\007address\030\005 \001(\t\022\026\n\016failur" +
+      "e_domain\030\006 \001(\t\"\230\001\n\rServerSummary\022\021\n\tserv" +
+      "er_id\030\001 \001(\t\022\034\n\024expected_wait_millis\030\002 \001(" +
+      "\r\022\022\n\nfree_slots\030\003 \001(\r\0220\n\020lowest_open_tie" +
+      "r\030\004 \001(\0162\026.lavenderhinge.v1.Tier\022\020\n\010seque" +
+      "nce\030\005 \001(\004\"\337\001\n\006Member\022\n\n\002id\030\001 \001(\t\022*\n\004kind" +
+      "\030\002 \001(\0162\034.lavenderhinge.v1.MemberKind\022\017\n\007" +
+      "address\030\003 \001(\t\022\026\n\016failure_domain\030\004 \001(\t\022\016\n" +
+      "\006region\030\005 \001(\t\022\017\n\007leaving\030\006 \001(\010\022\016\n\006serves" +
+      "\030\007 \001(\t\022\017\n\007version\030\010 \001(\t\022\033\n\023hardware_gene" +
+      "ration\030\t \001(\r\022\025\n\rchecks_orders\030\n \001(\010\"G\n\nM" +
+      "emberList\022\016\n\006wanted\030\001 \001(\010\022)\n\007members\030\002 \003" +
+      "(\0132\030.lavenderhinge.v1.Member\"Q\n\010StopFlag" +
+      "\022\016\n\006target\030\001 \001(\t\022\017\n\007version\030\002 \001(\t\022\022\n\nrol" +
+      "lout_id\030\003 \001(\t\022\020\n\010evidence\030\004 \001(\t\"\345\001\n\006Dige" +
+      "st\0222\n\trevisions\030\001 \003(\0132\037.lavenderhinge.v1" +
+      ".RevisionEntry\022/\n\nheartbeats\030\002 \003(\0132\033.lav" +
+      "enderhinge.v1.Heartbeat\022.\n\nstop_flags\030\003 " +
+      "\003(\0132\032.lavenderhinge.v1.StopFlag\0220\n\007serve" +
+      "rs\030\004 \003(\0132\037.lavenderhinge.v1.ServerSummar" +
+      "y\022\024\n\014reply_wanted\030\005 \001(\010\"<\n\014TeamSettings\022" +
+      "\014\n\004team\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\014\n\004text\030" +
+      "\003 \001(\t\"\177\n\005Delta\0220\n\010settings\030\001 \003(\0132\036.laven" +
+      "derhinge.v1.TeamSettings\022\024\n\014wanted_teams" +
+      "\030\002 \003(\t\022.\n\nstop_flags\030\003 \003(\0132\032.lavenderhin" +
+      "ge.v1.StopFlag\"\\\n\nRouteCount\022\r\n\005route\030\001 " +
+      "\001(\t\022\017\n\007version\030\002 \001(\t\022\020\n\010requests\030\003 \001(\004\022\016" +
+      "\n\006errors\030\004 \001(\004\022\014\n\004slow\030\005 \001(\004\"s\n\014VersionS" +
+      "tats\022\022\n\nrollout_id\030\001 \001(\t\022\014\n\004step\030\002 \001(\r\022\023" +
+      "\n\013instance_id\030\003 \001(\t\022,\n\006counts\030\004 \003(\0132\034.la" +
+      "venderhinge.v1.RouteCount\"I\n\tServerUse\022\021" +
+      "\n\tserver_id\030\001 \001(\t\022\021\n\tin_flight\030\002 \001(\r\022\026\n\016" +
+      "pending_tokens\030\003 \001(\001\"A\n\013QueueLength\022\017\n\007s" +
+      "ervice\030\001 \001(\t\022\020\n\010priority\030\002 \001(\005\022\017\n\007waitin" +
+      "g\030\003 \001(\r\":\n\021WorkspaceSpending\022\021\n\tworkspac" +
+      "e\030\001 \001(\t\022\022\n\ntotal_cost\030\002 \001(\001\"\265\002\n\nLoadRepo" +
+      "rt\022\023\n\013instance_id\030\001 \001(\t\022\023\n\013incarnation\030\002" +
+      " \001(\006\022\020\n\010sequence\030\003 \001(\004\022\n\n\002ip\030\004 \001(\t\022\021\n\tpe" +
+      "er_port\030\005 \001(\r\022,\n\007servers\030\006 \003(\0132\033.lavende" +
+      "rhinge.v1.ServerUse\022-\n\006queues\030\007 \003(\0132\035.la" +
+      "venderhinge.v1.QueueLength\0227\n\nworkspaces" +
+      "\030\010 \003(\0132#.lavenderhinge.v1.WorkspaceSpend" +
+      "ing\022\035\n\025configuration_version\030\t \001(\003\022\027\n\017se" +
+      "rver_revision\030\n \001(\003\"F\n\014StateRequest\022\035\n\025c" +
+      "onfiguration_version\030\001 \001(\003\022\027\n\017server_rev" +
+      "ision\030\002 \001(\003\")\n\013StoredValue\022\013\n\003key\030\001 \001(\t\022" +
+      "\r\n\005value\030\002 \001(\t\"k\n\tStateCopy\022\025\n\rconfigura" +
+      "tion\030\001 \001(\t\022\027\n\017server_revision\030\002 \001(\003\022.\n\007s" +
+      "ervers\030\003 \003(\0132\035.lavenderhinge.v1.StoredVa" +
+      "lue*U\n\004Tier\022\024\n\020TIER_UNSPECIFIED\020\000\022\024\n\020TIE" +
+      "R_INTERACTIVE\020\001\022\021\n\rTIER_STANDARD\020\002\022\016\n\nTI" +
+      "ER_BATCH\020\003*\234\002\n\014RefuseReason\022\035\n\031REFUSE_RE" +
+      "ASON_UNSPECIFIED\020\000\022\032\n\026REFUSE_REASON_NOT_" +
+      "HOME\020\001\022\034\n\030REFUSE_REASON_QUEUE_FULL\020\002\022\032\n\026" +
+      "REFUSE_REASON_DEADLINE\020\003\022\033\n\027REFUSE_REASO" +
+      "N_DISPLACED\020\004\022\035\n\031REFUSE_REASON_TIER_CLOS" +
+      "ED\020\005\022 \n\034REFUSE_REASON_SERVER_LEAVING\020\006\022\035" +
+      "\n\031REFUSE_REASON_SERVER_DOWN\020\007\022\032\n\026REFUSE_" +
+      "REASON_SHUTDOWN\020\010*\324\001\n\013ResultClass\022\034\n\030RES" +
+      "ULT_CLASS_UNSPECIFIED\020\000\022\023\n\017RESULT_CLASS_" +
+      "OK\020\001\022\035\n\031RESULT_CLASS_SERVER_ERROR\020\002\022\"\n\036R" +
+      "ESULT_CLASS_CONNECTION_FAILED\020\003\022\030\n\024RESUL" +
+      "T_CLASS_TIMEOUT\020\004\022\032\n\026RESULT_CLASS_CANCEL" +
+      "LED\020\005\022\031\n\025RESULT_CLASS_DRAINING\020\006*\255\001\n\017Led" +
+      "gerOperation\022 \n\034LEDGER_OPERATION_UNSPECI" +
+      "FIED\020\000\022\034\n\030LEDGER_OPERATION_RESERVE\020\001\022\035\n\031" +
+      "LEDGER_OPERATION_COMPLETE\020\002\022\031\n\025LEDGER_OP" +
+      "ERATION_VOID\020\003\022 \n\034LEDGER_OPERATION_OWNER" +
+      "_QUERY\020\004*\217\003\n\rLedgerOutcome\022\036\n\032LEDGER_OUT" +
+      "COME_UNSPECIFIED\020\000\022\033\n\027LEDGER_OUTCOME_REC" +
+      "ORDED\020\001\022\034\n\030LEDGER_OUTCOME_COMPLETED\020\002\022\034\n" +
+      "\030LEDGER_OUTCOME_IN_FLIGHT\020\003\022\033\n\027LEDGER_OU" +
+      "TCOME_IN_DOUBT\020\004\022\033\n\027LEDGER_OUTCOME_MISMA" +
+      "TCH\020\005\022\032\n\026LEDGER_OUTCOME_TOO_OLD\020\006\022\035\n\031LED" +
+      "GER_OUTCOME_NOT_WRITER\020\007\022\036\n\032LEDGER_OUTCO" +
+      "ME_UNAVAILABLE\020\010\022#\n\037LEDGER_OUTCOME_OWNER" +
+      "_DISPATCHED\020\t\022)\n%LEDGER_OUTCOME_OWNER_NE" +
+      "VER_DISPATCHED\020\n\022 \n\034LEDGER_OUTCOME_OWNER" +
+      "_UNKNOWN\020\013*\200\001\n\nMemberKind\022\033\n\027MEMBER_KIND" +
+      "_UNSPECIFIED\020\000\022\030\n\024MEMBER_KIND_INSTANCE\020\001" +
+      "\022\034\n\030MEMBER_KIND_MODEL_ENGINE\020\002\022\035\n\031MEMBER" +
+      "_KIND_PLAIN_SERVICE\020\0032D\n\004Peer\022<\n\004Link\022\027." +
+      "lavenderhinge.v1.Frame\032\027.lavenderhinge.v" +
+      "1.Frame(\0010\001B \n\034io.lavenderhinge.protocol" +
+      ".v1P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -287,7 +343,7 @@
     internal_static_lavenderhinge_v1_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_Frame_descriptor,
-        new java.lang.String[] { "ProtocolVersion", "Hello", "Ask", "Grant", "Queued", "Refuse", "Release", "Done", "Preempt", "LedgerRequest", "LedgerReply", "Digest", "Delta", "VersionStats", "MemberList", "Body", });
+        new java.lang.String[] { "ProtocolVersion", "Hello", "Ask", "Grant", "Queued", "Refuse", "Release", "Done", "Preempt", "LedgerRequest", "LedgerReply", "Digest", "Delta", "VersionStats", "MemberList", "StateRequest", "StateCopy", "Body", });
     internal_static_lavenderhinge_v1_Hello_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_lavenderhinge_v1_Hello_fieldAccessorTable = new
@@ -420,6 +476,48 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_VersionStats_descriptor,
         new java.lang.String[] { "RolloutId", "Step", "InstanceId", "Counts", });
+    internal_static_lavenderhinge_v1_ServerUse_descriptor =
+      getDescriptor().getMessageType(23);
+    internal_static_lavenderhinge_v1_ServerUse_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_lavenderhinge_v1_ServerUse_descriptor,
+        new java.lang.String[] { "ServerId", "InFlight", "PendingTokens", });
+    internal_static_lavenderhinge_v1_QueueLength_descriptor =
+      getDescriptor().getMessageType(24);
+    internal_static_lavenderhinge_v1_QueueLength_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_lavenderhinge_v1_QueueLength_descriptor,
+        new java.lang.String[] { "Service", "Priority", "Waiting", });
+    internal_static_lavenderhinge_v1_WorkspaceSpending_descriptor =
+      getDescriptor().getMessageType(25);
+    internal_static_lavenderhinge_v1_WorkspaceSpending_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_lavenderhinge_v1_WorkspaceSpending_descriptor,
+        new java.lang.String[] { "Workspace", "TotalCost", });
+    internal_static_lavenderhinge_v1_LoadReport_descriptor =
+      getDescriptor().getMessageType(26);
+    internal_static_lavenderhinge_v1_LoadReport_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_lavenderhinge_v1_LoadReport_descriptor,
+        new java.lang.String[] { "InstanceId", "Incarnation", "Sequence", "Ip", "PeerPort", "Servers", "Queues", "Workspaces", "ConfigurationVersion", "ServerRevision", });
+    internal_static_lavenderhinge_v1_StateRequest_descriptor =
+      getDescriptor().getMessageType(27);
+    internal_static_lavenderhinge_v1_StateRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_lavenderhinge_v1_StateRequest_descriptor,
+        new java.lang.String[] { "ConfigurationVersion", "ServerRevision", });
+    internal_static_lavenderhinge_v1_StoredValue_descriptor =
+      getDescriptor().getMessageType(28);
+    internal_static_lavenderhinge_v1_StoredValue_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_lavenderhinge_v1_StoredValue_descriptor,
+        new java.lang.String[] { "Key", "Value", });
+    internal_static_lavenderhinge_v1_StateCopy_descriptor =
+      getDescriptor().getMessageType(29);
+    internal_static_lavenderhinge_v1_StateCopy_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_lavenderhinge_v1_StateCopy_descriptor,
+        new java.lang.String[] { "Configuration", "ServerRevision", "Servers", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
