--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QuotaLedger.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QuotaLedger.kt
@@ -1,14 +1,25 @@
 package io.lavenderhinge.core.forwarding
 
+/** What the deployment tolerates above the quotas, over all instances. */
+data class QuotaTolerance(
+    val windowMillis: Long,
+    /** Share of a quota. */
+    val overageFraction: Double,
+    /** Cost in each window besides. */
+    val slack: Double,
+)
+
 /**
  * Enforces the quotas of workspaces over all instances.
  *
  * Each instance keeps one token bucket for each workspace at the full rate. It charges its own
  * admissions at once and those of its peers when their reports arrive. A peer that is silent is
  * assumed to spend an equal share of the rate, so that the parts of a partitioned fleet together
- * stay within the quota. Confined to one thread.
+ * stay within the quota. Part of the tolerance above a quota is used, since requests within it are
+ * refused at the workspace's cost; the rest covers what instances admit before they hear of each
+ * other. Confined to one thread.
  */
-class QuotaLedger {
+class QuotaLedger(private val tolerance: QuotaTolerance) {
     private class Bucket(var level: Double, var refilledMillis: Long)
 
     private class PeerSpending(var incarnation: Long) {
@@ -37,11 +48,14 @@
         return true
     }
 
+    /** What is left of the bucket of [workspace]; negative after a burst. */
+    fun level(workspace: String): Double = buckets[workspace]?.level ?: 0.0
+
     /** Milliseconds until the bucket of [workspace] is above zero again. */
     fun retryAfterMillis(workspace: ForwardWorkspace): Long {
         val quota = workspace.quota ?: return 0
         val level = buckets[workspace.name]?.level ?: return 0
-        return (-level / quota.ratePerSecond * MILLIS_PER_SECOND).toLong().coerceAtLeast(0)
+        return (-level / rate(quota) * MILLIS_PER_SECOND).toLong().coerceAtLeast(0)
     }
 
     /** Takes over the [totals] that a peer reports. */
@@ -69,12 +83,18 @@
         }
     }
 
-    /** Charges peers that have been silent with their share. Call it a few times a second. */
-    fun chargeSilentPeers(
+    /**
+     * Opens the buckets of [workspaces], so that all instances charge the same from the start, and
+     * charges peers that have been silent with their share. Call it a few times a second.
+     */
+    fun tick(
         members: Set<String>,
         workspaces: Collection<ForwardWorkspace>,
         nowMillis: Long,
     ) {
+        workspaces.forEach { workspace ->
+            workspace.quota?.let { refill(workspace.name, it, nowMillis) }
+        }
         peers.keys.retainAll(members)
         val elapsedMillis = (nowMillis - chargedMillis).coerceIn(0, MAX_CHARGE_MILLIS)
         chargedMillis = nowMillis
@@ -84,7 +104,7 @@
         workspaces.forEach { workspace ->
             val quota = workspace.quota ?: return@forEach
             val bucket = buckets[workspace.name] ?: return@forEach
-            val cost = quota.ratePerSecond * share
+            val cost = rate(quota) * share
             silent.forEach { peer ->
                 bucket.level -= cost
                 peers[peer]?.assumed?.merge(workspace.name, cost, Double::plus)
@@ -101,9 +121,9 @@
         val bucket =
             buckets.getOrPut(name) { Bucket(quota.burst * INITIAL_LEVEL_FRACTION, nowMillis) }
         val elapsedSeconds = (nowMillis - bucket.refilledMillis) / MILLIS_PER_SECOND
-        val floor = -quota.ratePerSecond * MAX_DEBT_SECONDS
+        val floor = -rate(quota) * MAX_DEBT_SECONDS
         bucket.level =
-            (bucket.level + elapsedSeconds * quota.ratePerSecond).coerceIn(
+            (bucket.level + elapsedSeconds * rate(quota)).coerceIn(
                 floor,
                 maxOf(quota.burst, 1.0),
             )
@@ -111,7 +131,12 @@
         return bucket
     }
 
+    private fun rate(quota: WorkspaceQuota): Double =
+        quota.ratePerSecond * (1 + tolerance.overageFraction * USED_TOLERANCE_FRACTION) +
+            tolerance.slack * USED_TOLERANCE_FRACTION * MILLIS_PER_SECOND / tolerance.windowMillis
+
     private companion object {
+        const val USED_TOLERANCE_FRACTION = 0.6
         const val MILLIS_PER_SECOND = 1_000.0
         /** Several missed reports; a lost datagram alone is no silence. */
         const val SILENCE_MILLIS = 800L
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/RequestAdmission.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/RequestAdmission.kt
@@ -28,7 +28,12 @@
     ) : Admission
 
     /** The request is answered without a backend server. */
-    data class Rejected(val reason: Rejection, val retryAfterMillis: Long = 0) : Admission
+    data class Rejected(
+        val reason: Rejection,
+        val retryAfterMillis: Long = 0,
+        /** What decided it, for the log. */
+        val inputs: String = "",
+    ) : Admission
 }
 
 /** Why a request is answered without a backend server. */
@@ -54,8 +59,7 @@
             return denied(view, Rejection.UNKNOWN_CREDENTIAL)
         }
         if (workspace != null && !quotas.tryAdmit(workspace, cost(workspace, request), nowMillis)) {
-            val waitMillis = quotas.retryAfterMillis(workspace).coerceAtLeast(RETRY_MILLIS)
-            return rejected(Rejection.OVER_QUOTA, waitMillis)
+            return overQuota(workspace, request)
         }
         return Admission.Admitted(route, workspace, workspace?.priority ?: route.priority)
     }
@@ -65,6 +69,14 @@
         if (view.isConfirmed) rejected(reason)
         else rejected(Rejection.CONFIGURATION_UNCONFIRMED, RETRY_MILLIS)
 
+    private fun overQuota(workspace: ForwardWorkspace, request: RequestDescription) =
+        Admission.Rejected(
+            Rejection.OVER_QUOTA,
+            quotas.retryAfterMillis(workspace).coerceAtLeast(RETRY_MILLIS),
+            "workspace ${workspace.name}, cost ${cost(workspace, request)}, " +
+                "level ${quotas.level(workspace.name)}, rate ${workspace.quota?.ratePerSecond}",
+        )
+
     private fun rejected(reason: Rejection, retryAfterMillis: Long = 0) =
         Admission.Rejected(reason, retryAfterMillis)
 
--- a/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySchema.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySchema.kt
@@ -32,6 +32,22 @@
             "sends beyond the first that the whole fleet has besides",
             "50",
         )
+    val quotaWindow =
+        Key("quota-window", DurationType("1s", "10m"), "window that quotas are judged over", "8s")
+    val quotaOverage =
+        Key(
+            "quota-overage",
+            NumberType(minimum = 0.0, maximum = 1.0),
+            "tolerated share above a quota",
+            "0",
+        )
+    val quotaSlack =
+        Key(
+            "quota-slack",
+            NumberType(minimum = 0.0, maximum = 1e9),
+            "tolerated cost above a quota in each window",
+            "0",
+        )
 
     val seeds = Key("instances", AddressListType, "instances to ask while the store is away", "")
 
@@ -49,7 +65,14 @@
                 "bounds",
                 named = false,
                 required = false,
-                listOf(gracePeriod, repeatRatio, repeatSlack),
+                listOf(
+                    gracePeriod,
+                    repeatRatio,
+                    repeatSlack,
+                    quotaWindow,
+                    quotaOverage,
+                    quotaSlack,
+                ),
             ),
             SectionSchema("seeds", named = false, required = false, listOf(seeds)),
         )
--- a/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySettings.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySettings.kt
@@ -1,5 +1,6 @@
 package io.lavenderhinge.core.settings
 
+import io.lavenderhinge.core.forwarding.QuotaTolerance
 import kotlinx.collections.immutable.ImmutableList
 
 /** Where an instance on the platform listens. */
@@ -21,6 +22,7 @@
     val repeatRatio: Double,
     /** Sends beyond the first that the whole fleet has besides, in each window. */
     val repeatSlack: Double,
+    val quotaTolerance: QuotaTolerance,
 )
 
 /** What an instance on the platform reads from its own file when it starts. */
--- a/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySettingsParser.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySettingsParser.kt
@@ -6,6 +6,7 @@
 import arrow.core.nonEmptyListOf
 import arrow.core.right
 import arrow.core.toNonEmptyListOrNull
+import io.lavenderhinge.core.forwarding.QuotaTolerance
 import kotlinx.collections.immutable.persistentListOf
 
 /** Parses the file of an instance on the platform. */
@@ -55,5 +56,10 @@
             section.value(GatewaySchema.gracePeriod) ?: 0,
             section.value(GatewaySchema.repeatRatio) ?: 0.0,
             section.value(GatewaySchema.repeatSlack) ?: 0.0,
+            QuotaTolerance(
+                section.value(GatewaySchema.quotaWindow) ?: 0,
+                section.value(GatewaySchema.quotaOverage) ?: 0.0,
+                section.value(GatewaySchema.quotaSlack) ?: 0.0,
+            ),
         )
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
@@ -31,7 +31,7 @@
     private val client = HttpClient(loop.group)
     private val store = PlatformStore(client, socketAddress(settings.store))
     private val configuration = ConfigurationHolder()
-    private val quotas = QuotaLedger()
+    private val quotas = QuotaLedger(settings.bounds.quotaTolerance)
     private val broker = SlotBroker(identity.failureDomain, loop)
     private val servers = ServerWatch(control, ::publish)
     private val exchange =
@@ -79,7 +79,7 @@
             exchange.onReport = { report -> control.execute { copies.onReport(report) } }
         }
         exchange.start()
-        loop.every(QUOTA_MILLIS, ::chargeSilentPeers)
+        loop.every(QUOTA_MILLIS, ::tickQuotas)
         control.execute {
             links.start(socketAddress(settings.listen.peer))
             copies.start()
@@ -125,9 +125,9 @@
         loop.execute { broker.onServers(entries) }
     }
 
-    private fun chargeSilentPeers() {
+    private fun tickQuotas() {
         val workspaces = configuration.table?.config?.workspaces.orEmpty()
-        quotas.chargeSilentPeers(exchange.peerIds, workspaces, loop.nowMillis())
+        quotas.tick(exchange.peerIds, workspaces, loop.nowMillis())
     }
 
     private fun readiness() =
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestForwarder.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestForwarder.kt
@@ -57,7 +57,7 @@
             is Admission.Admitted ->
                 ForwardedRequest(services, exchange, result, facts, arrivedMillis).run()
             is Admission.Rejected -> {
-                services.journal.rejected(facts, description.host, description.path, result.reason)
+                services.journal.rejected(facts, description.host, description.path, result)
                 exchange.respond(problem(result))
             }
         }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestJournal.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestJournal.kt
@@ -1,6 +1,6 @@
 package io.lavenderhinge.instance.gateway
 
-import io.lavenderhinge.core.forwarding.Rejection
+import io.lavenderhinge.core.forwarding.Admission
 import io.lavenderhinge.platform.RequestFacts
 import org.slf4j.LoggerFactory
 
@@ -24,13 +24,19 @@
     }
 
     /** A request was answered without being admitted. */
-    fun rejected(facts: RequestFacts, host: String, path: String, reason: Rejection) {
+    fun rejected(
+        facts: RequestFacts,
+        host: String,
+        path: String,
+        rejected: Admission.Rejected,
+    ) {
         log.atInfo()
             .addKeyValue("request", facts.requestId)
             .addKeyValue("host", host)
             .addKeyValue("path", path)
             .addKeyValue("configuration", configurationVersion())
-            .addKeyValue("reason", reason)
+            .addKeyValue("reason", rejected.reason)
+            .addKeyValue("inputs", rejected.inputs)
             .log("request: rejected")
     }
 
