--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
@@ -10,6 +10,8 @@
     val priority: Int,
     /** Prompt tokens; 0 for a request that is not for a model. */
     val promptTokens: Double,
+    /** Expected events of the answer; 0 when it is no stream or nothing is known. */
+    val expectedEvents: Double,
     val arrivedMillis: Long,
     /** The answer, or its first event, is on time until then. */
     val targetMillis: Long,
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ForwardingConfig.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ForwardingConfig.kt
@@ -47,7 +47,13 @@
 }
 
 /** A pool of backend servers. [batchSlots] is null for a service that is not a model engine. */
-data class ForwardService(val name: String, val maxConnections: Int, val batchSlots: Int?)
+data class ForwardService(
+    val name: String,
+    val maxConnections: Int,
+    val batchSlots: Int?,
+    /** Output tokens in one event of a stream. */
+    val tokensPerEvent: Int,
+)
 
 /** A token or request quota: [ratePerSecond] on average and [burst] at once; 0 means no limit. */
 data class WorkspaceQuota(
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QuotaLedger.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QuotaLedger.kt
@@ -87,11 +87,7 @@
      * Opens the buckets of [workspaces], so that all instances charge the same from the start, and
      * charges peers that have been silent with their share. Call it a few times a second.
      */
-    fun tick(
-        members: Set<String>,
-        workspaces: Collection<ForwardWorkspace>,
-        nowMillis: Long,
-    ) {
+    fun tick(members: Set<String>, workspaces: Collection<ForwardWorkspace>, nowMillis: Long) {
         workspaces.forEach { workspace ->
             workspace.quota?.let { refill(workspace.name, it, nowMillis) }
         }
@@ -123,10 +119,7 @@
         val elapsedSeconds = (nowMillis - bucket.refilledMillis) / MILLIS_PER_SECOND
         val floor = -rate(quota) * MAX_DEBT_SECONDS
         bucket.level =
-            (bucket.level + elapsedSeconds * rate(quota)).coerceIn(
-                floor,
-                maxOf(quota.burst, 1.0),
-            )
+            (bucket.level + elapsedSeconds * rate(quota)).coerceIn(floor, maxOf(quota.burst, 1.0))
         bucket.refilledMillis = nowMillis
         return bucket
     }
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -77,7 +77,7 @@
     ): Placement {
         val usable = usable(ask, nowMillis)
         if (usable.isEmpty()) return Placement.NoServer
-        val estimates = usable.map { estimate(it, ask, peers, reserved, failureDomain) }
+        val estimates = usable.map { estimate(it, ask, peers, reserved, failureDomain, nowMillis) }
         val best = estimates.minBy { it.millis }
         val freeSlots = estimates.sumOf { it.freeSlots.coerceAtLeast(0) }
         if (best.freeSlots > 0 && freeSlots > moreUrgentAtPeers) {
@@ -96,6 +96,7 @@
         peers: PeerLoads,
         reserved: Map<String, Int>,
         failureDomain: String,
+        nowMillis: Long,
     ): Estimate {
         val id = record.entry.id
         val busy = record.inFlight + peers.inFlight(id) + (reserved[id] ?: 0)
@@ -109,8 +110,15 @@
         val reliability = 1 / (1 - record.failureFraction.coerceAtMost(MAX_FAILURE_FRACTION))
         val distance =
             if (record.entry.failureDomain == failureDomain) 0.0 else FOREIGN_DOMAIN_MILLIS
+        val firstMillis = record.slowness * alone * shared
+        val leftMillis = ask.deadlineMillis - nowMillis
+        val overrun =
+            slotWait + firstMillis + ask.expectedEvents * record.eventMillis -
+                leftMillis * SAFE_TIME_FRACTION
         val millis =
-            (record.slowness * alone * shared + slotWait) * reliability * reliability + distance
+            (firstMillis + slotWait) * reliability * reliability +
+                distance +
+                overrun.coerceAtLeast(0.0)
         return Estimate(record, slots - busy, millis)
     }
 
@@ -118,6 +126,8 @@
         const val MIN_HOLD_MILLIS = 20.0
         const val SLOWDOWN_FOR_EACH_REQUEST = 0.1
         const val MAX_FAILURE_FRACTION = 0.8
+        /** Estimates of the length of an answer are often far off. */
+        const val SAFE_TIME_FRACTION = 0.5
         /** More than the way there and back; bytes between domains cost the users money. */
         const val FOREIGN_DOMAIN_MILLIS = 8.0
     }
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerRecord.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerRecord.kt
@@ -7,6 +7,8 @@
         val firstEventMillis: Double,
         val holdMillis: Double,
         val promptTokens: Double,
+        /** Events of a stream; 0 for an answer that is no stream. */
+        val events: Int,
     ) : ServerOutcome
 
     /** The server failed: an error of its own, a broken or silent connection. */
@@ -32,6 +34,10 @@
     var slowness = 1.0
         private set
 
+    /** Moving average of the time between two events of a stream; 0 when none was seen. */
+    var eventMillis = 0.0
+        private set
+
     /** Moving average of how long a request holds its slot; 0 when none has ended. */
     var holdMillis = 0.0
         private set
@@ -65,6 +71,7 @@
     fun reset() {
         slowness = 1.0
         holdMillis = 0.0
+        eventMillis = 0.0
         failureFraction = 0.0
         samples = 0
         consecutiveFailures = 0
@@ -82,6 +89,11 @@
         val weight = maxOf(1.0 / samples, SPEED_WEIGHT)
         slowness += (ratio - slowness) * weight
         holdMillis += (outcome.holdMillis - holdMillis) * weight
+        if (outcome.events > MIN_EVENTS) {
+            val gapMillis = (outcome.holdMillis - outcome.firstEventMillis) / (outcome.events - 1)
+            val gapWeight = if (eventMillis == 0.0) 1.0 else SPEED_WEIGHT
+            eventMillis += (gapMillis - eventMillis) * gapWeight
+        }
         model.observe(outcome.promptTokens, outcome.firstEventMillis / slowness)
     }
 
@@ -95,6 +107,8 @@
     }
 
     private companion object {
+        /** Fewer events say little about the speed. */
+        const val MIN_EVENTS = 3
         const val SPEED_WEIGHT = 0.1
         const val MIN_SLOWNESS = 0.1
         const val MAX_SLOWNESS = 20.0
--- a/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySchema.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySchema.kt
@@ -65,14 +65,7 @@
                 "bounds",
                 named = false,
                 required = false,
-                listOf(
-                    gracePeriod,
-                    repeatRatio,
-                    repeatSlack,
-                    quotaWindow,
-                    quotaOverage,
-                    quotaSlack,
-                ),
+                listOf(gracePeriod, repeatRatio, repeatSlack, quotaWindow, quotaOverage, quotaSlack),
             ),
             SectionSchema("seeds", named = false, required = false, listOf(seeds)),
         )
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ConfigurationHolder.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ConfigurationHolder.kt
@@ -7,7 +7,7 @@
 import org.slf4j.LoggerFactory
 
 /** The configuration in force. Written by the control thread, read by any. */
-internal class ConfigurationHolder {
+internal class ConfigurationHolder(private val gate: StartGate) {
     private class InForce(val table: ForwardingTable, val text: String)
 
     @Volatile private var inForce: InForce? = null
@@ -38,6 +38,7 @@
                 )
         if (config.version <= version) return false
         inForce = InForce(ForwardingTable(config), text)
+        gate.configurationKnown()
         log.info("configuration: version {} from {} is in force", config.version, source)
         return true
     }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
@@ -35,6 +35,7 @@
     private var sends = 0
     private var rejections = 0
     private var mayHaveRun = false
+    private var isAnswered = false
     private var failedAnswer: AttemptResult.Answer? = null
     private val trail = RequestTrail(facts.requestId, route, admitted, arrivedMillis)
 
@@ -129,8 +130,7 @@
         // These promise that nothing ran; without proof of the server they must not be passed on.
         val isPromise = answer.status in PROMISES
         if (isPromise && !route.isRepeatable) return fail("promise without proof")
-        trail.status = answer.status
-        exchange.respond(HttpResponse(answer.status, answer.body, answer.fields))
+        respond(HttpResponse(answer.status, answer.body, answer.fields))
     }
 
     private suspend fun refuse(refusal: DispatchEffect.Refuse) {
@@ -147,17 +147,21 @@
     private suspend fun fail(reason: String) {
         trail.failure = reason
         // The connection of a stream that was begun is closed without its end by the listener.
-        if (relay?.isStarted == true) return
+        if (relay?.isStarted == true || isAnswered) return
         if (!mayHaveRun && !trail.isInFlight) return respondNotRun(RETRY_MILLIS)
         val status =
             if (reason == "deadline") HttpStatus.GATEWAY_TIMEOUT else HttpStatus.BAD_GATEWAY
-        trail.status = status
-        exchange.respond(problem(status))
+        respond(problem(status))
     }
 
     private suspend fun respondNotRun(retryAfterMillis: Long) {
-        trail.status = HttpStatus.UNAVAILABLE
-        exchange.respond(problem(HttpStatus.UNAVAILABLE, spread(retryAfterMillis)))
+        respond(problem(HttpStatus.UNAVAILABLE, spread(retryAfterMillis)))
+    }
+
+    private suspend fun respond(response: HttpResponse) {
+        isAnswered = true
+        trail.status = response.status
+        exchange.respond(response)
     }
 
     private fun ask(service: String) =
@@ -166,16 +170,24 @@
             service = service,
             priority = admitted.priority,
             promptTokens = promptTokens,
+            expectedEvents = expectedEvents(service),
             arrivedMillis = arrivedMillis,
             targetMillis = arrivedMillis + route.targetLatencyMillis,
             deadlineMillis = deadlineMillis,
             excludedServers = excluded,
         )
 
+    private fun expectedEvents(service: String): Double {
+        if (route.kind !is RouteKind.Streaming) return 0.0
+        val tokens = facts.expectedOutputTokens ?: facts.maxOutputTokens ?: return 0.0
+        return tokens.toDouble() / services.tokensPerEvent(service)
+    }
+
     private fun silenceLimits(grant: DispatchEffect.Assign): SilenceLimits {
         val leftMillis = (deadlineMillis - loop.nowMillis()).coerceAtLeast(1)
         val canRepeat = route.isRepeatable && sends + 1 < route.maxServers
-        if (!canRepeat) return SilenceLimits(leftMillis, leftMillis)
+        // Without another server to try, only the deadline ends the wait.
+        if (!canRepeat) return SilenceLimits(leftMillis * 2, leftMillis * 2)
         val firstMillis =
             maxOf(
                 FIRST_EVENT_TARGETS * route.targetLatencyMillis,
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
@@ -30,7 +30,8 @@
     private val control = ControlThread()
     private val client = HttpClient(loop.group)
     private val store = PlatformStore(client, socketAddress(settings.store))
-    private val configuration = ConfigurationHolder()
+    private val gate = StartGate()
+    private val configuration = ConfigurationHolder(gate)
     private val quotas = QuotaLedger(settings.bounds.quotaTolerance)
     private val broker = SlotBroker(identity.failureDomain, loop)
     private val servers = ServerWatch(control, ::publish)
@@ -61,11 +62,12 @@
             RepeatBudget(settings.bounds.repeatRatio * OWN_PART, settings.bounds.repeatSlack),
             RequestJournal(configuration::version),
             instanceCount = { exchange.peerIds.size + 1 },
+            tokensPerEvent = { configuration.table?.service(it)?.tokensPerEvent ?: 1 },
         )
-    private val forwarder = RequestForwarder(services, configuration, RequestAdmission(quotas))
+    private val forwarder =
+        RequestForwarder(services, configuration, RequestAdmission(quotas), gate)
     private val callerServer = HttpServer(loop.group, forwarder, CALLER_LIMITS)
     private val readyServer = HttpServer(loop.group, HttpHandler { it.respond(readiness()) })
-    @Volatile private var areServersKnown = false
     @Volatile private var isLeaving = false
 
     /** Starts to listen; the instance is ready once a configuration and the servers are known. */
@@ -121,8 +123,10 @@
         StoreWatch(store, PlatformKeys.SERVER_PREFIX, servers, WATCH_MILLIS, SERVER_PAUSE_MILLIS)
 
     private fun publish(entries: List<ServerEntry>) {
-        areServersKnown = true
-        loop.execute { broker.onServers(entries) }
+        loop.execute {
+            broker.onServers(entries)
+            gate.serversKnown()
+        }
     }
 
     private fun tickQuotas() {
@@ -131,13 +135,7 @@
     }
 
     private fun readiness() =
-        problem(
-            if (isLeaving || configuration.table == null || !areServersKnown) {
-                HttpStatus.UNAVAILABLE
-            } else {
-                HttpStatus.OK
-            }
-        )
+        problem(if (gate.isOpen && !isLeaving) HttpStatus.OK else HttpStatus.UNAVAILABLE)
 
     private companion object {
         /** Half of the budget of repeats; clients' own retries and rejections may use the rest. */
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestForwarder.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestForwarder.kt
@@ -19,6 +19,8 @@
     val repeats: RepeatBudget,
     val journal: RequestJournal,
     val instanceCount: () -> Int,
+    /** Output tokens in one event of a stream of a service. */
+    val tokensPerEvent: (service: String) -> Int,
     val random: Random = Random.Default,
 )
 
@@ -27,6 +29,7 @@
     private val services: ForwardingServices,
     private val configuration: ConfigurationHolder,
     private val admission: RequestAdmission,
+    private val gate: StartGate,
 ) : HttpHandler {
     private val inFlight = AtomicInteger()
 
@@ -53,6 +56,7 @@
                 credential = facts.credential,
                 tokens = facts.promptTokens?.let { it + (facts.maxOutputTokens ?: 0) },
             )
+        gate.await(facts.remainingMillis ?: DEFAULT_REMAINING_MILLIS)
         when (val result = admission.decide(configuration.view(), description, arrivedMillis)) {
             is Admission.Admitted ->
                 ForwardedRequest(services, exchange, result, facts, arrivedMillis).run()
@@ -62,4 +66,8 @@
             }
         }
     }
+
+    private companion object {
+        const val DEFAULT_REMAINING_MILLIS = 1_000L
+    }
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestJournal.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestJournal.kt
@@ -24,12 +24,7 @@
     }
 
     /** A request was answered without being admitted. */
-    fun rejected(
-        facts: RequestFacts,
-        host: String,
-        path: String,
-        rejected: Admission.Rejected,
-    ) {
+    fun rejected(facts: RequestFacts, host: String, path: String, rejected: Admission.Rejected) {
         log.atInfo()
             .addKeyValue("request", facts.requestId)
             .addKeyValue("host", host)
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/StreamRelay.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/StreamRelay.kt
@@ -1,6 +1,7 @@
 package io.lavenderhinge.instance.gateway
 
 import io.lavenderhinge.core.forwarding.EventStreamSplitter
+import io.lavenderhinge.core.forwarding.StreamEvent
 import io.lavenderhinge.http.ClientResponse
 import io.lavenderhinge.http.HttpBodyWriter
 import io.lavenderhinge.http.HttpCallException
@@ -23,32 +24,35 @@
         get() = writer != null
 
     /** Passes [response] to its end; throws when it breaks before. */
-    suspend fun relay(response: ClientResponse, onFirstEvent: () -> Unit, gapMillis: Long) {
+    suspend fun relay(response: ClientResponse, onEvents: (count: Int) -> Unit, gapMillis: Long) {
         val splitter = EventStreamSplitter()
         while (true) {
             val chunk = response.readChunk() ?: break
-            val bytes = newEvents(splitter, chunk)
-            if (bytes.isEmpty()) continue
-            onFirstEvent()
+            val events = newEvents(splitter, chunk)
+            if (events.isEmpty()) continue
+            onEvents(events.size)
             response.progressMillis = gapMillis
-            start(response).write(bytes)
+            start(response).write(joined(events))
         }
         if (splitter.hasPartialEvent) {
             throw HttpCallException.OutcomeUnknown("the server ended its stream inside an event")
         }
-        onFirstEvent()
+        onEvents(0)
         start(response).end()
     }
 
-    private fun newEvents(splitter: EventStreamSplitter, chunk: ByteArray): ByteArray {
-        val bytes = ByteArrayOutputStream()
-        splitter.accept(chunk).forEach { event ->
+    private fun newEvents(splitter: EventStreamSplitter, chunk: ByteArray): List<StreamEvent> =
+        splitter.accept(chunk).filter { event ->
+            val id = event.id
             val last = lastEventId
-            val isRepeated = event.id != null && last != null && event.id!! <= last
-            if (isRepeated) return@forEach
-            bytes.write(event.bytes)
-            lastEventId = event.id ?: last
+            val isNew = id == null || last == null || id > last
+            if (isNew) lastEventId = id ?: last
+            isNew
         }
+
+    private fun joined(events: List<StreamEvent>): ByteArray {
+        val bytes = ByteArrayOutputStream()
+        events.forEach { bytes.write(it.bytes) }
         return bytes.toByteArray()
     }
 
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamCall.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamCall.kt
@@ -31,6 +31,7 @@
     private val server: ServerEntry = grant.server
     private val sentMillis = loop.nowMillis()
     private var firstEventMillis: Long? = null
+    private var events = 0
     private var outcome: ServerOutcome = ServerOutcome.Withdrawn
 
     /**
@@ -78,14 +79,14 @@
         if (isSuccess && !isSigned) throw unknown("sent a success without its signature")
         if (isSuccess && relay != null) return relayed(response, relay)
         val body = response.readAll()
-        markFirstEvent()
+        markEvents(0)
         val answer = AttemptResult.Answer(response.status, responseFields(response.headers), body)
         if (answer.isFailure) outcome = ServerOutcome.Failed else answered()
         return answer
     }
 
     private suspend fun relayed(response: ClientResponse, relay: StreamRelay): AttemptResult {
-        relay.relay(response, ::markFirstEvent, silence.betweenEventsMillis)
+        relay.relay(response, ::markEvents, silence.betweenEventsMillis)
         answered()
         return AttemptResult.Delivered
     }
@@ -109,7 +110,8 @@
 
     private fun isMisdirected(response: ClientResponse) = response.status == HttpStatus.MISDIRECTED
 
-    private fun markFirstEvent() {
+    private fun markEvents(count: Int) {
+        events += count
         if (firstEventMillis != null) return
         firstEventMillis = loop.nowMillis()
         broker.firstEvent(server, promptTokens)
@@ -122,6 +124,7 @@
                 firstEventMillis = ((firstEventMillis ?: nowMillis) - sentMillis).toDouble(),
                 holdMillis = (nowMillis - sentMillis).toDouble(),
                 promptTokens = promptTokens,
+                events = events,
             )
     }
 
