--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/RequestAdmission.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/RequestAdmission.kt
@@ -23,7 +23,7 @@
     data class Admitted(
         val route: ForwardRoute,
         val workspace: ForwardWorkspace?,
-        /** 0 is the most urgent. */
+        /** Position among all requests, 0 is the most urgent. */
         val priority: Int,
     ) : Admission
 
@@ -61,7 +61,14 @@
         if (workspace != null && !quotas.tryAdmit(workspace, cost(workspace, request), nowMillis)) {
             return overQuota(workspace, request)
         }
-        return Admission.Admitted(route, workspace, workspace?.priority ?: route.priority)
+        return Admission.Admitted(route, workspace, rank(route, workspace))
+    }
+
+    // The priority of a workspace goes before that of a route, which decides within it.
+    private fun rank(route: ForwardRoute, workspace: ForwardWorkspace?): Int {
+        val routePriority = route.priority.coerceIn(0, ROUTE_PRIORITIES - 1)
+        val workspacePriority = workspace?.priority ?: route.priority
+        return workspacePriority * ROUTE_PRIORITIES + routePriority
     }
 
     // A client does not repeat a request that was denied, so a denial must be certain.
@@ -87,6 +94,7 @@
     }
 
     private companion object {
+        const val ROUTE_PRIORITIES = 16
         const val RETRY_MILLIS = 300L
     }
 }
--- /dev/null
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/DispatcherTest.kt
@@ -0,0 +1,141 @@
+package io.lavenderhinge.core.forwarding
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+
+class DispatcherTest :
+    FunSpec({
+        fun dispatcher(vararg servers: ServerEntry) =
+            Dispatcher("d").also { it.onServers(servers.toList(), nowMillis = 0) }
+
+        fun answered(firstEventMillis: Double = 50.0, holdMillis: Double = 100.0) =
+            ServerOutcome.Answered(firstEventMillis, holdMillis, promptTokens = 1_000.0, events = 0)
+
+        fun Dispatcher.finish(
+            server: ServerEntry,
+            outcome: ServerOutcome = answered(),
+            nowMillis: Long = 100,
+        ) = finished(server, outcome, promptTokens = 1_000.0, promptPending = false, nowMillis)
+
+        fun List<DispatchEffect>.assigned() =
+            filterIsInstance<DispatchEffect.Assign>().map { it.askId to it.server.id }
+
+        test("given a free slot, then a request goes there at once") {
+            val dispatcher = dispatcher(server("a"))
+
+            dispatcher.ask(ask(1), nowMillis = 0).assigned() shouldBe listOf(1L to "a")
+        }
+
+        // Servers know no priorities, so no more is sent to one than it runs at once.
+        test("given full slots, when one is returned, then the most urgent request gets it") {
+            val dispatcher = dispatcher(server("a", slots = 1))
+            dispatcher.ask(ask(1), nowMillis = 0)
+            dispatcher.ask(ask(2, priority = 5), nowMillis = 1) shouldBe emptyList()
+            dispatcher.ask(ask(3, priority = 1), nowMillis = 2) shouldBe emptyList()
+
+            dispatcher.finish(server("a")).assigned() shouldBe listOf(3L to "a")
+        }
+
+        // Serving strictly by arrival makes every request late once the queue exceeds the target.
+        test("given a request that is late already, then one that can be on time goes before it") {
+            val dispatcher = dispatcher(server("a", slots = 1))
+            dispatcher.ask(ask(1), nowMillis = 0)
+            dispatcher.ask(ask(2, arrivedMillis = 0, targetMillis = 600), nowMillis = 0)
+            dispatcher.ask(ask(3, arrivedMillis = 700, targetMillis = 1_300), nowMillis = 700)
+
+            dispatcher.finish(server("a"), nowMillis = 800).assigned() shouldBe listOf(3L to "a")
+        }
+
+        test("given slots that a peer uses, then they are not used here") {
+            val dispatcher = dispatcher(server("a", slots = 2))
+            val report = LoadReport(mapOf("a" to ServerUse(inFlight = 2, 0.0)), emptyMap())
+            dispatcher.onPeerReport("p", report, nowMillis = 0)
+
+            dispatcher.ask(ask(1), nowMillis = 10) shouldBe emptyList()
+        }
+
+        test("given a peer that falls silent, then its slots are free after a while") {
+            val dispatcher = dispatcher(server("a", slots = 1))
+            val report = LoadReport(mapOf("a" to ServerUse(inFlight = 1, 0.0)), emptyMap())
+            dispatcher.onPeerReport("p", report, nowMillis = 0)
+            dispatcher.ask(ask(1), nowMillis = 10)
+
+            dispatcher.advance(nowMillis = 1_300).assigned() shouldBe listOf(1L to "a")
+        }
+
+        // Guards against a less urgent request here taking the slot that a peer's needs.
+        test("given more urgent requests at a peer, then the last free slots are left to them") {
+            val dispatcher = dispatcher(server("a", slots = 2))
+            val waiting = mapOf(QueueKey("s", priority = 0) to 2)
+            dispatcher.onPeerReport("p", LoadReport(emptyMap(), waiting), nowMillis = 0)
+
+            dispatcher.ask(ask(1, priority = 3), nowMillis = 10) shouldBe emptyList()
+            dispatcher.ask(ask(2, priority = 0), nowMillis = 10).assigned() shouldBe
+                listOf(2L to "a")
+        }
+
+        test("given a server that leaves, then it gets no new work") {
+            val dispatcher = dispatcher(server("a", acceptsWork = false), server("b"))
+
+            dispatcher.ask(ask(1), nowMillis = 0).assigned() shouldBe listOf(1L to "b")
+        }
+
+        test("given a server that fails again and again, then it rests") {
+            val dispatcher = dispatcher(server("a", slots = 4), server("b", slots = 4))
+            repeat(3) {
+                val first = dispatcher.ask(ask(it.toLong()), nowMillis = 0).assigned().single()
+                val outcome = if (first.second == "a") ServerOutcome.Failed else answered()
+                dispatcher.finish(server(first.second, slots = 4), outcome, nowMillis = 0)
+            }
+            repeat(3) { dispatcher.finish(server("a", slots = 4), ServerOutcome.Failed, 0) }
+
+            val next = (10L..13L).flatMap { dispatcher.ask(ask(it), nowMillis = 10).assigned() }
+
+            next.map { it.second }.toSet() shouldBe setOf("b")
+        }
+
+        test("given only servers that rest, then they are used all the same") {
+            val dispatcher = dispatcher(server("a", slots = 4))
+            repeat(3) { dispatcher.finish(server("a", slots = 4), ServerOutcome.Failed, 0) }
+
+            dispatcher.ask(ask(1), nowMillis = 10).assigned() shouldBe listOf(1L to "a")
+        }
+
+        // Guards against a long answer on a slow server that is cut at its deadline.
+        test("given a long answer, then it waits for a fast server instead of using a slow one") {
+            val slow = server("slow", slots = 2)
+            val fast = server("fast", slots = 1)
+            val dispatcher = dispatcher(slow, fast)
+            dispatcher.ask(ask(1), nowMillis = 0)
+            dispatcher.ask(ask(2), nowMillis = 0)
+            val learned = { gapMillis: Double ->
+                ServerOutcome.Answered(50.0, 50.0 + 20 * gapMillis, 1_000.0, events = 21)
+            }
+            dispatcher.finish(slow, learned(100.0), nowMillis = 0)
+            dispatcher.finish(fast, learned(10.0), nowMillis = 0)
+            val long = { id: Long -> ask(id, expectedEvents = 300.0, deadlineMillis = 10_010) }
+
+            dispatcher.ask(long(3), nowMillis = 10).assigned() shouldBe listOf(3L to "fast")
+            dispatcher.ask(long(4), nowMillis = 10) shouldBe emptyList()
+        }
+
+        test("given a queue longer than a request can wait, then it is refused on arrival") {
+            val dispatcher = dispatcher(server("a", slots = 1))
+            dispatcher.ask(ask(0), nowMillis = 0)
+            dispatcher.finish(server("a"), answered(holdMillis = 1_000.0), nowMillis = 1_000)
+            (1L..6L).forEach { dispatcher.ask(ask(it, arrivedMillis = 1_000), nowMillis = 1_000) }
+
+            val effect = dispatcher.ask(ask(7, arrivedMillis = 1_000), nowMillis = 1_000).single()
+
+            effect.shouldBeInstanceOf<DispatchEffect.Refuse>().reason shouldBe
+                DispatchRefusal.OVERLOAD
+        }
+
+        test("given no server of the service, then the client may come back") {
+            val effect = dispatcher().ask(ask(1), nowMillis = 0).single()
+
+            effect.shouldBeInstanceOf<DispatchEffect.Refuse>().reason shouldBe
+                DispatchRefusal.NO_SERVER
+        }
+    })
--- /dev/null
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/QuotaLedgerTest.kt
@@ -0,0 +1,59 @@
+package io.lavenderhinge.core.forwarding
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.doubles.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+
+class QuotaLedgerTest :
+    FunSpec({
+        val quota = tokenQuota(ratePerSecond = 1_000.0, burst = 1_000.0)
+        val workspace = workspace("w", quota = quota)
+
+        /** Cost that [ledger] admits from asks of 100 every 10 ms. */
+        fun admitted(ledger: QuotaLedger, fromMillis: Long, untilMillis: Long): Double =
+            (fromMillis until untilMillis step 10).sumOf {
+                if (ledger.tryAdmit(workspace, cost = 100.0, nowMillis = it)) 100.0 else 0.0
+            }
+
+        test("given a workspace over its quota, then rate and burst bound what is admitted") {
+            val ledger = QuotaLedger(noTolerance)
+
+            admitted(ledger, 0, 8_000) shouldBeLessThanOrEqual 8 * 1_000.0 + 1_000
+        }
+
+        test("given a tolerance, then a part of it is admitted above the quota") {
+            val tolerance = QuotaTolerance(8_000, overageFraction = 0.1, slack = 8_000.0)
+            val ledger = QuotaLedger(tolerance)
+
+            val admitted = admitted(ledger, 0, 8_000)
+
+            (admitted > 8 * 1_000.0 + 1_000) shouldBe true
+            admitted shouldBeLessThanOrEqual (8 * 1_000.0 + 1_000) * 1.1 + 8_000
+        }
+
+        test("given a peer that reports, then what it admitted is charged here") {
+            val ledger = QuotaLedger(noTolerance)
+            ledger.tick(setOf("p"), listOf(workspace), nowMillis = 0)
+            ledger.onPeerReport("p", incarnation = 1, emptyMap(), nowMillis = 0)
+
+            ledger.onPeerReport("p", incarnation = 1, mapOf("w" to 5_000.0), nowMillis = 10)
+
+            ledger.tryAdmit(workspace, cost = 1.0, nowMillis = 20) shouldBe false
+        }
+
+        // Guards against each part of a partitioned fleet admitting the whole quota.
+        test("given two instances that cannot hear each other, then together they keep the quota") {
+            val one = QuotaLedger(noTolerance)
+            val other = QuotaLedger(noTolerance)
+            var admitted = 0.0
+            for (millis in 0L until 20_000L step 200) {
+                one.tick(setOf("other"), listOf(workspace), millis)
+                other.tick(setOf("one"), listOf(workspace), millis)
+                val counted =
+                    admitted(one, millis, millis + 200) + admitted(other, millis, millis + 200)
+                if (millis >= 12_000) admitted += counted
+            }
+
+            admitted shouldBeLessThanOrEqual 8 * 1_000.0 + 1_000
+        }
+    })
--- /dev/null
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ServerDirectoryTest.kt
@@ -0,0 +1,50 @@
+package io.lavenderhinge.core.forwarding
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+
+class ServerDirectoryTest :
+    FunSpec({
+        fun ServerDirectory.ids() = servers.map { it.id }
+
+        test(
+            "given a store that was never away, when an entry is removed, then it is gone at once"
+        ) {
+            val directory = ServerDirectory()
+            directory.onSnapshot(listOf(server("a"), server("b")), nowMillis = 0)
+
+            directory.onRemoved("a", nowMillis = 10)
+
+            directory.ids() shouldBe listOf("b")
+        }
+
+        // Guards against a pool that vanishes because its entries lapsed during an outage.
+        test(
+            "given a store that returns, when entries are missing, then they are kept for a while"
+        ) {
+            val directory = ServerDirectory()
+            directory.onSnapshot(listOf(server("a"), server("b")), nowMillis = 0)
+            directory.onStoreLost()
+            directory.onStoreAnswered(nowMillis = 5_000)
+
+            directory.onSnapshot(listOf(server("b")), nowMillis = 5_000)
+
+            directory.ids() shouldBe listOf("a", "b")
+            directory.expire(nowMillis = 6_900) shouldBe false
+            directory.expire(nowMillis = 7_300) shouldBe true
+            directory.ids() shouldBe listOf("b")
+        }
+
+        test("given a lapsed entry, when it is written again, then it stays") {
+            val directory = ServerDirectory()
+            directory.onSnapshot(listOf(server("a")), nowMillis = 0)
+            directory.onStoreLost()
+            directory.onStoreAnswered(nowMillis = 5_000)
+            directory.onSnapshot(emptyList(), nowMillis = 5_000)
+
+            directory.onWritten(server("a"))
+
+            directory.expire(nowMillis = 8_000) shouldBe false
+            directory.ids() shouldBe listOf("a")
+        }
+    })
