Leave a free slot to the request that has waited longest at any instance

Cause: an instance that holds slots passes each one on to its own next request, so the queues of instances without slots starve (worth held to the end). Reports now tell how long the head of each queue has waited, and an instance leaves a slot to a clearly older head of a peer. Ruled out: handing slots over by message, which needs a retry for each lost datagram.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
@@ -58,5 +58,13 @@
 /** Identifies a queue: a service and a priority. */
 data class QueueKey(val service: String, val priority: Int)
 
+/** A queue of an instance. The head is the request that gets the next slot. */
+data class QueueState(
+    val count: Int,
+    val headWaitMillis: Long,
+    /** True when the head can no longer be answered on time. */
+    val isHeadLate: Boolean,
+)
+
 /** What an instance tells its peers about its use of the pool. */
-data class LoadReport(val servers: Map<String, ServerUse>, val waiting: Map<QueueKey, Int>)
+data class LoadReport(val servers: Map<String, ServerUse>, val waiting: Map<QueueKey, QueueState>)
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -86,12 +86,24 @@
         get() = queues.values.any { it.isNotEmpty() }
 
     /** What to tell the peers. */
-    fun report(): LoadReport =
+    fun report(nowMillis: Long): LoadReport =
         LoadReport(
             pools.values.flatMap { it.uses() }.toMap(),
-            queues.values.flatten().groupingBy { QueueKey(it.service, it.priority) }.eachCount(),
+            queues.values
+                .flatten()
+                .groupBy { QueueKey(it.service, it.priority) }
+                .mapValues { (_, asks) -> queueState(asks, nowMillis) },
         )
 
+    private fun queueState(asks: List<DispatchAsk>, nowMillis: Long): QueueState {
+        val head = asks.minWith(order(nowMillis))
+        return QueueState(
+            asks.size,
+            nowMillis - head.arrivedMillis,
+            isHeadLate = head.targetMillis <= nowMillis,
+        )
+    }
+
     private fun refusalOnArrival(
         pool: ServerPool,
         ask: DispatchAsk,
@@ -119,9 +131,7 @@
         val iterator = queue.iterator()
         while (iterator.hasNext()) {
             val ask = iterator.next()
-            val moreUrgentAtPeers = peers.waiting(service, ask.priority - 1)
-            val placement =
-                pool.place(ask, peers, reserved, moreUrgentAtPeers, failureDomain, nowMillis)
+            val placement = pool.place(ask, peers, reserved, failureDomain, nowMillis)
             val effect = effectOf(placement, ask, pool, nowMillis) ?: continue
             iterator.remove()
             effects += effect
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -71,7 +71,6 @@
         ask: DispatchAsk,
         peers: PeerLoads,
         reserved: MutableMap<String, Int>,
-        moreUrgentAtPeers: Int,
         failureDomain: String,
         nowMillis: Long,
     ): Placement {
@@ -80,7 +79,7 @@
         val estimates = usable.map { estimate(it, ask, peers, reserved, failureDomain, nowMillis) }
         val best = estimates.minBy { it.millis }
         val freeSlots = estimates.sumOf { it.freeSlots.coerceAtLeast(0) }
-        if (best.freeSlots > 0 && freeSlots > moreUrgentAtPeers) {
+        if (best.freeSlots > 0 && freeSlots > peers.claims(ask, nowMillis)) {
             return Placement.Send(best.record.entry, best.millis)
         }
         // The slot that this request waits for is not offered to less urgent ones.
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/DispatcherTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/DispatcherTest.kt
@@ -67,7 +67,7 @@
         // Guards against a less urgent request here taking the slot that a peer's needs.
         test("given more urgent requests at a peer, then the last free slots are left to them") {
             val dispatcher = dispatcher(server("a", slots = 2))
-            val waiting = mapOf(QueueKey("s", priority = 0) to 2)
+            val waiting = mapOf(QueueKey("s", priority = 0) to QueueState(2, 0, isHeadLate = false))
             dispatcher.onPeerReport("p", LoadReport(emptyMap(), waiting), nowMillis = 0)
 
             dispatcher.ask(ask(1, priority = 3), nowMillis = 10) shouldBe emptyList()
@@ -75,6 +75,20 @@
                 listOf(2L to "a")
         }
 
+        // Guards against an instance that passes its slots on among its own requests for ever.
+        test("given an older request of the same priority at a peer, then it goes first") {
+            val dispatcher = dispatcher(server("a", slots = 1))
+            val older = QueueState(count = 1, headWaitMillis = 500, isHeadLate = false)
+            val waiting = mapOf(QueueKey("s", priority = 0) to older)
+            dispatcher.onPeerReport("p", LoadReport(emptyMap(), waiting), nowMillis = 0)
+
+            dispatcher.ask(ask(1), nowMillis = 10) shouldBe emptyList()
+
+            dispatcher
+                .onPeerReport("p", LoadReport(emptyMap(), emptyMap()), nowMillis = 20)
+                .assigned() shouldBe listOf(1L to "a")
+        }
+
         test("given a server that leaves, then it gets no new work") {
             val dispatcher = dispatcher(server("a", acceptsWork = false), server("b"))
 
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportWire.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportWire.kt
@@ -2,6 +2,7 @@
 
 import io.lavenderhinge.core.forwarding.LoadReport
 import io.lavenderhinge.core.forwarding.QueueKey
+import io.lavenderhinge.core.forwarding.QueueState
 import io.lavenderhinge.core.forwarding.ServerUse
 import io.lavenderhinge.protocol.v1.LoadReport as LoadReportMessage
 import io.lavenderhinge.protocol.v1.QueueLength
@@ -21,12 +22,14 @@
                 .setPendingTokens(use.pendingTokens)
         )
     }
-    report.waiting.forEach { (key, count) ->
+    report.waiting.forEach { (key, queue) ->
         addQueues(
             QueueLength.newBuilder()
                 .setService(key.service)
                 .setPriority(key.priority)
-                .setWaiting(count)
+                .setWaiting(queue.count)
+                .setHeadWaitMillis(queue.headWaitMillis)
+                .setHeadLate(queue.isHeadLate)
         )
     }
     spending.forEach { (workspace, cost) ->
@@ -39,7 +42,10 @@
 internal fun LoadReportMessage.toReport() =
     LoadReport(
         serversList.associate { it.serverId to ServerUse(it.inFlight, it.pendingTokens) },
-        queuesList.associate { QueueKey(it.service, it.priority) to it.waiting },
+        queuesList.associate {
+            QueueKey(it.service, it.priority) to
+                QueueState(it.waiting, it.headWaitMillis, it.headLate)
+        },
     )
 
 /** What a message tells of the cost that its sender admitted. */
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotBroker.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotBroker.kt
@@ -72,7 +72,7 @@
         complete(dispatcher.onPeerReport(peer, report, loop.nowMillis()))
 
     /** What to tell the peers. */
-    fun report(): LoadReport = dispatcher.report()
+    fun report(): LoadReport = dispatcher.report(loop.nowMillis())
 
     private fun abandon(ask: DispatchAsk, waiter: Waiter) {
         waiting.remove(ask.id)
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/PeerOuterClass.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/PeerOuterClass.java
@@ -280,59 +280,60 @@
       "\n\013instance_id\030\003 \001(\t\022,\n\006counts\030\004 \003(\0132\034.la" +
       "venderhinge.v1.RouteCount\"I\n\tServerUse\022\021" +
       "\n\tserver_id\030\001 \001(\t\022\021\n\tin_flight\030\002 \001(\r\022\026\n\016" +
-      "pending_tokens\030\003 \001(\001\"A\n\013QueueLength\022\017\n\007s" +
+      "pending_tokens\030\003 \001(\001\"n\n\013QueueLength\022\017\n\007s" +
       "ervice\030\001 \001(\t\022\020\n\010priority\030\002 \001(\005\022\017\n\007waitin" +
-      "g\030\003 \001(\r\":\n\021WorkspaceSpending\022\021\n\tworkspac" +
-      "e\030\001 \001(\t\022\022\n\ntotal_cost\030\002 \001(\001\"\265\002\n\nLoadRepo" +
-      "rt\022\023\n\013instance_id\030\001 \001(\t\022\023\n\013incarnation\030\002" +
-      " \001(\006\022\020\n\010sequence\030\003 \001(\004\022\n\n\002ip\030\004 \001(\t\022\021\n\tpe" +
-      "er_port\030\005 \001(\r\022,\n\007servers\030\006 \003(\0132\033.lavende" +
-      "rhinge.v1.ServerUse\022-\n\006queues\030\007 \003(\0132\035.la" +
-      "venderhinge.v1.QueueLength\0227\n\nworkspaces" +
-      "\030\010 \003(\0132#.lavenderhinge.v1.WorkspaceSpend" +
-      "ing\022\035\n\025configuration_version\030\t \001(\003\022\027\n\017se" +
-      "rver_revision\030\n \001(\003\"F\n\014StateRequest\022\035\n\025c" +
-      "onfiguration_version\030\001 \001(\003\022\027\n\017server_rev" +
-      "ision\030\002 \001(\003\")\n\013StoredValue\022\013\n\003key\030\001 \001(\t\022" +
-      "\r\n\005value\030\002 \001(\t\"k\n\tStateCopy\022\025\n\rconfigura" +
-      "tion\030\001 \001(\t\022\027\n\017server_revision\030\002 \001(\003\022.\n\007s" +
-      "ervers\030\003 \003(\0132\035.lavenderhinge.v1.StoredVa" +
-      "lue*U\n\004Tier\022\024\n\020TIER_UNSPECIFIED\020\000\022\024\n\020TIE" +
-      "R_INTERACTIVE\020\001\022\021\n\rTIER_STANDARD\020\002\022\016\n\nTI" +
-      "ER_BATCH\020\003*\234\002\n\014RefuseReason\022\035\n\031REFUSE_RE" +
-      "ASON_UNSPECIFIED\020\000\022\032\n\026REFUSE_REASON_NOT_" +
-      "HOME\020\001\022\034\n\030REFUSE_REASON_QUEUE_FULL\020\002\022\032\n\026" +
-      "REFUSE_REASON_DEADLINE\020\003\022\033\n\027REFUSE_REASO" +
-      "N_DISPLACED\020\004\022\035\n\031REFUSE_REASON_TIER_CLOS" +
-      "ED\020\005\022 \n\034REFUSE_REASON_SERVER_LEAVING\020\006\022\035" +
-      "\n\031REFUSE_REASON_SERVER_DOWN\020\007\022\032\n\026REFUSE_" +
-      "REASON_SHUTDOWN\020\010*\324\001\n\013ResultClass\022\034\n\030RES" +
-      "ULT_CLASS_UNSPECIFIED\020\000\022\023\n\017RESULT_CLASS_" +
-      "OK\020\001\022\035\n\031RESULT_CLASS_SERVER_ERROR\020\002\022\"\n\036R" +
-      "ESULT_CLASS_CONNECTION_FAILED\020\003\022\030\n\024RESUL" +
-      "T_CLASS_TIMEOUT\020\004\022\032\n\026RESULT_CLASS_CANCEL" +
-      "LED\020\005\022\031\n\025RESULT_CLASS_DRAINING\020\006*\255\001\n\017Led" +
-      "gerOperation\022 \n\034LEDGER_OPERATION_UNSPECI" +
-      "FIED\020\000\022\034\n\030LEDGER_OPERATION_RESERVE\020\001\022\035\n\031" +
-      "LEDGER_OPERATION_COMPLETE\020\002\022\031\n\025LEDGER_OP" +
-      "ERATION_VOID\020\003\022 \n\034LEDGER_OPERATION_OWNER" +
-      "_QUERY\020\004*\217\003\n\rLedgerOutcome\022\036\n\032LEDGER_OUT" +
-      "COME_UNSPECIFIED\020\000\022\033\n\027LEDGER_OUTCOME_REC" +
-      "ORDED\020\001\022\034\n\030LEDGER_OUTCOME_COMPLETED\020\002\022\034\n" +
-      "\030LEDGER_OUTCOME_IN_FLIGHT\020\003\022\033\n\027LEDGER_OU" +
-      "TCOME_IN_DOUBT\020\004\022\033\n\027LEDGER_OUTCOME_MISMA" +
-      "TCH\020\005\022\032\n\026LEDGER_OUTCOME_TOO_OLD\020\006\022\035\n\031LED" +
-      "GER_OUTCOME_NOT_WRITER\020\007\022\036\n\032LEDGER_OUTCO" +
-      "ME_UNAVAILABLE\020\010\022#\n\037LEDGER_OUTCOME_OWNER" +
-      "_DISPATCHED\020\t\022)\n%LEDGER_OUTCOME_OWNER_NE" +
-      "VER_DISPATCHED\020\n\022 \n\034LEDGER_OUTCOME_OWNER" +
-      "_UNKNOWN\020\013*\200\001\n\nMemberKind\022\033\n\027MEMBER_KIND" +
-      "_UNSPECIFIED\020\000\022\030\n\024MEMBER_KIND_INSTANCE\020\001" +
-      "\022\034\n\030MEMBER_KIND_MODEL_ENGINE\020\002\022\035\n\031MEMBER" +
-      "_KIND_PLAIN_SERVICE\020\0032D\n\004Peer\022<\n\004Link\022\027." +
-      "lavenderhinge.v1.Frame\032\027.lavenderhinge.v" +
-      "1.Frame(\0010\001B \n\034io.lavenderhinge.protocol" +
-      ".v1P\001b\006proto3"
+      "g\030\003 \001(\r\022\030\n\020head_wait_millis\030\004 \001(\003\022\021\n\thea" +
+      "d_late\030\005 \001(\010\":\n\021WorkspaceSpending\022\021\n\twor" +
+      "kspace\030\001 \001(\t\022\022\n\ntotal_cost\030\002 \001(\001\"\265\002\n\nLoa" +
+      "dReport\022\023\n\013instance_id\030\001 \001(\t\022\023\n\013incarnat" +
+      "ion\030\002 \001(\006\022\020\n\010sequence\030\003 \001(\004\022\n\n\002ip\030\004 \001(\t\022" +
+      "\021\n\tpeer_port\030\005 \001(\r\022,\n\007servers\030\006 \003(\0132\033.la" +
+      "venderhinge.v1.ServerUse\022-\n\006queues\030\007 \003(\013" +
+      "2\035.lavenderhinge.v1.QueueLength\0227\n\nworks" +
+      "paces\030\010 \003(\0132#.lavenderhinge.v1.Workspace" +
+      "Spending\022\035\n\025configuration_version\030\t \001(\003\022" +
+      "\027\n\017server_revision\030\n \001(\003\"F\n\014StateRequest" +
+      "\022\035\n\025configuration_version\030\001 \001(\003\022\027\n\017serve" +
+      "r_revision\030\002 \001(\003\")\n\013StoredValue\022\013\n\003key\030\001" +
+      " \001(\t\022\r\n\005value\030\002 \001(\t\"k\n\tStateCopy\022\025\n\rconf" +
+      "iguration\030\001 \001(\t\022\027\n\017server_revision\030\002 \001(\003" +
+      "\022.\n\007servers\030\003 \003(\0132\035.lavenderhinge.v1.Sto" +
+      "redValue*U\n\004Tier\022\024\n\020TIER_UNSPECIFIED\020\000\022\024" +
+      "\n\020TIER_INTERACTIVE\020\001\022\021\n\rTIER_STANDARD\020\002\022" +
+      "\016\n\nTIER_BATCH\020\003*\234\002\n\014RefuseReason\022\035\n\031REFU" +
+      "SE_REASON_UNSPECIFIED\020\000\022\032\n\026REFUSE_REASON" +
+      "_NOT_HOME\020\001\022\034\n\030REFUSE_REASON_QUEUE_FULL\020" +
+      "\002\022\032\n\026REFUSE_REASON_DEADLINE\020\003\022\033\n\027REFUSE_" +
+      "REASON_DISPLACED\020\004\022\035\n\031REFUSE_REASON_TIER" +
+      "_CLOSED\020\005\022 \n\034REFUSE_REASON_SERVER_LEAVIN" +
+      "G\020\006\022\035\n\031REFUSE_REASON_SERVER_DOWN\020\007\022\032\n\026RE" +
+      "FUSE_REASON_SHUTDOWN\020\010*\324\001\n\013ResultClass\022\034" +
+      "\n\030RESULT_CLASS_UNSPECIFIED\020\000\022\023\n\017RESULT_C" +
+      "LASS_OK\020\001\022\035\n\031RESULT_CLASS_SERVER_ERROR\020\002" +
+      "\022\"\n\036RESULT_CLASS_CONNECTION_FAILED\020\003\022\030\n\024" +
+      "RESULT_CLASS_TIMEOUT\020\004\022\032\n\026RESULT_CLASS_C" +
+      "ANCELLED\020\005\022\031\n\025RESULT_CLASS_DRAINING\020\006*\255\001" +
+      "\n\017LedgerOperation\022 \n\034LEDGER_OPERATION_UN" +
+      "SPECIFIED\020\000\022\034\n\030LEDGER_OPERATION_RESERVE\020" +
+      "\001\022\035\n\031LEDGER_OPERATION_COMPLETE\020\002\022\031\n\025LEDG" +
+      "ER_OPERATION_VOID\020\003\022 \n\034LEDGER_OPERATION_" +
+      "OWNER_QUERY\020\004*\217\003\n\rLedgerOutcome\022\036\n\032LEDGE" +
+      "R_OUTCOME_UNSPECIFIED\020\000\022\033\n\027LEDGER_OUTCOM" +
+      "E_RECORDED\020\001\022\034\n\030LEDGER_OUTCOME_COMPLETED" +
+      "\020\002\022\034\n\030LEDGER_OUTCOME_IN_FLIGHT\020\003\022\033\n\027LEDG" +
+      "ER_OUTCOME_IN_DOUBT\020\004\022\033\n\027LEDGER_OUTCOME_" +
+      "MISMATCH\020\005\022\032\n\026LEDGER_OUTCOME_TOO_OLD\020\006\022\035" +
+      "\n\031LEDGER_OUTCOME_NOT_WRITER\020\007\022\036\n\032LEDGER_" +
+      "OUTCOME_UNAVAILABLE\020\010\022#\n\037LEDGER_OUTCOME_" +
+      "OWNER_DISPATCHED\020\t\022)\n%LEDGER_OUTCOME_OWN" +
+      "ER_NEVER_DISPATCHED\020\n\022 \n\034LEDGER_OUTCOME_" +
+      "OWNER_UNKNOWN\020\013*\200\001\n\nMemberKind\022\033\n\027MEMBER" +
+      "_KIND_UNSPECIFIED\020\000\022\030\n\024MEMBER_KIND_INSTA" +
+      "NCE\020\001\022\034\n\030MEMBER_KIND_MODEL_ENGINE\020\002\022\035\n\031M" +
+      "EMBER_KIND_PLAIN_SERVICE\020\0032D\n\004Peer\022<\n\004Li" +
+      "nk\022\027.lavenderhinge.v1.Frame\032\027.lavenderhi" +
+      "nge.v1.Frame(\0010\001B \n\034io.lavenderhinge.pro" +
+      "tocol.v1P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -487,7 +488,7 @@
     internal_static_lavenderhinge_v1_QueueLength_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_QueueLength_descriptor,
-        new java.lang.String[] { "Service", "Priority", "Waiting", });
+        new java.lang.String[] { "Service", "Priority", "Waiting", "HeadWaitMillis", "HeadLate", });
     internal_static_lavenderhinge_v1_WorkspaceSpending_descriptor =
       getDescriptor().getMessageType(25);
     internal_static_lavenderhinge_v1_WorkspaceSpending_fieldAccessorTable = new
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/QueueLength.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/QueueLength.java
@@ -109,6 +109,32 @@
     return waiting_;
   }
 
+  public static final int HEAD_WAIT_MILLIS_FIELD_NUMBER = 4;
+  private long headWaitMillis_ = 0L;
+  /**
+   * <code>int64 head_wait_millis = 4;</code>
+   * @return The headWaitMillis.
+   */
+  @java.lang.Override
+  public long getHeadWaitMillis() {
+    return headWaitMillis_;
+  }
+
+  public static final int HEAD_LATE_FIELD_NUMBER = 5;
+  private boolean headLate_ = false;
+  /**
+   * <pre>
+   * The head can no longer be answered on time.
+   * </pre>
+   *
+   * <code>bool head_late = 5;</code>
+   * @return The headLate.
+   */
+  @java.lang.Override
+  public boolean getHeadLate() {
+    return headLate_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -132,6 +158,12 @@
     if (waiting_ != 0) {
       output.writeUInt32(3, waiting_);
     }
+    if (headWaitMillis_ != 0L) {
+      output.writeInt64(4, headWaitMillis_);
+    }
+    if (headLate_ != false) {
+      output.writeBool(5, headLate_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -152,6 +184,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(3, waiting_);
     }
+    if (headWaitMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(4, headWaitMillis_);
+    }
+    if (headLate_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(5, headLate_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -173,6 +213,10 @@
         != other.getPriority()) return false;
     if (getWaiting()
         != other.getWaiting()) return false;
+    if (getHeadWaitMillis()
+        != other.getHeadWaitMillis()) return false;
+    if (getHeadLate()
+        != other.getHeadLate()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -190,6 +234,12 @@
     hash = (53 * hash) + getPriority();
     hash = (37 * hash) + WAITING_FIELD_NUMBER;
     hash = (53 * hash) + getWaiting();
+    hash = (37 * hash) + HEAD_WAIT_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getHeadWaitMillis());
+    hash = (37 * hash) + HEAD_LATE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getHeadLate());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -328,6 +378,8 @@
       service_ = "";
       priority_ = 0;
       waiting_ = 0;
+      headWaitMillis_ = 0L;
+      headLate_ = false;
       return this;
     }
 
@@ -370,6 +422,12 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.waiting_ = waiting_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.headWaitMillis_ = headWaitMillis_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.headLate_ = headLate_;
+      }
     }
 
     @java.lang.Override
@@ -395,6 +453,12 @@
       if (other.getWaiting() != 0) {
         setWaiting(other.getWaiting());
       }
+      if (other.getHeadWaitMillis() != 0L) {
+        setHeadWaitMillis(other.getHeadWaitMillis());
+      }
+      if (other.getHeadLate() != false) {
+        setHeadLate(other.getHeadLate());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -436,6 +500,16 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              headWaitMillis_ = input.readInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
+            case 40: {
+              headLate_ = input.readBool();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -589,6 +663,82 @@
       return this;
     }
 
+    private long headWaitMillis_ ;
+    /**
+     * <code>int64 head_wait_millis = 4;</code>
+     * @return The headWaitMillis.
+     */
+    @java.lang.Override
+    public long getHeadWaitMillis() {
+      return headWaitMillis_;
+    }
+    /**
+     * <code>int64 head_wait_millis = 4;</code>
+     * @param value The headWaitMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHeadWaitMillis(long value) {
+
+      headWaitMillis_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 head_wait_millis = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHeadWaitMillis() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      headWaitMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private boolean headLate_ ;
+    /**
+     * <pre>
+     * The head can no longer be answered on time.
+     * </pre>
+     *
+     * <code>bool head_late = 5;</code>
+     * @return The headLate.
+     */
+    @java.lang.Override
+    public boolean getHeadLate() {
+      return headLate_;
+    }
+    /**
+     * <pre>
+     * The head can no longer be answered on time.
+     * </pre>
+     *
+     * <code>bool head_late = 5;</code>
+     * @param value The headLate to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHeadLate(boolean value) {
+
+      headLate_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The head can no longer be answered on time.
+     * </pre>
+     *
+     * <code>bool head_late = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHeadLate() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      headLate_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:lavenderhinge.v1.QueueLength)
   }
 
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/QueueLengthOrBuilder.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/QueueLengthOrBuilder.java
@@ -33,4 +33,20 @@
    * @return The waiting.
    */
   int getWaiting();
+
+  /**
+   * <code>int64 head_wait_millis = 4;</code>
+   * @return The headWaitMillis.
+   */
+  long getHeadWaitMillis();
+
+  /**
+   * <pre>
+   * The head can no longer be answered on time.
+   * </pre>
+   *
+   * <code>bool head_late = 5;</code>
+   * @return The headLate.
+   */
+  boolean getHeadLate();
 }
