--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
@@ -12,6 +12,7 @@
 import io.lavenderhinge.http.HttpServer
 import io.lavenderhinge.http.HttpStatus
 import io.lavenderhinge.instance.control.ControlThread
+import io.lavenderhinge.instance.operator.OperatorHandler
 import io.lavenderhinge.instance.peer.GrpcPeerLinks
 import io.lavenderhinge.instance.peer.PeerIdentity
 import io.lavenderhinge.platform.PlatformKeys
@@ -54,13 +55,14 @@
         MemberRegistry(identity.id, settings.listen.peer, store, control) { members ->
             loop.execute { exchange.onMembers(members) }
         }
+    private val metrics = GatewayMetrics(control)
     private val services =
         ForwardingServices(
             loop,
             client,
             broker,
             RepeatBudget(settings.bounds.repeatRatio * OWN_PART, settings.bounds.repeatSlack),
-            RequestJournal(configuration::version),
+            RequestJournal(configuration::version, metrics),
             instanceCount = { exchange.peerIds.size + 1 },
             tokensPerEvent = { configuration.table?.service(it)?.tokensPerEvent ?: 1 },
         )
@@ -68,12 +70,27 @@
         RequestForwarder(services, configuration, RequestAdmission(quotas), gate)
     private val callerServer = HttpServer(loop.group, forwarder, CALLER_LIMITS)
     private val readyServer = HttpServer(loop.group, HttpHandler { it.respond(readiness()) })
+    private val status =
+        GatewayStatus(
+            identity.id,
+            configuration,
+            servers,
+            gate,
+            exchange::peerIds,
+            forwarder::inFlightCount,
+        )
+    private val operatorServer =
+        HttpServer(
+            loop.group,
+            HttpHandler { OperatorHandler(status.view(), metrics.registry).handle(it) },
+        )
     @Volatile private var isLeaving = false
 
     /** Starts to listen; the instance is ready once a configuration and the servers are known. */
     fun start() {
         readyServer.start(socketAddress(settings.listen.ready))
         callerServer.start(socketAddress(settings.listen.caller))
+        operatorServer.start(socketAddress(settings.listen.operator))
         control.scope.launch { operatorWatch().run() }
         control.scope.launch { serverWatch().run() }
         servers.start()
--- /dev/null
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/GatewayStatus.kt
@@ -0,0 +1,56 @@
+package io.lavenderhinge.instance.gateway
+
+import io.lavenderhinge.instance.operator.OperatorView
+
+/** What the operator port of a gateway tells. */
+internal class GatewayStatus(
+    private val instanceId: String,
+    private val configuration: ConfigurationHolder,
+    private val servers: ServerWatch,
+    private val gate: StartGate,
+    private val peerIds: () -> Set<String>,
+    private val inFlight: () -> Int,
+) {
+    /** The view that the operator's handler serves. */
+    fun view() =
+        OperatorView(
+            notReadyReason = ::notReadyReason,
+            status = { status() },
+            explain = { _, route, _ -> explain(route) },
+        )
+
+    private fun notReadyReason(): String? =
+        if (gate.isOpen) null else "no configuration or no list of backend servers is known yet"
+
+    private fun status(): Map<String, Any?> =
+        mapOf(
+            "instance" to instanceId,
+            "configuration" to
+                mapOf(
+                    "version" to configuration.version,
+                    "confirmed" to configuration.view().isConfirmed,
+                ),
+            "servers" to
+                mapOf(
+                    "revision" to servers.revision,
+                    "stale" to servers.isStale,
+                    "known" to servers.stored.keys.toList(),
+                ),
+            "peers" to peerIds().toList(),
+            "inFlight" to inFlight(),
+        )
+
+    private fun explain(routeName: String): Map<String, Any?> {
+        val route =
+            configuration.table?.config?.routes?.firstOrNull { it.name == routeName }
+                ?: return mapOf("remedy" to "name a route of the configuration in force")
+        return mapOf(
+            "route" to route.name,
+            "host" to route.host,
+            "pathPrefix" to route.pathPrefix,
+            "destinations" to route.destinations.associate { it.service to it.weight },
+            "maxServers" to route.maxServers,
+            "repeatable" to route.isRepeatable,
+        )
+    }
+}
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestJournal.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestJournal.kt
@@ -4,8 +4,11 @@
 import io.lavenderhinge.platform.RequestFacts
 import org.slf4j.LoggerFactory
 
-/** Writes one log line for each request: what decided it, its sends and its outcome. */
-internal class RequestJournal(private val configurationVersion: () -> Long) {
+/** Writes one log line for each request, with what decided it, its sends and its outcome. */
+internal class RequestJournal(
+    private val configurationVersion: () -> Long,
+    private val metrics: GatewayMetrics,
+) {
     /** A request that was admitted has ended. */
     fun record(trail: RequestTrail, nowMillis: Long) {
         log.atInfo()
@@ -21,6 +24,7 @@
             .addKeyValue("sends", trail.history)
             .addKeyValue("millis", nowMillis - trail.arrivedMillis)
             .log("request: ended")
+        metrics.ended(trail, nowMillis)
     }
 
     /** A request was answered without being admitted. */
@@ -33,6 +37,7 @@
             .addKeyValue("reason", rejected.reason)
             .addKeyValue("inputs", rejected.inputs)
             .log("request: rejected")
+        metrics.rejected(rejected.reason)
     }
 
     private companion object {
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestTrail.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestTrail.kt
@@ -14,6 +14,7 @@
     private val steps = mutableListOf<String>()
     private var sentCount = 0
     private var endedCount = 0
+    private var isDelivered = false
 
     /** Service that was chosen. */
     var service: String? = null
@@ -35,6 +36,16 @@
     val history: String
         get() = steps.joinToString("; ")
 
+    /** Status class, or how the request ended without a status. */
+    val result: String
+        get() =
+            when {
+                failure != null || refusal != null -> failure ?: refusal.orEmpty()
+                status != null -> "${status!! / STATUS_CLASS}xx"
+                isDelivered -> "stream"
+                else -> "client left"
+            }
+
     /** The request was given to a server. */
     fun sent(grant: DispatchEffect.Assign, nowMillis: Long) {
         sentCount++
@@ -46,10 +57,17 @@
     fun ended(result: AttemptResult) {
         endedCount++
         when (result) {
-            is AttemptResult.Delivered -> steps += "delivered"
+            is AttemptResult.Delivered -> {
+                isDelivered = true
+                steps += "delivered"
+            }
             is AttemptResult.Answer -> steps += "status ${result.status}"
             is AttemptResult.NotRun -> steps += "not run: ${result.reason}"
             is AttemptResult.Lost -> steps += "lost: ${result.reason}"
         }
     }
+
+    private companion object {
+        const val STATUS_CLASS = 100
+    }
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/metrics/RequestMetrics.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/metrics/RequestMetrics.kt
@@ -35,6 +35,26 @@
         if (metTargets) registry.counter("lavenderhinge.goodput", "tier", label(tier)).increment()
     }
 
+    /**
+     * A request of the users' platform has ended. [priority] is its rank, [result] a status class
+     * or how it ended without one.
+     */
+    fun ended(priority: Int, workspace: String?, result: String, millis: Long) {
+        timer("lavenderhinge.gateway.request", "priority", "$priority", LONG_BUCKETS)
+            .record(millis, TimeUnit.MILLISECONDS)
+        if (workspace != null) {
+            timer("lavenderhinge.workspace.request", "workspace", bounded(workspace), LONG_BUCKETS)
+                .record(millis, TimeUnit.MILLISECONDS)
+        }
+        registry
+            .counter("lavenderhinge.gateway.results", "priority", "$priority", "result", result)
+            .increment()
+    }
+
+    /** A request of the users' platform that was answered without being admitted. */
+    fun rejected(reason: String) =
+        registry.counter("lavenderhinge.gateway.rejections", "reason", reason).increment()
+
     /** A request that got a problem document instead of an answer. */
     fun refused(tier: Tier?, code: String, outcome: String) =
         registry
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/peer/GrpcPeerLinks.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/peer/GrpcPeerLinks.kt
@@ -88,6 +88,7 @@
 
     private fun lost(instanceId: String, link: OutboundLink) {
         if (!links.remove(instanceId, link)) return
+        link.close()
         log.info("peer: link to {} was lost", instanceId)
         lossListeners.forEach { it(instanceId) }
     }
