--- /dev/null
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/GatewayHarness.kt
@@ -0,0 +1,110 @@
+package io.lavenderhinge.instance.gateway
+
+import io.lavenderhinge.core.forwarding.QuotaLedger
+import io.lavenderhinge.core.forwarding.QuotaTolerance
+import io.lavenderhinge.core.forwarding.RepeatBudget
+import io.lavenderhinge.core.forwarding.RequestAdmission
+import io.lavenderhinge.core.forwarding.ServerEntry
+import io.lavenderhinge.http.HttpClient
+import io.lavenderhinge.http.HttpRequest
+import io.lavenderhinge.http.HttpResponse
+import io.lavenderhinge.http.HttpServer
+import io.lavenderhinge.instance.control.ControlThread
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import java.net.InetSocketAddress
+
+/** A forwarder with a configuration of one host, and the given replicas as service `s`. */
+internal class GatewayHarness(vararg replicas: ScriptedReplica) : AutoCloseable {
+    private val loop = TrafficLoop()
+    private val control = ControlThread()
+    private val clients = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val client = HttpClient(clients)
+    private val gate = StartGate()
+    private val configuration = ConfigurationHolder(gate)
+    private val broker = SlotBroker("d", loop)
+    private val server: HttpServer
+
+    init {
+        configuration.offer(CONFIGURATION, "the test")
+        configuration.confirm()
+        val services =
+            ForwardingServices(
+                loop,
+                HttpClient(loop.group),
+                broker,
+                RepeatBudget(ratio = 0.5, fleetSlack = 20.0),
+                RequestJournal(configuration::version, GatewayMetrics(control)),
+                instanceCount = { 1 },
+                tokensPerEvent = { 1 },
+            )
+        val admission = RequestAdmission(QuotaLedger(QuotaTolerance(8_000, 0.0, 0.0)))
+        val forwarder = RequestForwarder(services, configuration, admission, gate)
+        server = HttpServer(loop.group, forwarder).start(InetSocketAddress("127.0.0.1", 0))
+        val entries = replicas.mapIndexed { index, replica -> entry("i-$index", replica.port) }
+        loop.execute {
+            broker.onServers(entries)
+            gate.serversKnown()
+        }
+    }
+
+    /** Sends a request of workspace `w` and returns the whole answer. */
+    suspend fun call(
+        path: String,
+        body: String = "",
+        id: String = "r1",
+        fields: Map<String, String> = emptyMap(),
+    ): HttpResponse {
+        val headers =
+            DefaultHttpHeaders()
+                .set("Host", "h")
+                .set("X-Lavenderhinge-Key", "k")
+                .set("X-Lavenderhinge-Request-Id", id)
+                .set("X-Lavenderhinge-Deadline-Remaining", "3000")
+        fields.forEach { (name, value) -> headers.set(name, value) }
+        val method = if (body.isEmpty()) "GET" else "POST"
+        val request = HttpRequest(method, path, "q=1", headers, body.toByteArray())
+        return client.call(InetSocketAddress("127.0.0.1", server.port), request)
+    }
+
+    override fun close() {
+        server.close()
+        client.close()
+        clients.shutdownGracefully()
+        loop.close()
+        control.close()
+    }
+
+    private fun entry(id: String, port: Int) =
+        ServerEntry(
+            id = id,
+            service = "s",
+            ip = "127.0.0.1",
+            port = port,
+            failureDomain = "d",
+            softwareVersion = "v1",
+            slots = 4,
+            acceptsWork = true,
+            startedMillis = 1,
+        )
+
+    private companion object {
+        val CONFIGURATION =
+            """
+            {"version":3,"services":[{"name":"s"}],"tenants":[{"name":"w","api_keys":["k"]}],
+             "routes":[
+              {"name":"look","host":"h","prefix":"/look/","kind":"idempotent","service":"s",
+               "attempts":2,"timeout_ms":2000,"target_latency_ms":150},
+              {"name":"book","host":"h","prefix":"/book/","kind":"non_idempotent","service":"s",
+               "attempts":2,"timeout_ms":2000,"target_latency_ms":150},
+              {"name":"draft","host":"h","prefix":"/draft/","kind":"streaming","service":"s",
+               "attempts":2,"stream_resumption":true,"timeout_ms":3000,"target_latency_ms":600,
+               "target_gap_ms":300},
+              {"name":"digest","host":"h","prefix":"/digest/","kind":"streaming","service":"s",
+               "attempts":2,"stream_resumption":false,"timeout_ms":3000,"target_latency_ms":600,
+               "target_gap_ms":300}]}
+            """
+                .trimIndent()
+    }
+}
--- /dev/null
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ScriptedReplica.kt
@@ -0,0 +1,100 @@
+package io.lavenderhinge.instance.gateway
+
+import java.io.InputStream
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.concurrent.thread
+
+/** What a replica does with a request. */
+internal sealed interface ReplicaAction {
+    /** Sends [text] as it is and keeps the connection. */
+    data class Send(val text: String) : ReplicaAction
+
+    /** Sends [text] and closes the connection. */
+    data class SendAndClose(val text: String) : ReplicaAction
+}
+
+/**
+ * A replica that answers each request by [script], to the byte: a stand-in for servers that break
+ * off, repeat themselves or send what is no answer.
+ */
+internal class ScriptedReplica(private val script: (request: String) -> ReplicaAction) :
+    AutoCloseable {
+    private val listener = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
+    private val sockets = CopyOnWriteArrayList<Socket>()
+
+    /** Requests as they were read, heads and bodies. */
+    val requests = CopyOnWriteArrayList<String>()
+
+    /** Port that it listens on. */
+    val port: Int
+        get() = listener.localPort
+
+    init {
+        thread(isDaemon = true) {
+            while (!listener.isClosed) {
+                val socket = runCatching { listener.accept() }.getOrNull() ?: break
+                sockets += socket
+                thread(isDaemon = true) { runCatching { serve(socket) } }
+            }
+        }
+    }
+
+    override fun close() {
+        listener.close()
+        sockets.forEach { it.close() }
+    }
+
+    private fun serve(socket: Socket) {
+        while (true) {
+            val request = read(socket.getInputStream()) ?: return
+            requests += request
+            val action = script(request)
+            val text =
+                when (action) {
+                    is ReplicaAction.Send -> action.text
+                    is ReplicaAction.SendAndClose -> action.text
+                }
+            socket.getOutputStream().write(text.toByteArray())
+            socket.getOutputStream().flush()
+            if (action is ReplicaAction.SendAndClose) return socket.close()
+        }
+    }
+
+    private fun read(input: InputStream): String? {
+        val head = StringBuilder()
+        while (!head.endsWith("\r\n\r\n")) {
+            val byte = input.read()
+            if (byte < 0) return null
+            head.append(byte.toChar())
+        }
+        val length =
+            Regex("(?i)content-length: (\\d+)").find(head)?.groupValues?.get(1)?.toInt() ?: 0
+        return head.toString() + String(input.readNBytes(length))
+    }
+
+    companion object {
+        private const val BACKLOG = 16
+
+        /** A complete answer of a replica to [request]. */
+        fun answer(request: String, status: String, body: String, fields: String = ""): String =
+            "HTTP/1.1 $status\r\n" +
+                "X-Lavenderhinge-Request-Id: ${idOf(request)}\r\n" +
+                "X-Lavenderhinge-Server-Signature: s1\r\n$fields" +
+                "Content-Length: ${body.length}\r\n\r\n$body"
+
+        /** The head of a stream of a replica. */
+        fun streamHead(request: String): String =
+            "HTTP/1.1 200 OK\r\nX-Lavenderhinge-Request-Id: ${idOf(request)}\r\n" +
+                "X-Lavenderhinge-Server-Signature: s1\r\nContent-Type: text/event-stream\r\n" +
+                "Transfer-Encoding: chunked\r\n\r\n"
+
+        /** [text] as one chunk of a body. */
+        fun chunk(text: String): String = "${text.length.toString(radix = 16)}\r\n$text\r\n"
+
+        private fun idOf(request: String): String =
+            Regex("X-Lavenderhinge-Request-Id: (\\S+)").find(request)?.groupValues?.get(1).orEmpty()
+    }
+}
