--- a/instance/src/main/kotlin/io/lavenderhinge/instance/InstanceCommand.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/InstanceCommand.kt
@@ -16,6 +16,7 @@
 import java.io.IOException
 import kotlin.io.path.readText
 import kotlin.system.exitProcess
+import sun.misc.Signal
 
 /** Runs one entry instance until it is told to end; SIGTERM shuts it down gracefully. */
 class InstanceCommand : CliktCommand(name = "lavenderhinge") {
@@ -46,6 +47,10 @@
         val gateway = Gateway(read(GatewaySettingsParser.parse(config.readText(), "$config")))
         startOrExit(gateway::start)
         Runtime.getRuntime().addShutdownHook(Thread { gateway.shutdown() })
+        // Without a handler the runtime takes SIGHUP for an order to end.
+        Signal.handle(Signal("HUP")) {
+            gateway.reload(GatewaySettingsParser.parse(config.readText(), "$config"))
+        }
     }
 
     private fun startOrExit(start: () -> Unit) {
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
@@ -1,11 +1,14 @@
 package io.lavenderhinge.instance.gateway
 
+import arrow.core.Either
+import arrow.core.NonEmptyList
 import io.lavenderhinge.core.forwarding.QuotaLedger
 import io.lavenderhinge.core.forwarding.RepeatBudget
 import io.lavenderhinge.core.forwarding.RequestAdmission
 import io.lavenderhinge.core.forwarding.ServerEntry
 import io.lavenderhinge.core.settings.Address
 import io.lavenderhinge.core.settings.GatewaySettings
+import io.lavenderhinge.core.settings.SettingsFault
 import io.lavenderhinge.http.HttpClient
 import io.lavenderhinge.http.HttpHandler
 import io.lavenderhinge.http.HttpLimits
@@ -25,7 +28,7 @@
  * One instance on the users' platform: wires the decisions of the core to clients, backend servers,
  * the store and the other instances.
  */
-class Gateway(private val settings: GatewaySettings) {
+class Gateway(@Volatile private var settings: GatewaySettings) {
     private val identity = settings.identity
     private val loop = TrafficLoop()
     private val control = ControlThread()
@@ -107,6 +110,21 @@
         log.info("gateway: {} listens for clients on {}", identity.id, settings.listen.caller)
     }
 
+    /**
+     * Takes over the bounds of the settings that were read again. Addresses stay as they are until
+     * the next start; settings with faults change nothing.
+     */
+    fun reload(result: Either<NonEmptyList<SettingsFault>, GatewaySettings>) =
+        result.fold(
+            { faults ->
+                faults.forEach { log.warn("gateway: settings were not reloaded: {}", it.message) }
+            },
+            { read ->
+                settings = settings.copy(bounds = read.bounds)
+                log.info("gateway: settings were reloaded, bounds are {}", read.bounds)
+            },
+        )
+
     /**
      * Reports not ready, serves until clients have left, and returns when the requests in flight
      * have ended or most of the grace period is over.
