--- a/e2e/src/test/kotlin/io/lavenderhinge/e2e/fleet/TestProcess.kt
+++ b/e2e/src/test/kotlin/io/lavenderhinge/e2e/fleet/TestProcess.kt
@@ -38,6 +38,9 @@
     /** Lets a frozen process go on. */
     fun thaw() = signal("CONT")
 
+    /** Tells the process that its settings have changed. */
+    fun hangUp() = signal("HUP")
+
     /** Waits for the end of the process and returns its exit code, or null after [seconds]. */
     fun awaitExit(seconds: Long): Int? =
         if (process.waitFor(seconds, TimeUnit.SECONDS)) process.exitValue() else null
