--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QuotaLedger.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QuotaLedger.kt
@@ -31,6 +31,7 @@
     private val buckets = HashMap<String, Bucket>()
     private val spent = HashMap<String, Double>()
     private val peers = HashMap<String, PeerSpending>()
+    private val listedMillis = HashMap<String, Long>()
     private var chargedMillis = 0L
 
     /** Total cost admitted here for each workspace since the start of the process. */
@@ -92,6 +93,8 @@
             workspace.quota?.let { refill(workspace.name, it, nowMillis) }
         }
         peers.keys.retainAll(members)
+        listedMillis.keys.retainAll(members)
+        members.forEach { listedMillis.putIfAbsent(it, nowMillis) }
         val elapsedMillis = (nowMillis - chargedMillis).coerceIn(0, MAX_CHARGE_MILLIS)
         chargedMillis = nowMillis
         val silent = members.filter { isSilent(it, nowMillis) }
@@ -109,13 +112,13 @@
     }
 
     private fun isSilent(peer: String, nowMillis: Long): Boolean {
-        val heardMillis = peers[peer]?.heardMillis ?: return true
+        // A peer that has just been listed gets as long to report as any other.
+        val heardMillis = peers[peer]?.heardMillis ?: listedMillis[peer] ?: nowMillis
         return nowMillis - heardMillis > SILENCE_MILLIS
     }
 
     private fun refill(name: String, quota: WorkspaceQuota, nowMillis: Long): Bucket {
-        val bucket =
-            buckets.getOrPut(name) { Bucket(quota.burst * INITIAL_LEVEL_FRACTION, nowMillis) }
+        val bucket = buckets.getOrPut(name) { Bucket(quota.burst, nowMillis) }
         val elapsedSeconds = (nowMillis - bucket.refilledMillis) / MILLIS_PER_SECOND
         val floor = -rate(quota) * MAX_DEBT_SECONDS
         bucket.level =
@@ -134,8 +137,6 @@
         /** Several missed reports; a lost datagram alone is no silence. */
         const val SILENCE_MILLIS = 800L
         const val MAX_CHARGE_MILLIS = 1_000L
-        /** A restarted instance does not know what the others admitted just before. */
-        const val INITIAL_LEVEL_FRACTION = 0.5
         /** Bounds how long a workspace is refused after a burst that several instances admitted. */
         const val MAX_DEBT_SECONDS = 4.0
     }
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/QuotaLedgerTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/QuotaLedgerTest.kt
@@ -41,6 +41,17 @@
             ledger.tryAdmit(workspace, cost = 1.0, nowMillis = 20) shouldBe false
         }
 
+        // Guards against refusals within the quota after all instances have been restarted: the old
+        // entries of the peers are still listed, and none of them has reported yet.
+        test("given a fresh start beside listed peers, then the whole burst is admitted") {
+            val ledger = QuotaLedger(noTolerance)
+            val peers = setOf("p1", "p2", "p3", "p4")
+            ledger.tick(peers, listOf(workspace), nowMillis = 50_000)
+            ledger.tick(peers, listOf(workspace), nowMillis = 50_200)
+
+            admitted(ledger, fromMillis = 50_200, untilMillis = 50_300) shouldBe 1_000.0
+        }
+
         // Guards against each part of a partitioned fleet admitting the whole quota.
         test("given two instances that cannot hear each other, then together they keep the quota") {
             val one = QuotaLedger(noTolerance)
--- a/core/src/test/kotlin/io/lavenderhinge/core/settings/ReferenceTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/settings/ReferenceTest.kt
@@ -22,7 +22,10 @@
     FunSpec({
         test("given the code, when compared with docs/settings.md, then every key is the same") {
             val page = File("../docs/settings.md").readLines().filter { row.matches(it) }
-            val expected = rows(TeamSchema.sections) + rows(BootstrapSchema.sections)
+            val expected =
+                rows(TeamSchema.sections) +
+                    rows(BootstrapSchema.sections) +
+                    rows(GatewaySchema.sections)
             page shouldBe expected
         }
     })
--- a/http/src/main/kotlin/io/lavenderhinge/http/ServerConnection.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/ServerConnection.kt
@@ -22,6 +22,7 @@
 import io.netty.util.ReferenceCountUtil
 import io.netty.util.concurrent.ScheduledFuture
 import java.io.ByteArrayOutputStream
+import java.nio.channels.ClosedChannelException
 import java.util.concurrent.TimeUnit
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
@@ -172,6 +173,9 @@
                 } catch (e: CancellationException) {
                     context.close()
                     throw e
+                } catch (e: ClosedChannelException) {
+                    log.debug("http: caller left before its answer: {}", e.toString())
+                    context.close()
                 } catch (e: Exception) {
                     log.error("http: handler failed for {}", next.request.path, e)
                     exchange.fail(faults.render(HttpFault.HANDLER_FAILED))
