--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -36,7 +36,7 @@
         }
         val queue = queues.getOrPut(ask.service, ::mutableListOf)
         queue.add(ask)
-        return serve(ask.service, pool, queue, nowMillis)
+        return serve(pool, queue, nowMillis)
     }
 
     /** Withdraws a request that still waits. */
@@ -62,7 +62,7 @@
         val pool = pools[server.service] ?: return emptyList()
         pool.finished(server.id, outcome, if (promptPending) promptTokens else 0.0, nowMillis)
         val queue = queues[server.service] ?: return emptyList()
-        return serve(server.service, pool, queue, nowMillis)
+        return serve(pool, queue, nowMillis)
     }
 
     /** Takes over what a peer tells of its use of the servers. */
@@ -76,8 +76,7 @@
         peers.expire(nowMillis)
         return queues.flatMap { (service, queue) ->
             val pool = pools[service]
-            if (queue.isEmpty() || pool == null) emptyList()
-            else serve(service, pool, queue, nowMillis)
+            if (queue.isEmpty() || pool == null) emptyList() else serve(pool, queue, nowMillis)
         }
     }
 
@@ -120,7 +119,6 @@
     }
 
     private fun serve(
-        service: String,
         pool: ServerPool,
         queue: MutableList<DispatchAsk>,
         nowMillis: Long,
--- a/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySchema.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySchema.kt
@@ -51,6 +51,9 @@
 
     val seeds = Key("instances", AddressListType, "instances to ask while the store is away", "")
 
+    private val bounds =
+        listOf(gracePeriod, repeatRatio, repeatSlack, quotaWindow, quotaOverage, quotaSlack)
+
     val sections =
         listOf(
             SectionSchema("instance", named = false, required = true, listOf(id, domain, region)),
@@ -61,12 +64,7 @@
                 listOf(caller, ready, peer, operator),
             ),
             SectionSchema("platform", named = false, required = true, listOf(store)),
-            SectionSchema(
-                "bounds",
-                named = false,
-                required = false,
-                listOf(gracePeriod, repeatRatio, repeatSlack, quotaWindow, quotaOverage, quotaSlack),
-            ),
+            SectionSchema("bounds", named = false, required = false, bounds),
             SectionSchema("seeds", named = false, required = false, listOf(seeds)),
         )
 }
