--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ForwardingTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ForwardingTest.kt
@@ -12,9 +12,12 @@
 import io.lavenderhinge.http.HttpCallException
 import io.lavenderhinge.instance.gateway.ReplicaAction.Send
 import io.lavenderhinge.instance.gateway.ReplicaAction.SendAndClose
+import io.lavenderhinge.instance.gateway.ReplicaAction.Work
 import io.lavenderhinge.instance.gateway.ScriptedReplica.Companion.answer
 import io.lavenderhinge.instance.gateway.ScriptedReplica.Companion.chunk
 import io.lavenderhinge.instance.gateway.ScriptedReplica.Companion.streamHead
+import java.util.concurrent.TimeUnit
+import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 
 private const val NOT_EXECUTED = "X-Lavenderhinge-Not-Executed: 1\r\n"
@@ -163,6 +166,16 @@
             replica.requests.size + other.requests.size shouldBe 1
         }
 
+        // Guards against replicas that go on working for callers that have left.
+        test("given a caller that leaves, then the connection to its replica is closed") {
+            val replica = ScriptedReplica { Work }
+
+            with(replica) { gateway ->
+                withTimeoutOrNull(300) { gateway.call("/digest/1", body = "p") } shouldBe null
+                replica.abandoned.await(2, TimeUnit.SECONDS) shouldBe true
+            }
+        }
+
         // The line of a request tells from its id which servers it was sent to and why it failed.
         test("given the id of a failed request, then its log line tells the cause") {
             val logger = LoggerFactory.getLogger(RequestJournal::class.java) as Logger
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ScriptedReplica.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ScriptedReplica.kt
@@ -5,6 +5,7 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.CountDownLatch
 import kotlin.concurrent.thread
 
 /** What a replica does with a request. */
@@ -14,6 +15,9 @@
 
     /** Sends [text] and closes the connection. */
     data class SendAndClose(val text: String) : ReplicaAction
+
+    /** Works on the request until the other side closes the connection. */
+    data object Work : ReplicaAction
 }
 
 /**
@@ -28,6 +32,9 @@
     /** Requests as they were read, heads and bodies. */
     val requests = CopyOnWriteArrayList<String>()
 
+    /** Counts down when the other side has closed a connection with a request in work. */
+    val abandoned = CountDownLatch(1)
+
     /** Port that it listens on. */
     val port: Int
         get() = listener.localPort
@@ -52,17 +59,25 @@
             val request = read(socket.getInputStream()) ?: return
             requests += request
             val action = script(request)
-            val text =
-                when (action) {
-                    is ReplicaAction.Send -> action.text
-                    is ReplicaAction.SendAndClose -> action.text
+            when (action) {
+                is ReplicaAction.Send -> send(socket, action.text)
+                is ReplicaAction.SendAndClose -> {
+                    send(socket, action.text)
+                    return socket.close()
+                }
+                is ReplicaAction.Work -> {
+                    socket.getInputStream().read()
+                    return abandoned.countDown()
                 }
-            socket.getOutputStream().write(text.toByteArray())
-            socket.getOutputStream().flush()
-            if (action is ReplicaAction.SendAndClose) return socket.close()
+            }
         }
     }
 
+    private fun send(socket: Socket, text: String) {
+        socket.getOutputStream().write(text.toByteArray())
+        socket.getOutputStream().flush()
+    }
+
     private fun read(input: InputStream): String? {
         val head = StringBuilder()
         while (!head.endsWith("\r\n\r\n")) {
