Remove what nobody calls and estimate a prompt once

RolloutService.stopFlags and MembershipService.observeServer had no caller; ModelRequests estimated the prompt's length from the body a second time beside PromptEstimate. The gateway's code is unchanged.

--- a/instance/src/main/kotlin/io/lavenderhinge/instance/caller/ModelRequests.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/caller/ModelRequests.kt
@@ -54,7 +54,7 @@
                         },
                         { it },
                     )
-            val run = Run(exchange, context, target, slot, answer, upstreamBody(body))
+            val run = Run(context, target, slot, answer, upstreamBody(body), estimate.promptTokens)
             if (run.execute() == RunEnd.ANSWERED) return
         }
         refuse(exchange, context, Problem.NO_SERVER_TOOK_IT)
@@ -102,12 +102,12 @@
 
     /** One dispatch of a request in one slot. */
     private inner class Run(
-        private val exchange: HttpExchange,
         private val context: RequestContext,
         private val target: TeamTarget,
         private val slot: Slot,
         private val answer: AnswerWriter,
         private val body: ByteArray,
+        private val promptTokens: Int,
     ) {
         private val timing = StreamTiming()
         private val version = slot.server.version
@@ -216,12 +216,10 @@
         }
 
         private fun cancelAtEngine() {
-            services.metrics.wastedPrefill(context.route.tier, promptTokens())
+            services.metrics.wastedPrefill(context.route.tier, promptTokens)
             background.launch { HttpModelEngine(client, engineAddress).cancel(context.attemptId) }
         }
 
-        private fun promptTokens(): Int = exchange.request.body.size / BYTES_PER_TOKEN
-
         private fun observe(outcome: RequestOutcome) =
             services.versions.observe(target, context.route.name, version, outcome)
 
@@ -231,7 +229,7 @@
                     resultClass = result,
                     firstTokenMillis = timing.firstTokenMillis,
                     betweenTokensMicros = timing.betweenTokensMicros,
-                    promptTokens = promptTokens(),
+                    promptTokens = promptTokens,
                     outputTokens = timing.events,
                 )
             )
@@ -239,6 +237,5 @@
 
     private companion object {
         const val MICROS = 1_000L
-        const val BYTES_PER_TOKEN = 4
     }
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
@@ -86,6 +86,7 @@
             .run(upstreamRequest(exchange.request, fields), relay)
     }
 
+    // Takes note of how a send ended and tells whether the request is sent again.
     private fun repeats(
         result: AttemptResult,
         grant: DispatchEffect.Assign,
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/membership/MembershipService.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/membership/MembershipService.kt
@@ -6,7 +6,6 @@
 import io.lavenderhinge.core.membership.MembershipEvent
 import io.lavenderhinge.core.membership.MembershipTable
 import io.lavenderhinge.core.membership.SelfDescription
-import io.lavenderhinge.core.membership.ServerObservation
 import io.lavenderhinge.core.membership.ServerView
 import io.lavenderhinge.core.port.LiveList
 import io.lavenderhinge.core.settings.Address
@@ -107,10 +106,6 @@
         return InetSocketAddress(address.substringBeforeLast(':').trim('[', ']'), port)
     }
 
-    /** Joins what this instance saw when it called a backend server; on the control thread. */
-    fun observeServer(serverId: String, observation: ServerObservation) =
-        handle(MembershipEvent.ServerObserved(serverId, observation))
-
     /** Tells the peers that this instance leaves; on the control thread. */
     fun leave() {
         log.info("membership: leaving the table")
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/rollout/RolloutService.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/rollout/RolloutService.kt
@@ -66,9 +66,6 @@
         control.execute { rollouts[target]?.observe(route, version, outcome) }
     }
 
-    /** Stop flags for the digest of the gossip; frames received are merged by this service. */
-    fun stopFlags(): List<StopFlag> = flags.all
-
     /**
      * One plain sentence for each declared rollout, by `team/name`. May be called on any thread.
      */
