--- a/core/src/main/kotlin/io/lavenderhinge/core/port/KeyValueStore.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/port/KeyValueStore.kt
@@ -97,9 +97,6 @@
 
 /** A [KeyValueStore] whose reads tell the revision that a watch goes on from. */
 interface SnapshotStore : KeyValueStore {
-    /**
-     * Reads all keys that start with [prefix]. With [allowStale] the result may be seconds old and
-     * costs less; it must not decide anything that depends on the newest state.
-     */
-    suspend fun snapshot(prefix: String, allowStale: Boolean = false): Either<StoreFault, Snapshot>
+    /** Reads all keys that start with [prefix]. */
+    suspend fun snapshot(prefix: String): Either<StoreFault, Snapshot>
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
@@ -94,8 +94,7 @@
         readyServer.start(socketAddress(settings.listen.ready))
         callerServer.start(socketAddress(settings.listen.caller))
         operatorServer.start(socketAddress(settings.listen.operator))
-        control.scope.launch { operatorWatch().run() }
-        control.scope.launch { serverWatch().run() }
+        control.scope.launch { storeWatch().run() }
         servers.start()
         loop.execute {
             exchange.onReport = { report -> control.execute { copies.onReport(report) } }
@@ -145,17 +144,21 @@
         Thread.sleep(DRAIN_POLL_MILLIS)
     }
 
-    private fun operatorWatch() =
-        StoreWatch(
+    private fun storeWatch(): StoreWatch {
+        val listeners =
+            mapOf(
+                PlatformKeys.OPERATOR_PREFIX to OperatorWatch(configuration),
+                PlatformKeys.SERVER_PREFIX to servers,
+                PlatformKeys.MEMBER_PREFIX to members,
+            )
+        return StoreWatch(
             store,
-            PlatformKeys.OPERATOR_PREFIX,
-            OperatorWatch(configuration),
+            PlatformKeys.ALL_PREFIX,
+            PrefixListeners(listeners),
             WATCH_MILLIS,
-            OPERATOR_PAUSE_MILLIS,
+            WATCH_PAUSE_MILLIS,
         )
-
-    private fun serverWatch() =
-        StoreWatch(store, PlatformKeys.SERVER_PREFIX, servers, WATCH_MILLIS, SERVER_PAUSE_MILLIS)
+    }
 
     private fun publish(entries: List<ServerEntry>) {
         loop.execute {
@@ -176,10 +179,9 @@
         /** Half of the budget of repeats; clients' own retries and rejections may use the rest. */
         const val OWN_PART = 0.5
         /** Also the longest time that a connection to the store is silent without being noticed. */
-        const val WATCH_MILLIS = 1_200L
-        const val OPERATOR_PAUSE_MILLIS = 20L
-        /** Servers write their entries all the time; what they write in this time comes at once. */
-        const val SERVER_PAUSE_MILLIS = 300L
+        const val WATCH_MILLIS = 2_000L
+        /** What is written in this time comes with one call. */
+        const val WATCH_PAUSE_MILLIS = 60L
         const val QUOTA_MILLIS = 200L
         /** Clients and the store go first at a start; peers matter only when the store is away. */
         const val LINKS_DELAY_MILLIS = 1_500L
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/MemberRegistry.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/MemberRegistry.kt
@@ -1,8 +1,11 @@
 package io.lavenderhinge.instance.gateway
 
 import io.lavenderhinge.core.port.Lease
+import io.lavenderhinge.core.port.Snapshot
 import io.lavenderhinge.core.port.SnapshotStore
 import io.lavenderhinge.core.port.StoreFault
+import io.lavenderhinge.core.port.VersionedValue
+import io.lavenderhinge.core.port.WatchResult
 import io.lavenderhinge.core.settings.Address
 import io.lavenderhinge.instance.control.ControlThread
 import io.lavenderhinge.platform.PlatformKeys
@@ -24,18 +27,45 @@
     private val store: SnapshotStore,
     private val control: ControlThread,
     private val onMembers: (Map<String, Address>) -> Unit,
-) {
+) : StoreListener {
     private var lease: Lease? = null
-    private val jobs = mutableListOf<Job>()
+    private var registration: Job? = null
+    private val members = HashMap<String, Address>()
 
-    /** Starts to register and to read the list. */
+    /** Starts to register. */
     fun start() {
-        jobs += control.scope.launch { register() }
-        jobs += control.scope.launch { read() }
+        registration = control.scope.launch { register() }
     }
 
     /** Stops renewing; the entry lapses. */
-    fun stop() = jobs.forEach { it.cancel() }
+    fun stop() {
+        registration?.cancel()
+    }
+
+    override fun onSnapshot(snapshot: Snapshot) {
+        members.clear()
+        snapshot.values.forEach(::accept)
+        onMembers(members.toMap())
+    }
+
+    override fun onChanges(changes: WatchResult) {
+        if (changes.changes.isEmpty() && changes.removedKeys.isEmpty()) return
+        changes.changes.forEach(::accept)
+        changes.removedKeys.forEach { members.remove(id(it)) }
+        onMembers(members.toMap())
+    }
+
+    // Peers that report are known without the store.
+    override fun onLost(fault: StoreFault) = Unit
+
+    private fun accept(value: VersionedValue) {
+        val id = id(value.key)
+        val address = Address.parse(value.value)
+        if (address == null) log.warn("members: entry {} was ignored: not an address", value.key)
+        else if (id != selfId) members[id] = address
+    }
+
+    private fun id(key: String) = key.removePrefix(PlatformKeys.MEMBER_PREFIX)
 
     private suspend fun register() {
         while (true) {
@@ -63,30 +93,9 @@
             )
     }
 
-    private suspend fun read() {
-        var reads = 0
-        while (true) {
-            store.snapshot(PlatformKeys.MEMBER_PREFIX, allowStale = true).onRight { snapshot ->
-                val members =
-                    snapshot.values
-                        .mapNotNull { value ->
-                            val id = value.key.removePrefix(PlatformKeys.MEMBER_PREFIX)
-                            Address.parse(value.value)?.let { id to it }
-                        }
-                        .toMap()
-                onMembers(members - selfId)
-            }
-            delay(if (reads++ < FAST_READS) FAST_READ_MILLIS else READ_MILLIS)
-        }
-    }
-
     private companion object {
         const val LEASE_MILLIS = 10_000L
         const val RENEW_MILLIS = 3_000L
-        const val READ_MILLIS = 3_000L
-        /** All instances start at about the same time and register meanwhile. */
-        const val FAST_READS = 6
-        const val FAST_READ_MILLIS = 500L
         val log = LoggerFactory.getLogger(MemberRegistry::class.java)
     }
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ServerWatch.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ServerWatch.kt
@@ -116,7 +116,8 @@
 
     private companion object {
         const val EXPIRE_MILLIS = 200L
-        const val STALE_MILLIS = 2_500L
+        /** Longer than a watch waits. */
+        const val STALE_MILLIS = 3_000L
         val log = LoggerFactory.getLogger(ServerWatch::class.java)
     }
 }
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/logging/JsonLogConfiguratorTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/logging/JsonLogConfiguratorTest.kt
@@ -5,6 +5,7 @@
 import ch.qos.logback.classic.LoggerContext
 import ch.qos.logback.classic.spi.Configurator.ExecutionStatus
 import ch.qos.logback.classic.spi.LoggingEvent
+import ch.qos.logback.classic.util.LogbackMDCAdapter
 import ch.qos.logback.core.ConsoleAppender
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.maps.shouldContainExactly
@@ -31,6 +32,7 @@
             val context = configured()
             val event = LoggingEvent()
             event.loggerName = "gateway"
+            event.setLoggerContext(context)
             event.instant = Instant.EPOCH
             event.level = Level.INFO
             event.message = "request: ended"
@@ -53,6 +55,7 @@
 
 private fun configured(): LoggerContext {
     val context = LoggerContext()
+    context.mdcAdapter = LogbackMDCAdapter()
     System.setProperty(JsonLogConfigurator.PROPERTY, "json")
     try {
         JsonLogConfigurator().configure(context)
