--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
@@ -19,6 +19,8 @@
     val deadlineMillis: Long,
     /** Servers that have been tried for this request. */
     val excludedServers: PersistentSet<String>,
+    /** True when the request tries the version that its service is being moved to. */
+    val usesTargetVersion: Boolean = false,
 )
 
 /** What the shell does for a waiting request. */
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -10,16 +10,20 @@
  *
  * Confined to one thread. Times are monotonic milliseconds.
  */
-class Dispatcher(private val failureDomain: String) {
+class Dispatcher(
+    private val failureDomain: String,
+    private val rollouts: RolloutBoard = RolloutBoard(),
+) {
     private val pools = HashMap<String, ServerPool>()
     private val queues = HashMap<String, MutableList<DispatchAsk>>()
     private val peers = PeerLoads()
 
     /** Replaces the known servers. Those that stay keep what was learned about them. */
     fun onServers(servers: Collection<ServerEntry>, nowMillis: Long): List<DispatchEffect> {
+        rollouts.onServers(servers, nowMillis)
         val byService = servers.groupBy { it.service }
         (pools.keys + byService.keys).toSet().forEach { service ->
-            pools.getOrPut(service, ::ServerPool).update(byService[service].orEmpty())
+            pools.getOrPut(service) { ServerPool(rollouts) }.update(byService[service].orEmpty())
         }
         return advance(nowMillis)
     }
@@ -112,7 +116,7 @@
             queues[ask.service].orEmpty().count { it.priority <= ask.priority } +
                 peers.waiting(ask.service, ask.priority)
         if (ahead == 0) return null
-        val waitMillis = ahead * pool.millisPerSlot(nowMillis)
+        val waitMillis = ahead * pool.millisPerSlot(ask, nowMillis)
         val leftMillis = ask.deadlineMillis - nowMillis
         if (waitMillis <= leftMillis * MAX_WAIT_FRACTION) return null
         return DispatchEffect.Refuse(ask.id, DispatchRefusal.OVERLOAD, waitMillis.toLong())
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ForwardingConfig.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ForwardingConfig.kt
@@ -106,4 +106,6 @@
     val acceptsWork: Boolean,
     /** Start of this run of the server in epoch milliseconds; 0 when it is not stated. */
     val startedMillis: Long,
+    /** How much longer the server is slow after its start. */
+    val coldMillis: Long = 0,
 )
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/RolloutBoard.kt
@@ -0,0 +1,140 @@
+package io.lavenderhinge.core.forwarding
+
+import io.lavenderhinge.core.rollout.LatencyQuantile
+import io.lavenderhinge.core.rollout.RouteCounts
+import io.lavenderhinge.core.rollout.VersionCounts
+
+/** The orders in force, and what the instance has seen of old and new versions. */
+class RolloutBoard {
+    private val rollouts = HashMap<String, ServiceRollout>()
+    private val warmMillis = HashMap<String, Long>()
+    private val serviceLatencies = LatencyTable()
+    private val routeLatencies = LatencyTable()
+
+    /** Services with an order. */
+    val services: Set<String>
+        get() = rollouts.keys
+
+    /** Takes over an order; one that is known already changes nothing. */
+    fun onOrder(order: RolloutOrder, nowMillis: Long) {
+        val known = rollouts[order.service]
+        if (known != null && known.order.revision >= order.revision) return
+        rollouts[order.service] = ServiceRollout(order, nowMillis)
+    }
+
+    /** The order for [service] was taken back. */
+    fun onOrderRemoved(service: String) {
+        rollouts.remove(service)
+    }
+
+    /** Takes over how [order] ended, as this instance or another one has told the operator. */
+    fun onEnded(order: RolloutOrder, verdict: RolloutVerdict) {
+        rollouts[order.service]?.takeIf { it.order == order }?.onEnded(verdict)
+    }
+
+    /** Notes when servers that have just started reach their full speed. */
+    fun onServers(servers: Collection<ServerEntry>, nowMillis: Long) {
+        warmMillis.keys.retainAll(servers.mapTo(HashSet()) { it.id })
+        servers.forEach { warmMillis.putIfAbsent(it.id, nowMillis + it.coldMillis) }
+    }
+
+    /** Decides once for a request of [route] whether it tries a version under rollout. */
+    fun usesTarget(service: String, route: String, instanceCount: Int): Boolean =
+        rollouts[service]?.usesTarget(route, instanceCount) ?: false
+
+    internal fun select(servers: List<ServerRecord>, ask: DispatchAsk): List<ServerRecord> =
+        rollouts[ask.service]?.select(servers, ask.usesTargetVersion) { it.entry } ?: servers
+
+    /** A request was sent to [server]. */
+    fun sent(server: ServerEntry) {
+        rollouts[server.service]?.sent(server)
+    }
+
+    /** A request of [route] at [server] has ended. */
+    fun ended(server: ServerEntry, route: String, outcome: ServerOutcome, nowMillis: Long) {
+        val rollout = rollouts[server.service]
+        val isTarget = rollout?.order?.targetVersion == server.softwareVersion
+        val isWarm = nowMillis >= (warmMillis[server.id] ?: 0)
+        val counts = counts(outcome, usualMillis(server.service, route).takeIf { isWarm })
+        if (!isTarget && outcome is ServerOutcome.Answered) {
+            val millis = outcome.firstEventMillis.toLong()
+            routeLatencies.add(route, millis)
+            serviceLatencies.add(server.service, millis)
+        }
+        rollout?.ended(
+            server,
+            route,
+            counts?.let { if (isTarget) RouteCounts(new = it) else RouteCounts(old = it) },
+        )
+    }
+
+    // A thin route is held against its whole service, for both versions alike.
+    private fun usualMillis(service: String, route: String): Long? =
+        routeLatencies.usualMillis(route) ?: serviceLatencies.usualMillis(service)
+
+    private fun counts(outcome: ServerOutcome, usualMillis: Long?): VersionCounts? =
+        when (outcome) {
+            is ServerOutcome.Answered -> {
+                val isSlow =
+                    usualMillis != null && outcome.firstEventMillis > usualMillis * SLOW_FACTOR
+                VersionCounts(requests = 1, slow = if (isSlow) 1 else 0)
+            }
+            is ServerOutcome.Failed -> VersionCounts(requests = 1, errors = 1)
+            is ServerOutcome.Unreachable,
+            is ServerOutcome.Full,
+            is ServerOutcome.Withdrawn -> null
+        }
+
+    /** Takes over what [peer] tells. */
+    fun onPeerReport(peer: String, reports: List<RolloutReport>, nowMillis: Long) =
+        reports.forEach { report ->
+            rollouts[report.service]
+                ?.takeIf { it.order.revision == report.orderRevision }
+                ?.onPeerReport(peer, report, nowMillis)
+        }
+
+    /** Judges and moves on; returns the services whose stage has changed. */
+    fun advance(nowMillis: Long): List<RolloutChange> =
+        rollouts.values.mapNotNull { rollout ->
+            val before = rollout.stage
+            rollout.advance(nowMillis)
+            if (rollout.stage == before) null
+            else RolloutChange(rollout.order, rollout.stage, rollout.strongest?.toString())
+        }
+
+    /** What to tell the operator of each order. */
+    fun verdicts(peerIds: Set<String>, nowMillis: Long): Map<RolloutOrder, RolloutVerdict> =
+        rollouts.values.associate { it.order to it.verdict(peerIds, nowMillis) }
+
+    /** What to tell the other instances. */
+    fun reports(nowMillis: Long): List<RolloutReport> = rollouts.values.map { it.report(nowMillis) }
+
+    private companion object {
+        /**
+         * Servers of one pool differ in speed, so only answers well beyond the old version's 95th
+         * percentile count as slow.
+         */
+        const val SLOW_FACTOR = 1.5
+    }
+}
+
+/** The usual latency by name; the names seen first are forgotten when there are too many. */
+private class LatencyTable {
+    private val quantiles =
+        object : LinkedHashMap<String, LatencyQuantile>() {
+            override fun removeEldestEntry(eldest: Map.Entry<String, LatencyQuantile>) =
+                size > MAX_NAMES
+        }
+
+    fun usualMillis(name: String): Long? = quantiles[name]?.thresholdMillis
+
+    fun add(name: String, latencyMillis: Long) =
+        quantiles.getOrPut(name, ::LatencyQuantile).add(latencyMillis)
+
+    private companion object {
+        const val MAX_NAMES = 2_048
+    }
+}
+
+/** A service went on to [stage]; [evidence] is the strongest test against the version, if any. */
+data class RolloutChange(val order: RolloutOrder, val stage: RolloutStage, val evidence: String?)
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -10,7 +10,7 @@
 }
 
 /** The backend servers of one service and what is known of them. */
-internal class ServerPool {
+internal class ServerPool(private val rollouts: RolloutBoard) {
     private val records = LinkedHashMap<String, ServerRecord>()
     private val model = FirstEventModel()
 
@@ -53,16 +53,18 @@
      * a suspicion about every server is more likely wrong than useful.
      */
     fun usable(ask: DispatchAsk, nowMillis: Long): List<ServerRecord> {
-        val accepting =
+        val listed =
             records.values.filter { it.entry.acceptsWork && it.entry.id !in ask.excludedServers }
+        val accepting = rollouts.select(listed, ask)
         return accepting.filterNot { it.isResting(nowMillis) }.ifEmpty { accepting }
     }
 
     /** Mean time between two slots that become free in the whole pool. */
-    fun millisPerSlot(nowMillis: Long): Double {
+    fun millisPerSlot(ask: DispatchAsk, nowMillis: Long): Double {
         val slotsPerMillis =
-            records.values
-                .filter { it.entry.acceptsWork && !it.isResting(nowMillis) }
+            rollouts
+                .select(records.values.filter { it.entry.acceptsWork }, ask)
+                .filterNot { it.isResting(nowMillis) }
                 .sumOf { it.entry.slots / expectedHoldMillis(it) }
         return if (slotsPerMillis <= 0) MIN_HOLD_MILLIS else 1 / slotsPerMillis
     }
--- /dev/null
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ServiceRolloutTest.kt
@@ -0,0 +1,124 @@
+package io.lavenderhinge.core.forwarding
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.comparables.shouldBeLessThan
+import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
+import io.kotest.matchers.shouldBe
+
+/**
+ * Plays rollouts of 12 s at the rate of a small deployment. The bounds are the operator's: a bad
+ * version gets at most a tenth of the requests and 50 more, and a good one is in force in time.
+ */
+class ServiceRolloutTest :
+    FunSpec({
+        val seeds = 1..20
+
+        fun PlayedRollout.shouldBeTakenBackInTime() {
+            verdict shouldBe RolloutVerdict.ROLLED_BACK
+            onTarget.toDouble() shouldBeLessThanOrEqualTo 0.1 * requests + 50
+            onTargetAfterEnd shouldBe 0
+        }
+
+        // A good version that is taken back is a failure like a bad one that stays.
+        test("given a version that is as good, then it is completed before the deadline") {
+            seeds.forEach { seed ->
+                val rollout =
+                    PlayedRollout(seed = seed) { Behaviour(failureFraction = 0.01) }.play()
+
+                rollout.verdict shouldBe RolloutVerdict.COMPLETED
+                rollout.endedMillis!! shouldBeLessThan PlayedRollout.DURATION_MILLIS
+            }
+        }
+
+        test("given faults that meet both versions alike, then a good version is not taken back") {
+            seeds.forEach { seed ->
+                val rollout =
+                    PlayedRollout(seed = seed, oldFailureFraction = 0.3) {
+                            Behaviour(failureFraction = 0.3)
+                        }
+                        .play()
+
+                rollout.verdict shouldBe RolloutVerdict.COMPLETED
+            }
+        }
+
+        test("given a version that fails a third of the requests, then it is taken back") {
+            seeds.forEach { seed ->
+                PlayedRollout(seed = seed) { Behaviour(failureFraction = 0.33) }
+                    .play()
+                    .shouldBeTakenBackInTime()
+            }
+        }
+
+        test("given a version that is four times slower, then it is taken back") {
+            seeds.forEach { seed ->
+                PlayedRollout(seed = seed) { Behaviour(slowness = 4.0) }
+                    .play()
+                    .shouldBeTakenBackInTime()
+            }
+        }
+
+        test("given a version that fails on one route only, then it is taken back") {
+            seeds.forEach { seed ->
+                PlayedRollout(seed = seed) {
+                        Behaviour(failureFraction = if (it.route == "r3") 0.6 else 0.01)
+                    }
+                    .play()
+                    .shouldBeTakenBackInTime()
+            }
+        }
+
+        test("given a version that fails after some seconds, then it is taken back") {
+            seeds.forEach { seed ->
+                PlayedRollout(seed = seed) {
+                        Behaviour(failureFraction = if (it.atMillis > 4_000) 0.4 else 0.01)
+                    }
+                    .play()
+                    .shouldBeTakenBackInTime()
+            }
+        }
+
+        test("given a version that fails under load only, then it is taken back") {
+            seeds.forEach { seed ->
+                PlayedRollout(seed = seed) {
+                        Behaviour(failureFraction = if (it.targetFraction > 0.25) 0.4 else 0.01)
+                    }
+                    .play()
+                    .shouldBeTakenBackInTime()
+            }
+        }
+
+        test("given requests at old servers, then the rollout is not completed") {
+            val rollout = ServiceRollout(RolloutOrder("s", "v2", 10_000, 1), nowMillis = 0)
+            val old = server("a").copy(softwareVersion = "v1")
+            rollout.sent(old)
+
+            rollout.advance(nowMillis = 7_000)
+            rollout.advance(nowMillis = 9_000)
+            rollout.verdict(emptySet(), nowMillis = 9_000) shouldBe RolloutVerdict.IN_PROGRESS
+            rollout.ended(old, "r", counts = null)
+
+            rollout.verdict(emptySet(), nowMillis = 9_000) shouldBe RolloutVerdict.COMPLETED
+        }
+
+        test("given a peer that is silent, then the rollout is not completed") {
+            val rollout = ServiceRollout(RolloutOrder("s", "v2", 10_000, 1), nowMillis = 0)
+
+            rollout.advance(nowMillis = 7_000)
+            rollout.advance(nowMillis = 9_000)
+
+            rollout.verdict(setOf("p"), nowMillis = 9_000) shouldBe RolloutVerdict.IN_PROGRESS
+        }
+
+        // Guards against a restarted instance that brings back a version the others withdrew.
+        test("given an instance that starts later, then it goes on where its peers are") {
+            val early = ServiceRollout(RolloutOrder("s", "v2", 10_000, 1), nowMillis = 0)
+            early.advance(nowMillis = 7_000)
+            val late = ServiceRollout(RolloutOrder("s", "v2", 10_000, 1), nowMillis = 7_000)
+
+            late.onPeerReport("p", early.report(nowMillis = 7_000), nowMillis = 7_000)
+            late.advance(nowMillis = 7_010)
+
+            late.stage shouldBe RolloutStage.SHIFTED
+        }
+    })
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
@@ -36,6 +36,7 @@
     private var rejections = 0
     private var mayHaveRun = false
     private var isAnswered = false
+    private var usesTargetVersion = false
     private var failedAnswer: AttemptResult.Answer? = null
     private val trail = RequestTrail(facts.requestId, route, admitted, arrivedMillis)
 
@@ -53,6 +54,8 @@
     private suspend fun send() {
         val service = pickService()
         trail.service = service
+        usesTargetVersion =
+            services.broker.rollouts.usesTarget(service, route.name, services.instanceCount())
         services.repeats.onRequest(service, loop.nowMillis())
         while (true) {
             val grant =
@@ -82,6 +85,7 @@
                 grant,
                 promptTokens,
                 silenceLimits(grant),
+                route.name,
             )
             .run(upstreamRequest(exchange.request, fields), relay)
     }
@@ -176,6 +180,7 @@
             targetMillis = arrivedMillis + route.targetLatencyMillis,
             deadlineMillis = deadlineMillis,
             excludedServers = excluded,
+            usesTargetVersion = usesTargetVersion,
         )
 
     private fun expectedEvents(service: String): Double {
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
@@ -5,6 +5,7 @@
 import io.lavenderhinge.core.forwarding.QuotaLedger
 import io.lavenderhinge.core.forwarding.RepeatBudget
 import io.lavenderhinge.core.forwarding.RequestAdmission
+import io.lavenderhinge.core.forwarding.RolloutOrder
 import io.lavenderhinge.core.forwarding.ServerEntry
 import io.lavenderhinge.core.settings.Address
 import io.lavenderhinge.core.settings.GatewaySettings
@@ -58,6 +59,10 @@
         MemberRegistry(identity.id, settings.listen.peer, store, control) { members ->
             loop.execute { exchange.onMembers(members) }
         }
+    private val rolloutDuty =
+        RolloutDuty(identity.id, store, control.scope, loop::nowMillis) { order, verdict ->
+            loop.execute { broker.rollouts.onEnded(order, verdict) }
+        }
     private val metrics = GatewayMetrics(control)
     private val services =
         ForwardingServices(
@@ -101,6 +106,7 @@
         }
         exchange.start()
         loop.every(QUOTA_MILLIS, ::tickQuotas)
+        loop.every(ROLLOUT_MILLIS, ::tickRollouts)
         control.after(LINKS_DELAY_MILLIS) {
             links.start(socketAddress(settings.listen.peer))
             copies.start()
@@ -147,7 +153,8 @@
     private fun storeWatch(): StoreWatch {
         val listeners =
             mapOf(
-                PlatformKeys.OPERATOR_PREFIX to OperatorWatch(configuration),
+                PlatformKeys.OPERATOR_PREFIX to OperatorWatch(configuration, rolloutOrders()),
+                PlatformKeys.ROLLOUT_STATUS_PREFIX to rolloutDuty,
                 PlatformKeys.SERVER_PREFIX to servers,
                 PlatformKeys.MEMBER_PREFIX to members,
             )
@@ -167,6 +174,32 @@
         }
     }
 
+    private fun rolloutOrders() =
+        object : RolloutOrders {
+            override fun onOrder(order: RolloutOrder) =
+                loop.execute { broker.rollouts.onOrder(order, loop.nowMillis()) }
+
+            override fun onOrderRemoved(service: String) =
+                loop.execute { broker.rollouts.onOrderRemoved(service) }
+        }
+
+    private fun tickRollouts() {
+        val nowMillis = loop.nowMillis()
+        broker.rollouts.advance(nowMillis).forEach { change ->
+            log.info(
+                "rollout: {} to {} enters {}, evidence {}",
+                change.order.service,
+                change.order.targetVersion,
+                change.stage,
+                change.evidence,
+            )
+        }
+        val peerIds = exchange.peerIds.toSet()
+        val verdicts = broker.rollouts.verdicts(peerIds, nowMillis)
+        if (verdicts.isEmpty()) return
+        control.execute { rolloutDuty.report(verdicts, peerIds) }
+    }
+
     private fun tickQuotas() {
         val workspaces = configuration.table?.config?.workspaces.orEmpty()
         quotas.tick(exchange.peerIds, workspaces, loop.nowMillis())
@@ -183,6 +216,7 @@
         /** What is written in this time comes with one call. */
         const val WATCH_PAUSE_MILLIS = 60L
         const val QUOTA_MILLIS = 200L
+        const val ROLLOUT_MILLIS = 100L
         /** Clients and the store go first at a start; peers matter only when the store is away. */
         const val LINKS_DELAY_MILLIS = 1_500L
         /** The platform stops sending new connections after two failed checks a second apart. */
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadExchange.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadExchange.kt
@@ -37,6 +37,7 @@
     private lateinit var channel: Channel
     private var sequence = 0L
     private var sentMillis = 0L
+    private var rolloutsSentMillis = 0L
     private var isChanged = false
     private var isScheduled = false
 
@@ -87,7 +88,17 @@
     private fun send() {
         isChanged = false
         sentMillis = loop.nowMillis()
-        val message =
+        val message = reportBuilder().build().toByteArray()
+        val addresses = if (peers.ids.isEmpty()) seeds - self.address else peers.addresses
+        addresses.forEach {
+            val target = InetSocketAddress(it.ip, it.port)
+            channel.write(DatagramPacket(Unpooled.wrappedBuffer(message), target))
+        }
+        channel.flush()
+    }
+
+    private fun reportBuilder(): LoadReport.Builder {
+        val builder =
             LoadReport.newBuilder()
                 .setInstanceId(self.id)
                 .setIncarnation(self.incarnation)
@@ -97,14 +108,11 @@
                 .setConfigurationVersion(versions.configuration())
                 .setServerRevision(versions.servers())
                 .with(broker.report(), quotas.totals)
-                .build()
-                .toByteArray()
-        val addresses = if (peers.ids.isEmpty()) seeds - self.address else peers.addresses
-        addresses.forEach {
-            val target = InetSocketAddress(it.ip, it.port)
-            channel.write(DatagramPacket(Unpooled.wrappedBuffer(message), target))
+        if (sentMillis - rolloutsSentMillis >= ROLLOUTS_MILLIS) {
+            rolloutsSentMillis = sentMillis
+            broker.rollouts.reports(sentMillis).forEach { builder.addRollouts(it.toMessage()) }
         }
-        channel.flush()
+        return builder
     }
 
     private fun receive(bytes: ByteArray) {
@@ -120,6 +128,7 @@
         val spending = report.toSpending()
         quotas.onPeerReport(report.instanceId, report.incarnation, spending, nowMillis)
         broker.onPeerReport(report.instanceId, report.toReport())
+        broker.rollouts.onPeerReport(report.instanceId, report.toRollouts(), nowMillis)
         onReport(report)
     }
 
@@ -135,6 +144,8 @@
 
     private companion object {
         const val HEARTBEAT_MILLIS = 250L
+        /** Counts by route are many bytes, and rollouts move in seconds. */
+        const val ROLLOUTS_MILLIS = 150L
         const val MIN_PAUSE_MILLIS = 15L
         const val PAUSE_FOR_EACH_PEER_MILLIS = 3L
         val log = LoggerFactory.getLogger(LoadExchange::class.java)
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/OperatorWatch.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/OperatorWatch.kt
@@ -1,20 +1,31 @@
 package io.lavenderhinge.instance.gateway
 
+import io.lavenderhinge.core.forwarding.RolloutOrder
 import io.lavenderhinge.core.port.Snapshot
 import io.lavenderhinge.core.port.StoreFault
 import io.lavenderhinge.core.port.VersionedValue
 import io.lavenderhinge.core.port.WatchResult
 import io.lavenderhinge.platform.PlatformKeys
+import io.lavenderhinge.platform.RolloutCodec
+import org.slf4j.LoggerFactory
+
+/** Puts what the operator writes in force. Confined to the control thread. */
+internal class OperatorWatch(
+    private val configuration: ConfigurationHolder,
+    private val rollouts: RolloutOrders,
+) : StoreListener {
+    private val orders = HashMap<String, RolloutOrder>()
 
-/** Puts what the operator writes in force. */
-internal class OperatorWatch(private val configuration: ConfigurationHolder) : StoreListener {
     override fun onSnapshot(snapshot: Snapshot) {
+        val keys = snapshot.values.mapTo(HashSet()) { it.key }
+        orders.keys.filter { it !in keys }.forEach(::remove)
         snapshot.values.forEach(::accept)
         configuration.confirm()
     }
 
     override fun onChanges(changes: WatchResult) {
         changes.changes.forEach(::accept)
+        changes.removedKeys.forEach(::remove)
         configuration.confirm()
     }
 
@@ -22,6 +33,40 @@
     override fun onLost(fault: StoreFault) = Unit
 
     private fun accept(value: VersionedValue) {
-        if (value.key == PlatformKeys.CONFIGURATION) configuration.offer(value.value, "the store")
+        when {
+            value.key == PlatformKeys.CONFIGURATION -> configuration.offer(value.value, "the store")
+            value.key.startsWith(PlatformKeys.ROLLOUT_ORDER_PREFIX) -> acceptOrder(value)
+        }
+    }
+
+    private fun acceptOrder(value: VersionedValue) {
+        RolloutCodec.decodeOrder(value.value, value.version)
+            .fold(
+                { log.warn("rollout: order {} was ignored: {}", value.key, it) },
+                { order ->
+                    if (orders.put(value.key, order) == order) return
+                    log.info("rollout: order of {} is in force: {}", value.key, order)
+                    rollouts.onOrder(order)
+                },
+            )
+    }
+
+    private fun remove(key: String) {
+        val order = orders.remove(key) ?: return
+        log.info("rollout: order of {} was taken back", key)
+        rollouts.onOrderRemoved(order.service)
     }
+
+    private companion object {
+        val log = LoggerFactory.getLogger(OperatorWatch::class.java)
+    }
+}
+
+/** Receives the operator's orders. */
+internal interface RolloutOrders {
+    /** An order is in force. */
+    fun onOrder(order: RolloutOrder)
+
+    /** The order for [service] was taken back. */
+    fun onOrderRemoved(service: String)
 }
--- /dev/null
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RolloutDuty.kt
@@ -0,0 +1,111 @@
+package io.lavenderhinge.instance.gateway
+
+import io.lavenderhinge.core.forwarding.RolloutOrder
+import io.lavenderhinge.core.forwarding.RolloutVerdict
+import io.lavenderhinge.core.port.Snapshot
+import io.lavenderhinge.core.port.SnapshotStore
+import io.lavenderhinge.core.port.StoreFault
+import io.lavenderhinge.core.port.VersionedValue
+import io.lavenderhinge.core.port.WatchResult
+import io.lavenderhinge.platform.PlatformKeys
+import io.lavenderhinge.platform.RolloutCodec
+import io.lavenderhinge.platform.RolloutStatus
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import org.slf4j.LoggerFactory
+
+/**
+ * Tells the operator how rollouts stand, and learns it from the store after a start.
+ *
+ * The instance that is first by id writes a status. Each further one waits a little longer and then
+ * writes it itself, so that nothing depends on one instance; the store lets only one of them
+ * succeed, and a final status is never replaced. Confined to the control thread.
+ */
+internal class RolloutDuty(
+    private val selfId: String,
+    private val store: SnapshotStore,
+    private val scope: CoroutineScope,
+    private val nowMillis: () -> Long,
+    /** Called for an order that the store says has ended. */
+    private val onEnded: (RolloutOrder, RolloutVerdict) -> Unit,
+) : StoreListener {
+    private class Stored(val status: RolloutStatus, val revision: Long)
+
+    private class Due(val order: RolloutOrder, val verdict: RolloutVerdict, val sinceMillis: Long)
+
+    private val stored = HashMap<String, Stored>()
+    private val due = HashMap<String, Due>()
+    private val writing = HashSet<String>()
+
+    override fun onSnapshot(snapshot: Snapshot) {
+        stored.clear()
+        snapshot.values.forEach(::accept)
+    }
+
+    override fun onChanges(changes: WatchResult) {
+        changes.changes.forEach(::accept)
+        changes.removedKeys.forEach { stored.remove(service(it)) }
+    }
+
+    // A status that cannot be written now is written when the store answers again.
+    override fun onLost(fault: StoreFault) = Unit
+
+    /** Writes what [verdicts] say and the store does not yet. */
+    fun report(verdicts: Map<RolloutOrder, RolloutVerdict>, peerIds: Set<String>) {
+        val rank = (peerIds + selfId).sorted().indexOf(selfId)
+        verdicts.forEach { (order, verdict) -> report(order, verdict, rank) }
+    }
+
+    private fun report(order: RolloutOrder, verdict: RolloutVerdict, rank: Int) {
+        val current = stored[order.service]?.takeIf { it.revision > order.revision }
+        if (current?.status?.targetVersion == order.targetVersion) {
+            val known = current.status.verdict
+            if (known != RolloutVerdict.IN_PROGRESS) return onEnded(order, known)
+            if (known == verdict) return
+        }
+        val waitedMillis = nowMillis() - dueSince(order, verdict)
+        if (waitedMillis < rank * TAKEOVER_MILLIS || !writing.add(order.service)) return
+        scope.launch { write(order, verdict) }
+    }
+
+    private fun dueSince(order: RolloutOrder, verdict: RolloutVerdict): Long {
+        val known = due[order.service]?.takeIf { it.order == order && it.verdict == verdict }
+        if (known != null) return known.sinceMillis
+        return nowMillis().also { due[order.service] = Due(order, verdict, it) }
+    }
+
+    private suspend fun write(order: RolloutOrder, verdict: RolloutVerdict) {
+        val status = RolloutStatus(order.targetVersion, verdict)
+        val expected = stored[order.service]?.revision ?: 0
+        val key = PlatformKeys.ROLLOUT_STATUS_PREFIX + order.service
+        store
+            .compareAndSwap(key, expected, RolloutCodec.encode(status), leaseId = null)
+            .fold(
+                { fault ->
+                    log.warn("rollout: status of {} was not written: {}", key, fault.message)
+                    (fault as? StoreFault.Conflict)?.current?.let(::accept)
+                },
+                { revision ->
+                    stored[order.service] = Stored(status, revision)
+                    log.info("rollout: {} to {} is {}", order.service, order.targetVersion, verdict)
+                },
+            )
+        writing.remove(order.service)
+    }
+
+    private fun accept(value: VersionedValue) {
+        RolloutCodec.decodeStatus(value.value)
+            .fold(
+                { log.warn("rollout: status {} was ignored: {}", value.key, it) },
+                { stored[service(value.key)] = Stored(it, value.version) },
+            )
+    }
+
+    private fun service(key: String) = key.removePrefix(PlatformKeys.ROLLOUT_STATUS_PREFIX)
+
+    private companion object {
+        /** Longer than a write takes; the instances after the first one wait a multiple. */
+        const val TAKEOVER_MILLIS = 400L
+        val log = LoggerFactory.getLogger(RolloutDuty::class.java)
+    }
+}
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotBroker.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotBroker.kt
@@ -4,6 +4,7 @@
 import io.lavenderhinge.core.forwarding.DispatchEffect
 import io.lavenderhinge.core.forwarding.Dispatcher
 import io.lavenderhinge.core.forwarding.LoadReport
+import io.lavenderhinge.core.forwarding.RolloutBoard
 import io.lavenderhinge.core.forwarding.ServerEntry
 import io.lavenderhinge.core.forwarding.ServerOutcome
 import kotlinx.coroutines.CancellationException
@@ -13,8 +14,13 @@
  * Hands the slots that the [Dispatcher] grants to waiting coroutines. Confined to the traffic
  * thread.
  */
-internal class SlotBroker(failureDomain: String, private val loop: TrafficLoop) {
-    private val dispatcher = Dispatcher(failureDomain)
+internal class SlotBroker(
+    failureDomain: String,
+    private val loop: TrafficLoop,
+    /** The rollouts that decide which servers a request may go to. */
+    val rollouts: RolloutBoard = RolloutBoard(),
+) {
+    private val dispatcher = Dispatcher(failureDomain, rollouts)
     private val waiting = HashMap<Long, Waiter>()
     private var lastAskId = 0L
     private var isTickScheduled = false
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamCall.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamCall.kt
@@ -27,6 +27,7 @@
     private val grant: DispatchEffect.Assign,
     private val promptTokens: Double,
     private val silence: SilenceLimits,
+    private val route: String,
 ) {
     private val server: ServerEntry = grant.server
     private val sentMillis = loop.nowMillis()
@@ -40,6 +41,7 @@
      */
     suspend fun run(request: HttpRequest, relay: StreamRelay?): AttemptResult {
         var response: ClientResponse? = null
+        broker.rollouts.sent(server)
         try {
             val opened = open(request)
             response = opened
@@ -55,6 +57,7 @@
             throw e
         } finally {
             response?.abort()
+            broker.rollouts.ended(server, route, outcome, loop.nowMillis())
             broker.release(server, outcome, promptTokens, promptPending = firstEventMillis == null)
         }
     }
--- /dev/null
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/RolloutDutyTest.kt
@@ -0,0 +1,123 @@
+package io.lavenderhinge.instance.gateway
+
+import arrow.core.Either
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import io.lavenderhinge.core.forwarding.RolloutOrder
+import io.lavenderhinge.core.forwarding.RolloutVerdict
+import io.lavenderhinge.core.port.KeyValueStore
+import io.lavenderhinge.core.port.Snapshot
+import io.lavenderhinge.core.port.SnapshotStore
+import io.lavenderhinge.core.port.StoreFault
+import io.lavenderhinge.instance.settings.InMemoryStore
+import io.lavenderhinge.platform.RolloutCodec
+import io.lavenderhinge.platform.RolloutStatus
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runCurrent
+import kotlinx.coroutines.test.runTest
+
+/** Guards against a rollout whose status depends on one instance, or changes after its end. */
+class RolloutDutyTest :
+    FunSpec({
+        val order = RolloutOrder("s", "v2", durationMillis = 12_000, revision = 0)
+
+        test("given a new order, then the first instance tells that it is in progress") {
+            runTest {
+                val fixture = DutyFixture(this, selfId = "a")
+
+                fixture.report(order, RolloutVerdict.IN_PROGRESS)
+
+                fixture.written() shouldBe RolloutStatus("v2", RolloutVerdict.IN_PROGRESS)
+            }
+        }
+
+        test("given an instance that is not the first, then it takes over only after a while") {
+            runTest {
+                val fixture = DutyFixture(this, selfId = "b")
+
+                fixture.report(order, RolloutVerdict.COMPLETED)
+                fixture.written() shouldBe null
+                fixture.nowMillis += 400
+                fixture.report(order, RolloutVerdict.COMPLETED)
+
+                fixture.written() shouldBe RolloutStatus("v2", RolloutVerdict.COMPLETED)
+            }
+        }
+
+        // Two instances may differ for a moment; what the operator was told first stands.
+        test("given a final status by another instance, then it stays and is taken over") {
+            runTest {
+                val fixture = DutyFixture(this, selfId = "a")
+                fixture.write(RolloutStatus("v2", RolloutVerdict.ROLLED_BACK))
+
+                fixture.report(order, RolloutVerdict.COMPLETED)
+                fixture.report(order, RolloutVerdict.COMPLETED)
+
+                fixture.written() shouldBe RolloutStatus("v2", RolloutVerdict.ROLLED_BACK)
+                fixture.ended.shouldContainExactly(RolloutVerdict.ROLLED_BACK)
+            }
+        }
+
+        test("given the status of an earlier order for the same version, then it is replaced") {
+            runTest {
+                val fixture = DutyFixture(this, selfId = "a")
+                fixture.write(RolloutStatus("v2", RolloutVerdict.ROLLED_BACK))
+                val again = order.copy(revision = 9)
+                fixture.duty.onSnapshot(fixture.snapshot())
+
+                fixture.report(again, RolloutVerdict.IN_PROGRESS)
+
+                fixture.written() shouldBe RolloutStatus("v2", RolloutVerdict.IN_PROGRESS)
+            }
+        }
+
+        test("given a store that is away, then the status is written once it is back") {
+            runTest {
+                val fixture = DutyFixture(this, selfId = "a")
+                fixture.memory.isDown = true
+                fixture.report(order, RolloutVerdict.COMPLETED)
+                fixture.memory.isDown = false
+
+                fixture.report(order, RolloutVerdict.COMPLETED)
+
+                fixture.written() shouldBe RolloutStatus("v2", RolloutVerdict.COMPLETED)
+            }
+        }
+    })
+
+private const val KEY = "status/rollout/s"
+
+@OptIn(ExperimentalCoroutinesApi::class)
+private class DutyFixture(private val scope: TestScope, selfId: String) {
+    val memory = InMemoryStore()
+    val ended = mutableListOf<RolloutVerdict>()
+    var nowMillis = 0L
+    val duty =
+        RolloutDuty(selfId, SnapshotsOf(memory), scope, { nowMillis }) { _, verdict ->
+            ended += verdict
+        }
+
+    fun report(order: RolloutOrder, verdict: RolloutVerdict) {
+        duty.report(mapOf(order to verdict), peerIds = setOf("a", "c"))
+        scope.runCurrent()
+    }
+
+    suspend fun write(status: RolloutStatus) {
+        memory.compareAndSwap(KEY, 0, RolloutCodec.encode(status), null)
+    }
+
+    suspend fun snapshot() = SnapshotsOf(memory).snapshot("status/rollout/").getOrNull()!!
+
+    suspend fun written(): RolloutStatus? =
+        memory.get(KEY).getOrNull()?.let { RolloutCodec.decodeStatus(it.value).getOrNull() }
+}
+
+private class SnapshotsOf(private val memory: InMemoryStore) :
+    SnapshotStore, KeyValueStore by memory {
+    override suspend fun snapshot(prefix: String): Either<StoreFault, Snapshot> =
+        memory.list(prefix).map { values ->
+            Snapshot(values, values.maxOfOrNull { it.version } ?: 0)
+        }
+}
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/LoadReport.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/LoadReport.java
@@ -38,6 +38,7 @@
     servers_ = java.util.Collections.emptyList();
     queues_ = java.util.Collections.emptyList();
     workspaces_ = java.util.Collections.emptyList();
+    rollouts_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -317,6 +318,67 @@
     return serverRevision_;
   }
 
+  public static final int ROLLOUTS_FIELD_NUMBER = 11;
+  @SuppressWarnings("serial")
+  private java.util.List<io.lavenderhinge.protocol.v1.RolloutProgress> rollouts_;
+  /**
+   * <pre>
+   * Rollouts of services; sent less often than the rest.
+   * </pre>
+   *
+   * <code>repeated .lavenderhinge.v1.RolloutProgress rollouts = 11;</code>
+   */
+  @java.lang.Override
+  public java.util.List<io.lavenderhinge.protocol.v1.RolloutProgress> getRolloutsList() {
+    return rollouts_;
+  }
+  /**
+   * <pre>
+   * Rollouts of services; sent less often than the rest.
+   * </pre>
+   *
+   * <code>repeated .lavenderhinge.v1.RolloutProgress rollouts = 11;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends io.lavenderhinge.protocol.v1.RolloutProgressOrBuilder> 
+      getRolloutsOrBuilderList() {
+    return rollouts_;
+  }
+  /**
+   * <pre>
+   * Rollouts of services; sent less often than the rest.
+   * </pre>
+   *
+   * <code>repeated .lavenderhinge.v1.RolloutProgress rollouts = 11;</code>
+   */
+  @java.lang.Override
+  public int getRolloutsCount() {
+    return rollouts_.size();
+  }
+  /**
+   * <pre>
+   * Rollouts of services; sent less often than the rest.
+   * </pre>
+   *
+   * <code>repeated .lavenderhinge.v1.RolloutProgress rollouts = 11;</code>
+   */
+  @java.lang.Override
+  public io.lavenderhinge.protocol.v1.RolloutProgress getRollouts(int index) {
+    return rollouts_.get(index);
+  }
+  /**
+   * <pre>
+   * Rollouts of services; sent less often than the rest.
+   * </pre>
+   *
+   * <code>repeated .lavenderhinge.v1.RolloutProgress rollouts = 11;</code>
+   */
+  @java.lang.Override
+  public io.lavenderhinge.protocol.v1.RolloutProgressOrBuilder getRolloutsOrBuilder(
+      int index) {
+    return rollouts_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -361,6 +423,9 @@
     if (serverRevision_ != 0L) {
       output.writeInt64(10, serverRevision_);
     }
+    for (int i = 0; i < rollouts_.size(); i++) {
+      output.writeMessage(11, rollouts_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -408,6 +473,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(10, serverRevision_);
     }
+    for (int i = 0; i < rollouts_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(11, rollouts_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -443,6 +512,8 @@
         != other.getConfigurationVersion()) return false;
     if (getServerRevision()
         != other.getServerRevision()) return false;
+    if (!getRolloutsList()
+        .equals(other.getRolloutsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -484,6 +555,10 @@
     hash = (37 * hash) + SERVER_REVISION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getServerRevision());
+    if (getRolloutsCount() > 0) {
+      hash = (37 * hash) + ROLLOUTS_FIELD_NUMBER;
+      hash = (53 * hash) + getRolloutsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -648,6 +723,13 @@
       bitField0_ = (bitField0_ & ~0x00000080);
       configurationVersion_ = 0L;
       serverRevision_ = 0L;
+      if (rolloutsBuilder_ == null) {
+        rollouts_ = java.util.Collections.emptyList();
+      } else {
+        rollouts_ = null;
+        rolloutsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000400);
       return this;
     }
 
@@ -708,6 +790,15 @@
       } else {
         result.workspaces_ = workspacesBuilder_.build();
       }
+      if (rolloutsBuilder_ == null) {
+        if (((bitField0_ & 0x00000400) != 0)) {
+          rollouts_ = java.util.Collections.unmodifiableList(rollouts_);
+          bitField0_ = (bitField0_ & ~0x00000400);
+        }
+        result.rollouts_ = rollouts_;
+      } else {
+        result.rollouts_ = rolloutsBuilder_.build();
+      }
     }
 
     private void buildPartial0(io.lavenderhinge.protocol.v1.LoadReport result) {
@@ -850,6 +941,32 @@
       if (other.getServerRevision() != 0L) {
         setServerRevision(other.getServerRevision());
       }
+      if (rolloutsBuilder_ == null) {
+        if (!other.rollouts_.isEmpty()) {
+          if (rollouts_.isEmpty()) {
+            rollouts_ = other.rollouts_;
+            bitField0_ = (bitField0_ & ~0x00000400);
+          } else {
+            ensureRolloutsIsMutable();
+            rollouts_.addAll(other.rollouts_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.rollouts_.isEmpty()) {
+          if (rolloutsBuilder_.isEmpty()) {
+            rolloutsBuilder_.dispose();
+            rolloutsBuilder_ = null;
+            rollouts_ = other.rollouts_;
+            bitField0_ = (bitField0_ & ~0x00000400);
+            rolloutsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetRolloutsFieldBuilder() : null;
+          } else {
+            rolloutsBuilder_.addAllMessages(other.rollouts_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -950,6 +1067,19 @@
               bitField0_ |= 0x00000200;
               break;
             } // case 80
+            case 90: {
+              io.lavenderhinge.protocol.v1.RolloutProgress m =
+                  input.readMessage(
+                      io.lavenderhinge.protocol.v1.RolloutProgress.parser(),
+                      extensionRegistry);
+              if (rolloutsBuilder_ == null) {
+                ensureRolloutsIsMutable();
+                rollouts_.add(m);
+              } else {
+                rolloutsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 90
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2015,6 +2145,318 @@
       return this;
     }
 
+    private java.util.List<io.lavenderhinge.protocol.v1.RolloutProgress> rollouts_ =
+      java.util.Collections.emptyList();
+    private void ensureRolloutsIsMutable() {
+      if (!((bitField0_ & 0x00000400) != 0)) {
+        rollouts_ = new java.util.ArrayList<io.lavenderhinge.protocol.v1.RolloutProgress>(rollouts_);
+        bitField0_ |= 0x00000400;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.lavenderhinge.protocol.v1.RolloutProgress, io.lavenderhinge.protocol.v1.RolloutProgress.Builder, io.lavenderhinge.protocol.v1.RolloutProgressOrBuilder> rolloutsBuilder_;
+
+    /**
+     * <pre>
+     * Rollouts of services; sent less often than the rest.
+     * </pre>
+     *
+     * <code>repeated .lavenderhinge.v1.RolloutProgress rollouts = 11;</code>
+     */
+    public java.util.List<io.lavenderhinge.protocol.v1.RolloutProgress> getRolloutsList() {
+      if (rolloutsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(rollouts_);
+      } else {
+        return rolloutsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Rollouts of services; sent less often than the rest.
+     * </pre>
+     *
+     * <code>repeated .lavenderhinge.v1.RolloutProgress rollouts = 11;</code>
+     */
+    public int getRolloutsCount() {
+      if (rolloutsBuilder_ == null) {
+        return rollouts_.size();
+      } else {
+        return rolloutsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Rollouts of services; sent less often than the rest.
+     * </pre>
+     *
+     * <code>repeated .lavenderhinge.v1.RolloutProgress rollouts = 11;</code>
+     */
+    public io.lavenderhinge.protocol.v1.RolloutProgress getRollouts(int index) {
+      if (rolloutsBuilder_ == null) {
+        return rollouts_.get(index);
+      } else {
+        return rolloutsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Rollouts of services; sent less often than the rest.
+     * </pre>
+     *
+     * <code>repeated .lavenderhinge.v1.RolloutProgress rollouts = 11;</code>
+     */
+    public Builder setRollouts(
+        int index, io.lavenderhinge.protocol.v1.RolloutProgress value) {
+      if (rolloutsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureRolloutsIsMutable();
+        rollouts_.set(index, value);
+        onChanged();
+      } else {
+        rolloutsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Rollouts of services; sent less often than the rest.
+     * </pre>
+     *
+     * <code>repeated .lavenderhinge.v1.RolloutProgress rollouts = 11;</code>
+     */
+    public Builder setRollouts(
+        int index, io.lavenderhinge.protocol.v1.RolloutProgress.Builder builderForValue) {
+      if (rolloutsBuilder_ == null) {
+        ensureRolloutsIsMutable();
+        rollouts_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        rolloutsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Rollouts of services; sent less often than the rest.
+     * </pre>
+     *
+     * <code>repeated .lavenderhinge.v1.RolloutProgress rollouts = 11;</code>
+     */
+    public Builder addRollouts(io.lavenderhinge.protocol.v1.RolloutProgress value) {
+      if (rolloutsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureRolloutsIsMutable();
+        rollouts_.add(value);
+        onChanged();
+      } else {
+        rolloutsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Rollouts of services; sent less often than the rest.
+     * </pre>
+     *
+     * <code>repeated .lavenderhinge.v1.RolloutProgress rollouts = 11;</code>
+     */
+    public Builder addRollouts(
+        int index, io.lavenderhinge.protocol.v1.RolloutProgress value) {
+      if (rolloutsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureRolloutsIsMutable();
+        rollouts_.add(index, value);
+        onChanged();
+      } else {
+        rolloutsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Rollouts of services; sent less often than the rest.
+     * </pre>
+     *
+     * <code>repeated .lavenderhinge.v1.RolloutProgress rollouts = 11;</code>
+     */
+    public Builder addRollouts(
+        io.lavenderhinge.protocol.v1.RolloutProgress.Builder builderForValue) {
+      if (rolloutsBuilder_ == null) {
+        ensureRolloutsIsMutable();
+        rollouts_.add(builderForValue.build());
+        onChanged();
+      } else {
+        rolloutsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Rollouts of services; sent less often than the rest.
+     * </pre>
+     *
+     * <code>repeated .lavenderhinge.v1.RolloutProgress rollouts = 11;</code>
+     */
+    public Builder addRollouts(
+        int index, io.lavenderhinge.protocol.v1.RolloutProgress.Builder builderForValue) {
+      if (rolloutsBuilder_ == null) {
+        ensureRolloutsIsMutable();
+        rollouts_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        rolloutsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Rollouts of services; sent less often than the rest.
+     * </pre>
+     *
+     * <code>repeated .lavenderhinge.v1.RolloutProgress rollouts = 11;</code>
+     */
+    public Builder addAllRollouts(
+        java.lang.Iterable<? extends io.lavenderhinge.protocol.v1.RolloutProgress> values) {
+      if (rolloutsBuilder_ == null) {
+        ensureRolloutsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, rollouts_);
+        onChanged();
+      } else {
+        rolloutsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Rollouts of services; sent less often than the rest.
+     * </pre>
+     *
+     * <code>repeated .lavenderhinge.v1.RolloutProgress rollouts = 11;</code>
+     */
+    public Builder clearRollouts() {
+      if (rolloutsBuilder_ == null) {
+        rollouts_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000400);
+        onChanged();
+      } else {
+        rolloutsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Rollouts of services; sent less often than the rest.
+     * </pre>
+     *
+     * <code>repeated .lavenderhinge.v1.RolloutProgress rollouts = 11;</code>
+     */
+    public Builder removeRollouts(int index) {
+      if (rolloutsBuilder_ == null) {
+        ensureRolloutsIsMutable();
+        rollouts_.remove(index);
+        onChanged();
+      } else {
+        rolloutsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Rollouts of services; sent less often than the rest.
+     * </pre>
+     *
+     * <code>repeated .lavenderhinge.v1.RolloutProgress rollouts = 11;</code>
+     */
+    public io.lavenderhinge.protocol.v1.RolloutProgress.Builder getRolloutsBuilder(
+        int index) {
+      return internalGetRolloutsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Rollouts of services; sent less often than the rest.
+     * </pre>
+     *
+     * <code>repeated .lavenderhinge.v1.RolloutProgress rollouts = 11;</code>
+     */
+    public io.lavenderhinge.protocol.v1.RolloutProgressOrBuilder getRolloutsOrBuilder(
+        int index) {
+      if (rolloutsBuilder_ == null) {
+        return rollouts_.get(index);  } else {
+        return rolloutsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Rollouts of services; sent less often than the rest.
+     * </pre>
+     *
+     * <code>repeated .lavenderhinge.v1.RolloutProgress rollouts = 11;</code>
+     */
+    public java.util.List<? extends io.lavenderhinge.protocol.v1.RolloutProgressOrBuilder> 
+         getRolloutsOrBuilderList() {
+      if (rolloutsBuilder_ != null) {
+        return rolloutsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(rollouts_);
+      }
+    }
+    /**
+     * <pre>
+     * Rollouts of services; sent less often than the rest.
+     * </pre>
+     *
+     * <code>repeated .lavenderhinge.v1.RolloutProgress rollouts = 11;</code>
+     */
+    public io.lavenderhinge.protocol.v1.RolloutProgress.Builder addRolloutsBuilder() {
+      return internalGetRolloutsFieldBuilder().addBuilder(
+          io.lavenderhinge.protocol.v1.RolloutProgress.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Rollouts of services; sent less often than the rest.
+     * </pre>
+     *
+     * <code>repeated .lavenderhinge.v1.RolloutProgress rollouts = 11;</code>
+     */
+    public io.lavenderhinge.protocol.v1.RolloutProgress.Builder addRolloutsBuilder(
+        int index) {
+      return internalGetRolloutsFieldBuilder().addBuilder(
+          index, io.lavenderhinge.protocol.v1.RolloutProgress.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Rollouts of services; sent less often than the rest.
+     * </pre>
+     *
+     * <code>repeated .lavenderhinge.v1.RolloutProgress rollouts = 11;</code>
+     */
+    public java.util.List<io.lavenderhinge.protocol.v1.RolloutProgress.Builder> 
+         getRolloutsBuilderList() {
+      return internalGetRolloutsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.lavenderhinge.protocol.v1.RolloutProgress, io.lavenderhinge.protocol.v1.RolloutProgress.Builder, io.lavenderhinge.protocol.v1.RolloutProgressOrBuilder> 
+        internalGetRolloutsFieldBuilder() {
+      if (rolloutsBuilder_ == null) {
+        rolloutsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            io.lavenderhinge.protocol.v1.RolloutProgress, io.lavenderhinge.protocol.v1.RolloutProgress.Builder, io.lavenderhinge.protocol.v1.RolloutProgressOrBuilder>(
+                rollouts_,
+                ((bitField0_ & 0x00000400) != 0),
+                getParentForChildren(),
+                isClean());
+        rollouts_ = null;
+      }
+      return rolloutsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:lavenderhinge.v1.LoadReport)
   }
 
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/LoadReportOrBuilder.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/LoadReportOrBuilder.java
@@ -143,4 +143,48 @@
    * @return The serverRevision.
    */
   long getServerRevision();
+
+  /**
+   * <pre>
+   * Rollouts of services; sent less often than the rest.
+   * </pre>
+   *
+   * <code>repeated .lavenderhinge.v1.RolloutProgress rollouts = 11;</code>
+   */
+  java.util.List<io.lavenderhinge.protocol.v1.RolloutProgress> 
+      getRolloutsList();
+  /**
+   * <pre>
+   * Rollouts of services; sent less often than the rest.
+   * </pre>
+   *
+   * <code>repeated .lavenderhinge.v1.RolloutProgress rollouts = 11;</code>
+   */
+  io.lavenderhinge.protocol.v1.RolloutProgress getRollouts(int index);
+  /**
+   * <pre>
+   * Rollouts of services; sent less often than the rest.
+   * </pre>
+   *
+   * <code>repeated .lavenderhinge.v1.RolloutProgress rollouts = 11;</code>
+   */
+  int getRolloutsCount();
+  /**
+   * <pre>
+   * Rollouts of services; sent less often than the rest.
+   * </pre>
+   *
+   * <code>repeated .lavenderhinge.v1.RolloutProgress rollouts = 11;</code>
+   */
+  java.util.List<? extends io.lavenderhinge.protocol.v1.RolloutProgressOrBuilder> 
+      getRolloutsOrBuilderList();
+  /**
+   * <pre>
+   * Rollouts of services; sent less often than the rest.
+   * </pre>
+   *
+   * <code>repeated .lavenderhinge.v1.RolloutProgress rollouts = 11;</code>
+   */
+  io.lavenderhinge.protocol.v1.RolloutProgressOrBuilder getRolloutsOrBuilder(
+      int index);
 }
