Play a good and a bad rollout against the gateway process

The wiring from the order in the store to the status had only tests of its parts. The process now moves a service before a stand-in of the store: a good version is completed, one that fails every request is rolled back and serves nobody afterwards.

--- a/e2e/src/test/kotlin/io/lavenderhinge/e2e/GatewayProcessTest.kt
+++ b/e2e/src/test/kotlin/io/lavenderhinge/e2e/GatewayProcessTest.kt
@@ -4,11 +4,13 @@
 import io.kotest.engine.spec.tempdir
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
+import io.lavenderhinge.adapters.Json
 import io.lavenderhinge.e2e.fleet.Api
 import io.lavenderhinge.e2e.fleet.TestProcess
 import io.lavenderhinge.e2e.fleet.await
 import io.lavenderhinge.e2e.fleet.freePort
 import io.lavenderhinge.http.HttpCallException
+import io.lavenderhinge.http.HttpExchange
 import io.lavenderhinge.http.HttpField
 import io.lavenderhinge.http.HttpHandler
 import io.lavenderhinge.http.HttpResponse
@@ -17,6 +19,7 @@
 import io.lavenderhinge.standins.startStandin
 import java.net.InetSocketAddress
 import java.nio.file.Path
+import java.util.Base64
 import kotlin.io.path.createFile
 import kotlin.io.path.writeText
 import kotlinx.coroutines.CompletableDeferred
@@ -31,7 +34,9 @@
     val arrived = CompletableDeferred<Unit>()
     val release = CompletableDeferred<Unit>()
     private val storeServer: HttpServer = startStandin("127.0.0.1:0", store)
-    private val replica = startStandin("127.0.0.1:0", HttpHandler { answer(it) })
+    private val replica = startStandin("127.0.0.1:0", HttpHandler { answer(it, status = 200) })
+    private val failingReplica =
+        startStandin("127.0.0.1:0", HttpHandler { answer(it, status = 500) })
     private val callerPort = freePort()
     private val readyPort = freePort()
     private val operatorPort = freePort()
@@ -77,13 +82,37 @@
             "prefix":"/look/","kind":"idempotent","service":"s","attempts":1,
             "timeout_ms":20000,"target_latency_ms":1000}]}""",
         )
+        register("i-1", replica, "v1")
+    }
+
+    private fun register(id: String, server: HttpServer, version: String) =
         store.put(
-            "servers/i-1",
-            """{"service":"s","address":"127.0.0.1:${replica.port}","zone":"d","version":"v1",
-            "slots":4,"state":"ready","sequence":1}""",
+            "servers/$id",
+            """{"service":"s","address":"127.0.0.1:${server.port}","zone":"d",
+            "version":"$version","slots":4,"state":"ready","sequence":1}""",
         )
+
+    /** Orders a rollout to v2, whose only server fails every request when [isBad]. */
+    fun orderRollout(isBad: Boolean) {
+        store.put("op/rollout/s", """{"service":"s","target":"v2","duration_s":4}""")
+        register("i-2", if (isBad) failingReplica else replica, "v2")
     }
 
+    /** The status of the rollout as the operator reads it, or null. */
+    suspend fun rolloutStatus(): String? {
+        val answer = Api(loopback(storeServer.port)).call("GET", "/kv-key?key=status/rollout/s")
+        if (answer.status != 200) return null
+        val value = Json.trees.readTree(answer.body).path("value").asText()
+        return Base64.getDecoder().decode(value).decodeToString()
+    }
+
+    /** Sends requests until the rollout's status holds [word]. */
+    suspend fun lookUntilRollout(word: String) =
+        await("the rollout is $word") {
+            repeat(REQUESTS_BETWEEN_LOOKS) { look() }
+            rolloutStatus().orEmpty().contains(word)
+        }
+
     suspend fun isReady(): Boolean = status(Api(loopback(readyPort)), "/readiness") == 200
 
     suspend fun metrics(): String = String(Api(loopback(operatorPort)).call("GET", "/metrics").body)
@@ -102,6 +131,7 @@
         process.kill()
         storeServer.close()
         replica.close()
+        failingReplica.close()
     }
 
     private suspend fun status(api: Api, path: String): Int? =
@@ -111,13 +141,17 @@
             null
         }
 
-    private suspend fun answer(exchange: io.lavenderhinge.http.HttpExchange) {
+    private suspend fun answer(exchange: HttpExchange, status: Int) {
         if (exchange.request.path == "/look/slow") {
             arrived.complete(Unit)
             release.await()
         }
         val signature = HttpField("X-Lavenderhinge-Server-Signature", "s")
-        exchange.respond(HttpResponse(200, "ok".toByteArray(), listOf(signature)))
+        exchange.respond(HttpResponse(status, "ok".toByteArray(), listOf(signature)))
+    }
+
+    private companion object {
+        const val REQUESTS_BETWEEN_LOOKS = 5
     }
 }
 
@@ -140,6 +174,30 @@
             }
         }
 
+        test("given a rollout to a good version, then it is completed in time") {
+            GatewayProcess(tempdir().toPath()).use { gateway ->
+                gateway.publish()
+                await("it is ready") { gateway.isReady() }
+
+                gateway.orderRollout(isBad = false)
+
+                gateway.lookUntilRollout("in_progress")
+                gateway.lookUntilRollout("completed")
+            }
+        }
+
+        test("given a rollout to a bad version, then it is rolled back and serves nobody") {
+            GatewayProcess(tempdir().toPath()).use { gateway ->
+                gateway.publish()
+                await("it is ready") { gateway.isReady() }
+
+                gateway.orderRollout(isBad = true)
+
+                gateway.lookUntilRollout("rolled_back")
+                List(20) { gateway.look() }.toSet() shouldBe setOf(200)
+            }
+        }
+
         // The runtime takes SIGHUP for an order to end unless it is handled.
         test("given SIGHUP, then the settings are read again and the gateway goes on") {
             GatewayProcess(tempdir().toPath()).use { gateway ->
