Listen for clients before the settings are read

Cause: after a loss of power a process takes 0.65 s until it listens, and clients that connect meanwhile are refused and come back late.

--- a/http/src/main/kotlin/io/lavenderhinge/http/HttpServer.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/HttpServer.kt
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFactory
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
@@ -41,12 +42,20 @@
         get() = (listener.localAddress() as InetSocketAddress).port
 
     /** Binds [address] and starts to accept connections. */
-    fun start(address: InetSocketAddress): HttpServer = apply {
+    fun start(address: InetSocketAddress): HttpServer = start(address, ::NioServerSocketChannel)
+
+    /** Starts to accept the connections of [early]. */
+    fun start(early: EarlyListener): HttpServer = start(early.address, early::channel)
+
+    private fun start(
+        address: InetSocketAddress,
+        channelFactory: () -> NioServerSocketChannel,
+    ): HttpServer = apply {
         listener =
             ServerBootstrap()
                 .group(group)
-                .channel(NioServerSocketChannel::class.java)
-                .option(ChannelOption.SO_BACKLOG, LISTEN_BACKLOG)
+                .channelFactory(ChannelFactory { channelFactory() })
+                .option(ChannelOption.SO_BACKLOG, EarlyListener.BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(
                     object : ChannelInitializer<SocketChannel>() {
@@ -96,8 +105,4 @@
         val scope = CoroutineScope(supervisor + channel.eventLoop().asCoroutineDispatcher())
         channel.pipeline().addLast(ServerConnection(scope, limits, handler, faults, draining::get))
     }
-
-    private companion object {
-        const val LISTEN_BACKLOG = 1_024
-    }
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/InstanceCommand.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/InstanceCommand.kt
@@ -5,15 +5,19 @@
 import com.github.ajalt.clikt.core.Context
 import com.github.ajalt.clikt.core.CoreCliktCommand
 import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.core.UsageError
 import com.github.ajalt.clikt.parameters.options.flag
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.types.path
+import io.lavenderhinge.core.settings.Address
 import io.lavenderhinge.core.settings.BootstrapParser
 import io.lavenderhinge.core.settings.GatewaySettingsParser
 import io.lavenderhinge.core.settings.SettingsFault
+import io.lavenderhinge.http.EarlyListener
 import io.lavenderhinge.instance.gateway.Gateway
 import java.io.IOException
+import java.net.InetSocketAddress
 import kotlin.io.path.readText
 import kotlin.system.exitProcess
 import sun.misc.Signal
@@ -29,6 +33,11 @@
             .path(mustExist = true, canBeDir = false, mustBeReadable = true)
             .required()
 
+    private val listen by
+        option(
+            help = "with --platform: the clients' address, listened on before the settings are read"
+        )
+
     override fun help(context: Context) =
         "Runs one entry instance of the request scheduler. Settings come from the shared tree."
 
@@ -44,8 +53,9 @@
     }
 
     private fun runGateway() {
+        val early = listen?.let(::listenEarly)
         val gateway = Gateway(read(GatewaySettingsParser.parse(config.readText(), "$config")))
-        startOrExit(gateway::start)
+        startOrExit { gateway.start(early) }
         Runtime.getRuntime().addShutdownHook(Thread { gateway.shutdown() })
         // Without a handler the runtime takes SIGHUP for an order to end.
         Signal.handle(Signal("HUP")) {
@@ -53,6 +63,17 @@
         }
     }
 
+    private fun listenEarly(text: String): EarlyListener {
+        val address =
+            Address.parse(text) ?: throw UsageError("--listen needs HOST:PORT, not \"$text\"")
+        try {
+            return EarlyListener.bind(InetSocketAddress(address.ip, address.port))
+        } catch (e: IOException) {
+            echo("cannot listen on $text: ${e.message}; check --listen", err = true)
+            exitProcess(CANNOT_LISTEN)
+        }
+    }
+
     private fun startOrExit(start: () -> Unit) {
         try {
             start()
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
@@ -10,6 +10,7 @@
 import io.lavenderhinge.core.settings.Address
 import io.lavenderhinge.core.settings.GatewaySettings
 import io.lavenderhinge.core.settings.SettingsFault
+import io.lavenderhinge.http.EarlyListener
 import io.lavenderhinge.http.HttpClient
 import io.lavenderhinge.http.HttpHandler
 import io.lavenderhinge.http.HttpLimits
@@ -94,10 +95,13 @@
         )
     @Volatile private var isLeaving = false
 
-    /** Starts to listen; the instance is ready once a configuration and the servers are known. */
-    fun start() {
+    /**
+     * Starts to listen; the instance is ready once a configuration and the servers are known.
+     * [early] holds the connections of clients that came before.
+     */
+    fun start(early: EarlyListener? = null) {
         readyServer.start(socketAddress(settings.listen.ready))
-        callerServer.start(socketAddress(settings.listen.caller))
+        startCallerServer(early)
         operatorServer.start(socketAddress(settings.listen.operator))
         control.scope.launch { storeWatch().run() }
         servers.start()
@@ -115,6 +119,22 @@
         log.info("gateway: {} listens for clients on {}", identity.id, settings.listen.caller)
     }
 
+    private fun startCallerServer(early: EarlyListener?) {
+        val address = socketAddress(settings.listen.caller)
+        if (early != null && early.address == address) {
+            callerServer.start(early)
+            return
+        }
+        if (early != null) {
+            log.warn(
+                "gateway: --listen {} is not the caller address of the settings",
+                early.address,
+            )
+            early.close()
+        }
+        callerServer.start(address)
+    }
+
     /**
      * Takes over the bounds of the settings that were read again. Addresses stay as they are until
      * the next start; settings with faults change nothing.
