Stop sending to servers that have fallen silent, and remove twins of earlier work

Cause: a server that goes dark, freezes or is cut off fails nothing until its requests time out (1.2 s and more), and rests only after three of them; every instance went through that on its own. A request was also given up for another server while no repeat was left, and then failed though its server might have answered.

Change: a server that works on requests of this instance and has sent nothing for 350 ms (or four times what is usual) gets no further ones while others can take them. A silence ends a send only when a repeat is left. Twins are joined: the two stores map refused and unreadable answers in one place, both instance files are read by one function, one steady clock. ForwardService loses two fields that nobody read.

--- a/adapters/src/main/kotlin/io/lavenderhinge/adapters/HttpKeyValueStore.kt
+++ b/adapters/src/main/kotlin/io/lavenderhinge/adapters/HttpKeyValueStore.kt
@@ -143,30 +143,9 @@
     ): Either<StoreFault, JsonResponse> {
         val waitMillis = budget.takeOrWaitMillis()
         if (waitMillis > 0) return StoreFault.BudgetExhausted(waitMillis).left()
-        val response =
-            http
-                .call(method, path, query, body, timeouts)
-                .fold(
-                    {
-                        return fault(it).left()
-                    },
-                    { it },
-                )
-        return when (response.status) {
-            HttpStatus.TOO_MANY_REQUESTS,
-            HttpStatus.UNAVAILABLE ->
-                StoreFault.Unavailable("the key-value service refused the call; retry later").left()
-            in SERVER_ERRORS -> malformed().left()
-            else -> response.right()
-        }
+        return http.call(method, path, query, body, timeouts).served(STORE)
     }
 
-    private fun fault(fault: CallFault): StoreFault =
-        when (fault) {
-            is CallFault.NotSent -> StoreFault.Unavailable(fault.message)
-            is CallFault.Unknown -> StoreFault.OutcomeUnknown(fault.message)
-        }
-
     private fun conflict(body: JsonNode?): StoreFault {
         val current = body?.get("current")?.takeUnless { it.isNull }
         return StoreFault.Conflict(value(current).getOrNull())
@@ -204,13 +183,10 @@
     private fun long(node: JsonNode?, field: String): Either<StoreFault, Long> =
         node?.get(field)?.takeIf { it.isIntegralNumber }?.longValue()?.right() ?: malformed().left()
 
-    private fun malformed(): StoreFault =
-        StoreFault.OutcomeUnknown(
-            "the key-value service sent a malformed answer; read the key back"
-        )
+    private fun malformed(): StoreFault = malformedAnswer(STORE)
 
     private companion object {
         const val VALUE_BYTES = 1_000_000
-        val SERVER_ERRORS = 500..599
+        const val STORE = "key-value service"
     }
 }
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -48,6 +48,11 @@
         queues.values.forEach { queue -> queue.removeIf { it.id == askId } }
     }
 
+    /** Tells that something came from a server. */
+    fun onSign(serverId: String, service: String, nowMillis: Long) {
+        pools[service]?.record(serverId)?.onSign(nowMillis)
+    }
+
     /** Tells that the first event of a request came: its prompt no longer delays others. */
     fun firstEvent(serverId: String, service: String, promptTokens: Double) {
         pools[service]?.record(serverId)?.let {
@@ -149,7 +154,7 @@
     ): DispatchEffect? =
         when (placement) {
             is Placement.Send -> {
-                pool.started(placement.server.id, ask.promptTokens)
+                pool.started(placement.server.id, ask.promptTokens, nowMillis)
                 DispatchEffect.Assign(ask.id, placement.server, placement.expectedMillis)
             }
             is Placement.Wait ->
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ForwardingConfig.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ForwardingConfig.kt
@@ -46,11 +46,9 @@
             }
 }
 
-/** A pool of backend servers. [batchSlots] is null for a service that is not a model engine. */
+/** A pool of backend servers. */
 data class ForwardService(
     val name: String,
-    val maxConnections: Int,
-    val batchSlots: Int?,
     /** Output tokens in one event of a stream. */
     val tokensPerEvent: Int,
 )
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/RepeatBudget.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/RepeatBudget.kt
@@ -16,13 +16,17 @@
 
     /** Takes one repeat; false when the budget of [service] is used up. */
     fun tryRepeat(service: String, instanceCount: Int, nowMillis: Long): Boolean {
-        val sent = recent(repeats, service, nowMillis)
+        if (!allowsRepeat(service, instanceCount, nowMillis)) return false
+        recent(repeats, service, nowMillis).addLast(nowMillis)
+        return true
+    }
+
+    /** True when the budget of [service] has a repeat left. */
+    fun allowsRepeat(service: String, instanceCount: Int, nowMillis: Long): Boolean {
         val allowance =
             ratio * recent(requests, service, nowMillis).size +
                 fleetSlack * SAFE_SLACK_FRACTION / instanceCount.coerceAtLeast(1)
-        if (sent.size >= allowance) return false
-        sent.addLast(nowMillis)
-        return true
+        return recent(repeats, service, nowMillis).size < allowance
     }
 
     private fun recent(
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -35,8 +35,9 @@
             .filter { it.inFlight > 0 }
             .map { it.entry.id to ServerUse(it.inFlight, it.pendingTokens) }
 
-    fun started(serverId: String, promptTokens: Double) {
+    fun started(serverId: String, promptTokens: Double, nowMillis: Long) {
         val record = records[serverId] ?: return
+        if (record.inFlight == 0) record.onSign(nowMillis)
         record.inFlight++
         record.pendingTokens += promptTokens
     }
@@ -44,6 +45,7 @@
     fun finished(serverId: String, outcome: ServerOutcome, pendingTokens: Double, nowMillis: Long) {
         val record = records[serverId] ?: return
         record.inFlight = (record.inFlight - 1).coerceAtLeast(0)
+        if (outcome is ServerOutcome.Answered) record.onSign(nowMillis)
         record.pendingTokens = (record.pendingTokens - pendingTokens).coerceAtLeast(0.0)
         record.observe(outcome, model, nowMillis)
     }
@@ -56,7 +58,14 @@
         val listed =
             records.values.filter { it.entry.acceptsWork && it.entry.id !in ask.excludedServers }
         val accepting = rollouts.select(listed, ask)
-        return accepting.filterNot { it.isResting(nowMillis) }.ifEmpty { accepting }
+        return accepting
+            .filterNot { it.isResting(nowMillis) || isSilent(it, nowMillis) }
+            .ifEmpty { accepting }
+    }
+
+    private fun isSilent(record: ServerRecord, nowMillis: Long): Boolean {
+        val usualMillis = record.slowness * model.predictMillis(record.pendingTokens)
+        return record.isSilent(maxOf(SILENT_MILLIS, SILENT_ESTIMATES * usualMillis), nowMillis)
     }
 
     /** Mean time between two slots that become free in the whole pool. */
@@ -135,6 +144,9 @@
         const val MIN_HOLD_MILLIS = 20.0
         /** Long enough that a free server goes before a busy one while nothing is known. */
         const val UNKNOWN_HOLD_MILLIS = 1_000.0
+        /** Several times the pause between two events of a server under full load. */
+        const val SILENT_MILLIS = 350.0
+        const val SILENT_ESTIMATES = 4.0
         const val SLOWDOWN_FOR_EACH_REQUEST = 0.1
         const val MAX_FAILURE_FRACTION = 0.8
         /** Estimates of the length of an answer are often far off. */
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerRecord.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerRecord.kt
@@ -46,6 +46,7 @@
     var failureFraction = 0.0
         private set
 
+    private var signMillis = Long.MIN_VALUE
     private var samples = 0
     private var consecutiveFailures = 0
     private var restUntilMillis = Long.MIN_VALUE
@@ -53,6 +54,18 @@
 
     fun isResting(nowMillis: Long): Boolean = nowMillis < restUntilMillis
 
+    /** A request was sent, or something came from the server. */
+    fun onSign(nowMillis: Long) {
+        signMillis = nowMillis
+    }
+
+    /**
+     * True when the server works on requests of this instance and nothing has come from it for
+     * [limitMillis]. Running streams bring events all the time, so it is frozen, cut off or gone.
+     */
+    fun isSilent(limitMillis: Double, nowMillis: Long): Boolean =
+        inFlight > 0 && nowMillis - signMillis > limitMillis
+
     /** True when the server returns from a rest and one request at a time tests it. */
     val isOnTrial: Boolean
         get() = ejections > 0
--- a/core/src/main/kotlin/io/lavenderhinge/core/settings/BootstrapParser.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/BootstrapParser.kt
@@ -2,10 +2,6 @@
 
 import arrow.core.Either
 import arrow.core.NonEmptyList
-import arrow.core.left
-import arrow.core.nonEmptyListOf
-import arrow.core.right
-import arrow.core.toNonEmptyListOrNull
 import kotlinx.collections.immutable.persistentListOf
 
 /** Parses an instance's own file. */
@@ -13,17 +9,8 @@
     private val nowhere = Address("0.0.0.0", 0)
 
     /** Returns the settings in [text], or all its faults. [file] is named in the faults. */
-    fun parse(text: String, file: String): Either<NonEmptyList<SettingsFault>, Bootstrap> {
-        val sections =
-            IniText.read(text, file)
-                .fold(
-                    {
-                        return nonEmptyListOf(it).left()
-                    },
-                    { it },
-                )
-        val document = SettingsDocument(file, sections, BootstrapSchema.sections)
-        val bootstrap =
+    fun parse(text: String, file: String): Either<NonEmptyList<SettingsFault>, Bootstrap> =
+        readSettings(text, file, BootstrapSchema.sections) { document ->
             Bootstrap(
                 identity(document.single("instance")),
                 listen(document.single("listen")),
@@ -31,10 +18,8 @@
                 limits(document.single("limits")),
                 document.single("seeds").value(BootstrapSchema.seeds) ?: persistentListOf(),
             )
-        return document.faults.toNonEmptyListOrNull()?.left() ?: bootstrap.right()
-    }
+        }
 
-    // A missing value has been reported as a fault, so its placeholder is never returned.
     private fun identity(section: SectionReader) =
         InstanceIdentity(
             section.value(BootstrapSchema.id).orEmpty(),
--- a/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySettingsParser.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySettingsParser.kt
@@ -2,10 +2,6 @@
 
 import arrow.core.Either
 import arrow.core.NonEmptyList
-import arrow.core.left
-import arrow.core.nonEmptyListOf
-import arrow.core.right
-import arrow.core.toNonEmptyListOrNull
 import io.lavenderhinge.core.forwarding.QuotaTolerance
 import kotlinx.collections.immutable.persistentListOf
 
@@ -14,17 +10,8 @@
     private val nowhere = Address("0.0.0.0", 0)
 
     /** Returns the settings in [text], or all its faults. [file] is named in the faults. */
-    fun parse(text: String, file: String): Either<NonEmptyList<SettingsFault>, GatewaySettings> {
-        val sections =
-            IniText.read(text, file)
-                .fold(
-                    {
-                        return nonEmptyListOf(it).left()
-                    },
-                    { it },
-                )
-        val document = SettingsDocument(file, sections, GatewaySchema.sections)
-        val settings =
+    fun parse(text: String, file: String): Either<NonEmptyList<SettingsFault>, GatewaySettings> =
+        readSettings(text, file, GatewaySchema.sections) { document ->
             GatewaySettings(
                 identity(document.single("instance")),
                 listen(document.single("listen")),
@@ -32,10 +19,8 @@
                 bounds(document.single("bounds")),
                 document.single("seeds").value(GatewaySchema.seeds) ?: persistentListOf(),
             )
-        return document.faults.toNonEmptyListOrNull()?.left() ?: settings.right()
-    }
+        }
 
-    // A missing value has been reported as a fault, so its placeholder is never returned.
     private fun identity(section: SectionReader) =
         InstanceIdentity(
             section.value(GatewaySchema.id).orEmpty(),
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/SettingsFile.kt
@@ -0,0 +1,28 @@
+package io.lavenderhinge.core.settings
+
+import arrow.core.Either
+import arrow.core.NonEmptyList
+import arrow.core.left
+import arrow.core.nonEmptyListOf
+import arrow.core.right
+import arrow.core.toNonEmptyListOrNull
+
+/**
+ * Reads the INI [text] of [file] by [sections]. [build] takes values from the document; a value
+ * that is missing is a fault, so what [build] puts in its place is never returned.
+ */
+internal fun <T> readSettings(
+    text: String,
+    file: String,
+    sections: List<SectionSchema>,
+    build: (SettingsDocument) -> T,
+): Either<NonEmptyList<SettingsFault>, T> =
+    IniText.read(text, file)
+        .fold(
+            { fault -> nonEmptyListOf(fault).left() },
+            { read ->
+                val document = SettingsDocument(file, read, sections)
+                val settings = build(document)
+                document.faults.toNonEmptyListOrNull()?.left() ?: settings.right()
+            },
+        )
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/DispatcherTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/DispatcherTest.kt
@@ -152,4 +152,25 @@
             effect.shouldBeInstanceOf<DispatchEffect.Refuse>().reason shouldBe
                 DispatchRefusal.NO_SERVER
         }
+
+        // A frozen server fails nothing until its requests time out, more than a second later.
+        test("given a server from which nothing comes, then new requests go to another one") {
+            val dispatcher = dispatcher(server("a", slots = 5), server("b", slots = 5))
+            val silent = dispatcher.ask(ask(1), nowMillis = 0).assigned().single().second
+            val other = if (silent == "a") "b" else "a"
+            repeat(3) { dispatcher.ask(ask(2L + it), nowMillis = 10) }
+            dispatcher.onSign(other, server("a").service, nowMillis = 390)
+
+            val later = dispatcher.ask(ask(9), nowMillis = 400).assigned()
+
+            later shouldBe listOf(9L to other)
+        }
+
+        test("given a server that brings events, then it is not taken for silent") {
+            val dispatcher = dispatcher(server("a", slots = 5))
+            dispatcher.ask(ask(1), nowMillis = 0)
+            dispatcher.onSign("a", server("a").service, nowMillis = 380)
+
+            dispatcher.ask(ask(2), nowMillis = 400).assigned() shouldBe listOf(2L to "a")
+        }
     })
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
@@ -191,8 +191,15 @@
 
     private fun silenceLimits(grant: DispatchEffect.Assign): SilenceLimits {
         val leftMillis = (deadlineMillis - loop.nowMillis()).coerceAtLeast(1)
-        val canRepeat = route.isRepeatable && sends + 1 < route.maxServers
-        // Without another server to try, only the deadline ends the wait.
+        val canRepeat =
+            route.isRepeatable &&
+                sends + 1 < route.maxServers &&
+                services.repeats.allowsRepeat(
+                    trail.service.orEmpty(),
+                    services.instanceCount(),
+                    loop.nowMillis(),
+                )
+        // Without another server to try or a repeat left, only the deadline ends the wait.
         if (!canRepeat) return SilenceLimits(leftMillis * 2, leftMillis * 2)
         val firstMillis =
             maxOf(
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ServerWatch.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ServerWatch.kt
@@ -9,7 +9,6 @@
 import io.lavenderhinge.instance.control.ControlThread
 import io.lavenderhinge.platform.PlatformKeys
 import io.lavenderhinge.platform.ServerEntryDecoder
-import java.util.concurrent.TimeUnit
 import org.slf4j.LoggerFactory
 
 /** Keeps the list of backend servers and publishes each change. Confined to the control thread. */
@@ -33,11 +32,11 @@
 
     /** True when the store has not answered lately. */
     val isStale: Boolean
-        get() = answeredMillis?.let { nowMillis() - it > STALE_MILLIS } ?: true
+        get() = answeredMillis?.let { monotonicMillis() - it > STALE_MILLIS } ?: true
 
     /** Starts to drop entries that lapsed and did not come back. */
     fun start() =
-        control.every(EXPIRE_MILLIS) { if (directory.expire(nowMillis())) publishChanges() }
+        control.every(EXPIRE_MILLIS) { if (directory.expire(monotonicMillis())) publishChanges() }
 
     override fun onSnapshot(snapshot: Snapshot) {
         answered()
@@ -65,20 +64,20 @@
         this.revision = revision
         texts.clear()
         values.forEach { texts[it.key] = it.value }
-        directory.onSnapshot(values.mapNotNull(::decode), nowMillis())
+        directory.onSnapshot(values.mapNotNull(::decode), monotonicMillis())
         publishChanges()
     }
 
     private fun accept(value: VersionedValue) {
         texts[value.key] = value.value
         val entry = decode(value)
-        if (entry == null) directory.onRemoved(id(value.key), nowMillis())
+        if (entry == null) directory.onRemoved(id(value.key), monotonicMillis())
         else directory.onWritten(entry)
     }
 
     private fun remove(key: String) {
         texts.remove(key)
-        directory.onRemoved(id(key), nowMillis())
+        directory.onRemoved(id(key), monotonicMillis())
     }
 
     private fun decode(value: VersionedValue): ServerEntry? =
@@ -106,14 +105,12 @@
     }
 
     private fun answered() {
-        answeredMillis = nowMillis()
-        directory.onStoreAnswered(nowMillis())
+        answeredMillis = monotonicMillis()
+        directory.onStoreAnswered(monotonicMillis())
     }
 
     private fun id(key: String) = key.removePrefix(PlatformKeys.SERVER_PREFIX)
 
-    private fun nowMillis() = TimeUnit.NANOSECONDS.toMillis(System.nanoTime())
-
     private companion object {
         const val EXPIRE_MILLIS = 200L
         /** Longer than a watch waits. */
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotBroker.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotBroker.kt
@@ -51,6 +51,9 @@
         }
     }
 
+    /** Tells that something came from [server]. */
+    fun onSign(server: ServerEntry) = dispatcher.onSign(server.id, server.service, loop.nowMillis())
+
     /** Tells that the first event of a request came. */
     fun firstEvent(server: ServerEntry, promptTokens: Double) {
         dispatcher.firstEvent(server.id, server.service, promptTokens)
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/TrafficLoop.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/TrafficLoop.kt
@@ -16,7 +16,7 @@
     private val loop: EventLoop = group.next()
 
     /** Monotonic time in milliseconds. */
-    fun nowMillis(): Long = TimeUnit.NANOSECONDS.toMillis(System.nanoTime())
+    fun nowMillis(): Long = monotonicMillis()
 
     /** Runs [action] soon on the traffic thread. */
     fun execute(action: () -> Unit) = loop.execute { guarded(action) }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamCall.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamCall.kt
@@ -115,6 +115,7 @@
 
     private fun markEvents(count: Int) {
         events += count
+        broker.onSign(server)
         if (firstEventMillis != null) return
         firstEventMillis = loop.nowMillis()
         broker.firstEvent(server, promptTokens)
