--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/StoreWatch.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/StoreWatch.kt
@@ -68,14 +68,14 @@
                 null
             },
             { value ->
-                if (!isConnected) log.info("store: {} is followed again", prefix)
+                if (!isConnected) log.info("store: followed again")
                 isConnected = true
                 value
             },
         )
 
     private fun lost(fault: StoreFault) {
-        if (isConnected) log.warn("store: {} cannot be followed: {}", prefix, fault.message)
+        if (isConnected) log.warn("store: cannot be followed: {}", fault.message)
         isConnected = false
         listener.onLost(fault)
     }
