End the process with the exit code of a bad setting again

Cause: the core of Clikt, which replaced the whole of it for a faster start, does not end the process itself: a file with faults was named on standard error, and the process ended with 0 instead of 2. Change: the command tells Clikt to end the process.

--- a/instance/src/main/kotlin/io/lavenderhinge/instance/InstanceCommand.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/InstanceCommand.kt
@@ -6,6 +6,7 @@
 import com.github.ajalt.clikt.core.CoreCliktCommand
 import com.github.ajalt.clikt.core.ProgramResult
 import com.github.ajalt.clikt.core.UsageError
+import com.github.ajalt.clikt.core.context
 import com.github.ajalt.clikt.parameters.options.flag
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
@@ -38,6 +39,11 @@
             help = "with --platform: the clients' address, listened on before the settings are read"
         )
 
+    init {
+        // The core of Clikt leaves ending the process to its user.
+        context { exitProcess = { status -> kotlin.system.exitProcess(status) } }
+    }
+
     override fun help(context: Context) =
         "Runs one entry instance of the request scheduler. Settings come from the shared tree."
 
