Count requests at old servers from before a rollout's order too

Requests in flight when the order came were not counted when sent but taken off when they ended, so the sum fell below zero, hid later ones, and a rollout could be completed while old servers still worked. Test: `ServiceRolloutTest`, "given a request sent before the order".

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/RolloutBoard.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/RolloutBoard.kt
@@ -7,21 +7,23 @@
 /** The orders in force, and what the instance has seen of old and new versions. */
 class RolloutBoard {
     private val rollouts = HashMap<String, ServiceRollout>()
+    private val inFlight = HashMap<ServiceVersion, Int>()
     private val warmMillis = HashMap<String, Long>()
     private val serviceLatencies = LatencyTable()
     private val routeLatencies = LatencyTable()
 
-    /** Services with an order. */
-    val services: Set<String>
-        get() = rollouts.keys
-
     /** Takes over an order; one that is known already changes nothing. */
     fun onOrder(order: RolloutOrder, nowMillis: Long) {
         val known = rollouts[order.service]
         if (known != null && known.order.revision >= order.revision) return
-        rollouts[order.service] = ServiceRollout(order, nowMillis)
+        rollouts[order.service] = ServiceRollout(order, nowMillis) { oldInFlight(order) }
     }
 
+    private fun oldInFlight(order: RolloutOrder): Int =
+        inFlight.entries
+            .filter { it.key.service == order.service && it.key.version != order.targetVersion }
+            .sumOf { it.value }
+
     /** The order for [service] was taken back. */
     fun onOrderRemoved(service: String) {
         rollouts.remove(service)
@@ -47,11 +49,15 @@
 
     /** A request was sent to [server]. */
     fun sent(server: ServerEntry) {
-        rollouts[server.service]?.sent(server)
+        inFlight.merge(server.serviceVersion, 1, Int::plus)
     }
 
     /** A request of [route] at [server] has ended. */
     fun ended(server: ServerEntry, route: String, outcome: ServerOutcome, nowMillis: Long) {
+        // Removes the entry when the last request ends.
+        inFlight.computeIfPresent(server.serviceVersion) { _, count ->
+            if (count > 1) count - 1 else null
+        }
         val rollout = rollouts[server.service]
         val isTarget = rollout?.order?.targetVersion == server.softwareVersion
         val isWarm = nowMillis >= (warmMillis[server.id] ?: 0)
@@ -61,10 +67,10 @@
             routeLatencies.add(route, millis)
             serviceLatencies.add(server.service, millis)
         }
-        rollout?.ended(
-            server,
+        if (counts == null) return
+        rollout?.count(
             route,
-            counts?.let { if (isTarget) RouteCounts(new = it) else RouteCounts(old = it) },
+            if (isTarget) RouteCounts(new = counts) else RouteCounts(old = counts),
         )
     }
 
@@ -118,6 +124,11 @@
     }
 }
 
+private data class ServiceVersion(val service: String, val version: String)
+
+private val ServerEntry.serviceVersion
+    get() = ServiceVersion(service, softwareVersion)
+
 /** The usual latency by name; the names seen first are forgotten when there are too many. */
 private class LatencyTable {
     private val quantiles =
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServiceRollout.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServiceRollout.kt
@@ -15,7 +15,12 @@
  * every instance counted decides whether the version is withdrawn. A version that turns out bad
  * only at full load has then had a small part of the requests. Confined to one thread.
  */
-internal class ServiceRollout(val order: RolloutOrder, nowMillis: Long) {
+internal class ServiceRollout(
+    val order: RolloutOrder,
+    nowMillis: Long,
+    /** Requests of this instance at servers of other versions, those before the order included. */
+    private val oldInFlight: () -> Int,
+) {
     private class Peer(val report: RolloutReport, val heardMillis: Long)
 
     private var startedMillis = nowMillis
@@ -26,7 +31,6 @@
     private val peers = HashMap<String, Peer>()
     private val routes = HashMap<String, Share>()
     private val total = Share()
-    private var oldInFlight = 0
     private var firstShiftedMillis: Long? = null
 
     var stage = RolloutStage.TRIAL
@@ -80,15 +84,8 @@
     private fun <T> tried(target: List<T>, entryOf: (T) -> ServerEntry): List<T> =
         target.sortedBy { entryOf(it).id }.take(ceil(target.size * stage.shareFraction).toInt())
 
-    /** A request was sent to [server]. */
-    fun sent(server: ServerEntry) {
-        if (server.softwareVersion != order.targetVersion) oldInFlight++
-    }
-
-    /** A request at [server] has ended; [counts] is null when it says nothing about the version. */
-    fun ended(server: ServerEntry, route: String, counts: RouteCounts?) {
-        if (server.softwareVersion != order.targetVersion) oldInFlight--
-        if (counts == null) return
+    /** Counts answers of [route]. */
+    fun count(route: String, counts: RouteCounts) {
         counted.merge(route, counts, RouteCounts::plus)
         unjudged.merge(route, counts, RouteCounts::plus)
     }
@@ -165,7 +162,7 @@
     // Servers of other versions end at once on completion, so nobody may still use one.
     private fun isDrained(peerIds: Set<String>, nowMillis: Long): Boolean {
         val shiftedMillis = firstShiftedMillis ?: return false
-        if (oldInFlight > 0 || nowMillis - shiftedMillis < MIN_SHIFTED_MILLIS) return false
+        if (oldInFlight() > 0 || nowMillis - shiftedMillis < MIN_SHIFTED_MILLIS) return false
         return peerIds.all { id ->
             val peer = peers[id]
             peer != null &&
@@ -182,7 +179,7 @@
             order.revision,
             stage,
             nowMillis - startedMillis,
-            oldInFlight,
+            oldInFlight(),
             counted.toMap(),
         )
 
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ServiceRolloutTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ServiceRolloutTest.kt
@@ -88,21 +88,27 @@
             }
         }
 
-        test("given requests at old servers, then the rollout is not completed") {
-            val rollout = ServiceRollout(RolloutOrder("s", "v2", 10_000, 1), nowMillis = 0)
+        // Old servers end at once on completion, with whatever they still work on.
+        test("given a request sent before the order, then the rollout waits for its end") {
+            val board = RolloutBoard()
             val old = server("a").copy(softwareVersion = "v1")
-            rollout.sent(old)
-
-            rollout.advance(nowMillis = 7_000)
-            rollout.advance(nowMillis = 9_000)
-            rollout.verdict(emptySet(), nowMillis = 9_000) shouldBe RolloutVerdict.IN_PROGRESS
-            rollout.ended(old, "r", counts = null)
-
-            rollout.verdict(emptySet(), nowMillis = 9_000) shouldBe RolloutVerdict.COMPLETED
+            val order = RolloutOrder(old.service, "v2", durationMillis = 10_000, revision = 1)
+            fun verdict() = board.verdicts(emptySet(), nowMillis = 9_000).getValue(order)
+            repeat(2) { board.sent(old) }
+            board.onOrder(order, nowMillis = 0)
+            board.sent(old)
+            board.advance(nowMillis = 7_000)
+            board.advance(nowMillis = 9_000)
+
+            repeat(2) { board.ended(old, "r", ServerOutcome.Withdrawn, nowMillis = 9_000) }
+            verdict() shouldBe RolloutVerdict.IN_PROGRESS
+            board.ended(old, "r", ServerOutcome.Withdrawn, nowMillis = 9_000)
+
+            verdict() shouldBe RolloutVerdict.COMPLETED
         }
 
         test("given a peer that is silent, then the rollout is not completed") {
-            val rollout = ServiceRollout(RolloutOrder("s", "v2", 10_000, 1), nowMillis = 0)
+            val rollout = ServiceRollout(RolloutOrder("s", "v2", 10_000, 1), nowMillis = 0) { 0 }
 
             rollout.advance(nowMillis = 7_000)
             rollout.advance(nowMillis = 9_000)
@@ -112,9 +118,9 @@
 
         // Guards against a restarted instance that brings back a version the others withdrew.
         test("given an instance that starts later, then it goes on where its peers are") {
-            val early = ServiceRollout(RolloutOrder("s", "v2", 10_000, 1), nowMillis = 0)
+            val early = ServiceRollout(RolloutOrder("s", "v2", 10_000, 1), nowMillis = 0) { 0 }
             early.advance(nowMillis = 7_000)
-            val late = ServiceRollout(RolloutOrder("s", "v2", 10_000, 1), nowMillis = 7_000)
+            val late = ServiceRollout(RolloutOrder("s", "v2", 10_000, 1), nowMillis = 7_000) { 0 }
 
             late.onPeerReport("p", early.report(nowMillis = 7_000), nowMillis = 7_000)
             late.advance(nowMillis = 7_010)
