Charge what instances that have just started admitted before they were first heard

Buckets start full, and what a peer had admitted before its first report was never charged; instances that start some 0.3 s apart so each admitted most of the burst. Change: all that a peer admitted is charged when it has run for less than the quota's window. Tests in `QuotaLedgerTest` fail before.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QuotaLedger.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QuotaLedger.kt
@@ -59,23 +59,17 @@
         return (-level / rate(quota) * MILLIS_PER_SECOND).toLong().coerceAtLeast(0)
     }
 
-    /** Takes over the [totals] that a peer reports. */
+    /** Takes over the [totals] that a peer reports, which has run for [peerAgeMillis]. */
     fun onPeerReport(
         peer: String,
         incarnation: Long,
+        peerAgeMillis: Long,
         totals: Map<String, Double>,
         nowMillis: Long,
     ) {
-        val known = peers[peer]
-        if (known == null || known.incarnation != incarnation) {
-            // What the peer spent before it was first heard is not known to be recent.
-            peers[peer] =
-                PeerSpending(incarnation).also {
-                    it.reported.putAll(totals)
-                    it.heardMillis = nowMillis
-                }
-            return
-        }
+        val known =
+            peers[peer]?.takeIf { it.incarnation == incarnation }
+                ?: firstHeard(peer, incarnation, peerAgeMillis, totals)
         known.heardMillis = nowMillis
         totals.forEach { (workspace, total) ->
             val before = known.reported.put(workspace, total) ?: 0.0
@@ -84,6 +78,21 @@
         }
     }
 
+    // What a long-running peer spent before it was first heard is mostly long ago. All that a peer
+    // spent that has just started is recent: instances that start one after the other would each
+    // admit the burst otherwise.
+    private fun firstHeard(
+        peer: String,
+        incarnation: Long,
+        peerAgeMillis: Long,
+        totals: Map<String, Double>,
+    ): PeerSpending {
+        val spending = PeerSpending(incarnation)
+        if (peerAgeMillis > tolerance.windowMillis) spending.reported.putAll(totals)
+        peers[peer] = spending
+        return spending
+    }
+
     /**
      * Opens the buckets of [workspaces], so that all instances charge the same from the start, and
      * charges peers that have been silent with their share. Call it a few times a second.
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/QuotaLedgerTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/QuotaLedgerTest.kt
@@ -34,13 +34,38 @@
         test("given a peer that reports, then what it admitted is charged here") {
             val ledger = QuotaLedger(noTolerance)
             ledger.tick(setOf("p"), listOf(workspace), nowMillis = 0)
-            ledger.onPeerReport("p", incarnation = 1, emptyMap(), nowMillis = 0)
+            ledger.onPeerReport("p", incarnation = 1, LONG_AGO, emptyMap(), nowMillis = 0)
 
-            ledger.onPeerReport("p", incarnation = 1, mapOf("w" to 5_000.0), nowMillis = 10)
+            ledger.onPeerReport(
+                "p",
+                incarnation = 1,
+                LONG_AGO,
+                mapOf("w" to 5_000.0),
+                nowMillis = 10,
+            )
 
             ledger.tryAdmit(workspace, cost = 1.0, nowMillis = 20) shouldBe false
         }
 
+        // Guards against instances that start one after the other and each admit the whole burst.
+        test("given a peer that has just started, then what it admitted before is charged too") {
+            val ledger = QuotaLedger(noTolerance)
+            ledger.tick(setOf("p"), listOf(workspace), nowMillis = 0)
+
+            ledger.onPeerReport("p", 2, peerAgeMillis = 300, mapOf("w" to 1_500.0), nowMillis = 10)
+
+            ledger.tryAdmit(workspace, cost = 1.0, nowMillis = 10) shouldBe false
+        }
+
+        test("given a peer that has run for long, then what it admitted before is not charged") {
+            val ledger = QuotaLedger(noTolerance)
+            ledger.tick(setOf("p"), listOf(workspace), nowMillis = 0)
+
+            ledger.onPeerReport("p", 2, LONG_AGO, mapOf("w" to 90_000.0), nowMillis = 10)
+
+            ledger.tryAdmit(workspace, cost = 1.0, nowMillis = 10) shouldBe true
+        }
+
         // Guards against refusals within the quota after all instances have been restarted: the old
         // entries of the peers are still listed, and none of them has reported yet.
         test("given a fresh start beside listed peers, then the whole burst is admitted") {
@@ -68,3 +93,5 @@
             admitted shouldBeLessThanOrEqual 8 * 1_000.0 + 1_000
         }
     })
+
+private const val LONG_AGO = 600_000L
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadExchange.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadExchange.kt
@@ -126,7 +126,9 @@
         val nowMillis = loop.nowMillis()
         if (report.instanceId == self.id || !peers.onReport(report, nowMillis)) return
         val spending = report.toSpending()
-        quotas.onPeerReport(report.instanceId, report.incarnation, spending, nowMillis)
+        // Clocks of the machines differ by little compared to the window of a quota.
+        val ageMillis = System.currentTimeMillis() - report.incarnation
+        quotas.onPeerReport(report.instanceId, report.incarnation, ageMillis, spending, nowMillis)
         broker.onPeerReport(report.instanceId, report.toReport())
         broker.rollouts.onPeerReport(report.instanceId, report.toRollouts(), nowMillis)
         onReport(report)
