--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QuotaLedger.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QuotaLedger.kt
@@ -141,7 +141,7 @@
             tolerance.slack * USED_TOLERANCE_FRACTION * MILLIS_PER_SECOND / tolerance.windowMillis
 
     private companion object {
-        const val USED_TOLERANCE_FRACTION = 0.6
+        const val USED_TOLERANCE_FRACTION = 0.4
         const val MILLIS_PER_SECOND = 1_000.0
         /** Several missed reports; a lost datagram alone is no silence. */
         const val SILENCE_MILLIS = 800L
