Count requests in flight in one place, and derive what was stored

Found while reading the whole change once more; behaviour stays as it is.

- RequestForwarder and CallerHandler counted their requests alike: both use InFlightCounter.
- LatencyQuantile stored a percentile that it computed with each answer.
It is derived when it is read, and RolloutBoard reads it only while a rollout is under way, so that answers without one cost no percentile.
- ForwardedRequest chose a status by comparing the text of a log reason; the caller passes the status.
- InstanceCommand stated twice how the gateway's settings are read.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/RolloutBoard.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/RolloutBoard.kt
@@ -60,18 +60,26 @@
         }
         val rollout = rollouts[server.service]
         val isTarget = rollout?.order?.targetVersion == server.softwareVersion
-        val isWarm = nowMillis >= (warmMillis[server.id] ?: 0)
-        val counts = counts(outcome, usualMillis(server.service, route).takeIf { isWarm })
+        if (rollout != null) count(rollout, isTarget, server, route, outcome, nowMillis)
         if (!isTarget && outcome is ServerOutcome.Answered) {
             val millis = outcome.firstEventMillis.toLong()
             routeLatencies.add(route, millis)
             serviceLatencies.add(server.service, millis)
         }
-        if (counts == null) return
-        rollout?.count(
-            route,
-            if (isTarget) RouteCounts(new = counts) else RouteCounts(old = counts),
-        )
+    }
+
+    private fun count(
+        rollout: ServiceRollout,
+        isTarget: Boolean,
+        server: ServerEntry,
+        route: String,
+        outcome: ServerOutcome,
+        nowMillis: Long,
+    ) {
+        val isWarm = nowMillis >= (warmMillis[server.id] ?: 0)
+        val usualMillis = if (isWarm) usualMillis(server.service, route) else null
+        val counts = counts(outcome, usualMillis) ?: return
+        rollout.count(route, if (isTarget) RouteCounts(new = counts) else RouteCounts(old = counts))
     }
 
     // A thin route is held against its whole service, for both versions alike.
--- a/core/src/main/kotlin/io/lavenderhinge/core/rollout/LatencyQuantile.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/rollout/LatencyQuantile.kt
@@ -14,8 +14,8 @@
     private var added = 0
 
     /** The percentile, or null while too few samples were seen to know it. */
-    var thresholdMillis: Long? = null
-        private set
+    val thresholdMillis: Long?
+        get() = if (added >= MIN_SAMPLES) percentile() else null
 
     /** Adds a latency of the old version. */
     fun add(latencyMillis: Long) {
@@ -23,7 +23,6 @@
         total += 1f
         added++
         if (added % HALVE_AFTER == 0) halve()
-        if (added >= MIN_SAMPLES) thresholdMillis = percentile()
     }
 
     private fun halve() {
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/InstanceCommand.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/InstanceCommand.kt
@@ -60,15 +60,15 @@
 
     private fun runGateway() {
         val early = listen?.let(::listenEarly)
-        val gateway = Gateway(read(GatewaySettingsParser.parse(config.readText(), "$config")))
+        val gateway = Gateway(read(gatewaySettings()))
         startOrExit { gateway.start(early) }
         Runtime.getRuntime().addShutdownHook(Thread { gateway.shutdown() })
         // Without a handler the runtime takes SIGHUP for an order to end.
-        Signal.handle(Signal("HUP")) {
-            gateway.reload(GatewaySettingsParser.parse(config.readText(), "$config"))
-        }
+        Signal.handle(Signal("HUP")) { gateway.reload(gatewaySettings()) }
     }
 
+    private fun gatewaySettings() = GatewaySettingsParser.parse(config.readText(), "$config")
+
     private fun listenEarly(text: String): EarlyListener {
         val address =
             Address.parse(text) ?: throw UsageError("--listen needs HOST:PORT, not \"$text\"")
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/caller/CallerHandler.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/caller/CallerHandler.kt
@@ -15,8 +15,8 @@
 import io.lavenderhinge.http.HttpExchange
 import io.lavenderhinge.http.HttpHandler
 import io.lavenderhinge.http.HttpRequest
+import io.lavenderhinge.http.InFlightCounter
 import java.util.UUID
-import java.util.concurrent.atomic.AtomicInteger
 import kotlin.math.min
 
 /** Checks a caller's request against the settings in force and hands it to its kind of target. */
@@ -25,20 +25,13 @@
     private val models: ModelRequests,
     private val plainServices: ServiceRequests,
 ) : HttpHandler {
-    private val inFlight = AtomicInteger()
+    private val inFlight = InFlightCounter()
 
     /** Requests that are not answered yet. */
     val inFlightCount: Int
-        get() = inFlight.get()
+        get() = inFlight.count
 
-    override suspend fun handle(exchange: HttpExchange) {
-        inFlight.incrementAndGet()
-        try {
-            serve(exchange)
-        } finally {
-            inFlight.decrementAndGet()
-        }
-    }
+    override suspend fun handle(exchange: HttpExchange) = inFlight.counted { serve(exchange) }
 
     private suspend fun serve(exchange: HttpExchange) {
         val requestId = exchange.request.header("X-Request-Id") ?: UUID.randomUUID().toString()
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
@@ -45,7 +45,7 @@
         try {
             val leftMillis = (deadlineMillis - loop.nowMillis()).coerceAtLeast(1)
             val isDone = withTimeoutOrNull(leftMillis) { send() } != null
-            if (!isDone) fail("deadline")
+            if (!isDone) fail("deadline", HttpStatus.GATEWAY_TIMEOUT)
         } finally {
             services.journal.record(trail, loop.nowMillis())
         }
@@ -149,13 +149,11 @@
         }
     }
 
-    private suspend fun fail(reason: String) {
+    private suspend fun fail(reason: String, status: Int = HttpStatus.BAD_GATEWAY) {
         trail.failure = reason
         // The connection of a stream that was begun is closed without its end by the listener.
         if (relay?.isStarted == true || isAnswered) return
         if (!mayHaveRun && !trail.isInFlight) return respondNotRun(RETRY_MILLIS)
-        val status =
-            if (reason == "deadline") HttpStatus.GATEWAY_TIMEOUT else HttpStatus.BAD_GATEWAY
         respond(problem(status))
     }
 
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestForwarder.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestForwarder.kt
@@ -7,8 +7,8 @@
 import io.lavenderhinge.http.HttpClient
 import io.lavenderhinge.http.HttpExchange
 import io.lavenderhinge.http.HttpHandler
+import io.lavenderhinge.http.InFlightCounter
 import io.lavenderhinge.platform.RequestFacts
-import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
 
 /** What requests share. Confined to the traffic thread. */
@@ -31,20 +31,13 @@
     private val admission: RequestAdmission,
     private val gate: StartGate,
 ) : HttpHandler {
-    private val inFlight = AtomicInteger()
+    private val inFlight = InFlightCounter()
 
     /** Requests that have been read and not answered. */
     val inFlightCount: Int
-        get() = inFlight.get()
+        get() = inFlight.count
 
-    override suspend fun handle(exchange: HttpExchange) {
-        inFlight.incrementAndGet()
-        try {
-            decide(exchange)
-        } finally {
-            inFlight.decrementAndGet()
-        }
-    }
+    override suspend fun handle(exchange: HttpExchange) = inFlight.counted { decide(exchange) }
 
     private suspend fun decide(exchange: HttpExchange) {
         val arrivedMillis = services.loop.nowMillis()
