Update the sums of peer load reports by difference

Cause: each report rebuilt the sums over all peers, so an instance's cost for reports grew with the square of the fleet.

Ruled out: dropping the sums and adding up on each placement moves the same cost to the request path.

Conclusion: the cost of a report depends on its own size only.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PeerLoads.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PeerLoads.kt
@@ -1,23 +1,35 @@
 package io.lavenderhinge.core.forwarding
 
-/** Aggregates the load reports of other instances. Reports expire unless they are renewed. */
+/**
+ * Aggregates the load reports of other instances. Reports expire unless they are renewed.
+ *
+ * The sums over all peers are updated with the difference between the reports of one peer. The cost
+ * of a report therefore depends on its size and not on the number of peers, which both grow with
+ * the fleet.
+ */
 internal class PeerLoads {
     private class ReceivedReport(val report: LoadReport, val receivedMillis: Long)
 
+    private class ServerTotal {
+        var inFlight = 0
+        var pendingTokens = 0.0
+    }
+
     private val reports = HashMap<String, ReceivedReport>()
-    private val inFlight = HashMap<String, Int>()
-    private val pendingTokens = HashMap<String, Double>()
+    private val totals = HashMap<String, ServerTotal>()
+    /** Peers with queued requests; most peers have none. */
+    private val queueing = HashMap<String, ReceivedReport>()
 
-    fun inFlight(serverId: String): Int = inFlight[serverId] ?: 0
+    fun inFlight(serverId: String): Int = totals[serverId]?.inFlight ?: 0
 
-    fun pendingTokens(serverId: String): Double = pendingTokens[serverId] ?: 0.0
+    fun pendingTokens(serverId: String): Double = totals[serverId]?.pendingTokens ?: 0.0
 
     /**
      * Returns the number of requests for [service] that are queued at peers with a priority of
      * [maxPriority] or more urgent.
      */
     fun waiting(service: String, maxPriority: Int): Int =
-        reports.values.sumOf { received ->
+        queueing.values.sumOf { received ->
             received.report.waiting.entries.sumOf { (key, queue) ->
                 if (key.service == service && key.priority <= maxPriority) queue.count else 0
             }
@@ -31,7 +43,7 @@
      */
     fun countAhead(request: DispatchRequest, nowMillis: Long): Int =
         waiting(request.service, request.priority - 1) +
-            reports.values.count { received ->
+            queueing.values.count { received ->
                 val head = received.report.waiting[QueueKey(request.service, request.priority)]
                 head != null && precedes(head, received.receivedMillis, request, nowMillis)
             }
@@ -49,27 +61,36 @@
     }
 
     fun update(peer: String, report: LoadReport, nowMillis: Long) {
-        reports[peer] = ReceivedReport(report, nowMillis)
-        recomputeTotals()
+        remove(peer)
+        val received = ReceivedReport(report, nowMillis)
+        reports[peer] = received
+        if (report.waiting.isNotEmpty()) queueing[peer] = received
+        report.servers.forEach { (server, use) ->
+            val total = totals.getOrPut(server, ::ServerTotal)
+            total.inFlight += use.inFlight
+            total.pendingTokens += use.pendingTokens
+        }
     }
 
     /** Drops expired reports and returns true if there were any. */
     fun expire(nowMillis: Long): Boolean {
-        val hasExpired =
-            reports.values.removeIf { nowMillis - it.receivedMillis > REPORT_TTL_MILLIS }
-        if (hasExpired) recomputeTotals()
-        return hasExpired
+        val expired = reports.filterValues { nowMillis - it.receivedMillis > REPORT_TTL_MILLIS }
+        expired.keys.forEach(::remove)
+        return expired.isNotEmpty()
     }
 
-    private fun recomputeTotals() {
-        inFlight.clear()
-        pendingTokens.clear()
-        reports.values.forEach { received ->
-            received.report.servers.forEach { (server, use) ->
-                inFlight.merge(server, use.inFlight, Int::plus)
-                pendingTokens.merge(server, use.pendingTokens, Double::plus)
-            }
-        }
+    private fun remove(peer: String) {
+        val removed = reports.remove(peer) ?: return
+        queueing.remove(peer)
+        removed.report.servers.forEach { (server, use) -> subtract(server, use) }
+    }
+
+    private fun subtract(server: String, use: ServerUse) {
+        val total = totals[server] ?: return
+        total.inFlight -= use.inFlight
+        total.pendingTokens -= use.pendingTokens
+        // Removing unused totals also discards the rounding errors of the token sums.
+        if (total.inFlight == 0) totals.remove(server)
     }
 
     private companion object {
