Keep the debt of a workspace for a whole quota window

Ruled out: smaller buckets at a start, since they reject requests within the quota (QuotaLimiterTest guards against it); using no tolerance in the first window, since by calculation (not run) the bound is still exceeded without the longer debt.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QuotaLimiter.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QuotaLimiter.kt
@@ -130,7 +130,8 @@
     private fun refill(name: String, quota: WorkspaceQuota, nowMillis: Long): Bucket {
         val bucket = buckets.getOrPut(name) { Bucket(quota.burst, nowMillis) }
         val elapsedSeconds = (nowMillis - bucket.refilledMillis) / MILLIS_PER_SECOND
-        val floor = -effectiveRate(quota) * MAX_DEBT_SECONDS
+        // Forgetting debt within the window would admit more in it than the quota allows.
+        val floor = -effectiveRate(quota) * tolerance.windowMillis / MILLIS_PER_SECOND
         bucket.level =
             (bucket.level + elapsedSeconds * effectiveRate(quota)).coerceIn(
                 floor,
@@ -150,9 +151,5 @@
         /** Spans several reports, so that a single lost datagram does not count as silence. */
         const val REPORT_TIMEOUT_MILLIS = 800L
         const val MAX_TICK_MILLIS = 1_000L
-        /**
-         * Limits how long a workspace is rejected after a burst that several instances admitted.
-         */
-        const val MAX_DEBT_SECONDS = 4.0
     }
 }
