Pace the watch of the store by the deployment's bounds

Cause: each instance called the store again 60 ms after a change, so a burst of changes cost up to 16 calls a second at every instance, and a watch waited 2 s whatever the deployment asks for.

The pause is now an eighth of the shorter of two bounds, the one of a configuration and the one of a leaving server, and the wait fills the time in which a lost connection has to be replaced. Both come from the settings of the deployment.

Ruled out: instances that watch on behalf of others. It saves more, but a frozen one delays the rest; it is left for the scheduler issue.

--- a/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySchema.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySchema.kt
@@ -18,6 +18,27 @@
 
     val gracePeriod =
         SettingKey("grace-period", DurationType("1s", "10m"), "time from SIGTERM to SIGKILL", "8s")
+    val configurationApply =
+        SettingKey(
+            "configuration-apply",
+            DurationType("100ms", "10m"),
+            "time until a new configuration is in force on every instance",
+            "2s",
+        )
+    val contactTimeout =
+        SettingKey(
+            "contact-timeout",
+            DurationType("100ms", "10m"),
+            "time within which a lost connection to the store is replaced",
+            "3s",
+        )
+    val drain =
+        SettingKey(
+            "drain",
+            DurationType("100ms", "10m"),
+            "time until a leaving backend server gets no more requests",
+            "2s",
+        )
     val repeatRatio =
         SettingKey(
             "repeat-ratio",
@@ -63,7 +84,17 @@
         )
 
     private val bounds =
-        listOf(gracePeriod, repeatRatio, repeatSlack, quotaWindow, quotaOverage, quotaSlack)
+        listOf(
+            gracePeriod,
+            configurationApply,
+            contactTimeout,
+            drain,
+            repeatRatio,
+            repeatSlack,
+            quotaWindow,
+            quotaOverage,
+            quotaSlack,
+        )
 
     val sections =
         listOf(
--- a/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySettings.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySettings.kt
@@ -1,5 +1,6 @@
 package io.lavenderhinge.core.settings
 
+import io.lavenderhinge.core.forwarding.PropagationBounds
 import io.lavenderhinge.core.forwarding.QuotaTolerance
 import kotlinx.collections.immutable.ImmutableList
 
@@ -18,6 +19,7 @@
 /** Limits that the deployment sets. */
 data class GatewayBounds(
     val gracePeriodMillis: Long,
+    val propagation: PropagationBounds,
     /** Retries, as a share of the requests of a service. */
     val repeatRatio: Double,
     /** Additional retries of the whole fleet in each window. */
--- a/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySettingsParser.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySettingsParser.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import arrow.core.NonEmptyList
+import io.lavenderhinge.core.forwarding.PropagationBounds
 import io.lavenderhinge.core.forwarding.QuotaTolerance
 import kotlinx.collections.immutable.persistentListOf
 
@@ -40,6 +41,11 @@
     private fun bounds(section: SectionReader) =
         GatewayBounds(
             section.value(GatewaySchema.gracePeriod) ?: 0,
+            PropagationBounds(
+                section.value(GatewaySchema.configurationApply) ?: 0,
+                section.value(GatewaySchema.contactTimeout) ?: 0,
+                section.value(GatewaySchema.drain) ?: 0,
+            ),
             section.value(GatewaySchema.repeatRatio) ?: 0.0,
             section.value(GatewaySchema.repeatSlack) ?: 0.0,
             QuotaTolerance(
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/PeerLoadsTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/PeerLoadsTest.kt
@@ -31,7 +31,8 @@
                 }
 
                 (0..5).forEach { number ->
-                    val uses = current.values.mapNotNull { (report, _) -> report.servers["s$number"] }
+                    val uses =
+                        current.values.mapNotNull { (report, _) -> report.servers["s$number"] }
                     loads.inFlight("s$number") shouldBe uses.sumOf { it.inFlight }
                     loads.pendingTokens("s$number") shouldBe
                         (uses.sumOf { it.pendingTokens } plusOrMinus 0.001)
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/QuotaRestartTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/QuotaRestartTest.kt
@@ -34,9 +34,11 @@
             fun exchangeReports(nowMillis: Long) {
                 val totals = limiters.map { it.totals.toMap() }
                 limiters.forEachIndexed { to, limiter ->
-                    ids.indices.filter { it != to }.forEach {
-                        limiter.onPeerReport(ids[it], 1, nowMillis, totals[it], nowMillis)
-                    }
+                    ids.indices
+                        .filter { it != to }
+                        .forEach {
+                            limiter.onPeerReport(ids[it], 1, nowMillis, totals[it], nowMillis)
+                        }
                 }
             }
             limiters.forEachIndexed { index, limiter ->
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ConfigurationHolder.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ConfigurationHolder.kt
@@ -7,7 +7,13 @@
 import org.slf4j.LoggerFactory
 
 /** Holds the active configuration. Written by the control thread, read by any thread. */
-internal class ConfigurationHolder(private val gate: ReadinessGate) {
+internal class ConfigurationHolder(
+    private val gate: ReadinessGate,
+    /** Time for which the store's last answer shows that no newer configuration exists. */
+    confirmationValidMillis: Long,
+) {
+    private val confirmationValidNanos = TimeUnit.MILLISECONDS.toNanos(confirmationValidMillis)
+
     private class ActiveConfiguration(val table: ForwardingTable, val text: String)
 
     @Volatile private var active: ActiveConfiguration? = null
@@ -52,13 +58,11 @@
     fun view(): ConfigurationView {
         val confirmed = lastConfirmedNanos
         val isConfirmed =
-            confirmed != null && System.nanoTime() - confirmed < CONFIRMATION_VALID_NANOS
+            confirmed != null && System.nanoTime() - confirmed < confirmationValidNanos
         return ConfigurationView(table, isConfirmed)
     }
 
     private companion object {
-        /** Exceeds the wait of a watch, so that a connected instance is always confirmed. */
-        val CONFIRMATION_VALID_NANOS: Long = TimeUnit.MILLISECONDS.toNanos(3_000)
         val log = LoggerFactory.getLogger(ConfigurationHolder::class.java)
     }
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
@@ -7,6 +7,7 @@
 import io.lavenderhinge.core.forwarding.RolloutOrder
 import io.lavenderhinge.core.forwarding.ServerEntry
 import io.lavenderhinge.core.forwarding.ServiceRetryBudget
+import io.lavenderhinge.core.forwarding.WatchPacing
 import io.lavenderhinge.core.settings.Address
 import io.lavenderhinge.core.settings.GatewaySettings
 import io.lavenderhinge.core.settings.SettingsFault
@@ -37,10 +38,11 @@
     private val client = HttpClient(loop.group)
     private val store = PlatformStore(client, socketAddress(settings.store))
     private val gate = ReadinessGate()
-    private val configuration = ConfigurationHolder(gate)
+    private val watchPacing = WatchPacing.of(settings.bounds.propagation)
+    private val configuration = ConfigurationHolder(gate, watchPacing.staleAfterMillis)
     private val quotas = QuotaLimiter(settings.bounds.quotaTolerance)
     private val allocator = SlotAllocator(identity.failureDomain, loop)
-    private val servers = ServerRegistry(control, ::publish)
+    private val servers = ServerRegistry(control, watchPacing.staleAfterMillis, ::publish)
     private val loadReports =
         LoadReportExchange(
             ReportIdentity(identity.id, System.currentTimeMillis(), settings.listen.peer),
@@ -187,8 +189,7 @@
             store,
             PlatformKeys.ALL_PREFIX,
             PrefixRoutingListener(listeners),
-            WATCH_WAIT_MILLIS,
-            WATCH_PAUSE_MILLIS,
+            watchPacing,
         )
     }
 
@@ -239,10 +240,6 @@
          * rejections.
          */
         const val GATEWAY_RETRY_SHARE = 0.5
-        /** Also bounds how long an unresponsive connection to the store goes unnoticed. */
-        const val WATCH_WAIT_MILLIS = 2_000L
-        /** Changes written within this interval are returned by a single call. */
-        const val WATCH_PAUSE_MILLIS = 60L
         const val QUOTA_INTERVAL_MILLIS = 200L
         const val ROLLOUT_INTERVAL_MILLIS = 100L
         /**
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ServerRegistry.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ServerRegistry.kt
@@ -14,6 +14,8 @@
 /** Maintains the list of backend servers and publishes changes. Confined to the control thread. */
 internal class ServerRegistry(
     private val control: ControlThread,
+    /** Time without an answer of the store after which the list may be out of date. */
+    private val staleAfterMillis: Long,
     private val publish: (List<ServerEntry>) -> Unit,
 ) : StoreListener {
     private val directory = ServerDirectory()
@@ -30,9 +32,9 @@
     val entries: Map<String, String>
         get() = storedValues
 
-    /** True if the store has not answered within [STALE_AFTER_MILLIS]. */
+    /** True if the store has not answered within [staleAfterMillis]. */
     val isStale: Boolean
-        get() = lastAnswerMillis?.let { monotonicMillis() - it > STALE_AFTER_MILLIS } ?: true
+        get() = lastAnswerMillis?.let { monotonicMillis() - it > staleAfterMillis } ?: true
 
     /** Starts removing entries that expired and were not written again. */
     fun start() =
@@ -115,8 +117,6 @@
 
     private companion object {
         const val EXPIRE_INTERVAL_MILLIS = 200L
-        /** Exceeds the wait of a watch, so that a connected instance is never stale. */
-        const val STALE_AFTER_MILLIS = 3_000L
         val log = LoggerFactory.getLogger(ServerRegistry::class.java)
     }
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/StoreWatcher.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/StoreWatcher.kt
@@ -1,6 +1,7 @@
 package io.lavenderhinge.instance.gateway
 
 import arrow.core.Either
+import io.lavenderhinge.core.forwarding.WatchPacing
 import io.lavenderhinge.core.port.Snapshot
 import io.lavenderhinge.core.port.SnapshotStore
 import io.lavenderhinge.core.port.StoreFault
@@ -26,15 +27,14 @@
  * Watches the keys under [prefix]: reads a snapshot, then watches for changes, and reads a new
  * snapshot whenever the history or the connection was lost.
  *
- * A watch waits only [waitMillis], because an unresponsive connection is detected only by its
- * timeout. The pause of [pauseMillis] between watches batches frequent changes.
+ * An unresponsive connection is detected only by the timeout of a call, which limits how long a
+ * watch waits. The pause between two calls batches frequent changes.
  */
 internal class StoreWatcher(
     private val store: SnapshotStore,
     private val prefix: String,
     private val listener: StoreListener,
-    private val waitMillis: Long,
-    private val pauseMillis: Long,
+    private val pacing: WatchPacing,
 ) {
     private var isConnected = true
 
@@ -54,10 +54,10 @@
     private suspend fun watchChanges(fromRevision: Long) {
         var revision = fromRevision
         while (true) {
-            val changes = valueOrNull(store.watch(prefix, revision, waitMillis)) ?: return
+            val changes = valueOrNull(store.watch(prefix, revision, pacing.waitMillis)) ?: return
             listener.onChanges(changes)
             revision = changes.revision
-            delay(pauseMillis)
+            delay(pacing.pauseMillis)
         }
     }
 
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ConfigurationHolderTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ConfigurationHolderTest.kt
@@ -10,7 +10,7 @@
 
         // Guards against a stale read or a slow peer that reverts the configuration.
         test("given an active version, when an older one arrives, then it stays active") {
-            val holder = ConfigurationHolder(ReadinessGate())
+            val holder = ConfigurationHolder(ReadinessGate(), confirmationValidMillis = 3_000)
 
             holder.applyIfNewer(text(7), "the store") shouldBe true
             holder.applyIfNewer(text(5), "a peer") shouldBe false
@@ -20,7 +20,7 @@
         }
 
         test("given an active version, when a value cannot be decoded, then it stays active") {
-            val holder = ConfigurationHolder(ReadinessGate())
+            val holder = ConfigurationHolder(ReadinessGate(), confirmationValidMillis = 3_000)
             holder.applyIfNewer(text(7), "the store")
 
             holder.applyIfNewer("{", "the store") shouldBe false
@@ -30,7 +30,7 @@
         }
 
         test("given no answer from the store, then the configuration is not confirmed") {
-            val holder = ConfigurationHolder(ReadinessGate())
+            val holder = ConfigurationHolder(ReadinessGate(), confirmationValidMillis = 3_000)
             holder.applyIfNewer(text(7), "a peer")
 
             holder.view().isConfirmed shouldBe false
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/GatewayHarness.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/GatewayHarness.kt
@@ -22,7 +22,7 @@
     private val clients = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val client = HttpClient(clients)
     private val gate = ReadinessGate()
-    private val configuration = ConfigurationHolder(gate)
+    private val configuration = ConfigurationHolder(gate, confirmationValidMillis = 3_000)
     private val allocator = SlotAllocator("d", loop)
     private val server: HttpServer
 
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/PeerStateSyncTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/PeerStateSyncTest.kt
@@ -41,8 +41,8 @@
         PeerStateSync(
             RecordingLinks(requested),
             control,
-            ConfigurationHolder(ReadinessGate()),
-            ServerRegistry(control) {},
+            ConfigurationHolder(ReadinessGate(), confirmationValidMillis = 3_000),
+            ServerRegistry(control, staleAfterMillis = 3_000) {},
         )
 
     init {
