Keep late requests only behind a short queue, and share slots with all priorities

And requests that could no longer be on time were queued behind all others until their clients gave up.

Each priority now has a small share of the slot time. A request that cannot be on time is kept only while the queue is short compared to the time for which its client waits for the first event, which for streams ends before the deadline. The others are rejected at once with a Retry-After.

Ruled out in DispatcherOverloadTest: newest first among the requests that can be on time (within 2 in 100 of the kept order); no margin for slower servers (half of the questions that got a slot were late).

DispatcherOverloadTest with 4, 9 and 20 instances at twice the capacity, before: 4% of the checks on time, 15 to 21% of the questions, rejections after 1.3 to 2.0 s on average; after: above 20%, above 22% and below 0.75 s; drafts unchanged.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
@@ -17,6 +17,8 @@
     val targetMillis: Long,
     /** Time at which the client or the route times out. */
     val deadlineMillis: Long,
+    /** Time at which the client stops waiting for the first event; at most [deadlineMillis]. */
+    val firstEventDeadlineMillis: Long,
     /** Ids of servers that were already tried for this request. */
     val excludedServers: PersistentSet<String>,
     /** True when the request is sampled for the target version of an ongoing rollout. */
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -1,7 +1,8 @@
 package io.lavenderhinge.core.forwarding
 
 /**
- * Assigns requests to backend servers and queues those that have to wait for a slot.
+ * Assigns requests to backend servers and queues those that have to wait for a slot. [QueuePolicy]
+ * decides their order and which of them are rejected.
  *
  * Backend servers process requests in order of arrival, without priorities. A server therefore gets
  * at most as many requests as it has slots, and the remaining ones are queued here by priority.
@@ -17,6 +18,7 @@
     private val rollouts: RolloutTracker = RolloutTracker(),
 ) {
     private val pools = HashMap<String, ServerPool>()
+    private val policies = HashMap<String, QueuePolicy>()
     private val queues = HashMap<String, MutableList<DispatchRequest>>()
     private val peers = PeerLoads()
 
@@ -25,11 +27,16 @@
         rollouts.onServers(servers, nowMillis)
         val byService = servers.groupBy { it.service }
         (pools.keys + byService.keys).toSet().forEach { service ->
-            pools.getOrPut(service) { ServerPool(rollouts) }.update(byService[service].orEmpty())
+            poolOf(service).update(byService[service].orEmpty())
         }
         return serveQueues(nowMillis)
     }
 
+    private fun poolOf(service: String): ServerPool =
+        pools.getOrPut(service) {
+            ServerPool(rollouts).also { policies[service] = QueuePolicy(it, peers) }
+        }
+
     /** Requests a slot. The effect for [request] is returned here or by a later call. */
     fun submit(request: DispatchRequest, nowMillis: Long): List<DispatchEffect> {
         val pool = pools[request.service]
@@ -37,10 +44,10 @@
             val reason = DispatchRefusal.NO_SERVER
             return listOf(DispatchEffect.Refuse(request.id, reason, NO_SERVER_RETRY_MILLIS))
         }
-        overloadRefusal(pool, request, nowMillis)?.let {
+        val queue = queues.getOrPut(request.service, ::mutableListOf)
+        policies.getValue(request.service).rejection(request, queue, nowMillis)?.let {
             return listOf(it)
         }
-        val queue = queues.getOrPut(request.service, ::mutableListOf)
         queue.add(request)
         return serve(pool, queue, nowMillis)
     }
@@ -69,9 +76,11 @@
         promptTokens: Double,
         promptPending: Boolean,
         nowMillis: Long,
+        priority: Int,
     ): List<DispatchEffect> {
         val pool = pools[server.service] ?: return emptyList()
-        pool.onFinished(server.id, outcome, if (promptPending) promptTokens else 0.0, nowMillis)
+        val pendingTokens = if (promptPending) promptTokens else 0.0
+        pool.onFinished(server.id, outcome, pendingTokens, nowMillis, priority)
         val queue = queues[server.service] ?: return emptyList()
         return serve(pool, queue, nowMillis)
     }
@@ -106,45 +115,45 @@
         )
 
     private fun queueState(requests: List<DispatchRequest>, nowMillis: Long): QueueState {
-        val head = requests.minWith(queueOrder(nowMillis))
+        val policy = policies.getValue(requests.first().service)
+        val head = policy.ordered(requests, nowMillis).others.first()
         return QueueState(
             requests.size,
             nowMillis - head.arrivedMillis,
-            isHeadLate = head.targetMillis <= nowMillis,
+            isHeadLate = policy.isLate(head, nowMillis),
         )
     }
 
-    private fun overloadRefusal(
-        pool: ServerPool,
-        request: DispatchRequest,
-        nowMillis: Long,
-    ): DispatchEffect.Refuse? {
-        val ahead =
-            queues[request.service].orEmpty().count { it.priority <= request.priority } +
-                peers.waiting(request.service, request.priority)
-        if (ahead == 0) return null
-        val waitMillis = ahead * pool.slotIntervalMillis(request, nowMillis)
-        val leftMillis = request.deadlineMillis - nowMillis
-        if (waitMillis <= leftMillis * MAX_WAIT_FRACTION) return null
-        return DispatchEffect.Refuse(request.id, DispatchRefusal.OVERLOAD, waitMillis.toLong())
-    }
-
     private fun serve(
         pool: ServerPool,
         queue: MutableList<DispatchRequest>,
         nowMillis: Long,
     ): List<DispatchEffect> {
+        if (queue.isEmpty()) return emptyList()
+        val policy = policies.getValue(queue.first().service)
         val effects = mutableListOf<DispatchEffect>()
-        queue.sortWith(queueOrder(nowMillis))
         val reserved = HashMap<String, Int>()
-        val iterator = queue.iterator()
-        while (iterator.hasNext()) {
-            val request = iterator.next()
-            val placement = pool.place(request, peers, reserved, failureDomain, nowMillis)
-            val effect = effectOf(placement, request, pool, nowMillis) ?: continue
-            iterator.remove()
-            effects += effect
+        val waiting = mutableListOf<DispatchRequest>()
+        fun place(request: DispatchRequest, aheadAtPeers: Int) {
+            val placement =
+                pool.place(request, peers, aheadAtPeers, reserved, failureDomain, nowMillis)
+            val effect = effectOf(placement, request, pool, nowMillis)
+            if (effect == null) waiting += request else effects += effect
         }
+        val order = policy.ordered(queue, nowMillis)
+        order.owed.forEach { place(it, aheadAtPeers = 0) }
+        order.others.forEach {
+            place(it, peers.countAhead(it, policy.isLate(it, nowMillis), nowMillis))
+        }
+        queue.clear()
+        queue.addAll(waiting)
+        waiting
+            .filter { policy.isLate(it, nowMillis) }
+            .forEach { request ->
+                val refusal = policy.rejection(request, queue, nowMillis) ?: return@forEach
+                queue.remove(request)
+                effects += refusal
+            }
         return effects
     }
 
@@ -156,11 +165,11 @@
     ): DispatchEffect? =
         when (placement) {
             is Placement.Send -> {
-                pool.onStarted(placement.server.id, request.promptTokens, nowMillis)
+                pool.onStarted(placement.server.id, request, nowMillis)
                 DispatchEffect.Assign(request.id, placement.server, placement.expectedMillis)
             }
             is Placement.Wait ->
-                if (request.deadlineMillis - nowMillis > MIN_SERVICE_MILLIS) null
+                if (!policies.getValue(request.service).isExpired(request, nowMillis)) null
                 else
                     DispatchEffect.Refuse(
                         request.id,
@@ -171,18 +180,7 @@
                 DispatchEffect.Refuse(request.id, DispatchRefusal.NO_SERVER, NO_SERVER_RETRY_MILLIS)
         }
 
-    // Within a priority, requests that can still meet their target go first. Strict FIFO order
-    // would make every request late once the queueing delay exceeds the target.
-    private fun queueOrder(nowMillis: Long): Comparator<DispatchRequest> =
-        compareBy<DispatchRequest> { it.priority }
-            .thenBy { it.targetMillis <= nowMillis }
-            .thenBy { it.arrivedMillis }
-
     private companion object {
-        /** Reserves most of the remaining deadline for processing the request. */
-        const val MAX_WAIT_FRACTION = 0.4
         const val NO_SERVER_RETRY_MILLIS = 300L
-        /** A request with less time left cannot be processed before its deadline. */
-        const val MIN_SERVICE_MILLIS = 30L
     }
 }
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ForwardingConfig.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ForwardingConfig.kt
@@ -36,6 +36,24 @@
     val maxServers: Int,
     val allowsAnonymous: Boolean,
 ) {
+    /**
+     * How long clients wait for the first event of a stream, or for a unary response. They abandon
+     * a stream whose first event is several times later than its target, before its timeout.
+     */
+    val patienceMillis: Long
+        get() =
+            when (kind) {
+                is RouteKind.Idempotent,
+                is RouteKind.NonIdempotent -> timeoutMillis
+                is RouteKind.Streaming ->
+                    maxOf(
+                            MIN_PATIENCE_MILLIS,
+                            PATIENCE_PER_TARGET * targetLatencyMillis,
+                            PATIENCE_PER_GAP * kind.targetGapMillis.coerceAtMost(timeoutMillis),
+                        )
+                        .coerceAtMost(timeoutMillis)
+            }
+
     /** True when a request of this route may be executed more than once. */
     val isRetryable: Boolean
         get() =
@@ -44,6 +62,12 @@
                 is RouteKind.NonIdempotent -> false
                 is RouteKind.Streaming -> kind.resumable
             }
+
+    private companion object {
+        const val MIN_PATIENCE_MILLIS = 2_000L
+        const val PATIENCE_PER_TARGET = 4L
+        const val PATIENCE_PER_GAP = 8L
+    }
 }
 
 /** A service that is provided by a pool of backend servers. */
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PeerLoads.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PeerLoads.kt
@@ -35,26 +35,31 @@
             }
         }
 
+    /** Returns the number of requests for [service] of [priority] that are queued at peers. */
+    fun waitingAt(service: String, priority: Int): Int =
+        queueing.values.sumOf { it.report.waiting[QueueKey(service, priority)]?.count ?: 0 }
+
     /**
      * Returns the number of requests at peers that take precedence over [request]: all that are
      * more urgent, and the head of each peer's queue of the same priority if it has waited clearly
-     * longer. Without the latter, an instance that holds slots would reuse them for its own
-     * requests and starve those of other instances.
+     * longer. [isLate] is true if [request] can no longer be on time. Without the second part, an
+     * instance that holds slots would reuse them for its own requests and starve those of other
+     * instances.
      */
-    fun countAhead(request: DispatchRequest, nowMillis: Long): Int =
+    fun countAhead(request: DispatchRequest, isLate: Boolean, nowMillis: Long): Int =
         waiting(request.service, request.priority - 1) +
             queueing.values.count { received ->
                 val head = received.report.waiting[QueueKey(request.service, request.priority)]
-                head != null && precedes(head, received.receivedMillis, request, nowMillis)
+                head != null && precedes(head, received.receivedMillis, request, isLate, nowMillis)
             }
 
     private fun precedes(
         head: QueueState,
         receivedMillis: Long,
         request: DispatchRequest,
+        isLate: Boolean,
         nowMillis: Long,
     ): Boolean {
-        val isLate = request.targetMillis <= nowMillis
         if (head.isHeadLate != isLate) return isLate
         val headWaitMillis = head.headWaitMillis + nowMillis - receivedMillis
         return headWaitMillis > nowMillis - request.arrivedMillis + MIN_EXTRA_WAIT_MILLIS
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QueuePolicy.kt
@@ -0,0 +1,99 @@
+package io.lavenderhinge.core.forwarding
+
+/** A queue in the order in which its requests get slots: first [owed], then [others]. */
+internal class QueueOrder(
+    /** The first request of each less urgent priority that received less than its share. */
+    val owed: List<DispatchRequest>,
+    val others: List<DispatchRequest>,
+)
+
+/**
+ * Decides the order of queued requests and which of them are rejected, for a pool that is asked for
+ * more than it can serve: bursts of a few seconds at up to three times its capacity.
+ *
+ * Requests that can still be on time go first, since a queue in order of arrival that is longer
+ * than the target makes every request late. Those that cannot are kept only if the queue is short
+ * compared to the time for which their client waits. The others are rejected at once, so that the
+ * client can return after the burst instead of waiting for a response that does not come.
+ */
+internal class QueuePolicy(private val pool: ServerPool, private val peers: PeerLoads) {
+    /** Returns true if the first event of [request] will probably come after its target. */
+    fun isLate(request: DispatchRequest, nowMillis: Long): Boolean =
+        nowMillis + FIRST_EVENT_MARGIN * pool.firstEventMillis(request) > request.targetMillis
+
+    /** Returns [queue] in the order in which slots are assigned. */
+    fun ordered(queue: Collection<DispatchRequest>, nowMillis: Long): QueueOrder {
+        val sorted = queue.sortedWith(order(nowMillis))
+        val owed =
+            sorted
+                .distinctBy { it.priority }
+                .drop(1)
+                .filter { pool.minimumShare.isOwed(it.priority) }
+        return QueueOrder(owed, if (owed.isEmpty()) sorted else sorted - owed.toSet())
+    }
+
+    private fun order(nowMillis: Long): Comparator<DispatchRequest> =
+        compareBy<DispatchRequest> { it.priority }
+            .thenBy { isLate(it, nowMillis) }
+            .thenBy { it.arrivedMillis }
+
+    /**
+     * Returns the rejection of [request] if it has to wait too long behind [queue], or null if it
+     * is queued. Called on arrival and once the request can no longer be on time.
+     */
+    fun rejection(
+        request: DispatchRequest,
+        queue: Collection<DispatchRequest>,
+        nowMillis: Long,
+    ): DispatchEffect.Refuse? {
+        val waitMillis = expectedWaitMillis(request, queue, nowMillis)
+        val firstEventMillis = pool.firstEventMillis(request)
+        if (nowMillis + waitMillis + firstEventMillis <= request.targetMillis) return null
+        val patienceMillis = request.firstEventDeadlineMillis - nowMillis - firstEventMillis
+        if (waitMillis <= patienceMillis * MAX_LATE_WAIT_FRACTION) return null
+        return DispatchEffect.Refuse(
+            request.id,
+            DispatchRefusal.OVERLOAD,
+            retryAfterMillis(waitMillis, request.deadlineMillis - nowMillis),
+        )
+    }
+
+    /** Returns true if [request] cannot get its first event before its client gives up. */
+    fun isExpired(request: DispatchRequest, nowMillis: Long): Boolean =
+        request.firstEventDeadlineMillis - nowMillis <= MIN_SERVICE_MILLIS
+
+    private fun expectedWaitMillis(
+        request: DispatchRequest,
+        queue: Collection<DispatchRequest>,
+        nowMillis: Long,
+    ): Double {
+        val intervalMillis = pool.slotIntervalMillis(request, nowMillis)
+        val ahead = queue.count { it.id != request.id && it.priority <= request.priority }
+        val waitMillis = (ahead + peers.waiting(request.service, request.priority)) * intervalMillis
+        val share = pool.minimumShare
+        if (!share.isOwed(request.priority)) return waitMillis
+        // A priority below its share waits only for its own requests, at the pace of that share.
+        val ownAhead =
+            queue.count { it.id != request.id && it.priority == request.priority } +
+                peers.waitingAt(request.service, request.priority)
+        val relativeHold = share.holdMillis(request.priority) / pool.meanHoldMillis()
+        val ownIntervalMillis = intervalMillis * relativeHold / share.fraction
+        return minOf(waitMillis, ownAhead * ownIntervalMillis)
+    }
+
+    // A client that returns while the burst lasts is rejected again, and most return only once.
+    private fun retryAfterMillis(waitMillis: Double, leftMillis: Long): Long =
+        maxOf(waitMillis, leftMillis * MIN_RETRY_FRACTION).toLong()
+
+    private companion object {
+        /**
+         * The servers of a pool differ in speed, and the slot that becomes free may be a slow one.
+         */
+        const val FIRST_EVENT_MARGIN = 2.0
+        /** Reserves most of the time for which a client waits for the work on its request. */
+        const val MAX_LATE_WAIT_FRACTION = 0.3
+        const val MIN_RETRY_FRACTION = 0.15
+        /** A request with less time left cannot be started before its client gives up. */
+        const val MIN_SERVICE_MILLIS = 30L
+    }
+}
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -14,6 +14,9 @@
     private val records = LinkedHashMap<String, ServerRecord>()
     private val model = FirstEventModel()
 
+    /** Slot time that less urgent requests are guaranteed. */
+    val minimumShare = MinimumShare(::meanHoldMillis)
+
     fun record(serverId: String): ServerRecord? = records[serverId]
 
     fun update(entries: List<ServerEntry>) {
@@ -35,11 +38,12 @@
             .filter { it.inFlight > 0 }
             .map { it.entry.id to ServerUse(it.inFlight, it.pendingTokens) }
 
-    fun onStarted(serverId: String, promptTokens: Double, nowMillis: Long) {
+    fun onStarted(serverId: String, request: DispatchRequest, nowMillis: Long) {
         val record = records[serverId] ?: return
         if (record.inFlight == 0) record.onActivity(nowMillis)
         record.inFlight++
-        record.pendingTokens += promptTokens
+        record.pendingTokens += request.promptTokens
+        minimumShare.onStarted(request.priority)
     }
 
     fun onFinished(
@@ -47,7 +51,9 @@
         outcome: ServerOutcome,
         pendingTokens: Double,
         nowMillis: Long,
+        priority: Int,
     ) {
+        if (outcome is ServerOutcome.Answered) minimumShare.onFinished(priority, outcome.holdMillis)
         val record = records[serverId] ?: return
         record.inFlight = (record.inFlight - 1).coerceAtLeast(0)
         if (outcome is ServerOutcome.Answered) record.onActivity(nowMillis)
@@ -88,9 +94,25 @@
         return if (slotsPerMillis <= 0) MIN_HOLD_MILLIS else 1 / slotsPerMillis
     }
 
+    /** Returns the expected time from the send of [request] to its first event. */
+    fun firstEventMillis(request: DispatchRequest): Double =
+        model.predictMillis(request.promptTokens)
+
+    /** Returns how long a request occupies its slot, on average over the servers. */
+    fun meanHoldMillis(): Double {
+        val known = records.values.map { it.holdMillis }.filter { it > 0 }
+        return if (known.isEmpty()) DEFAULT_HOLD_MILLIS
+        else known.average().coerceAtLeast(MIN_HOLD_MILLIS)
+    }
+
+    /**
+     * Assigns [request] to a server, or reserves the slot that it waits for in [reserved].
+     * [aheadAtPeers] requests of other instances take precedence over it.
+     */
     fun place(
         request: DispatchRequest,
         peers: PeerLoads,
+        aheadAtPeers: Int,
         reserved: MutableMap<String, Int>,
         failureDomain: String,
         nowMillis: Long,
@@ -101,7 +123,7 @@
             eligible.map { estimate(it, request, peers, reserved, failureDomain, nowMillis) }
         val best = estimates.minBy { it.expectedMillis }
         val freeSlots = estimates.sumOf { it.freeSlots.coerceAtLeast(0) }
-        if (best.freeSlots > 0 && freeSlots > peers.countAhead(request, nowMillis)) {
+        if (best.freeSlots > 0 && freeSlots > aheadAtPeers) {
             return Placement.Send(best.record.entry, best.expectedMillis)
         }
         // Reserves a slot, so that less urgent requests do not take the one this request waits for.
@@ -113,8 +135,7 @@
     // wait for it while other servers are free.
     private fun expectedHoldMillis(record: ServerRecord): Double {
         if (record.holdMillis > 0) return record.holdMillis.coerceAtLeast(MIN_HOLD_MILLIS)
-        val known = records.values.map { it.holdMillis }.filter { it > 0 }
-        return if (known.isEmpty()) DEFAULT_HOLD_MILLIS else known.average()
+        return meanHoldMillis()
     }
 
     private class Estimate(
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/DispatcherTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/DispatcherTest.kt
@@ -16,7 +16,15 @@
             server: ServerEntry,
             outcome: ServerOutcome = answered(),
             nowMillis: Long = 100,
-        ) = onFinished(server, outcome, promptTokens = 1_000.0, promptPending = false, nowMillis)
+        ) =
+            onFinished(
+                server,
+                outcome,
+                promptTokens = 1_000.0,
+                promptPending = false,
+                nowMillis,
+                priority = 0,
+            )
 
         fun List<DispatchEffect>.assigned() =
             filterIsInstance<DispatchEffect.Assign>().map { it.requestId to it.server.id }
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ForwardingFixture.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ForwardingFixture.kt
@@ -70,6 +70,7 @@
     deadlineMillis: Long = arrivedMillis + 10_000,
     promptTokens: Double = 1_000.0,
     expectedEvents: Double = 0.0,
+    firstEventDeadlineMillis: Long = deadlineMillis,
 ) =
     DispatchRequest(
         id = id,
@@ -80,6 +81,7 @@
         arrivedMillis = arrivedMillis,
         targetMillis = targetMillis,
         deadlineMillis = deadlineMillis,
+        firstEventDeadlineMillis = firstEventDeadlineMillis,
         excludedServers = persistentSetOf(),
     )
 
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/LoadSimulation.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/LoadSimulation.kt
@@ -17,7 +17,22 @@
 }
 
 /** The result of one request. [firstEventMillis] is null when the request was rejected. */
-internal class SimulatedResult(val priority: Int, val firstEventMillis: Long?)
+internal class SimulatedResult(
+    val priority: Int,
+    val firstEventMillis: Long?,
+    /** Time that the request spent in the queue. */
+    val queuedMillis: Long,
+)
+
+/** The work and the times of a kind of request, on a server of slowness 1. */
+internal class SimulatedWork(
+    val holdMillis: Double = 400.0,
+    val firstEventMillis: Double = 80.0,
+    val targetMillis: Long = 600,
+    /** Time after which the client gives up waiting for the first event. */
+    val patienceMillis: Long = 10_000,
+    val deadlineMillis: Long = 10_000,
+)
 
 /** A request rate of one priority at one instance during a time interval. */
 internal class SimulatedTraffic(
@@ -26,18 +41,19 @@
     val perSecond: Double,
     val fromMillis: Long,
     val untilMillis: Long,
+    val work: SimulatedWork = SimulatedWork(),
 )
 
 /**
  * Simulates traffic in virtual time on dispatchers whose load reports arrive [REPORT_MILLIS] late.
  *
- * There is no network and no engine: a request occupies a slot for [HOLD_MILLIS] and produces its
- * first event after [FIRST_EVENT_MILLIS], both multiplied by the slowness of the server.
+ * There is no network and no engine: a request occupies a slot and produces its first event after
+ * the times of its [SimulatedWork], multiplied by the slowness of the server.
  */
 internal class LoadSimulation(instanceCount: Int, private val servers: List<SimulatedServer>) {
     private class Event(val atMillis: Long, val order: Long, val action: (Long) -> Unit)
 
-    private class PendingRequest(val request: DispatchRequest, val instance: Int)
+    private class PendingRequest(val request: DispatchRequest, val traffic: SimulatedTraffic)
 
     private val events = PriorityQueue(compareBy<Event>({ it.atMillis }, { it.order }))
     private val openRequests = HashMap<Long, PendingRequest>()
@@ -72,27 +88,42 @@
     }
 
     private fun arrive(traffic: SimulatedTraffic, nowMillis: Long) {
-        val request = request(++order, traffic.priority, arrivedMillis = nowMillis)
-        openRequests[request.id] = PendingRequest(request, traffic.instance)
+        val work = traffic.work
+        val request =
+            request(
+                ++order,
+                traffic.priority,
+                arrivedMillis = nowMillis,
+                targetMillis = nowMillis + work.targetMillis,
+                deadlineMillis = nowMillis + work.deadlineMillis,
+                firstEventDeadlineMillis = nowMillis + work.patienceMillis,
+            )
+        openRequests[request.id] = PendingRequest(request, traffic)
         apply(dispatchers[traffic.instance].submit(request, nowMillis), nowMillis)
     }
 
     private fun apply(effects: List<DispatchEffect>, nowMillis: Long) =
         effects.forEach { effect ->
             val pending = openRequests.remove(effect.requestId) ?: return@forEach
+            val queuedMillis = nowMillis - pending.request.arrivedMillis
             when (effect) {
                 is DispatchEffect.Refuse ->
-                    results += SimulatedResult(pending.request.priority, null)
+                    results += SimulatedResult(pending.request.priority, null, queuedMillis)
                 is DispatchEffect.Assign -> startRequest(pending, effect.server, nowMillis)
             }
         }
 
     private fun startRequest(pending: PendingRequest, entry: ServerEntry, nowMillis: Long) {
         val server = servers.first { it.id == entry.id }
-        val run = server.run(nowMillis, HOLD_MILLIS)
-        val firstMillis = run.first + (FIRST_EVENT_MILLIS * server.slowness).toLong()
+        val work = pending.traffic.work
+        val run = server.run(nowMillis, work.holdMillis)
+        val firstMillis = run.first + (work.firstEventMillis * server.slowness).toLong()
         results +=
-            SimulatedResult(pending.request.priority, firstMillis - pending.request.arrivedMillis)
+            SimulatedResult(
+                pending.request.priority,
+                firstMillis - pending.request.arrivedMillis,
+                nowMillis - pending.request.arrivedMillis,
+            )
         scheduleAt(run.last) { finishRequest(pending, entry, nowMillis, firstMillis, it) }
     }
 
@@ -111,12 +142,13 @@
                 events = 0,
             )
         val effects =
-            dispatchers[pending.instance].onFinished(
+            dispatchers[pending.traffic.instance].onFinished(
                 entry,
                 outcome,
                 pending.request.promptTokens,
                 promptPending = true,
                 nowMillis,
+                pending.request.priority,
             )
         apply(effects, nowMillis)
     }
@@ -141,7 +173,5 @@
     companion object {
         const val REPORT_MILLIS = 20L
         const val TICK_MILLIS = 10L
-        const val HOLD_MILLIS = 400.0
-        const val FIRST_EVENT_MILLIS = 80.0
     }
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
@@ -87,6 +87,7 @@
                 loop,
                 grant,
                 promptTokens,
+                admitted.priority,
                 progressTimeouts(grant),
                 route.name,
             )
@@ -181,6 +182,7 @@
             arrivedMillis = arrivedMillis,
             targetMillis = arrivedMillis + route.targetLatencyMillis,
             deadlineMillis = deadlineMillis,
+            firstEventDeadlineMillis = minOf(deadlineMillis, arrivedMillis + route.patienceMillis),
             excludedServers = excluded,
             usesTargetVersion = usesTargetVersion,
         )
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
@@ -67,9 +67,19 @@
         outcome: ServerOutcome,
         promptTokens: Double,
         isPromptPending: Boolean,
+        priority: Int,
     ) {
         val nowMillis = loop.nowMillis()
-        complete(dispatcher.onFinished(server, outcome, promptTokens, isPromptPending, nowMillis))
+        complete(
+            dispatcher.onFinished(
+                server,
+                outcome,
+                promptTokens,
+                isPromptPending,
+                nowMillis,
+                priority,
+            )
+        )
         onChange()
     }
 
@@ -94,6 +104,7 @@
                 ServerOutcome.Inconclusive,
                 request.promptTokens,
                 isPromptPending = true,
+                request.priority,
             )
         }
     }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
@@ -26,6 +26,7 @@
     private val loop: TrafficLoop,
     private val grant: DispatchEffect.Assign,
     private val promptTokens: Double,
+    private val priority: Int,
     private val timeouts: ProgressTimeouts,
     private val route: String,
 ) {
@@ -63,6 +64,7 @@
                 outcome,
                 promptTokens,
                 isPromptPending = firstEventMillis == null,
+                priority,
             )
         }
     }
