Hold server responses to progress, bounds and the end of their connection

Looked for what operators of similar systems reported, with a test for each case that can happen here.

- A stalled stream that sends comments or parts of an event was never given up: any byte renewed its timeout.
Only events with content do now; slow streams are still not cut off.
- A body without an end was collected until the deadline.
An endless head was bounded already.
- An answer with a content encoding was passed on as a success.
- A planned stop closed connections that had just been accepted, and the process ended while a request was still being received.
New connections get a moment for their first request, and the process waits for its connections.

Also: an answer of the store that is older than a peer's copy does not bring back servers that left, and verdicts on a rollout that are older than half a second are not written.

Ruled out by existing tests: a second copy of an answer on a reused connection, an answer that breaks off, and an older configuration after a restart.

--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/EventStreamSplitterTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/EventStreamSplitterTest.kt
@@ -21,6 +21,22 @@
             split("id: 1\ndata: a\n\nid: 2\nda") shouldBe (listOf("1:id: 1\ndata: a\n\n") to true)
         }
 
+        // Guards against a stalled server whose comments count as progress.
+        test("given comments, then they are not taken for an event with content") {
+            val events = EventStreamSplitter().accept(": wait\n\nid: 1\ndata: a\n\n".toByteArray())
+
+            events.map { it.isComment } shouldBe listOf(true, false)
+        }
+
+        // Guards against a faulty server that fills the memory with an event that never ends.
+        test("given an event without an end, then at most the limit is buffered") {
+            val splitter = EventStreamSplitter(maxEventBytes = 100)
+
+            splitter.accept("data: x\n".repeat(50).toByteArray()) shouldBe emptyList()
+
+            splitter.isOverflowing shouldBe true
+        }
+
         test("given an event split over several chunks, then its bytes are unchanged") {
             split("id: 7\r\n", "data: x\r", "\n\r\n") shouldBe
                 (listOf("7:id: 7\r\ndata: x\r\n\r\n") to false)
--- a/http/src/main/kotlin/io/lavenderhinge/http/ClientResponse.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/ClientResponse.kt
@@ -38,12 +38,16 @@
         }
     }
 
-    /** Reads the remaining body. */
+    /** Reads the remaining body. Throws if it exceeds [MAX_BODY_BYTES]: it may have no end. */
     suspend fun readAll(): ByteArray {
         val body = ByteArrayOutputStream()
         while (true) {
             val chunk = readChunk() ?: return body.toByteArray()
             body.write(chunk)
+            if (body.size() > MAX_BODY_BYTES) {
+                abort()
+                throw outcomeUnknown("sent a body of more than $MAX_BODY_BYTES bytes")
+            }
         }
     }
 
@@ -63,7 +67,9 @@
     private suspend fun nextEvent(timeoutReason: String): ClientEvent {
         var closed = false
         val event =
-            withTimeoutOrNull(progressMillis) { connection.next().also { closed = it == null } }
+            withTimeoutOrNull(progressMillis.coerceAtLeast(1)) {
+                connection.next().also { closed = it == null }
+            }
         if (event != null) return event
         abort()
         if (closed) throw outcomeUnknown("closed the connection before the answer was whole")
@@ -71,4 +77,9 @@
     }
 
     private fun outcomeUnknown(what: String) = HttpCallException.OutcomeUnknown("the server $what")
+
+    private companion object {
+        /** Above any value of the metadata store, which are the largest bodies that are read. */
+        const val MAX_BODY_BYTES = 8_388_608
+    }
 }
--- a/http/src/main/kotlin/io/lavenderhinge/http/HttpServer.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/HttpServer.kt
@@ -41,6 +41,10 @@
     val port: Int
         get() = (listener.localAddress() as InetSocketAddress).port
 
+    /** Number of open connections; after [drain], those with a request that is not answered yet. */
+    val connectionCount: Int
+        get() = connections.get()
+
     /** Binds [address] and starts accepting connections. */
     fun start(address: InetSocketAddress): HttpServer = start(address, ::NioServerSocketChannel)
 
@@ -74,7 +78,8 @@
 
     /**
      * Stops accepting connections and closes idle ones. Requests in progress are answered, after
-     * which their connections close.
+     * which their connections close. A connection without any request so far is closed a moment
+     * later, unless its first request arrives.
      */
     fun drain() {
         draining.set(true)
--- a/http/src/main/kotlin/io/lavenderhinge/http/ServerConnection.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/ServerConnection.kt
@@ -53,6 +53,10 @@
     private var active: Job? = null
     private var timer: ScheduledFuture<*>? = null
     private var closing = false
+    private var hasReceivedRequest = false
+
+    private val isIdle: Boolean
+        get() = active == null && head == null && pending.isEmpty()
 
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         context = ctx
@@ -60,6 +64,7 @@
 
     override fun channelActive(ctx: ChannelHandlerContext) {
         armTimer(limits.headTimeoutMillis) { reject(HttpFault.HEAD_TIMEOUT) }
+        if (draining()) closeIfUnused()
         ctx.fireChannelActive()
     }
 
@@ -79,8 +84,22 @@
     }
 
     override fun userEventTriggered(ctx: ChannelHandlerContext, event: Any) {
-        val idle = active == null && head == null && pending.isEmpty()
-        if (event === DrainEvent && idle) ctx.close() else ctx.fireUserEventTriggered(event)
+        when {
+            event !== DrainEvent -> ctx.fireUserEventTriggered(event)
+            !hasReceivedRequest -> closeIfUnused()
+            isIdle -> ctx.close()
+        }
+    }
+
+    // The first request of a connection that was just accepted is probably in transit.
+    private fun closeIfUnused() {
+        context
+            .executor()
+            .schedule(
+                { if (isIdle && !hasReceivedRequest) context.close() },
+                FIRST_REQUEST_WAIT_MILLIS,
+                TimeUnit.MILLISECONDS,
+            )
     }
 
     override fun channelWritabilityChanged(ctx: ChannelHandlerContext) {
@@ -107,6 +126,7 @@
     private fun startRequest(request: NettyRequest) {
         if (!hasUnambiguousFraming(request)) return reject(HttpFault.MALFORMED)
         head = request
+        hasReceivedRequest = true
         body = ByteArrayOutputStream()
         armTimer(limits.bodyTimeoutMillis) { reject(HttpFault.BODY_TIMEOUT) }
         if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes) {
@@ -235,6 +255,8 @@
         }
 
     private companion object {
+        /** Several round trips to a client, and the retransmission of one lost packet. */
+        const val FIRST_REQUEST_WAIT_MILLIS = 500L
         val log = LoggerFactory.getLogger(ServerConnection::class.java)
     }
 }
--- a/http/src/test/kotlin/io/lavenderhinge/http/HttpServerTest.kt
+++ b/http/src/test/kotlin/io/lavenderhinge/http/HttpServerTest.kt
@@ -7,6 +7,7 @@
 import io.kotest.matchers.string.shouldStartWith
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeout
 
 /**
  * Guards against malformed, oversized or slow requests that get a wrong error or affect others, and
@@ -157,6 +158,44 @@
             draining.close()
         }
 
+        // Guards against a planned stop that cuts off a client whose request is in transit.
+        test("given a drain, when a new connection sends its request, then it is answered") {
+            val draining = serve { it.respond(HttpResponse(200, "done".toByteArray())) }
+            java.net.Socket(loopback, draining.port).use { socket ->
+                awaitConnections(draining, count = 1)
+                draining.drain()
+                socket.getOutputStream().write("GET /a HTTP/1.1\r\n\r\n".toByteArray())
+                String(socket.getInputStream().readBytes()) shouldContain "done"
+            }
+            awaitConnections(draining, count = 0)
+            draining.close()
+        }
+
+        // Guards against a process that ends while a request is still being received.
+        test("given a drain, when a request is incomplete, then its connection stays open") {
+            val draining = serve { it.respond(HttpResponse(200, "done".toByteArray())) }
+            java.net.Socket(loopback, draining.port).use { socket ->
+                val head = "POST /a HTTP/1.1\r\nContent-Length: 4\r\n\r\nab"
+                socket.getOutputStream().write(head.toByteArray())
+                awaitConnections(draining, count = 1)
+                draining.drain()
+                draining.connectionCount shouldBe 1
+                socket.getOutputStream().write("cd".toByteArray())
+                String(socket.getInputStream().readBytes()) shouldContain "done"
+            }
+            draining.close()
+        }
+
+        test("given a drain, when a new connection stays silent, then it is closed") {
+            val draining = serve { it.respond(HttpResponse(200, "done".toByteArray())) }
+            java.net.Socket(loopback, draining.port).use { socket ->
+                awaitConnections(draining, count = 1)
+                draining.drain()
+                String(socket.getInputStream().readBytes()) shouldBe ""
+            }
+            draining.close()
+        }
+
         test("given a stream that its handler does not end, then the client gets no last chunk") {
             val cut = serve { exchange ->
                 exchange.startStream(200, "text/plain").write("part".toByteArray())
@@ -168,4 +207,7 @@
         }
     })
 
+private suspend fun awaitConnections(server: HttpServer, count: Int) =
+    withTimeout(2_000) { while (server.connectionCount != count) delay(5) }
+
 private suspend fun awaitForever(): Nothing = kotlinx.coroutines.awaitCancellation()
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
@@ -32,8 +32,11 @@
             minOf(clientHeaders.remainingMillis ?: route.timeoutMillis, route.timeoutMillis)
     private val promptTokens = (clientHeaders.promptTokens ?: 0).toDouble()
     private val relay =
-        if (route.kind is RouteKind.Streaming) StreamRelay(exchange, clientHeaders.lastEventId)
-        else null
+        if (route.kind is RouteKind.Streaming) {
+            StreamRelay(exchange, clientHeaders.lastEventId, loop::nowMillis)
+        } else {
+            null
+        }
     private var excluded = persistentSetOf<String>()
     private var attempts = 0
     private var notExecutedCount = 0
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
@@ -158,7 +158,8 @@
 
     /**
      * Reports not ready, keeps serving until the platform has stopped sending new connections, then
-     * drains. Returns when no request is in flight or most of the grace period is over.
+     * drains. Returns when no client connection is open or most of the grace period is over. A
+     * request that is still being received keeps its connection open.
      */
     fun shutdown() {
         log.info("gateway: {} shuts down", identity.id)
@@ -168,7 +169,7 @@
         clientServer.disableKeepAlive()
         Thread.sleep(NOT_READY_PERIOD_MILLIS)
         clientServer.drain()
-        while (forwarder.inFlightCount > 0 && loop.nowMillis() < endMillis) {
+        while (clientServer.connectionCount > 0 && loop.nowMillis() < endMillis) {
             Thread.sleep(DRAIN_POLL_MILLIS)
         }
         log.info("gateway: {} ends with {} in flight", identity.id, forwarder.inFlightCount)
@@ -223,7 +224,7 @@
         val peerIds = loadReports.peerIds.toSet()
         val verdicts = allocator.rollouts.verdicts(peerIds, nowMillis)
         if (verdicts.isEmpty()) return
-        control.execute { rolloutStatusWriter.report(verdicts, peerIds) }
+        control.execute { rolloutStatusWriter.report(verdicts, peerIds, nowMillis) }
     }
 
     private fun tickQuotas() {
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RolloutStatusWriter.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RolloutStatusWriter.kt
@@ -54,8 +54,16 @@
     // A failed write is retried by a later report.
     override fun onStoreUnavailable(fault: StoreFault) = Unit
 
-    /** Writes the [verdicts] that differ from the stored status. */
-    fun report(verdicts: Map<RolloutOrder, RolloutVerdict>, peerIds: Set<String>) {
+    /**
+     * Writes the [verdicts] that differ from the stored status. Verdicts of [atMillis] that are no
+     * longer recent are ignored: after a pause of this process, the rollout may have been
+     * withdrawn.
+     */
+    fun report(verdicts: Map<RolloutOrder, RolloutVerdict>, peerIds: Set<String>, atMillis: Long) {
+        if (nowMillis() - atMillis > MAX_VERDICT_AGE_MILLIS) {
+            log.info("rollout: ignoring verdicts that are {} ms old", nowMillis() - atMillis)
+            return
+        }
         val rank = (peerIds + selfId).sorted().indexOf(selfId)
         verdicts.forEach { (order, verdict) -> report(order, verdict, rank) }
     }
@@ -111,6 +119,8 @@
     private companion object {
         /** Exceeds the duration of a write; each instance waits this long times its rank. */
         const val TAKEOVER_DELAY_MILLIS = 400L
+        /** Verdicts are computed several times a second, so an old one shows that time was lost. */
+        const val MAX_VERDICT_AGE_MILLIS = 500L
         val log = LoggerFactory.getLogger(RolloutStatusWriter::class.java)
     }
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ServerRegistry.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ServerRegistry.kt
@@ -44,12 +44,13 @@
 
     override fun onSnapshot(snapshot: Snapshot) {
         onStoreAnswered()
-        replace(snapshot.values, snapshot.revision)
+        if (!isOutdated(snapshot.revision)) replace(snapshot.values, snapshot.revision)
     }
 
     override fun onChanges(changes: WatchResult) {
         onStoreAnswered()
-        revision = maxOf(revision, changes.revision)
+        if (isOutdated(changes.revision)) return
+        revision = changes.revision
         changes.changes.forEach(::accept)
         changes.removedKeys.forEach(::remove)
         publishChanges()
@@ -64,6 +65,18 @@
         replace(values, revision)
     }
 
+    // A peer's list may be newer than an answer of the store that was delayed. Applying the answer
+    // would bring back servers that have left.
+    private fun isOutdated(answerRevision: Long): Boolean {
+        if (answerRevision >= revision) return false
+        log.info(
+            "servers: ignoring an answer of revision {}, the list is of revision {}",
+            answerRevision,
+            revision,
+        )
+        return true
+    }
+
     private fun replace(values: List<VersionedValue>, revision: Long) {
         this.revision = revision
         storedValues.clear()
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/StreamRelay.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/StreamRelay.kt
@@ -13,7 +13,11 @@
  * response, because only complete events are relayed and events that the client already has are
  * skipped.
  */
-internal class StreamRelay(private val exchange: HttpExchange, resumedAfter: Long?) {
+internal class StreamRelay(
+    private val exchange: HttpExchange,
+    resumedAfter: Long?,
+    private val nowMillis: () -> Long,
+) {
     private var writer: HttpBodyWriter? = null
 
     /** Id of the last event sent to the client. */
@@ -24,15 +28,31 @@
     val isStarted: Boolean
         get() = writer != null
 
-    /** Relays [response] to its end; throws if the response is incomplete. */
-    suspend fun relay(response: ClientResponse, onEvents: (count: Int) -> Unit, gapMillis: Long) {
+    /**
+     * Relays [response] to its end; throws if the response is incomplete, or if no event arrives
+     * within the [timeouts]. Only events count as progress: a stalled server may send comments or
+     * parts of an event for as long as the connection is open.
+     */
+    suspend fun relay(
+        response: ClientResponse,
+        onEvents: (count: Int) -> Unit,
+        timeouts: ProgressTimeouts,
+    ) {
         val splitter = EventStreamSplitter()
+        var progressDeadlineMillis = nowMillis() + timeouts.firstEventMillis
         while (true) {
+            response.progressMillis = progressDeadlineMillis - nowMillis()
             val chunk = response.readChunk() ?: break
             val events = newEvents(splitter, chunk)
+            if (splitter.isOverflowing) {
+                throw HttpCallException.OutcomeUnknown("the server sent an event without an end")
+            }
             if (events.isEmpty()) continue
-            onEvents(events.size)
-            response.progressMillis = gapMillis
+            val count = events.count { !it.isComment }
+            if (count > 0) {
+                onEvents(count)
+                progressDeadlineMillis = nowMillis() + timeouts.betweenEventsMillis
+            }
             startOrGetWriter(response).write(concatenate(events))
         }
         if (splitter.hasPartialEvent) {
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
@@ -10,6 +10,7 @@
 import io.lavenderhinge.http.HttpRequest
 import io.lavenderhinge.http.HttpStatus
 import io.lavenderhinge.platform.PlatformHeaders
+import io.netty.handler.codec.http.HttpHeaderNames
 import java.net.InetSocketAddress
 import kotlinx.coroutines.CancellationException
 
@@ -89,6 +90,10 @@
         if (isSuccess && !isSigned)
             throw outcomeUnknown("sent a success response without its signature")
         if (isSuccess && relay != null) return relayStream(response, relay)
+        // Clients request bodies without an encoding, so another one is not the server's body.
+        if (response.headers.contains(HttpHeaderNames.CONTENT_ENCODING)) {
+            throw outcomeUnknown("sent a body with an encoding that was not requested")
+        }
         val body = response.readAll()
         onEventsReceived(0)
         val result = AttemptResult.Response(response.status, responseFields(response.headers), body)
@@ -97,7 +102,7 @@
     }
 
     private suspend fun relayStream(response: ClientResponse, relay: StreamRelay): AttemptResult {
-        relay.relay(response, ::onEventsReceived, timeouts.betweenEventsMillis)
+        relay.relay(response, ::onEventsReceived, timeouts)
         recordAnswered()
         return AttemptResult.Delivered
     }
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ForwardingTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ForwardingTest.kt
@@ -14,8 +14,11 @@
 import io.lavenderhinge.instance.gateway.ScriptedBackendServer.Companion.rawResponse
 import io.lavenderhinge.instance.gateway.ScriptedBackendServer.Companion.streamHead
 import io.lavenderhinge.instance.gateway.ServerAction.AwaitClose
+import io.lavenderhinge.instance.gateway.ServerAction.Flood
+import io.lavenderhinge.instance.gateway.ServerAction.Paced
 import io.lavenderhinge.instance.gateway.ServerAction.Send
 import io.lavenderhinge.instance.gateway.ServerAction.SendAndClose
+import io.lavenderhinge.instance.gateway.ServerAction.Trickle
 import java.util.concurrent.TimeUnit
 import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
@@ -174,6 +177,74 @@
             server.requests.size + other.requests.size shouldBe 1
         }
 
+        // Guards against a stalled stream that is kept open by a byte now and then.
+        test("given a server that sends comments only, then another server answers") {
+            val stalled = ScriptedBackendServer { request ->
+                Trickle(streamHead(request), chunk(": wait\n\n"), pauseMillis = 100)
+            }
+            val sound = ScriptedBackendServer { Send(streamHead(it) + chunk(event(1)) + chunk("")) }
+
+            val bodies =
+                withGateway(stalled, sound) { gateway ->
+                    List(2) { String(gateway.call("/draft/$it", body = "p", id = "r$it").body) }
+                }
+
+            bodies.forEach { it.replace(": wait\n\n", "") shouldBe event(1) }
+        }
+
+        // Guards against cutting off a stream that is slow but makes progress.
+        test("given a slow stream whose events come in parts, then it is not retried") {
+            val parts = listOf("id: 1\n", "data: e1\n", "\n", "id: 2\n", "data: e2\n", "\n")
+            val script = { request: String ->
+                Paced(streamHead(request), parts.map(::chunk) + chunk(""), pauseMillis = 250)
+            }
+            val server = ScriptedBackendServer(script)
+            val other = ScriptedBackendServer(script)
+
+            val response = withGateway(server, other) { it.call("/draft/1", body = "p") }
+
+            String(response.body) shouldBe event(1) + event(2)
+            server.requests.size + other.requests.size shouldBe 1
+        }
+
+        // Guards against memory that is filled by a body or an event without an end.
+        test("given a server whose body has no end, then the client gets an error") {
+            val endless = ScriptedBackendServer { request ->
+                val head = rawResponse(request, "200 OK", "").replace("Content-Length: 0\r\n", "")
+                Flood(head, "x".repeat(65_536))
+            }
+
+            withGateway(endless) { it.call("/book/1", body = "b") }.status shouldBe 502
+        }
+
+        test("given a server whose event has no end, then the client's stream is not complete") {
+            val endless = ScriptedBackendServer { request ->
+                Flood(streamHead(request) + chunk(event(1)), chunk("data: x\n".repeat(4_096)))
+            }
+
+            shouldThrow<HttpCallException.OutcomeUnknown> {
+                withGateway(endless) { it.call("/digest/1", body = "p") }
+            }
+        }
+
+        test("given a server whose head has no end, then the client gets an error") {
+            val endless = ScriptedBackendServer {
+                Flood("HTTP/1.1 200 OK\r\n", "A: ${"x".repeat(1_000)}\r\n")
+            }
+
+            withGateway(endless) { it.call("/book/1", body = "b") }.status shouldBe 502
+        }
+
+        // Guards against a body that a faulty server encoded, which is not what the client asked
+        // for.
+        test("given a response with an encoding, then it is not forwarded as a success") {
+            val server = ScriptedBackendServer {
+                Send(rawResponse(it, "200 OK", "ok", "Content-Encoding: gzip\r\n"))
+            }
+
+            withGateway(server) { it.call("/book/1", body = "b") }.status shouldBe 502
+        }
+
         // Guards against servers that keep working for disconnected clients.
         test("given a client that disconnects, then the connection to its server is closed") {
             val server = ScriptedBackendServer { AwaitClose }
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/RolloutStatusWriterTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/RolloutStatusWriterTest.kt
@@ -60,6 +60,18 @@
             }
         }
 
+        // Guards against a paused process that completes a rollout which was withdrawn meanwhile.
+        test("given a pause after the verdict, then the verdict is not written") {
+            runTest {
+                val fixture = StatusWriterFixture(this, selfId = "a")
+                fixture.nowMillis = 10_000
+
+                fixture.report(order, RolloutVerdict.COMPLETED, atMillis = 4_000)
+
+                fixture.written() shouldBe null
+            }
+        }
+
         test("given the status of an earlier order for the same version, then it is replaced") {
             runTest {
                 val fixture = StatusWriterFixture(this, selfId = "a")
@@ -101,8 +113,8 @@
             ended += verdict
         }
 
-    fun report(order: RolloutOrder, verdict: RolloutVerdict) {
-        writer.report(mapOf(order to verdict), peerIds = setOf("a", "c"))
+    fun report(order: RolloutOrder, verdict: RolloutVerdict, atMillis: Long = nowMillis) {
+        writer.report(mapOf(order to verdict), peerIds = setOf("a", "c"), atMillis)
         scope.runCurrent()
     }
 
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ScriptedBackendServer.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ScriptedBackendServer.kt
@@ -18,6 +18,16 @@
 
     /** Sends nothing until the peer closes the connection. */
     data object AwaitClose : ServerAction
+
+    /** Send [head], then each of [parts] after a pause. */
+    data class Paced(val head: String, val parts: List<String>, val pauseMillis: Long) :
+        ServerAction
+
+    /** Send [head], then [part] again and again with a pause until the peer closes. */
+    data class Trickle(val head: String, val part: String, val pauseMillis: Long) : ServerAction
+
+    /** Send [head], then [part] again and again without a pause until the peer closes. */
+    data class Flood(val head: String, val part: String) : ServerAction
 }
 
 /**
@@ -64,6 +74,18 @@
                     send(socket, action.text)
                     return socket.close()
                 }
+                is ServerAction.Paced -> {
+                    send(socket, action.head)
+                    action.parts.forEach { sendAfterPause(socket, it, action.pauseMillis) }
+                }
+                is ServerAction.Trickle -> {
+                    send(socket, action.head)
+                    while (true) sendAfterPause(socket, action.part, action.pauseMillis)
+                }
+                is ServerAction.Flood -> {
+                    send(socket, action.head)
+                    while (true) send(socket, action.part)
+                }
                 is ServerAction.AwaitClose -> {
                     socket.getInputStream().read()
                     return closedByPeer.countDown()
@@ -72,6 +94,11 @@
         }
     }
 
+    private fun sendAfterPause(socket: Socket, text: String, pauseMillis: Long) {
+        Thread.sleep(pauseMillis)
+        send(socket, text)
+    }
+
     private fun send(socket: Socket, text: String) {
         socket.getOutputStream().write(text.toByteArray())
         socket.getOutputStream().flush()
