Place from a random sample in a large fleet, and by the prompts that servers have cached

Cause: all instances chose the best server of the same load reports. With 95 instances these are about 300 ms apart, so many requests went to one server at once while others were free. And nothing told an instance which server had read the parts of a prompt already.

An instance now compares a random sample of the free servers that shrinks from all at 10 instances to two at 45 and more. It expects a part in the cache of a server if it sent it there itself, or, with a smaller probability, on the two servers that all instances prefer for a session by rendezvous hashing.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
@@ -1,5 +1,6 @@
 package io.lavenderhinge.core.forwarding
 
+import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.PersistentSet
 
 /** A request for a slot on a backend server of [service]. Times are on the monotonic clock. */
@@ -10,6 +11,8 @@
     val priority: Int,
     /** Prompt tokens; 0 for a request to a service that is not a model. */
     val promptTokens: Double,
+    /** The parts of the prompt in order; empty if the request does not state them. */
+    val promptParts: ImmutableList<PromptPart>,
     /** Expected number of events in the response; 0 for a unary response or when unknown. */
     val expectedEvents: Double,
     val arrivedMillis: Long,
@@ -36,6 +39,8 @@
         val server: ServerEntry,
         /** Expected time to the first event or to the complete response. */
         val expectedMillis: Double,
+        /** Prompt tokens that the server has to read; those in its cache are not counted. */
+        val uncachedTokens: Double,
     ) : DispatchEffect
 
     /** Reject the request as not executed; the client may retry after [retryAfterMillis]. */
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -1,5 +1,7 @@
 package io.lavenderhinge.core.forwarding
 
+import kotlin.random.Random
+
 /**
  * Assigns requests to backend servers and queues those that have to wait for a slot. [QueuePolicy]
  * decides their order and which of them are rejected.
@@ -16,6 +18,7 @@
 class Dispatcher(
     private val failureDomain: String,
     private val rollouts: RolloutTracker = RolloutTracker(),
+    private val random: Random = Random.Default,
 ) {
     private val pools = HashMap<String, ServerPool>()
     private val policies = HashMap<String, QueuePolicy>()
@@ -34,7 +37,7 @@
 
     private fun poolOf(service: String): ServerPool =
         pools.getOrPut(service) {
-            ServerPool(rollouts).also { policies[service] = QueuePolicy(it, peers) }
+            ServerPool(rollouts, random).also { policies[service] = QueuePolicy(it, peers) }
         }
 
     /** Requests a slot. The effect for [request] is returned here or by a later call. */
@@ -165,8 +168,13 @@
     ): DispatchEffect? =
         when (placement) {
             is Placement.Send -> {
-                pool.onStarted(placement.server.id, request, nowMillis)
-                DispatchEffect.Assign(request.id, placement.server, placement.expectedMillis)
+                pool.onStarted(placement.server.id, request, placement.uncachedTokens, nowMillis)
+                DispatchEffect.Assign(
+                    request.id,
+                    placement.server,
+                    placement.expectedMillis,
+                    placement.uncachedTokens,
+                )
             }
             is Placement.Wait ->
                 if (!policies.getValue(request.service).isExpired(request, nowMillis)) null
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PeerLoads.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PeerLoads.kt
@@ -20,6 +20,10 @@
     /** Peers with queued requests; most peers have none. */
     private val queueing = HashMap<String, ReceivedReport>()
 
+    /** Number of peers whose reports have not expired. */
+    val count: Int
+        get() = reports.size
+
     fun inFlight(serverId: String): Int = totals[serverId]?.inFlight ?: 0
 
     fun pendingTokens(serverId: String): Double = totals[serverId]?.pendingTokens ?: 0.0
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PrefixAffinity.kt
@@ -0,0 +1,94 @@
+package io.lavenderhinge.core.forwarding
+
+/**
+ * Estimates how much of a prompt is in the cache of a server.
+ *
+ * An instance knows only what it sent itself. Requests of one session arrive at any instance of the
+ * fleet, so all instances prefer the same two servers for it, by rendezvous hashing of the last
+ * part of the prompt: a part that an instance has not sent itself is probably there.
+ */
+internal class PrefixAffinity {
+    /** The prompt parts that were sent to one server, the least recently used ones first. */
+    class SentParts {
+        private val sentMillis =
+            object : LinkedHashMap<String, Long>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
+                override fun removeEldestEntry(eldest: Map.Entry<String, Long>) = size > MAX_PARTS
+            }
+
+        fun add(parts: List<PromptPart>, nowMillis: Long) =
+            parts.forEach { sentMillis[it.id] = nowMillis }
+
+        fun clear() = sentMillis.clear()
+
+        /** Returns the number of tokens before the first part that is probably not in the cache. */
+        fun cachedTokens(parts: List<PromptPart>, nowMillis: Long): Int {
+            var tokens = 0
+            for (part in parts) {
+                val millis = sentMillis[part.id]
+                if (millis == null || nowMillis - millis > CACHE_MILLIS) break
+                tokens += part.tokens
+            }
+            return tokens
+        }
+    }
+
+    /**
+     * Returns the ids of the servers that all instances prefer for [parts], the first one first.
+     */
+    fun preferred(parts: List<PromptPart>, records: Collection<ServerRecord>): List<String> {
+        val key = parts.lastOrNull()?.id?.hashCode() ?: return emptyList()
+        var first: ServerRecord? = null
+        var second: ServerRecord? = null
+        records.forEach { record ->
+            val weight = weight(key, record)
+            if (weight > (first?.let { weight(key, it) } ?: Long.MIN_VALUE)) {
+                second = first
+                first = record
+            } else if (weight > (second?.let { weight(key, it) } ?: Long.MIN_VALUE)) {
+                second = record
+            }
+        }
+        return listOfNotNull(first?.entry?.id, second?.entry?.id)
+    }
+
+    /**
+     * Returns the expected number of cached tokens of [parts] at [record]. [preferred] is the
+     * result of [preferred] for the same parts.
+     */
+    fun cachedTokens(
+        parts: List<PromptPart>,
+        record: ServerRecord,
+        preferred: List<String>,
+        nowMillis: Long,
+    ): Double {
+        if (parts.isEmpty()) return 0.0
+        val sent = record.sentParts.cachedTokens(parts, nowMillis).toDouble()
+        val probability =
+            when (preferred.indexOf(record.entry.id)) {
+                0 -> FIRST_SERVER_PROBABILITY
+                1 -> SECOND_SERVER_PROBABILITY
+                else -> return sent
+            }
+        return maxOf(sent, probability * parts.sumOf { it.tokens })
+    }
+
+    // A multiplicative hash with a final mix (SplitMix64), so that similar ids spread evenly.
+    private fun weight(key: Int, record: ServerRecord): Long {
+        var hash = (key.toLong() shl Int.SIZE_BITS) xor record.entry.id.hashCode().toLong()
+        hash = (hash xor (hash ushr 30)) * -0x40a7b892e31b1a47L
+        hash = (hash xor (hash ushr 27)) * -0x6b2fb644ecceee15L
+        return hash xor (hash ushr 31)
+    }
+
+    private companion object {
+        const val INITIAL_CAPACITY = 16
+        const val LOAD_FACTOR = 0.75f
+        /** About the number of prompts that fit into the memory of a server. */
+        const val MAX_PARTS = 512
+        /** Time after which other prompts have probably replaced a part in the cache. */
+        const val CACHE_MILLIS = 30_000L
+        /** Some sessions are new, and some requests go elsewhere when the server is full. */
+        const val FIRST_SERVER_PROBABILITY = 0.5
+        const val SECOND_SERVER_PROBABILITY = 0.2
+    }
+}
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -1,8 +1,16 @@
 package io.lavenderhinge.core.forwarding
 
+import kotlin.math.pow
+import kotlin.random.Random
+
 /** The result of placing a request. */
 internal sealed interface Placement {
-    class Send(val server: ServerEntry, val expectedMillis: Double) : Placement
+    class Send(
+        val server: ServerEntry,
+        val expectedMillis: Double,
+        /** Prompt tokens that are not expected in the cache of the server. */
+        val uncachedTokens: Double,
+    ) : Placement
 
     data object Wait : Placement
 
@@ -10,9 +18,10 @@
 }
 
 /** The backend servers of one service and their statistics. */
-internal class ServerPool(private val rollouts: RolloutTracker) {
+internal class ServerPool(private val rollouts: RolloutTracker, private val random: Random) {
     private val records = LinkedHashMap<String, ServerRecord>()
     private val model = FirstEventModel()
+    private val affinity = PrefixAffinity()
 
     /** Slot time that less urgent requests are guaranteed. */
     val minimumShare = MinimumShare(::meanHoldMillis)
@@ -38,11 +47,17 @@
             .filter { it.inFlight > 0 }
             .map { it.entry.id to ServerUse(it.inFlight, it.pendingTokens) }
 
-    fun onStarted(serverId: String, request: DispatchRequest, nowMillis: Long) {
+    fun onStarted(
+        serverId: String,
+        request: DispatchRequest,
+        uncachedTokens: Double,
+        nowMillis: Long,
+    ) {
         val record = records[serverId] ?: return
+        record.sentParts.add(request.promptParts, nowMillis)
         if (record.inFlight == 0) record.onActivity(nowMillis)
         record.inFlight++
-        record.pendingTokens += request.promptTokens
+        record.pendingTokens += uncachedTokens
         minimumShare.onStarted(request.priority)
     }
 
@@ -119,18 +134,46 @@
     ): Placement {
         val eligible = eligibleServers(request, nowMillis)
         if (eligible.isEmpty()) return Placement.NoServer
+        val preferred = affinity.preferred(request.promptParts, eligible)
         val estimates =
-            eligible.map { estimate(it, request, peers, reserved, failureDomain, nowMillis) }
-        val best = estimates.minBy { it.expectedMillis }
+            eligible.map {
+                val cachedTokens =
+                    affinity.cachedTokens(request.promptParts, it, preferred, nowMillis)
+                val uncachedTokens = (request.promptTokens - cachedTokens).coerceAtLeast(0.0)
+                estimate(it, request, uncachedTokens, peers, reserved, failureDomain, nowMillis)
+            }
+        val best = candidates(estimates, preferred, peers.count).minBy { it.expectedMillis }
         val freeSlots = estimates.sumOf { it.freeSlots.coerceAtLeast(0) }
         if (best.freeSlots > 0 && freeSlots > aheadAtPeers) {
-            return Placement.Send(best.record.entry, best.expectedMillis)
+            return Placement.Send(best.record.entry, best.expectedMillis, best.uncachedTokens)
         }
         // Reserves a slot, so that less urgent requests do not take the one this request waits for.
         reserved.merge(best.record.entry.id, 1, Int::plus)
         return Placement.Wait
     }
 
+    // Reports are older in a larger fleet, where more instances decide between two of them. If all
+    // chose the best server of the same old reports, it would be overloaded at once. Each instance
+    // therefore compares a random sample that shrinks as the fleet grows, and the preferred
+    // servers.
+    private fun candidates(
+        estimates: List<Estimate>,
+        preferred: List<String>,
+        peerCount: Int,
+    ): List<Estimate> {
+        val free =
+            estimates
+                .filter { it.freeSlots > 0 }
+                .ifEmpty {
+                    return estimates
+                }
+        val fraction = (COMPARING_FLEET / (peerCount + 1)).pow(2)
+        val sampleSize = (free.size * fraction).toInt().coerceAtLeast(MIN_SAMPLE)
+        if (sampleSize >= free.size) return estimates
+        return free.shuffled(random).take(sampleSize) +
+            free.filter { it.record.entry.id in preferred }
+    }
+
     // A server without samples is assumed to be average. With a shorter default, requests would
     // wait for it while other servers are free.
     private fun expectedHoldMillis(record: ServerRecord): Double {
@@ -142,11 +185,13 @@
         val record: ServerRecord,
         val freeSlots: Int,
         val expectedMillis: Double,
+        val uncachedTokens: Double,
     )
 
     private fun estimate(
         record: ServerRecord,
         request: DispatchRequest,
+        uncachedTokens: Double,
         peers: PeerLoads,
         reserved: Map<String, Int>,
         failureDomain: String,
@@ -156,7 +201,7 @@
         val busy = record.inFlight + peers.inFlight(id) + (reserved[id] ?: 0)
         val slots = if (record.isHalfOpen) 1 else record.entry.slots
         val pending = record.pendingTokens + peers.pendingTokens(id)
-        val unloadedMillis = model.predictMillis(request.promptTokens + pending)
+        val unloadedMillis = model.predictMillis(uncachedTokens + pending)
         val loadFactor = 1 + SLOWDOWN_PER_REQUEST * busy
         val slotWaitMillis =
             if (busy < slots) 0.0 else expectedHoldMillis(record) * (busy - slots + 1) / slots
@@ -174,11 +219,14 @@
             (firstEventMillis + slotWaitMillis) * expectedAttempts * expectedAttempts +
                 domainPenaltyMillis +
                 overrunMillis.coerceAtLeast(0.0)
-        return Estimate(record, slots - busy, expectedMillis)
+        return Estimate(record, slots - busy, expectedMillis, uncachedTokens)
     }
 
     private companion object {
         const val MIN_HOLD_MILLIS = 20.0
+        /** Up to this number of instances, each compares all servers. */
+        const val COMPARING_FLEET = 10.0
+        const val MIN_SAMPLE = 2
         /**
          * Long enough that a free server is preferred to a busy one before any request has ended.
          */
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerRecord.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerRecord.kt
@@ -30,6 +30,9 @@
     var inFlight = 0
     /** Prompt tokens of the requests in flight that have not produced an event yet. */
     var pendingTokens = 0.0
+    /** Prompt parts that this instance sent to the server. */
+    val sentParts = PrefixAffinity.SentParts()
+
     /** Latency relative to the average of the pool for the same work. */
     var latencyFactor = 1.0
         private set
@@ -83,6 +86,7 @@
 
     /** Clears the statistics after a restart of the server. */
     fun reset() {
+        sentParts.clear()
         latencyFactor = 1.0
         holdMillis = 0.0
         eventIntervalMillis = 0.0
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ForwardingFixture.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ForwardingFixture.kt
@@ -71,12 +71,14 @@
     promptTokens: Double = 1_000.0,
     expectedEvents: Double = 0.0,
     firstEventDeadlineMillis: Long = deadlineMillis,
+    promptParts: List<PromptPart> = emptyList(),
 ) =
     DispatchRequest(
         id = id,
         service = "s",
         priority = priority,
         promptTokens = promptTokens,
+        promptParts = promptParts.toImmutableList(),
         expectedEvents = expectedEvents,
         arrivedMillis = arrivedMillis,
         targetMillis = targetMillis,
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/LoadSimulation.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/LoadSimulation.kt
@@ -45,12 +45,17 @@
 )
 
 /**
- * Simulates traffic in virtual time on dispatchers whose load reports arrive [REPORT_MILLIS] late.
+ * Simulates traffic in virtual time on dispatchers whose load reports arrive late.
  *
  * There is no network and no engine: a request occupies a slot and produces its first event after
  * the times of its [SimulatedWork], multiplied by the slowness of the server.
  */
-internal class LoadSimulation(instanceCount: Int, private val servers: List<SimulatedServer>) {
+internal class LoadSimulation(
+    instanceCount: Int,
+    private val servers: List<SimulatedServer>,
+    /** Time between two reports of an instance, and until they arrive. */
+    private val reportMillis: Long = 20L,
+) {
     private class Event(val atMillis: Long, val order: Long, val action: (Long) -> Unit)
 
     private class PendingRequest(val request: DispatchRequest, val traffic: SimulatedTraffic)
@@ -60,17 +65,16 @@
     private val results = mutableListOf<SimulatedResult>()
     private val entries = servers.map { server(it.id, slots = it.slots) }
     private val dispatchers =
-        List(instanceCount) { Dispatcher("d").apply { onServers(entries, nowMillis = 0) } }
+        List(instanceCount) { number ->
+            Dispatcher("d", random = Random(number)).apply { onServers(entries, nowMillis = 0) }
+        }
     private var order = 0L
 
     /** Simulates [traffic] until [untilMillis] and returns the result of each request. */
     fun run(traffic: List<SimulatedTraffic>, untilMillis: Long, seed: Int): List<SimulatedResult> {
         val random = Random(seed)
         traffic.forEach { scheduleTraffic(it, random) }
-        for (millis in 0L until untilMillis step REPORT_MILLIS) scheduleAt(
-            millis,
-            ::exchangeReports,
-        )
+        for (millis in 0L until untilMillis step reportMillis) scheduleAt(millis, ::exchangeReports)
         for (millis in 0L until untilMillis step TICK_MILLIS) scheduleAt(millis, ::advance)
         while (events.isNotEmpty()) {
             val event = events.remove()
@@ -156,7 +160,7 @@
     private fun exchangeReports(nowMillis: Long) =
         dispatchers.forEachIndexed { from, dispatcher ->
             val report = dispatcher.report(nowMillis)
-            scheduleAt(nowMillis + REPORT_MILLIS) { millis ->
+            scheduleAt(nowMillis + reportMillis) { millis ->
                 dispatchers.forEachIndexed { to, peer ->
                     if (to != from) apply(peer.onPeerReport("$from", report, millis), millis)
                 }
@@ -171,7 +175,6 @@
     }
 
     companion object {
-        const val REPORT_MILLIS = 20L
         const val TICK_MILLIS = 10L
     }
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
@@ -30,7 +30,6 @@
     private val deadlineMillis =
         arrivedMillis +
             minOf(clientHeaders.remainingMillis ?: route.timeoutMillis, route.timeoutMillis)
-    private val promptTokens = (clientHeaders.promptTokens ?: 0).toDouble()
     private val relay =
         if (route.kind is RouteKind.Streaming) {
             StreamRelay(exchange, clientHeaders.lastEventId, loop::nowMillis)
@@ -89,7 +88,6 @@
                 context.allocator,
                 loop,
                 grant,
-                promptTokens,
                 admitted.priority,
                 progressTimeouts(grant),
                 route.name,
@@ -180,7 +178,8 @@
             id = context.allocator.nextRequestId(),
             service = service,
             priority = admitted.priority,
-            promptTokens = promptTokens,
+            promptTokens = (clientHeaders.promptTokens ?: 0).toDouble(),
+            promptParts = clientHeaders.promptParts,
             expectedEvents = expectedEvents(service),
             arrivedMillis = arrivedMillis,
             targetMillis = arrivedMillis + route.targetLatencyMillis,
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
@@ -102,7 +102,7 @@
             release(
                 effect.server,
                 ServerOutcome.Inconclusive,
-                request.promptTokens,
+                effect.uncachedTokens,
                 isPromptPending = true,
                 request.priority,
             )
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
@@ -26,12 +26,12 @@
     private val allocator: SlotAllocator,
     private val loop: TrafficLoop,
     private val grant: DispatchEffect.Assign,
-    private val promptTokens: Double,
     private val priority: Int,
     private val timeouts: ProgressTimeouts,
     private val route: String,
 ) {
     private val server: ServerEntry = grant.server
+    private val promptTokens = grant.uncachedTokens
     private val sentMillis = loop.nowMillis()
     private var firstEventMillis: Long? = null
     private var events = 0
@@ -89,11 +89,11 @@
         val isSuccess = response.status in SUCCESS_STATUSES
         if (isSuccess && !isSigned)
             throw outcomeUnknown("sent a success response without its signature")
-        if (isSuccess && relay != null) return relayStream(response, relay)
         // Clients request bodies without an encoding, so another one is not the server's body.
         if (response.headers.contains(HttpHeaderNames.CONTENT_ENCODING)) {
             throw outcomeUnknown("sent a body with an encoding that was not requested")
         }
+        if (isSuccess && relay != null) return relayStream(response, relay)
         val body = response.readAll()
         onEventsReceived(0)
         val result = AttemptResult.Response(response.status, responseFields(response.headers), body)
