Let a few instances watch the server list, and the others take it from them

Ten instances, selected by a hash of the ids they know, watch all keys. The others watch the operator's keys only, which rarely change, and copy the server list from one watcher when it reports a change. An instance that hears from no watcher for 1.2 s watches by itself. A watcher announces the revision of the last change of a server, not of the last sign of life. Calls to a store that does not answer are repeated after 150 to 600 ms. Fleets of up to ten instances watch as before.

Above 60 peers, load reports are sent less often (every 440 ms at 95 instances, 285 ms before), since placement tolerates older ones now; and a report reaches the control thread only if it tells something new.

Ruled out: reads that may be stale, since a leaving server must be known within the drain bound.

--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
@@ -8,6 +8,7 @@
 import io.lavenderhinge.core.forwarding.ServerEntry
 import io.lavenderhinge.core.forwarding.ServiceRetryBudget
 import io.lavenderhinge.core.forwarding.WatchPacing
+import io.lavenderhinge.core.forwarding.WatcherSelection
 import io.lavenderhinge.core.settings.Address
 import io.lavenderhinge.core.settings.GatewaySettings
 import io.lavenderhinge.core.settings.SettingsFault
@@ -22,8 +23,12 @@
 import io.lavenderhinge.instance.peer.GrpcPeerLinks
 import io.lavenderhinge.instance.peer.PeerIdentity
 import io.lavenderhinge.platform.PlatformKeys
+import io.lavenderhinge.platform.PlatformKeys.OPERATOR_PREFIX
 import io.lavenderhinge.platform.PlatformStore
+import io.lavenderhinge.protocol.v1.LoadReport
 import java.net.InetSocketAddress
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.collectLatest
 import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
 
@@ -43,6 +48,9 @@
     private val quotas = QuotaLimiter(settings.bounds.quotaTolerance)
     private val allocator = SlotAllocator(identity.failureDomain, loop)
     private val servers = ServerRegistry(control, watchPacing.staleAfterMillis, ::publish)
+    private val watcherSelection = WatcherSelection(identity.id)
+    private val isWatchingAll = MutableStateFlow(true)
+    @Volatile private var serverSource: String? = null
     private val loadReports =
         LoadReportExchange(
             ReportIdentity(identity.id, System.currentTimeMillis(), settings.listen.peer),
@@ -51,17 +59,22 @@
             loop,
             allocator,
             quotas,
-            KnownVersions(configuration::version) { servers.revision },
+            KnownVersions(
+                configuration = configuration::version,
+                servers = { servers.revision },
+                isWatchingServers = { isWatchingAll.value && !servers.isStale },
+            ),
         )
     private val links =
         GrpcPeerLinks(PeerIdentity(identity.id, identity.failureDomain, identity.region), control) {
             loadReports.address(it)?.let(::socketAddress)
         }
-    private val stateSync = PeerStateSync(links, control, configuration, servers)
+    private val stateSync = PeerStateSync(links, control, configuration, servers, { serverSource })
     private val members =
         MemberRegistry(identity.id, settings.listen.peer, store, control) { members ->
             loop.execute { loadReports.onMembers(members) }
         }
+    private val operatorListener = OperatorStateListener(configuration, rolloutOrderListener())
     private val rolloutStatusWriter =
         RolloutStatusWriter(identity.id, store, control.scope, loop::nowMillis) { order, verdict ->
             loop.execute { allocator.rollouts.onOrderEnded(order, verdict) }
@@ -109,14 +122,13 @@
         readinessServer.start(socketAddress(settings.listen.ready))
         startClientServer(prebound)
         operatorServer.start(socketAddress(settings.listen.operator))
-        control.scope.launch { storeWatcher().run() }
+        control.scope.launch { isWatchingAll.collectLatest { storeWatcher(watchesAll = it).run() } }
         servers.start()
-        loop.execute {
-            loadReports.onReport = { report -> control.execute { stateSync.onReport(report) } }
-        }
+        loop.execute { loadReports.onReport = ::onPeerReport }
         loadReports.start()
         loop.every(QUOTA_INTERVAL_MILLIS, ::tickQuotas)
         loop.every(ROLLOUT_INTERVAL_MILLIS, ::tickRollouts)
+        loop.after(FOLLOWER_DELAY_MILLIS) { loop.every(WATCHER_INTERVAL_MILLIS, ::selectWatcher) }
         control.after(PEER_LINKS_DELAY_MILLIS) {
             links.start(socketAddress(settings.listen.peer))
             stateSync.start()
@@ -177,27 +189,48 @@
         Thread.sleep(DRAIN_POLL_MILLIS)
     }
 
-    private fun storeWatcher(): StoreWatcher {
+    private fun storeWatcher(watchesAll: Boolean): StoreWatcher {
+        val operator = OPERATOR_PREFIX to operatorListener
+        if (!watchesAll) {
+            val listener = FollowerListener(PrefixRoutingListener(mapOf(operator)), servers)
+            return StoreWatcher(store, OPERATOR_PREFIX, listener, watchPacing)
+        }
         val listeners =
             mapOf(
-                PlatformKeys.OPERATOR_PREFIX to
-                    OperatorStateListener(configuration, rolloutOrderListener()),
+                operator,
                 PlatformKeys.ROLLOUT_STATUS_PREFIX to rolloutStatusWriter,
                 PlatformKeys.SERVER_PREFIX to servers,
                 PlatformKeys.MEMBER_PREFIX to members,
             )
-        return StoreWatcher(
-            store,
-            PlatformKeys.ALL_PREFIX,
-            PrefixRoutingListener(listeners),
-            watchPacing,
-        )
+        val listener = PrefixRoutingListener(listeners)
+        return StoreWatcher(store, PlatformKeys.ALL_PREFIX, listener, watchPacing)
+    }
+
+    private fun onPeerReport(report: LoadReport) {
+        watcherSelection.onReport(report.instanceId, report.watchesServers, loop.nowMillis())
+        if (stateSync.isConcernedBy(report)) control.execute { stateSync.onReport(report) }
+    }
+
+    private fun selectWatcher() {
+        val nowMillis = loop.nowMillis()
+        serverSource = watcherSelection.source(nowMillis)
+        // An instance that is not ready has not read the state that a watcher's changes refer to.
+        val mustWatch = !gate.isOpen || watcherSelection.mustWatch(loadReports.peerIds, nowMillis)
+        if (mustWatch == isWatchingAll.value) return
+        log.info("gateway: watching the server list is {}, source {}", mustWatch, serverSource)
+        // The list of instances is not read by followers, so that reports decide who is alive.
+        if (!mustWatch) loadReports.onMembers(emptyMap())
+        control.execute {
+            servers.isFollowingPeers = !mustWatch
+            isWatchingAll.value = mustWatch
+        }
     }
 
     private fun publish(entries: List<ServerEntry>) {
         loop.execute {
             allocator.onServers(entries)
             gate.onServersAvailable()
+            loadReports.onStateChanged()
         }
     }
 
@@ -223,8 +256,10 @@
         }
         val peerIds = loadReports.peerIds.toSet()
         val verdicts = allocator.rollouts.verdicts(peerIds, nowMillis)
-        if (verdicts.isEmpty()) return
-        control.execute { rolloutStatusWriter.report(verdicts, peerIds, nowMillis) }
+        // Followers do not read the stored status, so they leave it to the watchers.
+        if (verdicts.isEmpty() || !isWatchingAll.value) return
+        val writers = watcherSelection.selected(peerIds)
+        control.execute { rolloutStatusWriter.report(verdicts, writers, nowMillis) }
     }
 
     private fun tickQuotas() {
@@ -243,6 +278,9 @@
         const val GATEWAY_RETRY_SHARE = 0.5
         const val QUOTA_INTERVAL_MILLIS = 200L
         const val ROLLOUT_INTERVAL_MILLIS = 100L
+        /** By then, instances that start together have registered and read each other's entries. */
+        const val FOLLOWER_DELAY_MILLIS = 4_000L
+        const val WATCHER_INTERVAL_MILLIS = 400L
         /**
          * Startup serves clients and the store first; peers matter only if the store is
          * unavailable.
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportExchange.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportExchange.kt
@@ -19,7 +19,12 @@
 internal class ReportIdentity(val id: String, val incarnation: Long, val address: Address)
 
 /** Versions of the state that this instance holds, for peers that are behind. */
-internal class KnownVersions(val configuration: () -> Long, val servers: () -> Long)
+internal class KnownVersions(
+    val configuration: () -> Long,
+    val servers: () -> Long,
+    /** True if the server list is watched in the store and the store answers. */
+    val isWatchingServers: () -> Boolean,
+)
 
 /**
  * Exchanges load reports with the other instances over UDP. Each report replaces the previous one,
@@ -61,7 +66,8 @@
         allocator.onChange = ::scheduleSend
         loop.every(HEARTBEAT_MILLIS) {
             peers.expire(loop.nowMillis())
-            if (loop.nowMillis() - lastSentMillis >= HEARTBEAT_MILLIS) send()
+            val intervalMillis = maxOf(HEARTBEAT_MILLIS, pauseMillis())
+            if (loop.nowMillis() - lastSentMillis >= intervalMillis) send()
         }
     }
 
@@ -71,14 +77,26 @@
     /** Returns the address of the peer [id], or null if it is unknown. */
     fun address(id: String): Address? = peers.address(id)
 
+    /** Sends a report soon, because a peer may be waiting for the state that this instance has. */
+    fun onStateChanged() = scheduleSend()
+
     // Batches changes into one report. The pause grows with the number of peers, so that the rate
     // of datagrams that an instance handles does not.
+    private fun pauseMillis(): Long {
+        val count = peers.ids.size.toLong()
+        return maxOf(
+                MIN_PAUSE_MILLIS,
+                count * PAUSE_PER_PEER_MILLIS,
+                count * count / LARGE_FLEET_PAUSE_DIVISOR,
+            )
+            .coerceAtMost(MAX_PAUSE_MILLIS)
+    }
+
     private fun scheduleSend() {
         hasUnsentChanges = true
         if (isSendScheduled) return
         isSendScheduled = true
-        val pauseMillis = maxOf(MIN_PAUSE_MILLIS, peers.ids.size * PAUSE_PER_PEER_MILLIS)
-        val delayMillis = (lastSentMillis + pauseMillis - loop.nowMillis()).coerceAtLeast(1)
+        val delayMillis = (lastSentMillis + pauseMillis() - loop.nowMillis()).coerceAtLeast(1)
         loop.after(delayMillis) {
             isSendScheduled = false
             if (hasUnsentChanges) send()
@@ -107,6 +125,7 @@
                 .setPeerPort(self.address.port)
                 .setConfigurationVersion(versions.configuration())
                 .setServerRevision(versions.servers())
+                .setWatchesServers(versions.isWatchingServers())
                 .addLoad(allocator.report(), quotas.totals)
         if (lastSentMillis - rolloutsLastSentMillis >= ROLLOUT_REPORT_INTERVAL_MILLIS) {
             rolloutsLastSentMillis = lastSentMillis
@@ -152,6 +171,10 @@
         const val ROLLOUT_REPORT_INTERVAL_MILLIS = 150L
         const val MIN_PAUSE_MILLIS = 15L
         const val PAUSE_PER_PEER_MILLIS = 3L
+        /** Lowers the rate of datagrams above 60 peers, where placement tolerates older reports. */
+        const val LARGE_FLEET_PAUSE_DIVISOR = 20L
+        /** Reports expire after little more than this. */
+        const val MAX_PAUSE_MILLIS = 500L
         val log = LoggerFactory.getLogger(LoadReportExchange::class.java)
     }
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/PeerStateSync.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/PeerStateSync.kt
@@ -19,10 +19,12 @@
     private val control: ControlThread,
     private val configuration: ConfigurationHolder,
     private val servers: ServerRegistry,
+    /** The peer from which this instance gets the server list if it does not watch it. */
+    private val serverSource: () -> String? = { null },
 ) {
     private var isStarted = false
     private var lastRequestMillis = 0L
-    private var behindSinceMillis: Long? = null
+    @Volatile private var behindSinceMillis: Long? = null
 
     /** Starts requesting state from peers and answering their requests. */
     fun start() {
@@ -30,13 +32,19 @@
         isStarted = true
     }
 
+    /** Returns true if [report] concerns this object; can be called from any thread. */
+    fun isConcernedBy(report: LoadReport): Boolean =
+        behindSinceMillis != null ||
+            report.configurationVersion > configuration.version ||
+            report.serverRevision > servers.revision
+
     /**
      * Requests newer state from the sender of [report] if this instance has been behind for
      * [STORE_GRACE_MILLIS]. Until then the store is expected to deliver the change.
      */
     fun onReport(report: LoadReport) {
         val needsConfiguration = report.configurationVersion > configuration.version
-        val needsServers = servers.isStale && report.serverRevision > servers.revision
+        val needsServers = needsServersOf(report)
         if (!needsConfiguration && !needsServers) {
             behindSinceMillis = null
             return
@@ -44,16 +52,23 @@
         val nowMillis = control.nowMillis()
         val sinceMillis = behindSinceMillis ?: nowMillis
         behindSinceMillis = sinceMillis
-        if (nowMillis - sinceMillis < STORE_GRACE_MILLIS) return
+        val isFollowing = needsServers && servers.isFollowingPeers
+        if (!isFollowing && nowMillis - sinceMillis < STORE_GRACE_MILLIS) return
         if (!isStarted || nowMillis - lastRequestMillis < REQUEST_INTERVAL_MILLIS) return
         lastRequestMillis = nowMillis
         val request =
             StateRequest.newBuilder()
                 .setConfigurationVersion(configuration.version)
-                .setServerRevision(if (servers.isStale) servers.revision else Long.MAX_VALUE)
+                .setServerRevision(if (needsServers) servers.revision else Long.MAX_VALUE)
         links.send(report.instanceId, Frame.newBuilder().setStateRequest(request).build())
     }
 
+    private fun needsServersOf(report: LoadReport): Boolean {
+        if (report.serverRevision <= servers.revision) return false
+        if (servers.isFollowingPeers) return report.instanceId == serverSource()
+        return servers.isStale
+    }
+
     private fun receive(from: String, frame: Frame) {
         when (frame.bodyCase) {
             Frame.BodyCase.STATE_REQUEST -> answer(from, frame.stateRequest)
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/PeerTable.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/PeerTable.kt
@@ -60,6 +60,9 @@
     }
 
     private companion object {
-        const val PEER_TIMEOUT_MILLIS = 4_000L
+        /**
+         * Exceeds the lease of an instance in the store, after which the store no longer lists it.
+         */
+        const val PEER_TIMEOUT_MILLIS = 12_000L
     }
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RolloutStatusWriter.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RolloutStatusWriter.kt
@@ -55,16 +55,16 @@
     override fun onStoreUnavailable(fault: StoreFault) = Unit
 
     /**
-     * Writes the [verdicts] that differ from the stored status. Verdicts of [atMillis] that are no
-     * longer recent are ignored: after a pause of this process, the rollout may have been
-     * withdrawn.
+     * Writes the [verdicts] that differ from the stored status, as one of [writers]. Verdicts of
+     * [atMillis] that are no longer recent are ignored: after a pause of this process, the rollout
+     * may have been withdrawn.
      */
-    fun report(verdicts: Map<RolloutOrder, RolloutVerdict>, peerIds: Set<String>, atMillis: Long) {
+    fun report(verdicts: Map<RolloutOrder, RolloutVerdict>, writers: Set<String>, atMillis: Long) {
         if (nowMillis() - atMillis > MAX_VERDICT_AGE_MILLIS) {
             log.info("rollout: ignoring verdicts that are {} ms old", nowMillis() - atMillis)
             return
         }
-        val rank = (peerIds + selfId).sorted().indexOf(selfId)
+        val rank = (writers + selfId).sorted().indexOf(selfId)
         verdicts.forEach { (order, verdict) -> report(order, verdict, rank) }
     }
 
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ServerRegistry.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ServerRegistry.kt
@@ -23,11 +23,17 @@
     private var published: List<ServerEntry> = emptyList()
     private var lastAnswerMillis: Long? = null
 
-    /** Store revision of the list; 0 if it has not been read. */
+    /** Store revision of the newest answer that was applied. */
+    private var answerRevision = 0L
+
+    /** Store revision of the last change of a server; 0 if the list has not been read. */
     @Volatile
     var revision = 0L
         private set
 
+    /** True if the list is taken from peers that watch it, and not from the store. */
+    @Volatile var isFollowingPeers = false
+
     /** Raw entries by key, for peers that do not have them. */
     val entries: Map<String, String>
         get() = storedValues
@@ -39,7 +45,7 @@
     /** Starts removing entries that expired and were not written again. */
     fun start() =
         control.every(EXPIRE_INTERVAL_MILLIS) {
-            if (directory.expire(monotonicMillis())) publishChanges()
+            if (directory.expire(monotonicMillis()) && publishChanges()) revision = answerRevision
         }
 
     override fun onSnapshot(snapshot: Snapshot) {
@@ -50,34 +56,38 @@
     override fun onChanges(changes: WatchResult) {
         onStoreAnswered()
         if (isOutdated(changes.revision)) return
-        revision = changes.revision
+        answerRevision = changes.revision
         changes.changes.forEach(::accept)
         changes.removedKeys.forEach(::remove)
-        publishChanges()
+        if (publishChanges()) revision = changes.revision
     }
 
+    /** Records that the store answered a call that does not concern the list. */
+    fun onStoreReachable() = directory.onStoreAvailable(monotonicMillis())
+
     override fun onStoreUnavailable(fault: StoreFault) = directory.onStoreUnavailable()
 
-    /** Applies a peer's list of [revision] if it is newer and the store is unavailable. */
+    /** Applies a peer's list of [revision] if it is newer and the store is not watched. */
     fun onPeerCopy(values: List<VersionedValue>, revision: Long) {
-        if (!isStale || revision <= this.revision) return
+        if (!(isFollowingPeers || isStale) || revision <= this.revision) return
         log.info("servers: list of revision {} was taken over from a peer", revision)
         replace(values, revision)
     }
 
     // A peer's list may be newer than an answer of the store that was delayed. Applying the answer
     // would bring back servers that have left.
-    private fun isOutdated(answerRevision: Long): Boolean {
-        if (answerRevision >= revision) return false
+    private fun isOutdated(revision: Long): Boolean {
+        if (revision >= answerRevision) return false
         log.info(
             "servers: ignoring an answer of revision {}, the list is of revision {}",
-            answerRevision,
             revision,
+            answerRevision,
         )
         return true
     }
 
     private fun replace(values: List<VersionedValue>, revision: Long) {
+        answerRevision = revision
         this.revision = revision
         storedValues.clear()
         values.forEach { storedValues[it.key] = it.value }
@@ -102,9 +112,11 @@
             .onLeft { log.warn("servers: ignoring invalid entry {}: {}", value.key, it) }
             .getOrNull()
 
-    private fun publishChanges() {
+    // Returns whether the list has changed. Servers write their entries periodically to show that
+    // they are alive, which is no change, and neither is the progress of their warm-up.
+    private fun publishChanges(): Boolean {
         val servers = directory.servers
-        if (servers == published) return
+        if (servers.map(::withoutProgress) == published.map(::withoutProgress)) return false
         val before = published.associateBy { it.id }
         val added = servers.filter { it.id !in before }.map { it.id }
         val left = (before.keys - servers.map { it.id }.toSet())
@@ -119,8 +131,11 @@
             draining.map { it.id },
         )
         publish(servers)
+        return true
     }
 
+    private fun withoutProgress(entry: ServerEntry) = entry.copy(warmUpRemainingMillis = 0)
+
     private fun onStoreAnswered() {
         lastAnswerMillis = monotonicMillis()
         directory.onStoreAvailable(monotonicMillis())
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/StoreWatcher.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/StoreWatcher.kt
@@ -40,12 +40,15 @@
 
     /** Watches the keys until cancelled. */
     suspend fun run() {
+        var retryMillis = MIN_RETRY_MILLIS
         while (currentCoroutineContext().isActive) {
             val snapshot = valueOrNull(store.snapshot(prefix))
             if (snapshot == null) {
-                delay(RETRY_MILLIS)
+                delay(retryMillis)
+                retryMillis = (retryMillis * 2).coerceAtMost(MAX_RETRY_MILLIS)
                 continue
             }
+            retryMillis = MIN_RETRY_MILLIS
             listener.onSnapshot(snapshot)
             watchChanges(snapshot.revision)
         }
@@ -81,7 +84,9 @@
     }
 
     private companion object {
-        const val RETRY_MILLIS = 150L
+        const val MIN_RETRY_MILLIS = 150L
+        /** The store charges each call, also one that it refuses. */
+        const val MAX_RETRY_MILLIS = 600L
         val log = LoggerFactory.getLogger(StoreWatcher::class.java)
     }
 }
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/RolloutStatusWriterTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/RolloutStatusWriterTest.kt
@@ -114,7 +114,7 @@
         }
 
     fun report(order: RolloutOrder, verdict: RolloutVerdict, atMillis: Long = nowMillis) {
-        writer.report(mapOf(order to verdict), peerIds = setOf("a", "c"), atMillis)
+        writer.report(mapOf(order to verdict), writers = setOf("a", "c"), atMillis)
         scope.runCurrent()
     }
 
--- /dev/null
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ServerRegistryTest.kt
@@ -0,0 +1,81 @@
+package io.lavenderhinge.instance.gateway
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.lavenderhinge.core.port.Snapshot
+import io.lavenderhinge.core.port.VersionedValue
+import io.lavenderhinge.core.port.WatchResult
+import io.lavenderhinge.instance.control.ControlThread
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toImmutableList
+
+/** Guards against server lists that go back in time or are announced without a change. */
+class ServerRegistryTest :
+    FunSpec({
+        test("given a newer copy of a peer, when an older answer arrives, then it is ignored") {
+            RegistryFixture().use { fixture ->
+                fixture.registry.onPeerCopy(listOf(value("b")), revision = 100)
+
+                fixture.registry.onSnapshot(snapshot(90, value("a"), value("b")))
+                fixture.registry.onChanges(
+                    WatchResult(persistentListOf(value("a")), 95, persistentListOf())
+                )
+
+                fixture.published shouldBe listOf("b")
+            }
+        }
+
+        // Guards against peers that copy the list each time a server shows that it is alive.
+        test("given an entry that is written without a change, then the revision stays") {
+            RegistryFixture().use { fixture ->
+                fixture.registry.onSnapshot(snapshot(10, value("a", sequence = 1)))
+
+                fixture.registry.onChanges(
+                    WatchResult(persistentListOf(value("a", sequence = 2)), 20, persistentListOf())
+                )
+                fixture.registry.revision shouldBe 10
+                fixture.registry.onChanges(
+                    WatchResult(persistentListOf(), 30, persistentListOf("servers/a"))
+                )
+
+                fixture.registry.revision shouldBe 30
+                fixture.published shouldBe emptyList()
+            }
+        }
+
+        test("given an instance that follows peers, then it takes their newer lists only") {
+            RegistryFixture().use { fixture ->
+                fixture.registry.onSnapshot(snapshot(10, value("a")))
+                fixture.registry.onPeerCopy(listOf(value("c")), revision = 15)
+                fixture.published shouldBe listOf("a")
+
+                fixture.registry.isFollowingPeers = true
+                fixture.registry.onPeerCopy(listOf(value("b")), revision = 20)
+                fixture.registry.onPeerCopy(listOf(value("a")), revision = 12)
+
+                fixture.published shouldBe listOf("b")
+            }
+        }
+    })
+
+private class RegistryFixture : AutoCloseable {
+    private val control = ControlThread()
+    var published = emptyList<String>()
+    val registry =
+        ServerRegistry(control, staleAfterMillis = 3_000) { servers ->
+            published = servers.map { it.id }
+        }
+
+    override fun close() = control.close()
+}
+
+private fun snapshot(revision: Long, vararg values: VersionedValue) =
+    Snapshot(values.toList().toImmutableList(), revision)
+
+private fun value(id: String, sequence: Int = 1) =
+    VersionedValue(
+        "servers/$id",
+        """{"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":5,
+            "state":"ready","sequence":$sequence,"born":1700000000000}""",
+        1,
+    )
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/LoadReport.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/LoadReport.java
@@ -307,7 +307,7 @@
   private long serverRevision_ = 0L;
   /**
    * <pre>
-   * Revision of the store that the list of backend servers was read at.
+   * Revision of the last change of the list of backend servers that the sender knows.
    * </pre>
    *
    * <code>int64 server_revision = 10;</code>
@@ -379,6 +379,21 @@
     return rollouts_.get(index);
   }
 
+  public static final int WATCHES_SERVERS_FIELD_NUMBER = 12;
+  private boolean watchesServers_ = false;
+  /**
+   * <pre>
+   * The sender watches the list of backend servers in the store, and the store answers.
+   * </pre>
+   *
+   * <code>bool watches_servers = 12;</code>
+   * @return The watchesServers.
+   */
+  @java.lang.Override
+  public boolean getWatchesServers() {
+    return watchesServers_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -426,6 +441,9 @@
     for (int i = 0; i < rollouts_.size(); i++) {
       output.writeMessage(11, rollouts_.get(i));
     }
+    if (watchesServers_ != false) {
+      output.writeBool(12, watchesServers_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -477,6 +495,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(11, rollouts_.get(i));
     }
+    if (watchesServers_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(12, watchesServers_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -514,6 +536,8 @@
         != other.getServerRevision()) return false;
     if (!getRolloutsList()
         .equals(other.getRolloutsList())) return false;
+    if (getWatchesServers()
+        != other.getWatchesServers()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -559,6 +583,9 @@
       hash = (37 * hash) + ROLLOUTS_FIELD_NUMBER;
       hash = (53 * hash) + getRolloutsList().hashCode();
     }
+    hash = (37 * hash) + WATCHES_SERVERS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getWatchesServers());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -730,6 +757,7 @@
         rolloutsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000400);
+      watchesServers_ = false;
       return this;
     }
 
@@ -824,6 +852,9 @@
       if (((from_bitField0_ & 0x00000200) != 0)) {
         result.serverRevision_ = serverRevision_;
       }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.watchesServers_ = watchesServers_;
+      }
     }
 
     @java.lang.Override
@@ -967,6 +998,9 @@
           }
         }
       }
+      if (other.getWatchesServers() != false) {
+        setWatchesServers(other.getWatchesServers());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1080,6 +1114,11 @@
               }
               break;
             } // case 90
+            case 96: {
+              watchesServers_ = input.readBool();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 96
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2104,7 +2143,7 @@
     private long serverRevision_ ;
     /**
      * <pre>
-     * Revision of the store that the list of backend servers was read at.
+     * Revision of the last change of the list of backend servers that the sender knows.
      * </pre>
      *
      * <code>int64 server_revision = 10;</code>
@@ -2116,7 +2155,7 @@
     }
     /**
      * <pre>
-     * Revision of the store that the list of backend servers was read at.
+     * Revision of the last change of the list of backend servers that the sender knows.
      * </pre>
      *
      * <code>int64 server_revision = 10;</code>
@@ -2132,7 +2171,7 @@
     }
     /**
      * <pre>
-     * Revision of the store that the list of backend servers was read at.
+     * Revision of the last change of the list of backend servers that the sender knows.
      * </pre>
      *
      * <code>int64 server_revision = 10;</code>
@@ -2457,6 +2496,50 @@
       return rolloutsBuilder_;
     }
 
+    private boolean watchesServers_ ;
+    /**
+     * <pre>
+     * The sender watches the list of backend servers in the store, and the store answers.
+     * </pre>
+     *
+     * <code>bool watches_servers = 12;</code>
+     * @return The watchesServers.
+     */
+    @java.lang.Override
+    public boolean getWatchesServers() {
+      return watchesServers_;
+    }
+    /**
+     * <pre>
+     * The sender watches the list of backend servers in the store, and the store answers.
+     * </pre>
+     *
+     * <code>bool watches_servers = 12;</code>
+     * @param value The watchesServers to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWatchesServers(boolean value) {
+
+      watchesServers_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender watches the list of backend servers in the store, and the store answers.
+     * </pre>
+     *
+     * <code>bool watches_servers = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWatchesServers() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      watchesServers_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:lavenderhinge.v1.LoadReport)
   }
 
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/LoadReportOrBuilder.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/LoadReportOrBuilder.java
@@ -136,7 +136,7 @@
 
   /**
    * <pre>
-   * Revision of the store that the list of backend servers was read at.
+   * Revision of the last change of the list of backend servers that the sender knows.
    * </pre>
    *
    * <code>int64 server_revision = 10;</code>
@@ -187,4 +187,14 @@
    */
   io.lavenderhinge.protocol.v1.RolloutProgressOrBuilder getRolloutsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * The sender watches the list of backend servers in the store, and the store answers.
+   * </pre>
+   *
+   * <code>bool watches_servers = 12;</code>
+   * @return The watchesServers.
+   */
+  boolean getWatchesServers();
 }
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/PeerOuterClass.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/PeerOuterClass.java
@@ -299,7 +299,7 @@
       "ervice\030\001 \001(\t\022\020\n\010priority\030\002 \001(\005\022\017\n\007waitin" +
       "g\030\003 \001(\r\022\030\n\020head_wait_millis\030\004 \001(\003\022\021\n\thea" +
       "d_late\030\005 \001(\010\":\n\021WorkspaceSpending\022\021\n\twor" +
-      "kspace\030\001 \001(\t\022\022\n\ntotal_cost\030\002 \001(\001\"\352\002\n\nLoa" +
+      "kspace\030\001 \001(\t\022\022\n\ntotal_cost\030\002 \001(\001\"\203\003\n\nLoa" +
       "dReport\022\023\n\013instance_id\030\001 \001(\t\022\023\n\013incarnat" +
       "ion\030\002 \001(\006\022\020\n\010sequence\030\003 \001(\004\022\n\n\002ip\030\004 \001(\t\022" +
       "\021\n\tpeer_port\030\005 \001(\r\022,\n\007servers\030\006 \003(\0132\033.la" +
@@ -308,61 +308,62 @@
       "paces\030\010 \003(\0132#.lavenderhinge.v1.Workspace" +
       "Spending\022\035\n\025configuration_version\030\t \001(\003\022" +
       "\027\n\017server_revision\030\n \001(\003\0223\n\010rollouts\030\013 \003" +
-      "(\0132!.lavenderhinge.v1.RolloutProgress\"\306\001" +
-      "\n\017RolloutProgress\022\017\n\007service\030\001 \001(\t\022\026\n\016or" +
-      "der_revision\030\002 \001(\003\022-\n\005stage\030\003 \001(\0162\036.lave" +
-      "nderhinge.v1.RolloutStage\022\026\n\016elapsed_mil" +
-      "lis\030\004 \001(\003\022\025\n\rold_in_flight\030\005 \001(\005\022,\n\006rout" +
-      "es\030\006 \003(\0132\034.lavenderhinge.v1.RouteTally\"\205" +
-      "\001\n\nRouteTally\022\r\n\005route\030\001 \001(\t\0223\n\013old_vers" +
-      "ion\030\002 \001(\0132\036.lavenderhinge.v1.VersionTall" +
-      "y\0223\n\013new_version\030\003 \001(\0132\036.lavenderhinge.v" +
-      "1.VersionTally\">\n\014VersionTally\022\020\n\010reques" +
-      "ts\030\001 \001(\003\022\016\n\006errors\030\002 \001(\003\022\014\n\004slow\030\003 \001(\003\"F" +
-      "\n\014StateRequest\022\035\n\025configuration_version\030" +
-      "\001 \001(\003\022\027\n\017server_revision\030\002 \001(\003\")\n\013Stored" +
-      "Value\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"k\n\tSta" +
-      "teCopy\022\025\n\rconfiguration\030\001 \001(\t\022\027\n\017server_" +
-      "revision\030\002 \001(\003\022.\n\007servers\030\003 \003(\0132\035.lavend" +
-      "erhinge.v1.StoredValue*U\n\004Tier\022\024\n\020TIER_U" +
-      "NSPECIFIED\020\000\022\024\n\020TIER_INTERACTIVE\020\001\022\021\n\rTI" +
-      "ER_STANDARD\020\002\022\016\n\nTIER_BATCH\020\003*\234\002\n\014Refuse" +
-      "Reason\022\035\n\031REFUSE_REASON_UNSPECIFIED\020\000\022\032\n" +
-      "\026REFUSE_REASON_NOT_HOME\020\001\022\034\n\030REFUSE_REAS" +
-      "ON_QUEUE_FULL\020\002\022\032\n\026REFUSE_REASON_DEADLIN" +
-      "E\020\003\022\033\n\027REFUSE_REASON_DISPLACED\020\004\022\035\n\031REFU" +
-      "SE_REASON_TIER_CLOSED\020\005\022 \n\034REFUSE_REASON" +
-      "_SERVER_LEAVING\020\006\022\035\n\031REFUSE_REASON_SERVE" +
-      "R_DOWN\020\007\022\032\n\026REFUSE_REASON_SHUTDOWN\020\010*\324\001\n" +
-      "\013ResultClass\022\034\n\030RESULT_CLASS_UNSPECIFIED" +
-      "\020\000\022\023\n\017RESULT_CLASS_OK\020\001\022\035\n\031RESULT_CLASS_" +
-      "SERVER_ERROR\020\002\022\"\n\036RESULT_CLASS_CONNECTIO" +
-      "N_FAILED\020\003\022\030\n\024RESULT_CLASS_TIMEOUT\020\004\022\032\n\026" +
-      "RESULT_CLASS_CANCELLED\020\005\022\031\n\025RESULT_CLASS" +
-      "_DRAINING\020\006*\255\001\n\017LedgerOperation\022 \n\034LEDGE" +
-      "R_OPERATION_UNSPECIFIED\020\000\022\034\n\030LEDGER_OPER" +
-      "ATION_RESERVE\020\001\022\035\n\031LEDGER_OPERATION_COMP" +
-      "LETE\020\002\022\031\n\025LEDGER_OPERATION_VOID\020\003\022 \n\034LED" +
-      "GER_OPERATION_OWNER_QUERY\020\004*\217\003\n\rLedgerOu" +
-      "tcome\022\036\n\032LEDGER_OUTCOME_UNSPECIFIED\020\000\022\033\n" +
-      "\027LEDGER_OUTCOME_RECORDED\020\001\022\034\n\030LEDGER_OUT" +
-      "COME_COMPLETED\020\002\022\034\n\030LEDGER_OUTCOME_IN_FL" +
-      "IGHT\020\003\022\033\n\027LEDGER_OUTCOME_IN_DOUBT\020\004\022\033\n\027L" +
-      "EDGER_OUTCOME_MISMATCH\020\005\022\032\n\026LEDGER_OUTCO" +
-      "ME_TOO_OLD\020\006\022\035\n\031LEDGER_OUTCOME_NOT_WRITE" +
-      "R\020\007\022\036\n\032LEDGER_OUTCOME_UNAVAILABLE\020\010\022#\n\037L" +
-      "EDGER_OUTCOME_OWNER_DISPATCHED\020\t\022)\n%LEDG" +
-      "ER_OUTCOME_OWNER_NEVER_DISPATCHED\020\n\022 \n\034L" +
-      "EDGER_OUTCOME_OWNER_UNKNOWN\020\013*\200\001\n\nMember" +
-      "Kind\022\033\n\027MEMBER_KIND_UNSPECIFIED\020\000\022\030\n\024MEM" +
-      "BER_KIND_INSTANCE\020\001\022\034\n\030MEMBER_KIND_MODEL" +
-      "_ENGINE\020\002\022\035\n\031MEMBER_KIND_PLAIN_SERVICE\020\003" +
-      "*w\n\014RolloutStage\022\027\n\023ROLLOUT_STAGE_TRIAL\020" +
-      "\000\022\026\n\022ROLLOUT_STAGE_RAMP\020\001\022\031\n\025ROLLOUT_STA" +
-      "GE_SHIFTED\020\002\022\033\n\027ROLLOUT_STAGE_WITHDRAWN\020" +
-      "\0032D\n\004Peer\022<\n\004Link\022\027.lavenderhinge.v1.Fra" +
-      "me\032\027.lavenderhinge.v1.Frame(\0010\001B \n\034io.la" +
-      "venderhinge.protocol.v1P\001b\006proto3"
+      "(\0132!.lavenderhinge.v1.RolloutProgress\022\027\n" +
+      "\017watches_servers\030\014 \001(\010\"\306\001\n\017RolloutProgre" +
+      "ss\022\017\n\007service\030\001 \001(\t\022\026\n\016order_revision\030\002 " +
+      "\001(\003\022-\n\005stage\030\003 \001(\0162\036.lavenderhinge.v1.Ro" +
+      "lloutStage\022\026\n\016elapsed_millis\030\004 \001(\003\022\025\n\rol" +
+      "d_in_flight\030\005 \001(\005\022,\n\006routes\030\006 \003(\0132\034.lave" +
+      "nderhinge.v1.RouteTally\"\205\001\n\nRouteTally\022\r" +
+      "\n\005route\030\001 \001(\t\0223\n\013old_version\030\002 \001(\0132\036.lav" +
+      "enderhinge.v1.VersionTally\0223\n\013new_versio" +
+      "n\030\003 \001(\0132\036.lavenderhinge.v1.VersionTally\"" +
+      ">\n\014VersionTally\022\020\n\010requests\030\001 \001(\003\022\016\n\006err" +
+      "ors\030\002 \001(\003\022\014\n\004slow\030\003 \001(\003\"F\n\014StateRequest\022" +
+      "\035\n\025configuration_version\030\001 \001(\003\022\027\n\017server" +
+      "_revision\030\002 \001(\003\")\n\013StoredValue\022\013\n\003key\030\001 " +
+      "\001(\t\022\r\n\005value\030\002 \001(\t\"k\n\tStateCopy\022\025\n\rconfi" +
+      "guration\030\001 \001(\t\022\027\n\017server_revision\030\002 \001(\003\022" +
+      ".\n\007servers\030\003 \003(\0132\035.lavenderhinge.v1.Stor" +
+      "edValue*U\n\004Tier\022\024\n\020TIER_UNSPECIFIED\020\000\022\024\n" +
+      "\020TIER_INTERACTIVE\020\001\022\021\n\rTIER_STANDARD\020\002\022\016" +
+      "\n\nTIER_BATCH\020\003*\234\002\n\014RefuseReason\022\035\n\031REFUS" +
+      "E_REASON_UNSPECIFIED\020\000\022\032\n\026REFUSE_REASON_" +
+      "NOT_HOME\020\001\022\034\n\030REFUSE_REASON_QUEUE_FULL\020\002" +
+      "\022\032\n\026REFUSE_REASON_DEADLINE\020\003\022\033\n\027REFUSE_R" +
+      "EASON_DISPLACED\020\004\022\035\n\031REFUSE_REASON_TIER_" +
+      "CLOSED\020\005\022 \n\034REFUSE_REASON_SERVER_LEAVING" +
+      "\020\006\022\035\n\031REFUSE_REASON_SERVER_DOWN\020\007\022\032\n\026REF" +
+      "USE_REASON_SHUTDOWN\020\010*\324\001\n\013ResultClass\022\034\n" +
+      "\030RESULT_CLASS_UNSPECIFIED\020\000\022\023\n\017RESULT_CL" +
+      "ASS_OK\020\001\022\035\n\031RESULT_CLASS_SERVER_ERROR\020\002\022" +
+      "\"\n\036RESULT_CLASS_CONNECTION_FAILED\020\003\022\030\n\024R" +
+      "ESULT_CLASS_TIMEOUT\020\004\022\032\n\026RESULT_CLASS_CA" +
+      "NCELLED\020\005\022\031\n\025RESULT_CLASS_DRAINING\020\006*\255\001\n" +
+      "\017LedgerOperation\022 \n\034LEDGER_OPERATION_UNS" +
+      "PECIFIED\020\000\022\034\n\030LEDGER_OPERATION_RESERVE\020\001" +
+      "\022\035\n\031LEDGER_OPERATION_COMPLETE\020\002\022\031\n\025LEDGE" +
+      "R_OPERATION_VOID\020\003\022 \n\034LEDGER_OPERATION_O" +
+      "WNER_QUERY\020\004*\217\003\n\rLedgerOutcome\022\036\n\032LEDGER" +
+      "_OUTCOME_UNSPECIFIED\020\000\022\033\n\027LEDGER_OUTCOME" +
+      "_RECORDED\020\001\022\034\n\030LEDGER_OUTCOME_COMPLETED\020" +
+      "\002\022\034\n\030LEDGER_OUTCOME_IN_FLIGHT\020\003\022\033\n\027LEDGE" +
+      "R_OUTCOME_IN_DOUBT\020\004\022\033\n\027LEDGER_OUTCOME_M" +
+      "ISMATCH\020\005\022\032\n\026LEDGER_OUTCOME_TOO_OLD\020\006\022\035\n" +
+      "\031LEDGER_OUTCOME_NOT_WRITER\020\007\022\036\n\032LEDGER_O" +
+      "UTCOME_UNAVAILABLE\020\010\022#\n\037LEDGER_OUTCOME_O" +
+      "WNER_DISPATCHED\020\t\022)\n%LEDGER_OUTCOME_OWNE" +
+      "R_NEVER_DISPATCHED\020\n\022 \n\034LEDGER_OUTCOME_O" +
+      "WNER_UNKNOWN\020\013*\200\001\n\nMemberKind\022\033\n\027MEMBER_" +
+      "KIND_UNSPECIFIED\020\000\022\030\n\024MEMBER_KIND_INSTAN" +
+      "CE\020\001\022\034\n\030MEMBER_KIND_MODEL_ENGINE\020\002\022\035\n\031ME" +
+      "MBER_KIND_PLAIN_SERVICE\020\003*w\n\014RolloutStag" +
+      "e\022\027\n\023ROLLOUT_STAGE_TRIAL\020\000\022\026\n\022ROLLOUT_ST" +
+      "AGE_RAMP\020\001\022\031\n\025ROLLOUT_STAGE_SHIFTED\020\002\022\033\n" +
+      "\027ROLLOUT_STAGE_WITHDRAWN\020\0032D\n\004Peer\022<\n\004Li" +
+      "nk\022\027.lavenderhinge.v1.Frame\032\027.lavenderhi" +
+      "nge.v1.Frame(\0010\001B \n\034io.lavenderhinge.pro" +
+      "tocol.v1P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -529,7 +530,7 @@
     internal_static_lavenderhinge_v1_LoadReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_LoadReport_descriptor,
-        new java.lang.String[] { "InstanceId", "Incarnation", "Sequence", "Ip", "PeerPort", "Servers", "Queues", "Workspaces", "ConfigurationVersion", "ServerRevision", "Rollouts", });
+        new java.lang.String[] { "InstanceId", "Incarnation", "Sequence", "Ip", "PeerPort", "Servers", "Queues", "Workspaces", "ConfigurationVersion", "ServerRevision", "Rollouts", "WatchesServers", });
     internal_static_lavenderhinge_v1_RolloutProgress_descriptor =
       getDescriptor().getMessageType(27);
     internal_static_lavenderhinge_v1_RolloutProgress_fieldAccessorTable = new
