Log the outcome of every request and the inputs of its placements

Each line now has the outcome, and each send the expected time, the free slots of the server and how many servers and peers were known. ForwardingTest checks both; the case of a client that leaves failed before.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
@@ -41,6 +41,8 @@
         val expectedMillis: Double,
         /** Prompt tokens that the server has to read; those in its cache are not counted. */
         val uncachedTokens: Double,
+        /** The values that led to the decision, for the log. */
+        val inputs: String = "",
     ) : DispatchEffect
 
     /** Reject the request as not executed; the client may retry after [retryAfterMillis]. */
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -174,6 +174,7 @@
                     placement.server,
                     placement.expectedMillis,
                     placement.uncachedTokens,
+                    placement.inputs,
                 )
             }
             is Placement.Wait ->
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -10,6 +10,8 @@
         val expectedMillis: Double,
         /** Prompt tokens that are not expected in the cache of the server. */
         val uncachedTokens: Double,
+        /** The values that led to the decision, for the log. */
+        val inputs: String,
     ) : Placement
 
     data object Wait : Placement
@@ -145,7 +147,7 @@
         val best = candidates(estimates, preferred, peers.count).minBy { it.expectedMillis }
         val freeSlots = estimates.sumOf { it.freeSlots.coerceAtLeast(0) }
         if (best.freeSlots > 0 && freeSlots > aheadAtPeers) {
-            return Placement.Send(best.record.entry, best.expectedMillis, best.uncachedTokens)
+            return send(best, eligible.size, peers.count)
         }
         // Reserves a slot, so that less urgent requests do not take the one this request waits for.
         reserved.merge(best.record.entry.id, 1, Int::plus)
@@ -155,6 +157,15 @@
     // Reports are older in a larger fleet, where more instances decide between two of them. If all
     // chose the best server of the same old reports, it would be overloaded at once. Each instance
     // therefore compares a random sample that shrinks as the fleet grows, and the preferred
+    private fun send(best: Estimate, eligibleCount: Int, peerCount: Int) =
+        Placement.Send(
+            best.record.entry,
+            best.expectedMillis,
+            best.uncachedTokens,
+            "expected ${best.expectedMillis.toInt()} ms, ${best.freeSlots} slots free, " +
+                "$eligibleCount servers, $peerCount peers",
+        )
+
     // servers.
     private fun candidates(
         estimates: List<Estimate>,
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestLog.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestLog.kt
@@ -19,6 +19,7 @@
             .addKeyValue("priority", trace.admitted.priority)
             .addKeyValue("configuration", configurationVersion())
             .addKeyValue("status", trace.status)
+            .addKeyValue("outcome", trace.result)
             .addKeyValue("refusal", trace.refusal)
             .addKeyValue("failure", trace.failure)
             .addKeyValue("sends", trace.history)
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestTrace.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestTrace.kt
@@ -50,7 +50,7 @@
     fun attemptStarted(grant: DispatchEffect.Assign, nowMillis: Long) {
         startedCount++
         val waitMillis = nowMillis - arrivedMillis
-        events += "sent to ${grant.server.id} after $waitMillis ms"
+        events += "sent to ${grant.server.id} after $waitMillis ms (${grant.inputs})"
     }
 
     /** Records the result of the attempt. */
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ForwardingTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ForwardingTest.kt
@@ -3,6 +3,7 @@
 import ch.qos.logback.classic.Logger
 import ch.qos.logback.classic.spi.ILoggingEvent
 import ch.qos.logback.core.read.ListAppender
+import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.assertions.throwables.shouldThrow
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldHaveSize
@@ -20,6 +21,7 @@
 import io.lavenderhinge.instance.gateway.ServerAction.SendAndClose
 import io.lavenderhinge.instance.gateway.ServerAction.Trickle
 import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 
@@ -255,11 +257,26 @@
             }
         }
 
+        // Guards against a line without an outcome, which explains nothing to an operator.
+        test("given a client that disconnects, then its log line says so") {
+            val lines = recordRequestLog()
+            val server = ScriptedBackendServer { AwaitClose }
+
+            withGateway(server) { gateway ->
+                withTimeoutOrNull(300) { gateway.call("/digest/1", body = "p", id = "x8") }
+                server.closedByPeer.await(2, TimeUnit.SECONDS) shouldBe true
+                eventually(2.seconds) {
+                    lines.list.count { "x8" in it.keyValuePairs.toString() } shouldBe 1
+                }
+            }
+
+            val line = lines.list.single { "x8" in it.keyValuePairs.toString() }
+            line.keyValuePairs.single { it.key == "outcome" }.value shouldBe "client left"
+        }
+
         // Guards against a failed request whose servers and cause cannot be found by its id.
         test("given the id of a failed request, then its log line states the cause") {
-            val logger = LoggerFactory.getLogger(RequestLog::class.java) as Logger
-            val lines = ListAppender<ILoggingEvent>().apply { start() }
-            logger.addAppender(lines)
+            val lines = recordRequestLog()
 
             withGateway(ScriptedBackendServer { SendAndClose("") }) {
                 it.call("/book/1", body = "b", id = "x7")
@@ -270,7 +287,16 @@
             pairs["status"] shouldBe 502
             pairs["failure"] shouldBe "lost"
             pairs["configuration"] shouldBe 3L
+            pairs["outcome"] shouldBe "lost"
             pairs["sends"].toString() shouldContain "sent to i-0"
+            pairs["sends"].toString() shouldContain "slots free, 1 servers, 0 peers"
             pairs["sends"].toString() shouldContain "lost: the server closed the connection"
         }
     })
+
+/** Returns the lines that the request log writes from now on. */
+private fun recordRequestLog(): ListAppender<ILoggingEvent> {
+    val lines = ListAppender<ILoggingEvent>().apply { start() }
+    (LoggerFactory.getLogger(RequestLog::class.java) as Logger).addAppender(lines)
+    return lines
+}
