--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PrefixAffinity.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PrefixAffinity.kt
@@ -3,9 +3,9 @@
 /**
  * Estimates how much of a prompt is in the cache of a server.
  *
- * An instance knows only what it sent itself. Requests of one session arrive at any instance of the
- * fleet, so all instances prefer the same two servers for it, by rendezvous hashing of the last
- * part of the prompt: a part that an instance has not sent itself is probably there.
+ * An instance knows only what it sent itself. Requests of one session arrive at any instance of a
+ * failure domain, so all of these prefer the same two servers for it, by rendezvous hashing of the
+ * last part of the prompt: a part that an instance has not sent itself is probably there.
  */
 internal class PrefixAffinity {
     /** The prompt parts that were sent to one server, the least recently used ones first. */
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -136,7 +136,9 @@
     ): Placement {
         val eligible = eligibleServers(request, nowMillis)
         if (eligible.isEmpty()) return Placement.NoServer
-        val preferred = affinity.preferred(request.promptParts, eligible)
+        // Clients of one session mostly stay in one failure domain.
+        val near = eligible.filter { it.entry.failureDomain == failureDomain }
+        val preferred = affinity.preferred(request.promptParts, near.ifEmpty { eligible })
         val estimates =
             eligible.map {
                 val cachedTokens =
@@ -144,7 +146,8 @@
                 val uncachedTokens = (request.promptTokens - cachedTokens).coerceAtLeast(0.0)
                 estimate(it, request, uncachedTokens, peers, reserved, failureDomain, nowMillis)
             }
-        val best = candidates(estimates, preferred, peers.count).minBy { it.expectedMillis }
+        val best =
+            candidates(estimates, preferred, failureDomain, peers.count).minBy { it.expectedMillis }
         val freeSlots = estimates.sumOf { it.freeSlots.coerceAtLeast(0) }
         if (best.freeSlots > 0 && freeSlots > aheadAtPeers) {
             return send(best, eligible.size, peers.count)
@@ -154,9 +157,6 @@
         return Placement.Wait
     }
 
-    // Reports are older in a larger fleet, where more instances decide between two of them. If all
-    // chose the best server of the same old reports, it would be overloaded at once. Each instance
-    // therefore compares a random sample that shrinks as the fleet grows, and the preferred
     private fun send(best: Estimate, eligibleCount: Int, peerCount: Int) =
         Placement.Send(
             best.record.entry,
@@ -166,10 +166,16 @@
                 "$eligibleCount servers, $peerCount peers",
         )
 
+    // Reports are older in a larger fleet, where more instances decide between two of them. If all
+    // chose the best server of the same old reports, it would be overloaded at once. Each instance
+    // therefore compares a random sample that shrinks as the fleet grows, and the preferred
     // servers.
+    // Half of the sample is in the failure domain of the instance, because traffic between domains
+    // is charged.
     private fun candidates(
         estimates: List<Estimate>,
         preferred: List<String>,
+        failureDomain: String,
         peerCount: Int,
     ): List<Estimate> {
         val free =
@@ -179,12 +185,19 @@
                     return estimates
                 }
         val fraction = (COMPARING_FLEET / (peerCount + 1)).pow(2)
-        val sampleSize = (free.size * fraction).toInt().coerceAtLeast(MIN_SAMPLE)
-        if (sampleSize >= free.size) return estimates
-        return free.shuffled(random).take(sampleSize) +
-            free.filter { it.record.entry.id in preferred }
+        if (fraction >= 1) return estimates
+        val (near, far) = free.partition { it.record.entry.failureDomain == failureDomain }
+        val sampled = sample(near, fraction) + sample(far, fraction)
+        // If there is little choice, a server whose slot becomes free soon may be the better one.
+        if (sampled.size == free.size) return estimates
+        return sampled + free.filter { it.record.entry.id in preferred }
     }
 
+    private fun sample(estimates: List<Estimate>, fraction: Double): List<Estimate> =
+        estimates
+            .shuffled(random)
+            .take((estimates.size * fraction).toInt().coerceAtLeast(MIN_SAMPLE))
+
     // A server without samples is assumed to be average. With a shorter default, requests would
     // wait for it while other servers are free.
     private fun expectedHoldMillis(record: ServerRecord): Double {
