--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PrefixAffinity.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PrefixAffinity.kt
@@ -1,5 +1,7 @@
 package io.lavenderhinge.core.forwarding
 
+import io.lavenderhinge.core.membership.RendezvousHash
+
 /**
  * Estimates how much of a prompt is in the cache of a server.
  *
@@ -36,19 +38,12 @@
      * Returns the ids of the servers that all instances prefer for [parts], the first one first.
      */
     fun preferred(parts: List<PromptPart>, records: Collection<ServerRecord>): List<String> {
-        val key = parts.lastOrNull()?.id?.hashCode() ?: return emptyList()
-        var first: ServerRecord? = null
-        var second: ServerRecord? = null
-        records.forEach { record ->
-            val weight = weight(key, record)
-            if (weight > (first?.let { weight(key, it) } ?: Long.MIN_VALUE)) {
-                second = first
-                first = record
-            } else if (weight > (second?.let { weight(key, it) } ?: Long.MIN_VALUE)) {
-                second = record
-            }
-        }
-        return listOfNotNull(first?.entry?.id, second?.entry?.id)
+        val session = parts.lastOrNull() ?: return emptyList()
+        val sessionHash = RendezvousHash.hash64(session.id)
+        return records
+            .sortedByDescending { RendezvousHash.weight(sessionHash, it.idHash) }
+            .take(PREFERRED_SERVERS)
+            .map { it.entry.id }
     }
 
     /**
@@ -72,14 +67,6 @@
         return maxOf(sent, probability * parts.sumOf { it.tokens })
     }
 
-    // A multiplicative hash with a final mix (SplitMix64), so that similar ids spread evenly.
-    private fun weight(key: Int, record: ServerRecord): Long {
-        var hash = (key.toLong() shl Int.SIZE_BITS) xor record.entry.id.hashCode().toLong()
-        hash = (hash xor (hash ushr 30)) * -0x40a7b892e31b1a47L
-        hash = (hash xor (hash ushr 27)) * -0x6b2fb644ecceee15L
-        return hash xor (hash ushr 31)
-    }
-
     private companion object {
         const val INITIAL_CAPACITY = 16
         const val LOAD_FACTOR = 0.75f
@@ -87,6 +74,7 @@
         const val MAX_PARTS = 512
         /** Time after which other prompts have probably replaced a part in the cache. */
         const val CACHE_MILLIS = 30_000L
+        const val PREFERRED_SERVERS = 2
         /** Some sessions are new, and some requests go elsewhere when the server is full. */
         const val FIRST_SERVER_PROBABILITY = 0.5
         const val SECOND_SERVER_PROBABILITY = 0.2
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerRecord.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerRecord.kt
@@ -1,5 +1,7 @@
 package io.lavenderhinge.core.forwarding
 
+import io.lavenderhinge.core.membership.RendezvousHash
+
 /** The outcome of a request as an observation of its backend server. */
 sealed interface ServerOutcome {
     /** The server responded. Times are measured from the send. */
@@ -30,6 +32,9 @@
     var inFlight = 0
     /** Prompt tokens of the requests in flight that have not produced an event yet. */
     var pendingTokens = 0.0
+    /** Hash of the server's id for rendezvous hashing. */
+    val idHash: ULong = RendezvousHash.hash64(entry.id)
+
     /** Prompt parts that this instance sent to the server. */
     val sentParts = PrefixAffinity.SentParts()
 
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/WatcherSelection.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/WatcherSelection.kt
@@ -1,5 +1,7 @@
 package io.lavenderhinge.core.forwarding
 
+import io.lavenderhinge.core.membership.RendezvousHash
+
 /**
  * Decides which instances watch the list of backend servers in the store. The others get it from
  * one of them, so that the calls to the store do not grow with the fleet.
@@ -24,24 +26,21 @@
 
     /** Returns the ids that are selected to watch, of the fleet of this instance and [peerIds]. */
     fun selected(peerIds: Set<String>): Set<String> =
-        (peerIds + selfId).sortedBy { rank(it) }.take(WATCHERS).toSet()
+        RendezvousHash.highest(WATCHED_LIST, peerIds + selfId, WATCHERS).toSet()
 
     /** Returns the watcher from which this instance gets the list, or null if there is none. */
     fun source(nowMillis: Long): String? =
-        watchingMillis
-            .filterValues { nowMillis - it < MAX_REPORT_AGE_MILLIS }
-            .keys
-            .minByOrNull { rank(it + selfId) }
-
-    // Ids of one failure domain often share a prefix, and the watchers should be in all domains.
-    private fun rank(id: String): Int = id.hashCode() * HASH_MULTIPLIER
+        RendezvousHash.highest(
+            selfId,
+            watchingMillis.filterValues { nowMillis - it < MAX_REPORT_AGE_MILLIS }.keys,
+        )
 
     private companion object {
         /** Several in each failure domain of a deployment with a few of them. */
         const val WATCHERS = 10
         /** Spans two reports of a large fleet. */
         const val MAX_REPORT_AGE_MILLIS = 1_200L
-        /** Knuth's multiplicative hash; spreads ids that differ in their last character. */
-        const val HASH_MULTIPLIER = -1_640_531_527
+        /** The item for which the ids are ranked. */
+        const val WATCHED_LIST = "server-list"
     }
 }
--- a/core/src/main/kotlin/io/lavenderhinge/core/membership/RendezvousHash.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/membership/RendezvousHash.kt
@@ -16,8 +16,10 @@
             .take(count)
 
     /** Weight of [candidate] for [item]; the same on every instance and release. */
-    fun weight(item: String, candidate: String): ULong =
-        mix(hash64(item) xor mix(hash64(candidate)))
+    fun weight(item: String, candidate: String): ULong = weight(hash64(item), hash64(candidate))
+
+    /** Weight for values of [hash64] that the caller keeps, because it needs them often. */
+    fun weight(itemHash: ULong, candidateHash: ULong): ULong = mix(itemHash xor mix(candidateHash))
 
     /** 64-bit FNV-1a of the UTF-8 bytes of [text], mixed so that all bits depend on all bytes. */
     fun hash64(text: String): ULong =
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ForwardingFixture.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ForwardingFixture.kt
@@ -70,20 +70,18 @@
     deadlineMillis: Long = arrivedMillis + 10_000,
     promptTokens: Double = 1_000.0,
     expectedEvents: Double = 0.0,
-    firstEventDeadlineMillis: Long = deadlineMillis,
-    promptParts: List<PromptPart> = emptyList(),
 ) =
     DispatchRequest(
         id = id,
         service = "s",
         priority = priority,
         promptTokens = promptTokens,
-        promptParts = promptParts.toImmutableList(),
+        promptParts = persistentListOf(),
         expectedEvents = expectedEvents,
         arrivedMillis = arrivedMillis,
         targetMillis = targetMillis,
         deadlineMillis = deadlineMillis,
-        firstEventDeadlineMillis = firstEventDeadlineMillis,
+        firstEventDeadlineMillis = deadlineMillis,
         excludedServers = persistentSetOf(),
     )
 
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/LoadSimulation.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/LoadSimulation.kt
@@ -95,13 +95,13 @@
         val work = traffic.work
         val request =
             request(
-                ++order,
-                traffic.priority,
-                arrivedMillis = nowMillis,
-                targetMillis = nowMillis + work.targetMillis,
-                deadlineMillis = nowMillis + work.deadlineMillis,
-                firstEventDeadlineMillis = nowMillis + work.patienceMillis,
-            )
+                    ++order,
+                    traffic.priority,
+                    arrivedMillis = nowMillis,
+                    targetMillis = nowMillis + work.targetMillis,
+                    deadlineMillis = nowMillis + work.deadlineMillis,
+                )
+                .copy(firstEventDeadlineMillis = nowMillis + work.patienceMillis)
         openRequests[request.id] = PendingRequest(request, traffic)
         apply(dispatchers[traffic.instance].submit(request, nowMillis), nowMillis)
     }
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/PrefixAffinityTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/PrefixAffinityTest.kt
@@ -4,6 +4,7 @@
 import io.kotest.matchers.comparables.shouldBeGreaterThan
 import io.kotest.matchers.ints.shouldBeLessThan
 import io.kotest.matchers.shouldBe
+import kotlinx.collections.immutable.toImmutableList
 
 class PrefixAffinityTest :
     FunSpec({
@@ -32,7 +33,7 @@
             }
 
         fun sessionRequest(id: Long, session: String) =
-            request(id, promptTokens = 4_000.0, promptParts = parts(session))
+            request(id, promptTokens = 4_000.0).copy(promptParts = parts(session).toImmutableList())
 
         // Guards against reading the prompt of a session on one server after the other.
         test("given requests of one session, then they go to the same server") {
