Prefer servers by the last shared part of a prompt

The last part now counts as shared only if this instance saw it before; otherwise the part before it is the key. Placement also charges the delay that reading a prompt means for the streams beside it.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PrefixAffinity.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PrefixAffinity.kt
@@ -5,17 +5,23 @@
 /**
  * Estimates how much of a prompt is in the cache of a server.
  *
- * An instance knows only what it sent itself. Requests of one session arrive at any instance of a
- * failure domain, so all of these prefer the same two servers for it, by rendezvous hashing of the
- * last part of the prompt: a part that an instance has not sent itself is probably there.
+ * An instance knows only what it sent itself. Requests that share parts arrive at any instance of a
+ * failure domain, so all of these prefer the same two servers for a prompt, by rendezvous hashing
+ * of its last shared part: a part that an instance has not sent itself is probably there. The last
+ * part of a prompt often belongs to one request alone, and counts as shared only if it was seen
+ * before.
  */
 internal class PrefixAffinity {
-    /** The prompt parts that were sent to one server, the least recently used ones first. */
+    private val seenParts = LruMap<Unit>(MAX_SEEN_PARTS)
+
+    /**
+     * The servers that are preferred for a prompt, and the tokens that are probably cached there.
+     */
+    class Preference(val serverIds: List<String>, val sharedTokens: Int)
+
+    /** The prompt parts that were sent to one server, and when. */
     class SentParts {
-        private val sentMillis =
-            object : LinkedHashMap<String, Long>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
-                override fun removeEldestEntry(eldest: Map.Entry<String, Long>) = size > MAX_PARTS
-            }
+        private val sentMillis = LruMap<Long>(MAX_SENT_PARTS)
 
         fun add(parts: List<PromptPart>, nowMillis: Long) =
             parts.forEach { sentMillis[it.id] = nowMillis }
@@ -34,49 +40,58 @@
         }
     }
 
-    /**
-     * Returns the ids of the servers that all instances prefer for [parts], the first one first.
-     */
-    fun preferred(parts: List<PromptPart>, records: Collection<ServerRecord>): List<String> {
-        val session = parts.lastOrNull() ?: return emptyList()
-        val sessionHash = RendezvousHash.hash64(session.id)
-        return records
-            .sortedByDescending { RendezvousHash.weight(sessionHash, it.idHash) }
-            .take(PREFERRED_SERVERS)
-            .map { it.entry.id }
+    /** Remembers the [parts] of a request that was sent. */
+    fun onSent(parts: List<PromptPart>) = parts.forEach { seenParts[it.id] = Unit }
+
+    /** Returns those of [records] that are preferred for [parts]; null if nothing is shared. */
+    fun preference(parts: List<PromptPart>, records: Collection<ServerRecord>): Preference? {
+        val last = parts.lastOrNull() ?: return null
+        val shared = if (last.id in seenParts) parts else parts.dropLast(1)
+        val key = shared.lastOrNull() ?: return null
+        val keyHash = RendezvousHash.hash64(key.id)
+        val servers =
+            records
+                .sortedByDescending { RendezvousHash.weight(keyHash, it.idHash) }
+                .take(PREFERRED_SERVERS)
+        return Preference(servers.map { it.entry.id }, shared.sumOf { it.tokens })
     }
 
-    /**
-     * Returns the expected number of cached tokens of [parts] at [record]. [preferred] is the
-     * result of [preferred] for the same parts.
-     */
+    /** Returns the expected number of cached tokens of [parts] at [record]. */
     fun cachedTokens(
         parts: List<PromptPart>,
         record: ServerRecord,
-        preferred: List<String>,
+        preference: Preference?,
         nowMillis: Long,
     ): Double {
         if (parts.isEmpty()) return 0.0
         val sent = record.sentParts.cachedTokens(parts, nowMillis).toDouble()
         val probability =
-            when (preferred.indexOf(record.entry.id)) {
+            when (preference?.serverIds?.indexOf(record.entry.id)) {
                 0 -> FIRST_SERVER_PROBABILITY
                 1 -> SECOND_SERVER_PROBABILITY
                 else -> return sent
             }
-        return maxOf(sent, probability * parts.sumOf { it.tokens })
+        return maxOf(sent, probability * preference.sharedTokens)
+    }
+
+    /** A map of at most [capacity] keys that evicts the least recently used one. */
+    private class LruMap<V>(private val capacity: Int) :
+        LinkedHashMap<String, V>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
+        override fun removeEldestEntry(eldest: Map.Entry<String, V>) = size > capacity
     }
 
     private companion object {
         const val INITIAL_CAPACITY = 16
         const val LOAD_FACTOR = 0.75f
         /** About the number of prompts that fit into the memory of a server. */
-        const val MAX_PARTS = 512
+        const val MAX_SENT_PARTS = 512
+        /** Several times the number of parts that a deployment shares at one time. */
+        const val MAX_SEEN_PARTS = 4_096
         /** Time after which other prompts have probably replaced a part in the cache. */
         const val CACHE_MILLIS = 30_000L
         const val PREFERRED_SERVERS = 2
-        /** Some sessions are new, and some requests go elsewhere when the server is full. */
-        const val FIRST_SERVER_PROBABILITY = 0.5
-        const val SECOND_SERVER_PROBABILITY = 0.2
+        /** Some parts are new, and some requests go elsewhere when the server is full. */
+        const val FIRST_SERVER_PROBABILITY = 0.8
+        const val SECOND_SERVER_PROBABILITY = 0.4
     }
 }
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -57,6 +57,7 @@
     ) {
         val record = records[serverId] ?: return
         record.sentParts.add(request.promptParts, nowMillis)
+        affinity.onSent(request.promptParts)
         if (record.inFlight == 0) record.onActivity(nowMillis)
         record.inFlight++
         record.pendingTokens += uncachedTokens
@@ -136,18 +137,19 @@
     ): Placement {
         val eligible = eligibleServers(request, nowMillis)
         if (eligible.isEmpty()) return Placement.NoServer
-        // Clients of one session mostly stay in one failure domain.
+        // Clients that share a prompt mostly stay in one failure domain.
         val near = eligible.filter { it.entry.failureDomain == failureDomain }
-        val preferred = affinity.preferred(request.promptParts, near.ifEmpty { eligible })
+        val preference = affinity.preference(request.promptParts, near.ifEmpty { eligible })
         val estimates =
             eligible.map {
                 val cachedTokens =
-                    affinity.cachedTokens(request.promptParts, it, preferred, nowMillis)
+                    affinity.cachedTokens(request.promptParts, it, preference, nowMillis)
                 val uncachedTokens = (request.promptTokens - cachedTokens).coerceAtLeast(0.0)
                 estimate(it, request, uncachedTokens, peers, reserved, failureDomain, nowMillis)
             }
         val best =
-            candidates(estimates, preferred, failureDomain, peers.count).minBy { it.expectedMillis }
+            candidates(estimates, preference?.serverIds.orEmpty(), failureDomain, peers.count)
+                .minBy { it.expectedMillis }
         val freeSlots = estimates.sumOf { it.freeSlots.coerceAtLeast(0) }
         if (best.freeSlots > 0 && freeSlots > aheadAtPeers) {
             return send(best, eligible.size, peers.count)
@@ -233,6 +235,8 @@
         val domainPenaltyMillis =
             if (record.entry.failureDomain == failureDomain) 0.0 else CROSS_DOMAIN_PENALTY_MILLIS
         val firstEventMillis = record.latencyFactor * unloadedMillis * loadFactor
+        val delayOfOthersMillis =
+            record.latencyFactor * model.millisPerToken * uncachedTokens * busy * DELAY_FRACTION
         val leftMillis = request.deadlineMillis - nowMillis
         val overrunMillis =
             slotWaitMillis +
@@ -242,6 +246,7 @@
         val expectedMillis =
             (firstEventMillis + slotWaitMillis) * expectedAttempts * expectedAttempts +
                 domainPenaltyMillis +
+                delayOfOthersMillis +
                 overrunMillis.coerceAtLeast(0.0)
         return Estimate(record, slots - busy, expectedMillis, uncachedTokens)
     }
@@ -259,6 +264,8 @@
         const val MIN_SILENCE_MILLIS = 350.0
         const val SILENCE_FACTOR = 4.0
         const val SLOWDOWN_PER_REQUEST = 0.1
+        /** A prompt is read in chunks, which delay the next events of all streams of the server. */
+        const val DELAY_FRACTION = 0.3
         const val MAX_FAILURE_FRACTION = 0.8
         /**
          * Half of the deadline is kept in reserve, since estimated response lengths are inaccurate.
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/PrefixAffinityTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/PrefixAffinityTest.kt
@@ -8,7 +8,14 @@
 
 class PrefixAffinityTest :
     FunSpec({
-        fun parts(session: String) = listOf(PromptPart("system", 1_000), PromptPart(session, 3_000))
+        var own = 0
+
+        fun parts(session: String) =
+            listOf(
+                PromptPart("system", 500),
+                PromptPart(session, 3_000),
+                PromptPart("own-${own++}", 500),
+            )
 
         val servers = List(6) { server("s-$it", slots = 8) }
 
@@ -17,8 +24,10 @@
         /** Returns the server that gets [request], and releases its slot. */
         fun Dispatcher.serverFor(request: DispatchRequest): String {
             val nowMillis = request.id
-            val server = (submit(request, nowMillis).single() as DispatchEffect.Assign).server
-            onFinished(server, ServerOutcome.Inconclusive, 0.0, false, nowMillis, priority = 0)
+            val assigned = submit(request, nowMillis).single() as DispatchEffect.Assign
+            val server = assigned.server
+            val tokens = assigned.uncachedTokens
+            onFinished(server, ServerOutcome.Inconclusive, tokens, true, nowMillis, priority = 0)
             return server.id
         }
 
@@ -35,8 +44,8 @@
         fun sessionRequest(id: Long, session: String) =
             request(id, promptTokens = 4_000.0).copy(promptParts = parts(session).toImmutableList())
 
-        // Guards against reading the prompt of a session on one server after the other.
-        test("given requests of one session, then they go to the same server") {
+        // Guards against reading a shared part on one server after the other.
+        test("given requests that share a part, then they go to the same server") {
             val dispatcher = dispatcher()
             train(dispatcher)
 
@@ -45,9 +54,9 @@
             used.distinct().size shouldBe 1
         }
 
-        // Guards against instances that know nothing of each other and read a session on each
+        // Guards against instances that know nothing of each other and read a part on each
         // server of the pool.
-        test("given two instances, then both prefer the same server for a session") {
+        test("given two instances, then both prefer the same server for a shared part") {
             val one = dispatcher().also(::train)
             val other = dispatcher().also(::train)
 
@@ -62,11 +71,12 @@
             agreed shouldBeGreaterThan 25
         }
 
-        test("given many sessions, then they spread over the servers") {
+        test("given many shared parts, then they spread over the servers") {
             val records = servers.map(::ServerRecord)
             val affinity = PrefixAffinity()
 
-            val firsts = (0 until 600).map { affinity.preferred(parts("$it"), records).first() }
+            val firsts =
+                (0 until 600).map { affinity.preference(parts("$it"), records)?.serverIds?.first() }
 
             firsts
                 .groupingBy { it }
