Take the speed of the servers into account when a request is late, and move the watcher's role out

The model of first events is fitted to latencies that are divided by a factor for each server, and nothing keeps the mean of these factors at 1, so a request was taken for late after an arbitrary time. The expected time is now multiplied by their mean. A request is never late in the first half of its target time: a long prompt, whose first event takes most of the target, would be late on arrival and wait behind all shorter ones (DispatcherTest; fails without the limit).

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QueuePolicy.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QueuePolicy.kt
@@ -17,9 +17,16 @@
  * client can return after the burst instead of waiting for a response that does not come.
  */
 internal class QueuePolicy(private val pool: ServerPool, private val peers: PeerLoads) {
-    /** Returns true if the first event of [request] will probably come after its target. */
-    fun isLate(request: DispatchRequest, nowMillis: Long): Boolean =
-        nowMillis + FIRST_EVENT_MARGIN * pool.firstEventMillis(request) > request.targetMillis
+    /**
+     * Returns true if the first event of [request] will probably come after its target. During the
+     * first half of its target time, no request is late; a long prompt would otherwise be late on
+     * arrival and wait behind all shorter ones.
+     */
+    fun isLate(request: DispatchRequest, nowMillis: Long): Boolean {
+        val neededMillis = FIRST_EVENT_MARGIN * pool.firstEventMillis(request)
+        val halfMillis = (request.targetMillis - request.arrivedMillis) / 2.0
+        return nowMillis + minOf(neededMillis, halfMillis) > request.targetMillis
+    }
 
     /** Returns [queue] in the order in which slots are assigned. */
     fun ordered(queue: Collection<DispatchRequest>, nowMillis: Long): QueueOrder {
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -113,8 +113,13 @@
     }
 
     /** Returns the expected time from the send of [request] to its first event. */
-    fun firstEventMillis(request: DispatchRequest): Double =
-        model.predictMillis(request.promptTokens)
+    fun firstEventMillis(request: DispatchRequest): Double {
+        // The model is fitted to latencies that are divided by these factors, so their mean may
+        // differ from 1.
+        val factors = records.values.filter { it.holdMillis > 0 }.map { it.latencyFactor }
+        val meanFactor = if (factors.isEmpty()) 1.0 else factors.average()
+        return meanFactor * model.predictMillis(request.promptTokens)
+    }
 
     /** Returns how long a request occupies its slot, on average over the servers. */
     fun meanHoldMillis(): Double {
@@ -170,24 +175,17 @@
 
     // Reports are older in a larger fleet, where more instances decide between two of them. If all
     // chose the best server of the same old reports, it would be overloaded at once. Each instance
-    // therefore compares a random sample that shrinks as the fleet grows, and the preferred
-    // servers.
-    // Half of the sample is in the failure domain of the instance, because traffic between domains
-    // is charged.
+    // therefore compares the preferred servers and a random sample that shrinks as the fleet grows.
+    // Servers of its own failure domain are sampled apart, as traffic between domains is charged.
     private fun candidates(
         estimates: List<Estimate>,
         preferred: List<String>,
         failureDomain: String,
         peerCount: Int,
     ): List<Estimate> {
-        val free =
-            estimates
-                .filter { it.freeSlots > 0 }
-                .ifEmpty {
-                    return estimates
-                }
+        val free = estimates.filter { it.freeSlots > 0 }
         val fraction = (COMPARING_FLEET / (peerCount + 1)).pow(2)
-        if (fraction >= 1) return estimates
+        if (free.isEmpty() || fraction >= 1) return estimates
         val (near, far) = free.partition { it.record.entry.failureDomain == failureDomain }
         val sampled = sample(near, fraction) + sample(far, fraction)
         // If there is little choice, a server whose slot becomes free soon may be the better one.
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/DispatcherTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/DispatcherTest.kt
@@ -150,6 +150,22 @@
             dispatcher.submit(long(4), nowMillis = 10) shouldBe emptyList()
         }
 
+        // Guards against long prompts that are served only when no shorter one is queued.
+        test("given a long prompt that takes most of its target, then it is not late on arrival") {
+            val dispatcher = dispatcher(server("a", slots = 1))
+            List(8) { if (it % 2 == 0) 100.0 else 8_000.0 }
+                .forEachIndexed { index, tokens ->
+                    dispatcher.submit(request(index.toLong(), promptTokens = tokens), nowMillis = 0)
+                    val outcome = ServerOutcome.Answered(tokens / 20, tokens / 20, tokens, 0)
+                    dispatcher.onFinished(server("a"), outcome, tokens, true, 0, priority = 0)
+                }
+            dispatcher.submit(request(20), nowMillis = 0)
+            dispatcher.submit(request(21, arrivedMillis = 0, promptTokens = 8_000.0), 0)
+            dispatcher.submit(request(22, arrivedMillis = 10, promptTokens = 100.0), 10)
+
+            dispatcher.finish(server("a"), nowMillis = 50).assigned() shouldBe listOf(21L to "a")
+        }
+
         test("given a queue longer than a request can wait, then it is rejected on arrival") {
             val dispatcher = dispatcher(server("a", slots = 1))
             dispatcher.submit(request(0), nowMillis = 0)
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
@@ -8,7 +8,6 @@
 import io.lavenderhinge.core.forwarding.ServerEntry
 import io.lavenderhinge.core.forwarding.ServiceRetryBudget
 import io.lavenderhinge.core.forwarding.WatchPacing
-import io.lavenderhinge.core.forwarding.WatcherSelection
 import io.lavenderhinge.core.settings.Address
 import io.lavenderhinge.core.settings.GatewaySettings
 import io.lavenderhinge.core.settings.SettingsFault
@@ -27,7 +26,6 @@
 import io.lavenderhinge.platform.PlatformStore
 import io.lavenderhinge.protocol.v1.LoadReport
 import java.net.InetSocketAddress
-import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.collectLatest
 import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
@@ -48,9 +46,7 @@
     private val quotas = QuotaLimiter(settings.bounds.quotaTolerance)
     private val allocator = SlotAllocator(identity.failureDomain, loop)
     private val servers = ServerRegistry(control, watchPacing.staleAfterMillis, ::publish)
-    private val watcherSelection = WatcherSelection(identity.id)
-    private val isWatchingAll = MutableStateFlow(true)
-    @Volatile private var serverSource: String? = null
+    private val watcherRole = WatcherRole(identity.id)
     private val loadReports =
         LoadReportExchange(
             ReportIdentity(identity.id, System.currentTimeMillis(), settings.listen.peer),
@@ -62,14 +58,15 @@
             KnownVersions(
                 configuration = configuration::version,
                 servers = { servers.revision },
-                isWatchingServers = { isWatchingAll.value && !servers.isStale },
+                isWatchingServers = { watcherRole.isWatchingAll.value && !servers.isStale },
             ),
         )
     private val links =
         GrpcPeerLinks(PeerIdentity(identity.id, identity.failureDomain, identity.region), control) {
             loadReports.address(it)?.let(::socketAddress)
         }
-    private val stateSync = PeerStateSync(links, control, configuration, servers, { serverSource })
+    private val stateSync =
+        PeerStateSync(links, control, configuration, servers, watcherRole::source)
     private val members =
         MemberRegistry(identity.id, settings.listen.peer, store, control) { members ->
             loop.execute { loadReports.onMembers(members) }
@@ -122,13 +119,17 @@
         readinessServer.start(socketAddress(settings.listen.ready))
         startClientServer(prebound)
         operatorServer.start(socketAddress(settings.listen.operator))
-        control.scope.launch { isWatchingAll.collectLatest { storeWatcher(watchesAll = it).run() } }
+        control.scope.launch {
+            watcherRole.isWatchingAll.collectLatest { storeWatcher(watchesAll = it).run() }
+        }
         servers.start()
         loop.execute { loadReports.onReport = ::onPeerReport }
         loadReports.start()
         loop.every(QUOTA_INTERVAL_MILLIS, ::tickQuotas)
         loop.every(ROLLOUT_INTERVAL_MILLIS, ::tickRollouts)
-        loop.after(FOLLOWER_DELAY_MILLIS) { loop.every(WATCHER_INTERVAL_MILLIS, ::selectWatcher) }
+        loop.after(FOLLOWER_DELAY_MILLIS) {
+            loop.every(WATCHER_INTERVAL_MILLIS, ::updateWatcherRole)
+        }
         control.after(PEER_LINKS_DELAY_MILLIS) {
             links.start(socketAddress(settings.listen.peer))
             stateSync.start()
@@ -207,22 +208,18 @@
     }
 
     private fun onPeerReport(report: LoadReport) {
-        watcherSelection.onReport(report.instanceId, report.watchesServers, loop.nowMillis())
+        watcherRole.onReport(report, loop.nowMillis())
         if (stateSync.isConcernedBy(report)) control.execute { stateSync.onReport(report) }
     }
 
-    private fun selectWatcher() {
-        val nowMillis = loop.nowMillis()
-        serverSource = watcherSelection.source(nowMillis)
-        // An instance that is not ready has not read the state that a watcher's changes refer to.
-        val mustWatch = !gate.isOpen || watcherSelection.mustWatch(loadReports.peerIds, nowMillis)
-        if (mustWatch == isWatchingAll.value) return
-        log.info("gateway: watching the server list is {}, source {}", mustWatch, serverSource)
+    private fun updateWatcherRole() {
+        val watchesAll = watcherRole.due(gate.isOpen, loadReports.peerIds, loop.nowMillis())
+        if (watchesAll == watcherRole.isWatchingAll.value) return
         // The list of instances is not read by followers, so that reports decide who is alive.
-        if (!mustWatch) loadReports.onMembers(emptyMap())
+        if (!watchesAll) loadReports.onMembers(emptyMap())
         control.execute {
-            servers.isFollowingPeers = !mustWatch
-            isWatchingAll.value = mustWatch
+            servers.isFollowingPeers = !watchesAll
+            watcherRole.enter(watchesAll)
         }
     }
 
@@ -257,8 +254,8 @@
         val peerIds = loadReports.peerIds.toSet()
         val verdicts = allocator.rollouts.verdicts(peerIds, nowMillis)
         // Followers do not read the stored status, so they leave it to the watchers.
-        if (verdicts.isEmpty() || !isWatchingAll.value) return
-        val writers = watcherSelection.selected(peerIds)
+        if (verdicts.isEmpty() || !watcherRole.isWatchingAll.value) return
+        val writers = watcherRole.selected(peerIds)
         control.execute { rolloutStatusWriter.report(verdicts, writers, nowMillis) }
     }
 
