--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/GatewayStatus.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/GatewayStatus.kt
@@ -33,7 +33,8 @@
             "servers" to
                 mapOf(
                     "revision" to servers.revision,
-                    "stale" to servers.isStale,
+                    "watched" to !servers.isFollowingPeers,
+                    "stale" to (servers.isStale && !servers.isFollowingPeers),
                     "known" to servers.entries.keys.toList(),
                 ),
             "peers" to peerIds().toList(),
