Install the handlers of signals before any listener opens

SIGTERM in the same moment would have ended it without answering what it had accepted.

GatewayProcessTest has the case now.

--- a/e2e/src/test/kotlin/io/lavenderhinge/e2e/GatewayProcessTest.kt
+++ b/e2e/src/test/kotlin/io/lavenderhinge/e2e/GatewayProcessTest.kt
@@ -115,6 +115,9 @@
             rolloutStatus().orEmpty().contains(state)
         }
 
+    suspend fun answersReadinessChecks(): Boolean =
+        statusOrNull(TestHttpClient(loopback(readyPort)), "/readiness") != null
+
     suspend fun isReady(): Boolean =
         statusOrNull(TestHttpClient(loopback(readyPort)), "/readiness") == 200
 
@@ -220,6 +223,18 @@
             }
         }
 
+        // Guards against a signal that arrives before its handler is installed.
+        test("given SIGHUP as soon as a listener is open, then the gateway keeps running") {
+            GatewayProcess(tempdir().toPath()).use { gateway ->
+                awaitCondition("the gateway listens") { gateway.answersReadinessChecks() }
+
+                gateway.process.sendHangup()
+
+                gateway.publishConfiguration()
+                awaitCondition("the gateway is ready") { gateway.isReady() }
+            }
+        }
+
         test(
             "given a request in flight, when SIGTERM arrives, then it is answered before the exit"
         ) {
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/InstanceCommand.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/InstanceCommand.kt
@@ -59,10 +59,11 @@
     private fun runGateway() {
         val preboundListener = listen?.let(::prebindListener)
         val gateway = Gateway(valueOrExit(gatewaySettings()))
-        startOrExit { gateway.start(preboundListener) }
-        Runtime.getRuntime().addShutdownHook(Thread { gateway.shutdown() })
-        // The JVM terminates on SIGHUP unless a handler is installed.
+        // Signals may arrive as soon as a listener is open. Without these handlers, the JVM would
+        // terminate on SIGHUP, and on SIGTERM without answering the requests that it accepted.
         Signal.handle(Signal("HUP")) { gateway.reload(gatewaySettings()) }
+        Runtime.getRuntime().addShutdownHook(Thread { gateway.shutdown() })
+        startOrExit { gateway.start(preboundListener) }
     }
 
     private fun gatewaySettings() = GatewaySettingsParser.parse(config.readText(), "$config")
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
@@ -109,6 +109,7 @@
             loop.group,
             HttpHandler { OperatorHandler(status.view(), metrics.registry).handle(it) },
         )
+    @Volatile private var isStarted = false
     @Volatile private var isShuttingDown = false
 
     /**
@@ -118,6 +119,7 @@
     fun start(prebound: PreboundListener? = null) {
         readinessServer.start(socketAddress(settings.listen.ready))
         startClientServer(prebound)
+        isStarted = true
         operatorServer.start(socketAddress(settings.listen.operator))
         control.scope.launch {
             watcherRole.isWatchingAll.collectLatest { storeWatcher(watchesAll = it).run() }
@@ -176,6 +178,7 @@
      */
     fun shutdown() {
         log.info("gateway: {} shuts down", identity.id)
+        if (!isStarted) return
         val endMillis = loop.nowMillis() + settings.bounds.gracePeriodMillis - EXIT_RESERVE_MILLIS
         isShuttingDown = true
         members.stop()
