Log the prompt parts of requests that lost a server

The lines of lost requests named servers, routes and workspaces only, which cannot tell requests that end their servers by one prompt part from servers that end by themselves. ForwardingTest states the parts of such a request.

--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
@@ -43,7 +43,14 @@
     private var isAnswered = false
     private var usesTargetVersion = false
     private var failureResponse: AttemptResult.Response? = null
-    private val trace = RequestTrace(clientHeaders.requestId, route, admitted, arrivedMillis)
+    private val trace =
+        RequestTrace(
+            clientHeaders.requestId,
+            route,
+            admitted,
+            arrivedMillis,
+            clientHeaders.promptParts,
+        )
 
     /** Responds to the request, unless a stream broke that cannot be resumed. */
     suspend fun run() {
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestLog.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestLog.kt
@@ -23,6 +23,7 @@
             .addKeyValue("refusal", trace.refusal)
             .addKeyValue("failure", trace.failure)
             .addKeyValue("sends", trace.history)
+            .addKeyValue("lostParts", trace.lostPromptParts)
             .addKeyValue("millis", nowMillis - trace.arrivedMillis)
             .log("request: ended")
         metrics.requestEnded(trace, nowMillis)
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestTrace.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestTrace.kt
@@ -3,6 +3,7 @@
 import io.lavenderhinge.core.forwarding.Admission
 import io.lavenderhinge.core.forwarding.DispatchEffect
 import io.lavenderhinge.core.forwarding.ForwardRoute
+import io.lavenderhinge.core.forwarding.PromptPart
 
 /** Records the attempts and the outcome of one request for its log line. */
 internal class RequestTrace(
@@ -10,11 +11,13 @@
     val route: ForwardRoute,
     val admitted: Admission.Admitted,
     val arrivedMillis: Long,
+    private val promptParts: List<PromptPart>,
 ) {
     private val events = mutableListOf<String>()
     private var startedCount = 0
     private var endedCount = 0
     private var isDelivered = false
+    private var hasLostServer = false
 
     /** The selected service. */
     var service: String? = null
@@ -28,6 +31,13 @@
     /** Reason why no backend server response was delivered. */
     var failure: String? = null
 
+    /**
+     * The ids of the prompt parts if a backend server's response was lost, otherwise null. They
+     * tell whether the requests in flight at servers that ended have a part in common.
+     */
+    val lostPromptParts: String?
+        get() = if (hasLostServer) promptParts.joinToString(",") { it.id } else null
+
     /** True while an attempt is in progress. */
     val isInFlight: Boolean
         get() = startedCount > endedCount
@@ -63,7 +73,10 @@
             }
             is AttemptResult.Response -> events += "status ${result.status}"
             is AttemptResult.NotExecuted -> events += "not run: ${result.reason}"
-            is AttemptResult.OutcomeUnknown -> events += "lost: ${result.reason}"
+            is AttemptResult.OutcomeUnknown -> {
+                hasLostServer = true
+                events += "lost: ${result.reason}"
+            }
         }
     }
 
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ForwardingTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ForwardingTest.kt
@@ -292,6 +292,19 @@
             pairs["sends"].toString() shouldContain "slots free, 1 servers, 0 peers"
             pairs["sends"].toString() shouldContain "lost: the server closed the connection"
         }
+
+        // Guards against servers that end under one prompt part without a trace of that part.
+        test("given a request whose server ended, then its log line states its prompt parts") {
+            val lines = recordRequestLog()
+            val parts = mapOf("X-Lavenderhinge-Prompt-Prefix" to "a1:60,b2:100,c3:20")
+
+            withGateway(ScriptedBackendServer { SendAndClose("") }) {
+                it.call("/digest/1", body = "p", id = "x9", fields = parts)
+            }
+
+            val line = lines.list.single { "request=\"x9\"" in it.keyValuePairs.toString() }
+            line.keyValuePairs.single { it.key == "lostParts" }.value shouldBe "a1,b2,c3"
+        }
     })
 
 /** Returns the lines that the request log writes from now on. */
