--- /dev/null
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/CrashSimulation.kt
@@ -0,0 +1,210 @@
+package io.lavenderhinge.core.forwarding
+
+import kotlin.random.Random
+import kotlinx.collections.immutable.toImmutableList
+
+/** Request rates of a [CrashSimulation], summed over its instances. */
+internal class CrashTraffic(
+    val soundPerSecond: Double,
+    val crashingPerSecond: Double,
+    /** Period in which requests with the crashing part arrive. */
+    val crashingMillis: LongRange,
+    val untilMillis: Long,
+)
+
+/** What happened to the requests of a [CrashSimulation]. */
+internal class CrashResults {
+    /** Times at which requests with the crashing part reached a live server. */
+    val crashingSentMillis = mutableListOf<Long>()
+    /** Times at which servers crashed. */
+    val crashedMillis = mutableListOf<Long>()
+    /** For each sound request, its arrival and whether its first attempt began an answer. */
+    val soundBegan = mutableListOf<Pair<Long, Boolean>>()
+}
+
+/**
+ * Simulates instances whose servers crash when they begin to answer a prompt with the part
+ * [CRASHING_PART]. A crashed server is back after [RESTART_MILLIS] under a new id.
+ *
+ * Requests with that part share their other parts with sound ones. Both arrive at random instances
+ * and are sent twice at most.
+ */
+internal class CrashSimulation(
+    instanceCount: Int,
+    private val serverCount: Int,
+    private val reportMillis: Long,
+    private val random: Random,
+) {
+    private class LiveServer(val entry: ServerEntry) {
+        val inFlight = mutableListOf<Attempt>()
+    }
+
+    private class Attempt(
+        val instance: Int,
+        val request: DispatchRequest,
+        val isCrashing: Boolean,
+        val number: Int,
+    )
+
+    private val time = VirtualTime()
+    private val live = HashMap<String, LiveServer>()
+    private var listed = List(serverCount) { server("s$it-0", slots = SLOTS) }
+    private val waiting = HashMap<Long, Attempt>()
+    private val dispatchers = List(instanceCount) { Dispatcher("d", random = Random(it)) }
+    private val results = CrashResults()
+    private var lastRequestId = 0L
+    private var restarts = 0
+
+    /** Simulates [traffic] and returns what happened. */
+    fun run(traffic: CrashTraffic): CrashResults {
+        listed.forEach { live[it.id] = LiveServer(it) }
+        publishServers(nowMillis = 0)
+        arrivals(traffic.soundPerSecond, 0..traffic.untilMillis, isCrashing = false)
+        arrivals(traffic.crashingPerSecond, traffic.crashingMillis, isCrashing = true)
+        time.every(reportMillis, traffic.untilMillis, ::exchangeReports)
+        time.every(TICK_MILLIS, traffic.untilMillis) { now ->
+            dispatchers.forEachIndexed { instance, dispatcher ->
+                apply(instance, dispatcher.serveQueues(now), now)
+            }
+        }
+        time.run()
+        return results
+    }
+
+    private fun arrivals(perSecond: Double, period: LongRange, isCrashing: Boolean) {
+        var millis = period.first.toDouble()
+        while (millis < period.last) {
+            time.at(millis.toLong()) { arrive(isCrashing, it) }
+            millis += 2 * random.nextDouble() * 1_000 / perSecond
+        }
+    }
+
+    private fun arrive(isCrashing: Boolean, nowMillis: Long) {
+        val session = "session${random.nextInt(SESSIONS)}"
+        val own = "own${lastRequestId + 1}"
+        val ids = listOfNotNull("route", session, CRASHING_PART.takeIf { isCrashing }, own)
+        val request =
+            request(0, arrivedMillis = nowMillis)
+                .copy(promptParts = ids.map { PromptPart(it, tokens = 200) }.toImmutableList())
+        submit(Attempt(random.nextInt(dispatchers.size), request, isCrashing, 1), nowMillis)
+    }
+
+    private fun submit(attempt: Attempt, nowMillis: Long) {
+        val request = attempt.request.copy(id = ++lastRequestId)
+        waiting[request.id] = Attempt(attempt.instance, request, attempt.isCrashing, attempt.number)
+        val effects = dispatchers[attempt.instance].submit(request, nowMillis)
+        apply(attempt.instance, effects, nowMillis)
+    }
+
+    private fun apply(instance: Int, effects: List<DispatchEffect>, nowMillis: Long): Unit =
+        effects.forEach { effect ->
+            val attempt = waiting.remove(effect.requestId) ?: return@forEach
+            when (effect) {
+                is DispatchEffect.Refuse -> onBegan(attempt, false)
+                is DispatchEffect.Assign -> send(instance, attempt, effect.server, nowMillis)
+            }
+        }
+
+    private fun send(instance: Int, attempt: Attempt, entry: ServerEntry, nowMillis: Long) {
+        val server = live[entry.id]
+        if (server == null) {
+            finish(attempt, entry, ServerOutcome.Unreachable, nowMillis)
+            return submit(without(attempt, entry, attempt.number), nowMillis)
+        }
+        server.inFlight += attempt
+        if (attempt.isCrashing) results.crashingSentMillis += nowMillis
+        val durationMillis = if (attempt.isCrashing) CRASH_DELAY_MILLIS else HOLD_MILLIS
+        time.at(nowMillis + durationMillis) { end(server, attempt, it) }
+    }
+
+    private fun end(server: LiveServer, attempt: Attempt, nowMillis: Long) {
+        if (attempt !in server.inFlight) return
+        if (attempt.isCrashing) return crash(server, nowMillis)
+        server.inFlight -= attempt
+        val firstMillis = HOLD_MILLIS / 5.0
+        val outcome =
+            ServerOutcome.Answered(firstMillis, HOLD_MILLIS.toDouble(), PROMPT_TOKENS, events = 0)
+        onBegan(attempt, true)
+        finish(attempt, server.entry, outcome, nowMillis)
+    }
+
+    private fun crash(server: LiveServer, nowMillis: Long) {
+        results.crashedMillis += nowMillis
+        live.remove(server.entry.id)
+        val lost = server.inFlight.toList()
+        server.inFlight.clear()
+        lost.forEach { finish(it, server.entry, ServerOutcome.Failed, nowMillis) }
+        lost.forEach { attempt ->
+            onBegan(attempt, false)
+            if (attempt.number < MAX_ATTEMPTS) {
+                submit(without(attempt, server.entry, attempt.number + 1), nowMillis)
+            }
+        }
+        time.at(nowMillis + RESTART_MILLIS) { restart(server.entry, it) }
+    }
+
+    private fun without(attempt: Attempt, entry: ServerEntry, number: Int): Attempt {
+        val excluded = attempt.request.excludedServers.add(entry.id)
+        val request = attempt.request.copy(excludedServers = excluded)
+        return Attempt(attempt.instance, request, attempt.isCrashing, number)
+    }
+
+    private fun restart(old: ServerEntry, nowMillis: Long) {
+        val entry = server("${old.id.substringBefore('-')}-${++restarts}", slots = SLOTS)
+        live[entry.id] = LiveServer(entry)
+        listed = listed - old + entry
+        publishServers(nowMillis)
+    }
+
+    private fun publishServers(nowMillis: Long) =
+        dispatchers.forEachIndexed { instance, dispatcher ->
+            apply(instance, dispatcher.onServers(listed, nowMillis), nowMillis)
+        }
+
+    private fun finish(
+        attempt: Attempt,
+        entry: ServerEntry,
+        outcome: ServerOutcome,
+        nowMillis: Long,
+    ) {
+        val effects =
+            dispatchers[attempt.instance].onFinished(
+                entry,
+                outcome,
+                PROMPT_TOKENS,
+                promptPending = true,
+                nowMillis,
+                attempt.request.priority,
+            )
+        apply(attempt.instance, effects, nowMillis)
+    }
+
+    private fun onBegan(attempt: Attempt, began: Boolean) {
+        if (attempt.isCrashing || attempt.number > 1) return
+        results.soundBegan += attempt.request.arrivedMillis to began
+    }
+
+    private fun exchangeReports(nowMillis: Long) =
+        dispatchers.forEachIndexed { from, dispatcher ->
+            val report = dispatcher.report(nowMillis)
+            time.at(nowMillis + REPORT_DELAY_MILLIS) { now ->
+                dispatchers.forEachIndexed { to, peer ->
+                    if (to != from) apply(to, peer.onPeerReport("$from", report, now), now)
+                }
+            }
+        }
+
+    companion object {
+        /** The prompt part under which servers crash. */
+        const val CRASHING_PART = "crashing"
+        const val RESTART_MILLIS = 3_000L
+        const val SLOTS = 5
+        const val SESSIONS = 60
+        const val CRASH_DELAY_MILLIS = 60L
+        const val HOLD_MILLIS = 300L
+        const val PROMPT_TOKENS = 1_000.0
+        const val MAX_ATTEMPTS = 2
+        const val TICK_MILLIS = 10L
+        const val REPORT_DELAY_MILLIS = 20L
+    }
+}
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/LoadSimulation.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/LoadSimulation.kt
@@ -1,6 +1,5 @@
 package io.lavenderhinge.core.forwarding
 
-import java.util.PriorityQueue
 import kotlin.random.Random
 
 /** A server with [slots] slots that takes [slowness] times as long as a fast one. */
@@ -56,11 +55,9 @@
     /** Time between two reports of an instance, and until they arrive. */
     private val reportMillis: Long = 20L,
 ) {
-    private class Event(val atMillis: Long, val order: Long, val action: (Long) -> Unit)
-
     private class PendingRequest(val request: DispatchRequest, val traffic: SimulatedTraffic)
 
-    private val events = PriorityQueue(compareBy<Event>({ it.atMillis }, { it.order }))
+    private val time = VirtualTime()
     private val openRequests = HashMap<Long, PendingRequest>()
     private val results = mutableListOf<SimulatedResult>()
     private val entries = servers.map { server(it.id, slots = it.slots) }
@@ -68,25 +65,22 @@
         List(instanceCount) { number ->
             Dispatcher("d", random = Random(number)).apply { onServers(entries, nowMillis = 0) }
         }
-    private var order = 0L
+    private var lastRequestId = 0L
 
     /** Simulates [traffic] until [untilMillis] and returns the result of each request. */
     fun run(traffic: List<SimulatedTraffic>, untilMillis: Long, seed: Int): List<SimulatedResult> {
         val random = Random(seed)
         traffic.forEach { scheduleTraffic(it, random) }
-        for (millis in 0L until untilMillis step reportMillis) scheduleAt(millis, ::exchangeReports)
-        for (millis in 0L until untilMillis step TICK_MILLIS) scheduleAt(millis, ::advance)
-        while (events.isNotEmpty()) {
-            val event = events.remove()
-            event.action(event.atMillis)
-        }
+        time.every(reportMillis, untilMillis, ::exchangeReports)
+        time.every(TICK_MILLIS, untilMillis, ::advance)
+        time.run()
         return results
     }
 
     private fun scheduleTraffic(traffic: SimulatedTraffic, random: Random) {
         var millis = traffic.fromMillis.toDouble()
         while (millis < traffic.untilMillis) {
-            scheduleAt(millis.toLong()) { arrive(traffic, it) }
+            time.at(millis.toLong()) { arrive(traffic, it) }
             millis += 2 * random.nextDouble() * 1_000 / traffic.perSecond
         }
     }
@@ -95,7 +89,7 @@
         val work = traffic.work
         val request =
             request(
-                    ++order,
+                    ++lastRequestId,
                     traffic.priority,
                     arrivedMillis = nowMillis,
                     targetMillis = nowMillis + work.targetMillis,
@@ -128,7 +122,7 @@
                 firstMillis - pending.request.arrivedMillis,
                 nowMillis - pending.request.arrivedMillis,
             )
-        scheduleAt(run.last) { finishRequest(pending, entry, nowMillis, firstMillis, it) }
+        time.at(run.last) { finishRequest(pending, entry, nowMillis, firstMillis, it) }
     }
 
     private fun finishRequest(
@@ -160,7 +154,7 @@
     private fun exchangeReports(nowMillis: Long) =
         dispatchers.forEachIndexed { from, dispatcher ->
             val report = dispatcher.report(nowMillis)
-            scheduleAt(nowMillis + reportMillis) { millis ->
+            time.at(nowMillis + reportMillis) { millis ->
                 dispatchers.forEachIndexed { to, peer ->
                     if (to != from) apply(peer.onPeerReport("$from", report, millis), millis)
                 }
@@ -170,10 +164,6 @@
     private fun advance(nowMillis: Long) =
         dispatchers.forEach { dispatcher -> apply(dispatcher.serveQueues(nowMillis), nowMillis) }
 
-    private fun scheduleAt(millis: Long, action: (Long) -> Unit) {
-        events += Event(millis, ++order, action)
-    }
-
     companion object {
         const val TICK_MILLIS = 10L
     }
