--- a/instance/src/main/kotlin/io/lavenderhinge/instance/Instance.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/Instance.kt
@@ -30,6 +30,7 @@
 import io.lavenderhinge.instance.operator.StatusReport
 import io.lavenderhinge.instance.peer.GrpcPeerLinks
 import io.lavenderhinge.instance.peer.PeerIdentity
+import io.lavenderhinge.instance.quarantine.QuarantineService
 import io.lavenderhinge.instance.rollout.RolloutPorts
 import io.lavenderhinge.instance.rollout.RolloutService
 import io.lavenderhinge.instance.scheduling.HomeSlotService
@@ -95,6 +96,7 @@
             ),
             control,
         )
+    private val quarantine = QuarantineService(links, control, membership::liveInstances)
     private val services =
         RequestServices(
             selfId = identity.id,
@@ -103,6 +105,7 @@
             ledger = ledger,
             versionSelector = rollouts,
             serverOutcomes = health,
+            promptGuard = quarantine,
             metrics = RequestMetrics(meterRegistry),
             nowMillis = control::nowMillis,
         )
@@ -122,6 +125,7 @@
             health,
             slots,
             rollouts,
+            quarantine::parts,
             callerHandler::inFlightCount,
         )
     private val callerServer = HttpServer(eventLoops, callerHandler, httpLimits())
@@ -157,6 +161,7 @@
         slots.start()
         loadPoller.start()
         rollouts.start()
+        quarantine.start()
     }
 
     /**
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/caller/ModelRequestHandler.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/caller/ModelRequestHandler.kt
@@ -45,6 +45,8 @@
                 ?: return respondWithProblem(exchange, context, Problem.NO_ROUTE)
         val request = slotRequest(context, version, estimate)
         val writer = CompletionWriter.of(exchange, context, body)
+        if (isBlocked(request, estimate))
+            return respondWithProblem(exchange, context, Problem.PROMPT_QUARANTINED)
         repeat(MAX_DISPATCH_ATTEMPTS) { attempt ->
             val slot =
                 services.slots
@@ -55,20 +57,21 @@
                         },
                         { it },
                     )
+            // A part of the prompt may have been quarantined while the request was queued.
+            if (isBlocked(request, estimate)) {
+                slot.release()
+                return respondWithProblem(exchange, context, Problem.PROMPT_QUARANTINED)
+            }
             val dispatchAttempt =
-                DispatchAttempt(
-                    context,
-                    target,
-                    slot,
-                    writer,
-                    upstreamBody(body),
-                    estimate.promptTokens,
-                )
+                DispatchAttempt(context, target, slot, writer, upstreamBody(body), estimate)
             if (dispatchAttempt.execute() == AttemptOutcome.RESPONDED) return
         }
         respondWithProblem(exchange, context, Problem.NO_BACKEND_SERVER)
     }
 
+    private suspend fun isBlocked(request: SlotRequest, estimate: PromptEstimate): Boolean =
+        services.promptGuard.blockedPart(request.target.name, estimate.partIds) != null
+
     private fun slotRequest(context: RequestContext, version: String, estimate: PromptEstimate) =
         SlotRequest(
             requestId = context.attemptId,
@@ -84,9 +87,6 @@
             firstTokenDueMillis = context.receivedMillis + context.route.firstTokenMillis,
         )
 
-    private fun attempt(request: SlotRequest, attempt: Int) =
-        request.copy(requestId = "${request.requestId}.$attempt", attempt = attempt)
-
     /** Always requests a stream, to monitor progress and resume an interrupted response. */
     private fun upstreamBody(body: ObjectNode): ByteArray =
         Json.render(body.deepCopy().put("stream", true))
@@ -120,10 +120,11 @@
         private val slot: Slot,
         private val writer: CompletionWriter,
         private val body: ByteArray,
-        private val promptTokens: Int,
+        private val prompt: PromptEstimate,
     ) {
         private val timing = StreamTiming()
         private val version = slot.server.version
+        private val model = target.target.name
         private val engineAddress = socketAddress(slot.server.address)
 
         suspend fun execute(): AttemptOutcome {
@@ -200,8 +201,10 @@
                 }
                 is StreamOutcome.Failed ->
                     handleEngineFailure(FailureKind.SERVER_ERROR, ResultClass.SERVER_ERROR)
-                is StreamOutcome.Lost ->
+                is StreamOutcome.Lost -> {
+                    services.promptGuard.recordCrash(slot.server.id, model, prompt.partIds)
                     handleEngineFailure(FailureKind.CONNECTION_RESET, ResultClass.CONNECTION_FAILED)
+                }
             }
 
         private suspend fun handleCompletion(): AttemptOutcome {
@@ -210,6 +213,7 @@
             val firstTokenSinceArrivalMillis = writer.firstEventMillis - context.receivedMillis
             services.serverOutcomes.recordSuccess(slot.server.id, timing.firstTokenMillis)
             recordOutcome(RequestOutcome.Answered(timing.firstTokenMillis))
+            services.promptGuard.recordAnswer(model, prompt.partIds)
             val tier = context.route.tier
             services.metrics.recordFirstToken(tier, firstTokenSinceArrivalMillis)
             services.metrics.recordBetweenTokens(tier, timing.betweenTokensMicros)
@@ -246,7 +250,7 @@
         }
 
         private fun cancelAtEngine() {
-            services.metrics.recordWastedPrefill(context.route.tier, promptTokens)
+            services.metrics.recordWastedPrefill(context.route.tier, prompt.promptTokens)
             background.launch { HttpModelEngine(client, engineAddress).cancel(context.attemptId) }
         }
 
@@ -259,7 +263,7 @@
                     resultClass = result,
                     firstTokenMillis = timing.firstTokenMillis,
                     betweenTokensMicros = timing.betweenTokensMicros,
-                    promptTokens = promptTokens,
+                    promptTokens = prompt.promptTokens,
                     outputTokens = timing.eventCount,
                 )
             )
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/caller/Problem.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/caller/Problem.kt
@@ -50,6 +50,8 @@
     companion object {
         private const val MILLIS_PER_SECOND = 1_000L
         private const val RETRY_AFTER_MILLIS = 1_000L
+        /** A message stays in quarantine for minutes. */
+        private const val QUARANTINE_RETRY_MILLIS = 60_000L
 
         fun notRun(status: Int, code: String, remedy: String, retryAfterMillis: Long? = null) =
             Problem(status, code, remedy, ExecutionOutcome.NOT_RUN, retryAfterMillis)
@@ -115,6 +117,13 @@
                 "the request may have run; check before repeating",
             )
 
+        val PROMPT_QUARANTINED =
+            notRun(
+                HttpStatus.UNAVAILABLE,
+                "prompt-quarantined",
+                "change the prompt; a message before the last one crashes the model's engines",
+                QUARANTINE_RETRY_MILLIS,
+            )
         val NO_BACKEND_SERVER =
             notRun(
                 HttpStatus.UNAVAILABLE,
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/caller/PromptEstimate.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/caller/PromptEstimate.kt
@@ -1,15 +1,18 @@
 package io.lavenderhinge.instance.caller
 
 import com.fasterxml.jackson.databind.JsonNode
+import io.lavenderhinge.core.membership.RendezvousHash
 import io.lavenderhinge.core.scheduling.PREFIX_BLOCK_TOKENS
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.toImmutableList
 
-/** Estimated token counts and prefix hashes of a chat completion, as input for the scheduler. */
+/** Estimated token counts and hashes of a chat completion, as input for the scheduler. */
 internal data class PromptEstimate(
     val promptTokens: Int,
     val outputTokens: Int,
     val prefixHashes: ImmutableList<Long>,
+    /** A hash of each message in order; the last ones of a long conversation. */
+    val partIds: ImmutableList<String>,
 )
 
 /** Estimates from the message text; returns null if [body] is not a valid chat completion. */
@@ -24,9 +27,12 @@
         promptTokens = text.length / CHARACTERS_PER_TOKEN + 1,
         outputTokens = maxTokens.asInt(DEFAULT_OUTPUT_TOKENS),
         prefixHashes = prefixHashes(text),
+        partIds = texts.takeLast(MAX_PARTS).map(::partId).toImmutableList(),
     )
 }
 
+private fun partId(text: String): String = RendezvousHash.hash64(text).toString(HEXADECIMAL)
+
 /** Returns a hash for each complete leading block; each covers all preceding blocks too. */
 private fun prefixHashes(text: String): ImmutableList<Long> {
     val blockCharacters = PREFIX_BLOCK_TOKENS * CHARACTERS_PER_TOKEN
@@ -45,5 +51,7 @@
 private const val CHARACTERS_PER_TOKEN = 4
 private const val DEFAULT_OUTPUT_TOKENS = 256
 private const val MAX_PREFIX_BLOCKS = 64
+private const val MAX_PARTS = 64
+private const val HEXADECIMAL = 16
 private const val FNV_OFFSET = -3750763034362895579L
 private const val FNV_PRIME = 1099511628211L
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/caller/RequestServices.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/caller/RequestServices.kt
@@ -5,6 +5,7 @@
 import io.lavenderhinge.core.settings.RouteTable
 import io.lavenderhinge.instance.ledger.Ledger
 import io.lavenderhinge.instance.metrics.RequestMetrics
+import io.lavenderhinge.instance.quarantine.PromptGuard
 import io.lavenderhinge.instance.scheduling.SlotService
 
 /** Selects the version for each request and records outcomes by version. Thread-safe. */
@@ -33,6 +34,7 @@
     val ledger: Ledger,
     val versionSelector: VersionSelector,
     val serverOutcomes: ServerOutcomeRecorder,
+    val promptGuard: PromptGuard,
     val metrics: RequestMetrics,
     val nowMillis: () -> Long,
 )
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/operator/StatusReport.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/operator/StatusReport.kt
@@ -22,6 +22,7 @@
     private val health: HealthService,
     private val slots: HomeSlotService,
     private val rollouts: RolloutService,
+    private val quarantinedParts: () -> List<String>,
     private val inFlightCount: () -> Int,
 ) {
     /** Body of `/status`. */
@@ -40,6 +41,7 @@
                 "liveListFault" to membership.listFault(),
                 "backendServers" to health.states(),
                 "homes" to slots.homes(),
+                "quarantinedPromptParts" to quarantinedParts(),
                 "invariantViolations" to slots.invariantViolations,
             )
         }
--- /dev/null
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/quarantine/QuarantineService.kt
@@ -0,0 +1,105 @@
+package io.lavenderhinge.instance.quarantine
+
+import io.lavenderhinge.core.quarantine.CrashedRuns
+import io.lavenderhinge.core.quarantine.PromptQuarantine
+import io.lavenderhinge.core.quarantine.QuarantineDecision
+import io.lavenderhinge.instance.control.ControlThread
+import io.lavenderhinge.instance.peer.PeerLinks
+import io.lavenderhinge.protocol.v1.Frame
+import kotlinx.coroutines.withContext
+
+/** Keeps prompt parts that crash model engines away from them. Thread-safe. */
+internal interface PromptGuard {
+    /** Returns the id of a part that must not be sent to an engine of [model], or null. */
+    suspend fun blockedPart(model: String, partIds: List<String>): String?
+
+    /** Records that the engine [serverId] ended before it had answered a prompt. */
+    fun recordCrash(serverId: String, model: String, partIds: List<String>)
+
+    /** Records that an engine has answered a prompt completely. */
+    fun recordAnswer(model: String, partIds: List<String>)
+}
+
+/**
+ * Runs the quarantine of prompt parts on the control thread and exchanges its reports with the
+ * other live instances.
+ */
+internal class QuarantineService(
+    private val links: PeerLinks,
+    private val control: ControlThread,
+    private val liveInstances: () -> List<String>,
+) : PromptGuard {
+    private val quarantine = PromptQuarantine(control.random)
+    private val quarantineLog = QuarantineLog()
+    private val runs = CrashedRuns()
+
+    // Spares requests a change of threads while there is nothing to decide.
+    @Volatile private var isIdle = true
+
+    /** Hashes of the parts that this instance has quarantined, for the status page. */
+    val parts: List<String>
+        get() = quarantineLog.parts
+
+    /** Starts to receive and send reports. Call it on the control thread. */
+    fun start() {
+        quarantine.onChange = quarantineLog::onChange
+        links.onFrame { _, frame -> receive(frame) }
+        control.every(REPORT_MILLIS) { report() }
+    }
+
+    override suspend fun blockedPart(model: String, partIds: List<String>): String? {
+        if (isIdle) return null
+        return withContext(control.scope.coroutineContext) { decide(model, partIds) }
+    }
+
+    private fun decide(model: String, partIds: List<String>): String? {
+        val peerCount = peers().size
+        // An engine gets each request once, so no request has lost an engine before.
+        val decision =
+            quarantine.decide(model, partIds, hasLostServer = false, peerCount, control.nowMillis())
+        return when (decision) {
+            is QuarantineDecision.Admit -> null
+            is QuarantineDecision.Quarantined -> decision.partId
+            is QuarantineDecision.Suspected -> decision.partId
+        }
+    }
+
+    override fun recordCrash(serverId: String, model: String, partIds: List<String>) = update {
+        quarantine.onCrash(
+            runs.onCrash(serverId, control.nowMillis()),
+            model,
+            partIds,
+            control.nowMillis(),
+        )
+    }
+
+    override fun recordAnswer(model: String, partIds: List<String>) = update {
+        quarantine.onAnswered(model, partIds, control.nowMillis())
+    }
+
+    private fun receive(frame: Frame) {
+        if (frame.bodyCase != Frame.BodyCase.CRASH_OBSERVATIONS) return
+        quarantine.onPeerReport(frame.crashObservations.toReport(), control.nowMillis())
+        isIdle = quarantine.isIdle
+    }
+
+    private fun report() {
+        val report = quarantine.report(control.nowMillis())
+        isIdle = quarantine.isIdle
+        if (report == null) return
+        val frame = Frame.newBuilder().setCrashObservations(report.toMessage()).build()
+        peers().forEach { links.send(it, frame) }
+    }
+
+    private fun peers(): List<String> = liveInstances().filter { it != links.selfId }
+
+    private fun update(action: () -> Unit) =
+        control.execute {
+            action()
+            isIdle = quarantine.isIdle
+        }
+
+    private companion object {
+        const val REPORT_MILLIS = 100L
+    }
+}
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/Digest.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/Digest.java
@@ -51,7 +51,6 @@
             io.lavenderhinge.protocol.v1.Digest.class, io.lavenderhinge.protocol.v1.Digest.Builder.class);
   }
 
-  private int bitField0_;
   public static final int REVISIONS_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private java.util.List<io.lavenderhinge.protocol.v1.RevisionEntry> revisions_;
@@ -227,32 +226,6 @@
     return replyWanted_;
   }
 
-  public static final int CRASH_OBSERVATIONS_FIELD_NUMBER = 6;
-  private io.lavenderhinge.protocol.v1.CrashObservations crashObservations_;
-  /**
-   * <code>.lavenderhinge.v1.CrashObservations crash_observations = 6;</code>
-   * @return Whether the crashObservations field is set.
-   */
-  @java.lang.Override
-  public boolean hasCrashObservations() {
-    return ((bitField0_ & 0x00000001) != 0);
-  }
-  /**
-   * <code>.lavenderhinge.v1.CrashObservations crash_observations = 6;</code>
-   * @return The crashObservations.
-   */
-  @java.lang.Override
-  public io.lavenderhinge.protocol.v1.CrashObservations getCrashObservations() {
-    return crashObservations_ == null ? io.lavenderhinge.protocol.v1.CrashObservations.getDefaultInstance() : crashObservations_;
-  }
-  /**
-   * <code>.lavenderhinge.v1.CrashObservations crash_observations = 6;</code>
-   */
-  @java.lang.Override
-  public io.lavenderhinge.protocol.v1.CrashObservationsOrBuilder getCrashObservationsOrBuilder() {
-    return crashObservations_ == null ? io.lavenderhinge.protocol.v1.CrashObservations.getDefaultInstance() : crashObservations_;
-  }
-
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -282,9 +255,6 @@
     if (replyWanted_ != false) {
       output.writeBool(5, replyWanted_);
     }
-    if (((bitField0_ & 0x00000001) != 0)) {
-      output.writeMessage(6, getCrashObservations());
-    }
     getUnknownFields().writeTo(output);
   }
 
@@ -314,10 +284,6 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(5, replyWanted_);
     }
-    if (((bitField0_ & 0x00000001) != 0)) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(6, getCrashObservations());
-    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -343,11 +309,6 @@
         .equals(other.getServersList())) return false;
     if (getReplyWanted()
         != other.getReplyWanted()) return false;
-    if (hasCrashObservations() != other.hasCrashObservations()) return false;
-    if (hasCrashObservations()) {
-      if (!getCrashObservations()
-          .equals(other.getCrashObservations())) return false;
-    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -378,10 +339,6 @@
     hash = (37 * hash) + REPLY_WANTED_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getReplyWanted());
-    if (hasCrashObservations()) {
-      hash = (37 * hash) + CRASH_OBSERVATIONS_FIELD_NUMBER;
-      hash = (53 * hash) + getCrashObservations().hashCode();
-    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -505,23 +462,13 @@
 
     // Construct using io.lavenderhinge.protocol.v1.Digest.newBuilder()
     private Builder() {
-      maybeForceBuilderInitialization();
+
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-      maybeForceBuilderInitialization();
-    }
-    private void maybeForceBuilderInitialization() {
-      if (com.google.protobuf.GeneratedMessage
-              .alwaysUseFieldBuilders) {
-        internalGetRevisionsFieldBuilder();
-        internalGetHeartbeatsFieldBuilder();
-        internalGetStopFlagsFieldBuilder();
-        internalGetServersFieldBuilder();
-        internalGetCrashObservationsFieldBuilder();
-      }
+
     }
     @java.lang.Override
     public Builder clear() {
@@ -556,11 +503,6 @@
       }
       bitField0_ = (bitField0_ & ~0x00000008);
       replyWanted_ = false;
-      crashObservations_ = null;
-      if (crashObservationsBuilder_ != null) {
-        crashObservationsBuilder_.dispose();
-        crashObservationsBuilder_ = null;
-      }
       return this;
     }
 
@@ -637,14 +579,6 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.replyWanted_ = replyWanted_;
       }
-      int to_bitField0_ = 0;
-      if (((from_bitField0_ & 0x00000020) != 0)) {
-        result.crashObservations_ = crashObservationsBuilder_ == null
-            ? crashObservations_
-            : crashObservationsBuilder_.build();
-        to_bitField0_ |= 0x00000001;
-      }
-      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -766,9 +700,6 @@
       if (other.getReplyWanted() != false) {
         setReplyWanted(other.getReplyWanted());
       }
-      if (other.hasCrashObservations()) {
-        mergeCrashObservations(other.getCrashObservations());
-      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -852,13 +783,6 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
-            case 50: {
-              input.readMessage(
-                  internalGetCrashObservationsFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bitField0_ |= 0x00000020;
-              break;
-            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1868,127 +1792,6 @@
       return this;
     }
 
-    private io.lavenderhinge.protocol.v1.CrashObservations crashObservations_;
-    private com.google.protobuf.SingleFieldBuilder<
-        io.lavenderhinge.protocol.v1.CrashObservations, io.lavenderhinge.protocol.v1.CrashObservations.Builder, io.lavenderhinge.protocol.v1.CrashObservationsOrBuilder> crashObservationsBuilder_;
-    /**
-     * <code>.lavenderhinge.v1.CrashObservations crash_observations = 6;</code>
-     * @return Whether the crashObservations field is set.
-     */
-    public boolean hasCrashObservations() {
-      return ((bitField0_ & 0x00000020) != 0);
-    }
-    /**
-     * <code>.lavenderhinge.v1.CrashObservations crash_observations = 6;</code>
-     * @return The crashObservations.
-     */
-    public io.lavenderhinge.protocol.v1.CrashObservations getCrashObservations() {
-      if (crashObservationsBuilder_ == null) {
-        return crashObservations_ == null ? io.lavenderhinge.protocol.v1.CrashObservations.getDefaultInstance() : crashObservations_;
-      } else {
-        return crashObservationsBuilder_.getMessage();
-      }
-    }
-    /**
-     * <code>.lavenderhinge.v1.CrashObservations crash_observations = 6;</code>
-     */
-    public Builder setCrashObservations(io.lavenderhinge.protocol.v1.CrashObservations value) {
-      if (crashObservationsBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        crashObservations_ = value;
-      } else {
-        crashObservationsBuilder_.setMessage(value);
-      }
-      bitField0_ |= 0x00000020;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>.lavenderhinge.v1.CrashObservations crash_observations = 6;</code>
-     */
-    public Builder setCrashObservations(
-        io.lavenderhinge.protocol.v1.CrashObservations.Builder builderForValue) {
-      if (crashObservationsBuilder_ == null) {
-        crashObservations_ = builderForValue.build();
-      } else {
-        crashObservationsBuilder_.setMessage(builderForValue.build());
-      }
-      bitField0_ |= 0x00000020;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>.lavenderhinge.v1.CrashObservations crash_observations = 6;</code>
-     */
-    public Builder mergeCrashObservations(io.lavenderhinge.protocol.v1.CrashObservations value) {
-      if (crashObservationsBuilder_ == null) {
-        if (((bitField0_ & 0x00000020) != 0) &&
-          crashObservations_ != null &&
-          crashObservations_ != io.lavenderhinge.protocol.v1.CrashObservations.getDefaultInstance()) {
-          getCrashObservationsBuilder().mergeFrom(value);
-        } else {
-          crashObservations_ = value;
-        }
-      } else {
-        crashObservationsBuilder_.mergeFrom(value);
-      }
-      if (crashObservations_ != null) {
-        bitField0_ |= 0x00000020;
-        onChanged();
-      }
-      return this;
-    }
-    /**
-     * <code>.lavenderhinge.v1.CrashObservations crash_observations = 6;</code>
-     */
-    public Builder clearCrashObservations() {
-      bitField0_ = (bitField0_ & ~0x00000020);
-      crashObservations_ = null;
-      if (crashObservationsBuilder_ != null) {
-        crashObservationsBuilder_.dispose();
-        crashObservationsBuilder_ = null;
-      }
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>.lavenderhinge.v1.CrashObservations crash_observations = 6;</code>
-     */
-    public io.lavenderhinge.protocol.v1.CrashObservations.Builder getCrashObservationsBuilder() {
-      bitField0_ |= 0x00000020;
-      onChanged();
-      return internalGetCrashObservationsFieldBuilder().getBuilder();
-    }
-    /**
-     * <code>.lavenderhinge.v1.CrashObservations crash_observations = 6;</code>
-     */
-    public io.lavenderhinge.protocol.v1.CrashObservationsOrBuilder getCrashObservationsOrBuilder() {
-      if (crashObservationsBuilder_ != null) {
-        return crashObservationsBuilder_.getMessageOrBuilder();
-      } else {
-        return crashObservations_ == null ?
-            io.lavenderhinge.protocol.v1.CrashObservations.getDefaultInstance() : crashObservations_;
-      }
-    }
-    /**
-     * <code>.lavenderhinge.v1.CrashObservations crash_observations = 6;</code>
-     */
-    private com.google.protobuf.SingleFieldBuilder<
-        io.lavenderhinge.protocol.v1.CrashObservations, io.lavenderhinge.protocol.v1.CrashObservations.Builder, io.lavenderhinge.protocol.v1.CrashObservationsOrBuilder> 
-        internalGetCrashObservationsFieldBuilder() {
-      if (crashObservationsBuilder_ == null) {
-        crashObservationsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            io.lavenderhinge.protocol.v1.CrashObservations, io.lavenderhinge.protocol.v1.CrashObservations.Builder, io.lavenderhinge.protocol.v1.CrashObservationsOrBuilder>(
-                getCrashObservations(),
-                getParentForChildren(),
-                isClean());
-        crashObservations_ = null;
-      }
-      return crashObservationsBuilder_;
-    }
-
     // @@protoc_insertion_point(builder_scope:lavenderhinge.v1.Digest)
   }
 
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/DigestOrBuilder.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/DigestOrBuilder.java
@@ -111,19 +111,4 @@
    * @return The replyWanted.
    */
   boolean getReplyWanted();
-
-  /**
-   * <code>.lavenderhinge.v1.CrashObservations crash_observations = 6;</code>
-   * @return Whether the crashObservations field is set.
-   */
-  boolean hasCrashObservations();
-  /**
-   * <code>.lavenderhinge.v1.CrashObservations crash_observations = 6;</code>
-   * @return The crashObservations.
-   */
-  io.lavenderhinge.protocol.v1.CrashObservations getCrashObservations();
-  /**
-   * <code>.lavenderhinge.v1.CrashObservations crash_observations = 6;</code>
-   */
-  io.lavenderhinge.protocol.v1.CrashObservationsOrBuilder getCrashObservationsOrBuilder();
 }
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/Frame.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/Frame.java
@@ -65,6 +65,7 @@
     MEMBER_LIST(15),
     STATE_REQUEST(16),
     STATE_COPY(17),
+    CRASH_OBSERVATIONS(18),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -98,6 +99,7 @@
         case 15: return MEMBER_LIST;
         case 16: return STATE_REQUEST;
         case 17: return STATE_COPY;
+        case 18: return CRASH_OBSERVATIONS;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -620,6 +622,37 @@
     return io.lavenderhinge.protocol.v1.StateCopy.getDefaultInstance();
   }
 
+  public static final int CRASH_OBSERVATIONS_FIELD_NUMBER = 18;
+  /**
+   * <code>.lavenderhinge.v1.CrashObservations crash_observations = 18;</code>
+   * @return Whether the crashObservations field is set.
+   */
+  @java.lang.Override
+  public boolean hasCrashObservations() {
+    return bodyCase_ == 18;
+  }
+  /**
+   * <code>.lavenderhinge.v1.CrashObservations crash_observations = 18;</code>
+   * @return The crashObservations.
+   */
+  @java.lang.Override
+  public io.lavenderhinge.protocol.v1.CrashObservations getCrashObservations() {
+    if (bodyCase_ == 18) {
+       return (io.lavenderhinge.protocol.v1.CrashObservations) body_;
+    }
+    return io.lavenderhinge.protocol.v1.CrashObservations.getDefaultInstance();
+  }
+  /**
+   * <code>.lavenderhinge.v1.CrashObservations crash_observations = 18;</code>
+   */
+  @java.lang.Override
+  public io.lavenderhinge.protocol.v1.CrashObservationsOrBuilder getCrashObservationsOrBuilder() {
+    if (bodyCase_ == 18) {
+       return (io.lavenderhinge.protocol.v1.CrashObservations) body_;
+    }
+    return io.lavenderhinge.protocol.v1.CrashObservations.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -685,6 +718,9 @@
     if (bodyCase_ == 17) {
       output.writeMessage(17, (io.lavenderhinge.protocol.v1.StateCopy) body_);
     }
+    if (bodyCase_ == 18) {
+      output.writeMessage(18, (io.lavenderhinge.protocol.v1.CrashObservations) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -762,6 +798,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(17, (io.lavenderhinge.protocol.v1.StateCopy) body_);
     }
+    if (bodyCase_ == 18) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(18, (io.lavenderhinge.protocol.v1.CrashObservations) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -845,6 +885,10 @@
         if (!getStateCopy()
             .equals(other.getStateCopy())) return false;
         break;
+      case 18:
+        if (!getCrashObservations()
+            .equals(other.getCrashObservations())) return false;
+        break;
       case 0:
       default:
     }
@@ -926,6 +970,10 @@
         hash = (37 * hash) + STATE_COPY_FIELD_NUMBER;
         hash = (53 * hash) + getStateCopy().hashCode();
         break;
+      case 18:
+        hash = (37 * hash) + CRASH_OBSERVATIONS_FIELD_NUMBER;
+        hash = (53 * hash) + getCrashObservations().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1109,6 +1157,9 @@
       if (stateCopyBuilder_ != null) {
         stateCopyBuilder_.clear();
       }
+      if (crashObservationsBuilder_ != null) {
+        crashObservationsBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1217,6 +1268,10 @@
           stateCopyBuilder_ != null) {
         result.body_ = stateCopyBuilder_.build();
       }
+      if (bodyCase_ == 18 &&
+          crashObservationsBuilder_ != null) {
+        result.body_ = crashObservationsBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1299,6 +1354,10 @@
           mergeStateCopy(other.getStateCopy());
           break;
         }
+        case CRASH_OBSERVATIONS: {
+          mergeCrashObservations(other.getCrashObservations());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1446,6 +1505,13 @@
               bodyCase_ = 17;
               break;
             } // case 138
+            case 146: {
+              input.readMessage(
+                  internalGetCrashObservationsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 18;
+              break;
+            } // case 146
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3782,6 +3848,148 @@
       return stateCopyBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        io.lavenderhinge.protocol.v1.CrashObservations, io.lavenderhinge.protocol.v1.CrashObservations.Builder, io.lavenderhinge.protocol.v1.CrashObservationsOrBuilder> crashObservationsBuilder_;
+    /**
+     * <code>.lavenderhinge.v1.CrashObservations crash_observations = 18;</code>
+     * @return Whether the crashObservations field is set.
+     */
+    @java.lang.Override
+    public boolean hasCrashObservations() {
+      return bodyCase_ == 18;
+    }
+    /**
+     * <code>.lavenderhinge.v1.CrashObservations crash_observations = 18;</code>
+     * @return The crashObservations.
+     */
+    @java.lang.Override
+    public io.lavenderhinge.protocol.v1.CrashObservations getCrashObservations() {
+      if (crashObservationsBuilder_ == null) {
+        if (bodyCase_ == 18) {
+          return (io.lavenderhinge.protocol.v1.CrashObservations) body_;
+        }
+        return io.lavenderhinge.protocol.v1.CrashObservations.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 18) {
+          return crashObservationsBuilder_.getMessage();
+        }
+        return io.lavenderhinge.protocol.v1.CrashObservations.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.lavenderhinge.v1.CrashObservations crash_observations = 18;</code>
+     */
+    public Builder setCrashObservations(io.lavenderhinge.protocol.v1.CrashObservations value) {
+      if (crashObservationsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        crashObservationsBuilder_.setMessage(value);
+      }
+      bodyCase_ = 18;
+      return this;
+    }
+    /**
+     * <code>.lavenderhinge.v1.CrashObservations crash_observations = 18;</code>
+     */
+    public Builder setCrashObservations(
+        io.lavenderhinge.protocol.v1.CrashObservations.Builder builderForValue) {
+      if (crashObservationsBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        crashObservationsBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 18;
+      return this;
+    }
+    /**
+     * <code>.lavenderhinge.v1.CrashObservations crash_observations = 18;</code>
+     */
+    public Builder mergeCrashObservations(io.lavenderhinge.protocol.v1.CrashObservations value) {
+      if (crashObservationsBuilder_ == null) {
+        if (bodyCase_ == 18 &&
+            body_ != io.lavenderhinge.protocol.v1.CrashObservations.getDefaultInstance()) {
+          body_ = io.lavenderhinge.protocol.v1.CrashObservations.newBuilder((io.lavenderhinge.protocol.v1.CrashObservations) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 18) {
+          crashObservationsBuilder_.mergeFrom(value);
+        } else {
+          crashObservationsBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 18;
+      return this;
+    }
+    /**
+     * <code>.lavenderhinge.v1.CrashObservations crash_observations = 18;</code>
+     */
+    public Builder clearCrashObservations() {
+      if (crashObservationsBuilder_ == null) {
+        if (bodyCase_ == 18) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 18) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        crashObservationsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.lavenderhinge.v1.CrashObservations crash_observations = 18;</code>
+     */
+    public io.lavenderhinge.protocol.v1.CrashObservations.Builder getCrashObservationsBuilder() {
+      return internalGetCrashObservationsFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.lavenderhinge.v1.CrashObservations crash_observations = 18;</code>
+     */
+    @java.lang.Override
+    public io.lavenderhinge.protocol.v1.CrashObservationsOrBuilder getCrashObservationsOrBuilder() {
+      if ((bodyCase_ == 18) && (crashObservationsBuilder_ != null)) {
+        return crashObservationsBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 18) {
+          return (io.lavenderhinge.protocol.v1.CrashObservations) body_;
+        }
+        return io.lavenderhinge.protocol.v1.CrashObservations.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.lavenderhinge.v1.CrashObservations crash_observations = 18;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.lavenderhinge.protocol.v1.CrashObservations, io.lavenderhinge.protocol.v1.CrashObservations.Builder, io.lavenderhinge.protocol.v1.CrashObservationsOrBuilder> 
+        internalGetCrashObservationsFieldBuilder() {
+      if (crashObservationsBuilder_ == null) {
+        if (!(bodyCase_ == 18)) {
+          body_ = io.lavenderhinge.protocol.v1.CrashObservations.getDefaultInstance();
+        }
+        crashObservationsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.lavenderhinge.protocol.v1.CrashObservations, io.lavenderhinge.protocol.v1.CrashObservations.Builder, io.lavenderhinge.protocol.v1.CrashObservationsOrBuilder>(
+                (io.lavenderhinge.protocol.v1.CrashObservations) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 18;
+      onChanged();
+      return crashObservationsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:lavenderhinge.v1.Frame)
   }
 
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/FrameOrBuilder.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/FrameOrBuilder.java
@@ -256,5 +256,20 @@
    */
   io.lavenderhinge.protocol.v1.StateCopyOrBuilder getStateCopyOrBuilder();
 
+  /**
+   * <code>.lavenderhinge.v1.CrashObservations crash_observations = 18;</code>
+   * @return Whether the crashObservations field is set.
+   */
+  boolean hasCrashObservations();
+  /**
+   * <code>.lavenderhinge.v1.CrashObservations crash_observations = 18;</code>
+   * @return The crashObservations.
+   */
+  io.lavenderhinge.protocol.v1.CrashObservations getCrashObservations();
+  /**
+   * <code>.lavenderhinge.v1.CrashObservations crash_observations = 18;</code>
+   */
+  io.lavenderhinge.protocol.v1.CrashObservationsOrBuilder getCrashObservationsOrBuilder();
+
   io.lavenderhinge.protocol.v1.Frame.BodyCase getBodyCase();
 }
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/PeerOuterClass.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/PeerOuterClass.java
@@ -220,7 +220,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\020lavenderhinge.v1\"\241\006\n\005Frame" +
+      "\n\npeer.proto\022\020lavenderhinge.v1\"\344\006\n\005Frame" +
       "\022\030\n\020protocol_version\030\001 \001(\r\022(\n\005hello\030\002 \001(" +
       "\0132\027.lavenderhinge.v1.HelloH\000\022$\n\003ask\030\003 \001(" +
       "\0132\025.lavenderhinge.v1.AskH\000\022(\n\005grant\030\004 \001(" +
@@ -240,164 +240,164 @@
       "\030\017 \001(\0132\034.lavenderhinge.v1.MemberListH\000\0227" +
       "\n\rstate_request\030\020 \001(\0132\036.lavenderhinge.v1" +
       ".StateRequestH\000\0221\n\nstate_copy\030\021 \001(\0132\033.la" +
-      "venderhinge.v1.StateCopyH\000B\006\n\004body\"U\n\005He" +
-      "llo\022\023\n\013instance_id\030\001 \001(\t\022\026\n\016failure_doma" +
-      "in\030\002 \001(\t\022\016\n\006region\030\003 \001(\t\022\017\n\007leaving\030\004 \001(" +
-      "\010\"\352\002\n\003Ask\022\022\n\nrequest_id\030\001 \001(\t\022\021\n\tserver_" +
-      "id\030\002 \001(\t\022\r\n\005model\030\003 \001(\t\022\017\n\007version\030\004 \001(\t" +
-      "\022$\n\004tier\030\005 \001(\0162\026.lavenderhinge.v1.Tier\022\021" +
-      "\n\tworkspace\030\006 \001(\t\022\016\n\006weight\030\007 \001(\001\022\025\n\rpro" +
-      "mpt_tokens\030\010 \001(\r\022\025\n\routput_tokens\030\t \001(\r\022" +
-      "\025\n\rprefix_hashes\030\n \003(\006\022\034\n\024deadline_left_" +
-      "millis\030\013 \001(\r\022\022\n\nin_service\030\014 \001(\010\022\032\n\022pree" +
-      "mpt_lower_tier\030\r \001(\010\022$\n\027first_token_left" +
-      "_millis\030\016 \001(\rH\000\210\001\001B\032\n\030_first_token_left_" +
-      "millis\"L\n\005Grant\022\022\n\nrequest_id\030\001 \001(\t\022\021\n\ts" +
-      "erver_id\030\002 \001(\t\022\034\n\024cached_prefix_tokens\030\003" +
-      " \001(\r\"M\n\006Queued\022\022\n\nrequest_id\030\001 \001(\t\022\021\n\tse" +
-      "rver_id\030\002 \001(\t\022\034\n\024expected_wait_millis\030\003 " +
-      "\001(\r\"\227\001\n\006Refuse\022\022\n\nrequest_id\030\001 \001(\t\022\021\n\tse" +
-      "rver_id\030\002 \001(\t\022.\n\006reason\030\003 \001(\0162\036.lavender" +
-      "hinge.v1.RefuseReason\022\034\n\024expected_wait_m" +
-      "illis\030\004 \001(\r\022\030\n\020lower_tier_count\030\005 \001(\r\"0\n" +
-      "\007Release\022\022\n\nrequest_id\030\001 \001(\t\022\021\n\tserver_i" +
-      "d\030\002 \001(\t\"\305\001\n\004Done\022\022\n\nrequest_id\030\001 \001(\t\022\021\n\t" +
-      "server_id\030\002 \001(\t\022-\n\006result\030\003 \001(\0162\035.lavend" +
-      "erhinge.v1.ResultClass\022\032\n\022first_token_mi" +
-      "llis\030\004 \001(\r\022\035\n\025between_tokens_micros\030\005 \001(" +
-      "\r\022\025\n\rprompt_tokens\030\006 \001(\r\022\025\n\routput_token" +
-      "s\030\007 \001(\r\"0\n\007Preempt\022\022\n\nrequest_id\030\001 \001(\t\022\021" +
-      "\n\tserver_id\030\002 \001(\t\"\210\002\n\rLedgerRequest\022\017\n\007c" +
-      "all_id\030\001 \001(\004\0224\n\toperation\030\002 \001(\0162!.lavend" +
-      "erhinge.v1.LedgerOperation\022\r\n\005shard\030\003 \001(" +
-      "\r\022\013\n\003key\030\004 \001(\t\022\027\n\017key_time_millis\030\005 \001(\004\022" +
-      "\021\n\tbody_hash\030\006 \001(\t\022\022\n\nattempt_id\030\007 \001(\t\022\020" +
-      "\n\010entry_id\030\010 \001(\t\022(\n\006answer\030\t \001(\0132\030.laven" +
-      "derhinge.v1.Answer\022\030\n\020retention_millis\030\n" +
-      " \001(\004\"\245\001\n\013LedgerReply\022\017\n\007call_id\030\001 \001(\004\0220\n" +
-      "\007outcome\030\002 \001(\0162\037.lavenderhinge.v1.Ledger" +
-      "Outcome\022(\n\006answer\030\003 \001(\0132\030.lavenderhinge." +
-      "v1.Answer\022\016\n\006detail\030\004 \001(\t\022\031\n\021expires_at_" +
-      "millis\030\005 \001(\004\"<\n\006Answer\022\016\n\006status\030\001 \001(\r\022\024" +
-      "\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"/\n\rRe" +
-      "visionEntry\022\014\n\004team\030\001 \001(\t\022\020\n\010revision\030\002 " +
-      "\001(\004\"\200\001\n\tHeartbeat\022\023\n\013instance_id\030\001 \001(\t\022\023" +
-      "\n\013incarnation\030\002 \001(\004\022\017\n\007counter\030\003 \001(\004\022\017\n\007" +
-      "leaving\030\004 \001(\010\022\017\n\007address\030\005 \001(\t\022\026\n\016failur" +
-      "e_domain\030\006 \001(\t\"\230\001\n\rServerSummary\022\021\n\tserv" +
-      "er_id\030\001 \001(\t\022\034\n\024expected_wait_millis\030\002 \001(" +
-      "\r\022\022\n\nfree_slots\030\003 \001(\r\0220\n\020lowest_open_tie" +
-      "r\030\004 \001(\0162\026.lavenderhinge.v1.Tier\022\020\n\010seque" +
-      "nce\030\005 \001(\004\"\337\001\n\006Member\022\n\n\002id\030\001 \001(\t\022*\n\004kind" +
-      "\030\002 \001(\0162\034.lavenderhinge.v1.MemberKind\022\017\n\007" +
-      "address\030\003 \001(\t\022\026\n\016failure_domain\030\004 \001(\t\022\016\n" +
-      "\006region\030\005 \001(\t\022\017\n\007leaving\030\006 \001(\010\022\016\n\006serves" +
-      "\030\007 \001(\t\022\017\n\007version\030\010 \001(\t\022\033\n\023hardware_gene" +
-      "ration\030\t \001(\r\022\025\n\rchecks_orders\030\n \001(\010\"G\n\nM" +
-      "emberList\022\016\n\006wanted\030\001 \001(\010\022)\n\007members\030\002 \003" +
-      "(\0132\030.lavenderhinge.v1.Member\"Q\n\010StopFlag" +
-      "\022\016\n\006target\030\001 \001(\t\022\017\n\007version\030\002 \001(\t\022\022\n\nrol" +
-      "lout_id\030\003 \001(\t\022\020\n\010evidence\030\004 \001(\t\"\246\002\n\006Dige" +
-      "st\0222\n\trevisions\030\001 \003(\0132\037.lavenderhinge.v1" +
-      ".RevisionEntry\022/\n\nheartbeats\030\002 \003(\0132\033.lav" +
-      "enderhinge.v1.Heartbeat\022.\n\nstop_flags\030\003 " +
-      "\003(\0132\032.lavenderhinge.v1.StopFlag\0220\n\007serve" +
-      "rs\030\004 \003(\0132\037.lavenderhinge.v1.ServerSummar" +
-      "y\022\024\n\014reply_wanted\030\005 \001(\010\022?\n\022crash_observa" +
-      "tions\030\006 \001(\0132#.lavenderhinge.v1.CrashObse" +
-      "rvations\"<\n\014TeamSettings\022\014\n\004team\030\001 \001(\t\022\020" +
-      "\n\010revision\030\002 \001(\004\022\014\n\004text\030\003 \001(\t\"\177\n\005Delta\022" +
-      "0\n\010settings\030\001 \003(\0132\036.lavenderhinge.v1.Tea" +
-      "mSettings\022\024\n\014wanted_teams\030\002 \003(\t\022.\n\nstop_" +
-      "flags\030\003 \003(\0132\032.lavenderhinge.v1.StopFlag\"" +
-      "\\\n\nRouteCount\022\r\n\005route\030\001 \001(\t\022\017\n\007version\030" +
-      "\002 \001(\t\022\020\n\010requests\030\003 \001(\004\022\016\n\006errors\030\004 \001(\004\022" +
-      "\014\n\004slow\030\005 \001(\004\"s\n\014VersionStats\022\022\n\nrollout" +
-      "_id\030\001 \001(\t\022\014\n\004step\030\002 \001(\r\022\023\n\013instance_id\030\003" +
-      " \001(\t\022,\n\006counts\030\004 \003(\0132\034.lavenderhinge.v1." +
-      "RouteCount\"I\n\tServerUse\022\021\n\tserver_id\030\001 \001" +
-      "(\t\022\021\n\tin_flight\030\002 \001(\r\022\026\n\016pending_tokens\030" +
-      "\003 \001(\001\"n\n\013QueueLength\022\017\n\007service\030\001 \001(\t\022\020\n" +
-      "\010priority\030\002 \001(\005\022\017\n\007waiting\030\003 \001(\r\022\030\n\020head" +
-      "_wait_millis\030\004 \001(\003\022\021\n\thead_late\030\005 \001(\010\":\n" +
-      "\021WorkspaceSpending\022\021\n\tworkspace\030\001 \001(\t\022\022\n" +
-      "\ntotal_cost\030\002 \001(\001\"\304\003\n\nLoadReport\022\023\n\013inst" +
-      "ance_id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\020\n\010se" +
-      "quence\030\003 \001(\004\022\n\n\002ip\030\004 \001(\t\022\021\n\tpeer_port\030\005 " +
-      "\001(\r\022,\n\007servers\030\006 \003(\0132\033.lavenderhinge.v1." +
-      "ServerUse\022-\n\006queues\030\007 \003(\0132\035.lavenderhing" +
-      "e.v1.QueueLength\0227\n\nworkspaces\030\010 \003(\0132#.l" +
-      "avenderhinge.v1.WorkspaceSpending\022\035\n\025con" +
-      "figuration_version\030\t \001(\003\022\027\n\017server_revis" +
-      "ion\030\n \001(\003\0223\n\010rollouts\030\013 \003(\0132!.lavenderhi" +
-      "nge.v1.RolloutProgress\022\027\n\017watches_server" +
-      "s\030\014 \001(\010\022?\n\022crash_observations\030\r \001(\0132#.la" +
-      "venderhinge.v1.CrashObservations\"6\n\tServ" +
-      "erRun\022\021\n\tserver_id\030\001 \001(\t\022\026\n\016started_mill" +
-      "is\030\002 \001(\003\"p\n\rObservedCrash\022(\n\003run\030\001 \001(\0132\033" +
-      ".lavenderhinge.v1.ServerRun\022\017\n\007service\030\002" +
-      " \001(\t\022\022\n\nage_millis\030\003 \001(\003\022\020\n\010suspects\030\004 \003" +
-      "(\006\"3\n\017PartObservation\022\014\n\004part\030\001 \001(\006\022\022\n\na" +
-      "ge_millis\030\002 \001(\003\"\336\001\n\021CrashObservations\0220\n" +
-      "\007crashes\030\001 \003(\0132\037.lavenderhinge.v1.Observ" +
-      "edCrash\0223\n\010answered\030\002 \003(\0132!.lavenderhing" +
-      "e.v1.PartObservation\0226\n\013quarantined\030\003 \003(" +
-      "\0132!.lavenderhinge.v1.PartObservation\022*\n\005" +
-      "alive\030\004 \003(\0132\033.lavenderhinge.v1.ServerRun" +
-      "\"\306\001\n\017RolloutProgress\022\017\n\007service\030\001 \001(\t\022\026\n" +
-      "\016order_revision\030\002 \001(\003\022-\n\005stage\030\003 \001(\0162\036.l" +
-      "avenderhinge.v1.RolloutStage\022\026\n\016elapsed_" +
-      "millis\030\004 \001(\003\022\025\n\rold_in_flight\030\005 \001(\005\022,\n\006r" +
-      "outes\030\006 \003(\0132\034.lavenderhinge.v1.RouteTall" +
-      "y\"\205\001\n\nRouteTally\022\r\n\005route\030\001 \001(\t\0223\n\013old_v" +
-      "ersion\030\002 \001(\0132\036.lavenderhinge.v1.VersionT" +
-      "ally\0223\n\013new_version\030\003 \001(\0132\036.lavenderhing" +
-      "e.v1.VersionTally\">\n\014VersionTally\022\020\n\010req" +
-      "uests\030\001 \001(\003\022\016\n\006errors\030\002 \001(\003\022\014\n\004slow\030\003 \001(" +
-      "\003\"F\n\014StateRequest\022\035\n\025configuration_versi" +
-      "on\030\001 \001(\003\022\027\n\017server_revision\030\002 \001(\003\")\n\013Sto" +
-      "redValue\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"k\n\t" +
-      "StateCopy\022\025\n\rconfiguration\030\001 \001(\t\022\027\n\017serv" +
-      "er_revision\030\002 \001(\003\022.\n\007servers\030\003 \003(\0132\035.lav" +
-      "enderhinge.v1.StoredValue*U\n\004Tier\022\024\n\020TIE" +
-      "R_UNSPECIFIED\020\000\022\024\n\020TIER_INTERACTIVE\020\001\022\021\n" +
-      "\rTIER_STANDARD\020\002\022\016\n\nTIER_BATCH\020\003*\234\002\n\014Ref" +
-      "useReason\022\035\n\031REFUSE_REASON_UNSPECIFIED\020\000" +
-      "\022\032\n\026REFUSE_REASON_NOT_HOME\020\001\022\034\n\030REFUSE_R" +
-      "EASON_QUEUE_FULL\020\002\022\032\n\026REFUSE_REASON_DEAD" +
-      "LINE\020\003\022\033\n\027REFUSE_REASON_DISPLACED\020\004\022\035\n\031R" +
-      "EFUSE_REASON_TIER_CLOSED\020\005\022 \n\034REFUSE_REA" +
-      "SON_SERVER_LEAVING\020\006\022\035\n\031REFUSE_REASON_SE" +
-      "RVER_DOWN\020\007\022\032\n\026REFUSE_REASON_SHUTDOWN\020\010*" +
-      "\324\001\n\013ResultClass\022\034\n\030RESULT_CLASS_UNSPECIF" +
-      "IED\020\000\022\023\n\017RESULT_CLASS_OK\020\001\022\035\n\031RESULT_CLA" +
-      "SS_SERVER_ERROR\020\002\022\"\n\036RESULT_CLASS_CONNEC" +
-      "TION_FAILED\020\003\022\030\n\024RESULT_CLASS_TIMEOUT\020\004\022" +
-      "\032\n\026RESULT_CLASS_CANCELLED\020\005\022\031\n\025RESULT_CL" +
-      "ASS_DRAINING\020\006*\255\001\n\017LedgerOperation\022 \n\034LE" +
-      "DGER_OPERATION_UNSPECIFIED\020\000\022\034\n\030LEDGER_O" +
-      "PERATION_RESERVE\020\001\022\035\n\031LEDGER_OPERATION_C" +
-      "OMPLETE\020\002\022\031\n\025LEDGER_OPERATION_VOID\020\003\022 \n\034" +
-      "LEDGER_OPERATION_OWNER_QUERY\020\004*\217\003\n\rLedge" +
-      "rOutcome\022\036\n\032LEDGER_OUTCOME_UNSPECIFIED\020\000" +
-      "\022\033\n\027LEDGER_OUTCOME_RECORDED\020\001\022\034\n\030LEDGER_" +
-      "OUTCOME_COMPLETED\020\002\022\034\n\030LEDGER_OUTCOME_IN" +
-      "_FLIGHT\020\003\022\033\n\027LEDGER_OUTCOME_IN_DOUBT\020\004\022\033" +
-      "\n\027LEDGER_OUTCOME_MISMATCH\020\005\022\032\n\026LEDGER_OU" +
-      "TCOME_TOO_OLD\020\006\022\035\n\031LEDGER_OUTCOME_NOT_WR" +
-      "ITER\020\007\022\036\n\032LEDGER_OUTCOME_UNAVAILABLE\020\010\022#" +
-      "\n\037LEDGER_OUTCOME_OWNER_DISPATCHED\020\t\022)\n%L" +
-      "EDGER_OUTCOME_OWNER_NEVER_DISPATCHED\020\n\022 " +
-      "\n\034LEDGER_OUTCOME_OWNER_UNKNOWN\020\013*\200\001\n\nMem" +
-      "berKind\022\033\n\027MEMBER_KIND_UNSPECIFIED\020\000\022\030\n\024" +
-      "MEMBER_KIND_INSTANCE\020\001\022\034\n\030MEMBER_KIND_MO" +
-      "DEL_ENGINE\020\002\022\035\n\031MEMBER_KIND_PLAIN_SERVIC" +
-      "E\020\003*w\n\014RolloutStage\022\027\n\023ROLLOUT_STAGE_TRI" +
-      "AL\020\000\022\026\n\022ROLLOUT_STAGE_RAMP\020\001\022\031\n\025ROLLOUT_" +
-      "STAGE_SHIFTED\020\002\022\033\n\027ROLLOUT_STAGE_WITHDRA" +
-      "WN\020\0032D\n\004Peer\022<\n\004Link\022\027.lavenderhinge.v1." +
-      "Frame\032\027.lavenderhinge.v1.Frame(\0010\001B \n\034io" +
-      ".lavenderhinge.protocol.v1P\001b\006proto3"
+      "venderhinge.v1.StateCopyH\000\022A\n\022crash_obse" +
+      "rvations\030\022 \001(\0132#.lavenderhinge.v1.CrashO" +
+      "bservationsH\000B\006\n\004body\"U\n\005Hello\022\023\n\013instan" +
+      "ce_id\030\001 \001(\t\022\026\n\016failure_domain\030\002 \001(\t\022\016\n\006r" +
+      "egion\030\003 \001(\t\022\017\n\007leaving\030\004 \001(\010\"\352\002\n\003Ask\022\022\n\n" +
+      "request_id\030\001 \001(\t\022\021\n\tserver_id\030\002 \001(\t\022\r\n\005m" +
+      "odel\030\003 \001(\t\022\017\n\007version\030\004 \001(\t\022$\n\004tier\030\005 \001(" +
+      "\0162\026.lavenderhinge.v1.Tier\022\021\n\tworkspace\030\006" +
+      " \001(\t\022\016\n\006weight\030\007 \001(\001\022\025\n\rprompt_tokens\030\010 " +
+      "\001(\r\022\025\n\routput_tokens\030\t \001(\r\022\025\n\rprefix_has" +
+      "hes\030\n \003(\006\022\034\n\024deadline_left_millis\030\013 \001(\r\022" +
+      "\022\n\nin_service\030\014 \001(\010\022\032\n\022preempt_lower_tie" +
+      "r\030\r \001(\010\022$\n\027first_token_left_millis\030\016 \001(\r" +
+      "H\000\210\001\001B\032\n\030_first_token_left_millis\"L\n\005Gra" +
+      "nt\022\022\n\nrequest_id\030\001 \001(\t\022\021\n\tserver_id\030\002 \001(" +
+      "\t\022\034\n\024cached_prefix_tokens\030\003 \001(\r\"M\n\006Queue" +
+      "d\022\022\n\nrequest_id\030\001 \001(\t\022\021\n\tserver_id\030\002 \001(\t" +
+      "\022\034\n\024expected_wait_millis\030\003 \001(\r\"\227\001\n\006Refus" +
+      "e\022\022\n\nrequest_id\030\001 \001(\t\022\021\n\tserver_id\030\002 \001(\t" +
+      "\022.\n\006reason\030\003 \001(\0162\036.lavenderhinge.v1.Refu" +
+      "seReason\022\034\n\024expected_wait_millis\030\004 \001(\r\022\030" +
+      "\n\020lower_tier_count\030\005 \001(\r\"0\n\007Release\022\022\n\nr" +
+      "equest_id\030\001 \001(\t\022\021\n\tserver_id\030\002 \001(\t\"\305\001\n\004D" +
+      "one\022\022\n\nrequest_id\030\001 \001(\t\022\021\n\tserver_id\030\002 \001" +
+      "(\t\022-\n\006result\030\003 \001(\0162\035.lavenderhinge.v1.Re" +
+      "sultClass\022\032\n\022first_token_millis\030\004 \001(\r\022\035\n" +
+      "\025between_tokens_micros\030\005 \001(\r\022\025\n\rprompt_t" +
+      "okens\030\006 \001(\r\022\025\n\routput_tokens\030\007 \001(\r\"0\n\007Pr" +
+      "eempt\022\022\n\nrequest_id\030\001 \001(\t\022\021\n\tserver_id\030\002" +
+      " \001(\t\"\210\002\n\rLedgerRequest\022\017\n\007call_id\030\001 \001(\004\022" +
+      "4\n\toperation\030\002 \001(\0162!.lavenderhinge.v1.Le" +
+      "dgerOperation\022\r\n\005shard\030\003 \001(\r\022\013\n\003key\030\004 \001(" +
+      "\t\022\027\n\017key_time_millis\030\005 \001(\004\022\021\n\tbody_hash\030" +
+      "\006 \001(\t\022\022\n\nattempt_id\030\007 \001(\t\022\020\n\010entry_id\030\010 " +
+      "\001(\t\022(\n\006answer\030\t \001(\0132\030.lavenderhinge.v1.A" +
+      "nswer\022\030\n\020retention_millis\030\n \001(\004\"\245\001\n\013Ledg" +
+      "erReply\022\017\n\007call_id\030\001 \001(\004\0220\n\007outcome\030\002 \001(" +
+      "\0162\037.lavenderhinge.v1.LedgerOutcome\022(\n\006an" +
+      "swer\030\003 \001(\0132\030.lavenderhinge.v1.Answer\022\016\n\006" +
+      "detail\030\004 \001(\t\022\031\n\021expires_at_millis\030\005 \001(\004\"" +
+      "<\n\006Answer\022\016\n\006status\030\001 \001(\r\022\024\n\014content_typ" +
+      "e\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"/\n\rRevisionEntry\022\014" +
+      "\n\004team\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\"\200\001\n\tHeart" +
+      "beat\022\023\n\013instance_id\030\001 \001(\t\022\023\n\013incarnation" +
+      "\030\002 \001(\004\022\017\n\007counter\030\003 \001(\004\022\017\n\007leaving\030\004 \001(\010" +
+      "\022\017\n\007address\030\005 \001(\t\022\026\n\016failure_domain\030\006 \001(" +
+      "\t\"\230\001\n\rServerSummary\022\021\n\tserver_id\030\001 \001(\t\022\034" +
+      "\n\024expected_wait_millis\030\002 \001(\r\022\022\n\nfree_slo" +
+      "ts\030\003 \001(\r\0220\n\020lowest_open_tier\030\004 \001(\0162\026.lav" +
+      "enderhinge.v1.Tier\022\020\n\010sequence\030\005 \001(\004\"\337\001\n" +
+      "\006Member\022\n\n\002id\030\001 \001(\t\022*\n\004kind\030\002 \001(\0162\034.lave" +
+      "nderhinge.v1.MemberKind\022\017\n\007address\030\003 \001(\t" +
+      "\022\026\n\016failure_domain\030\004 \001(\t\022\016\n\006region\030\005 \001(\t" +
+      "\022\017\n\007leaving\030\006 \001(\010\022\016\n\006serves\030\007 \001(\t\022\017\n\007ver" +
+      "sion\030\010 \001(\t\022\033\n\023hardware_generation\030\t \001(\r\022" +
+      "\025\n\rchecks_orders\030\n \001(\010\"G\n\nMemberList\022\016\n\006" +
+      "wanted\030\001 \001(\010\022)\n\007members\030\002 \003(\0132\030.lavender" +
+      "hinge.v1.Member\"Q\n\010StopFlag\022\016\n\006target\030\001 " +
+      "\001(\t\022\017\n\007version\030\002 \001(\t\022\022\n\nrollout_id\030\003 \001(\t" +
+      "\022\020\n\010evidence\030\004 \001(\t\"\345\001\n\006Digest\0222\n\trevisio" +
+      "ns\030\001 \003(\0132\037.lavenderhinge.v1.RevisionEntr" +
+      "y\022/\n\nheartbeats\030\002 \003(\0132\033.lavenderhinge.v1" +
+      ".Heartbeat\022.\n\nstop_flags\030\003 \003(\0132\032.lavende" +
+      "rhinge.v1.StopFlag\0220\n\007servers\030\004 \003(\0132\037.la" +
+      "venderhinge.v1.ServerSummary\022\024\n\014reply_wa" +
+      "nted\030\005 \001(\010\"<\n\014TeamSettings\022\014\n\004team\030\001 \001(\t" +
+      "\022\020\n\010revision\030\002 \001(\004\022\014\n\004text\030\003 \001(\t\"\177\n\005Delt" +
+      "a\0220\n\010settings\030\001 \003(\0132\036.lavenderhinge.v1.T" +
+      "eamSettings\022\024\n\014wanted_teams\030\002 \003(\t\022.\n\nsto" +
+      "p_flags\030\003 \003(\0132\032.lavenderhinge.v1.StopFla" +
+      "g\"\\\n\nRouteCount\022\r\n\005route\030\001 \001(\t\022\017\n\007versio" +
+      "n\030\002 \001(\t\022\020\n\010requests\030\003 \001(\004\022\016\n\006errors\030\004 \001(" +
+      "\004\022\014\n\004slow\030\005 \001(\004\"s\n\014VersionStats\022\022\n\nrollo" +
+      "ut_id\030\001 \001(\t\022\014\n\004step\030\002 \001(\r\022\023\n\013instance_id" +
+      "\030\003 \001(\t\022,\n\006counts\030\004 \003(\0132\034.lavenderhinge.v" +
+      "1.RouteCount\"I\n\tServerUse\022\021\n\tserver_id\030\001" +
+      " \001(\t\022\021\n\tin_flight\030\002 \001(\r\022\026\n\016pending_token" +
+      "s\030\003 \001(\001\"n\n\013QueueLength\022\017\n\007service\030\001 \001(\t\022" +
+      "\020\n\010priority\030\002 \001(\005\022\017\n\007waiting\030\003 \001(\r\022\030\n\020he" +
+      "ad_wait_millis\030\004 \001(\003\022\021\n\thead_late\030\005 \001(\010\"" +
+      ":\n\021WorkspaceSpending\022\021\n\tworkspace\030\001 \001(\t\022" +
+      "\022\n\ntotal_cost\030\002 \001(\001\"\304\003\n\nLoadReport\022\023\n\013in" +
+      "stance_id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\020\n\010" +
+      "sequence\030\003 \001(\004\022\n\n\002ip\030\004 \001(\t\022\021\n\tpeer_port\030" +
+      "\005 \001(\r\022,\n\007servers\030\006 \003(\0132\033.lavenderhinge.v" +
+      "1.ServerUse\022-\n\006queues\030\007 \003(\0132\035.lavenderhi" +
+      "nge.v1.QueueLength\0227\n\nworkspaces\030\010 \003(\0132#" +
+      ".lavenderhinge.v1.WorkspaceSpending\022\035\n\025c" +
+      "onfiguration_version\030\t \001(\003\022\027\n\017server_rev" +
+      "ision\030\n \001(\003\0223\n\010rollouts\030\013 \003(\0132!.lavender" +
+      "hinge.v1.RolloutProgress\022\027\n\017watches_serv" +
+      "ers\030\014 \001(\010\022?\n\022crash_observations\030\r \001(\0132#." +
+      "lavenderhinge.v1.CrashObservations\"6\n\tSe" +
+      "rverRun\022\021\n\tserver_id\030\001 \001(\t\022\026\n\016started_mi" +
+      "llis\030\002 \001(\003\"p\n\rObservedCrash\022(\n\003run\030\001 \001(\013" +
+      "2\033.lavenderhinge.v1.ServerRun\022\017\n\007service" +
+      "\030\002 \001(\t\022\022\n\nage_millis\030\003 \001(\003\022\020\n\010suspects\030\004" +
+      " \003(\006\"3\n\017PartObservation\022\014\n\004part\030\001 \001(\006\022\022\n" +
+      "\nage_millis\030\002 \001(\003\"\336\001\n\021CrashObservations\022" +
+      "0\n\007crashes\030\001 \003(\0132\037.lavenderhinge.v1.Obse" +
+      "rvedCrash\0223\n\010answered\030\002 \003(\0132!.lavenderhi" +
+      "nge.v1.PartObservation\0226\n\013quarantined\030\003 " +
+      "\003(\0132!.lavenderhinge.v1.PartObservation\022*" +
+      "\n\005alive\030\004 \003(\0132\033.lavenderhinge.v1.ServerR" +
+      "un\"\306\001\n\017RolloutProgress\022\017\n\007service\030\001 \001(\t\022" +
+      "\026\n\016order_revision\030\002 \001(\003\022-\n\005stage\030\003 \001(\0162\036" +
+      ".lavenderhinge.v1.RolloutStage\022\026\n\016elapse" +
+      "d_millis\030\004 \001(\003\022\025\n\rold_in_flight\030\005 \001(\005\022,\n" +
+      "\006routes\030\006 \003(\0132\034.lavenderhinge.v1.RouteTa" +
+      "lly\"\205\001\n\nRouteTally\022\r\n\005route\030\001 \001(\t\0223\n\013old" +
+      "_version\030\002 \001(\0132\036.lavenderhinge.v1.Versio" +
+      "nTally\0223\n\013new_version\030\003 \001(\0132\036.lavenderhi" +
+      "nge.v1.VersionTally\">\n\014VersionTally\022\020\n\010r" +
+      "equests\030\001 \001(\003\022\016\n\006errors\030\002 \001(\003\022\014\n\004slow\030\003 " +
+      "\001(\003\"F\n\014StateRequest\022\035\n\025configuration_ver" +
+      "sion\030\001 \001(\003\022\027\n\017server_revision\030\002 \001(\003\")\n\013S" +
+      "toredValue\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"k" +
+      "\n\tStateCopy\022\025\n\rconfiguration\030\001 \001(\t\022\027\n\017se" +
+      "rver_revision\030\002 \001(\003\022.\n\007servers\030\003 \003(\0132\035.l" +
+      "avenderhinge.v1.StoredValue*U\n\004Tier\022\024\n\020T" +
+      "IER_UNSPECIFIED\020\000\022\024\n\020TIER_INTERACTIVE\020\001\022" +
+      "\021\n\rTIER_STANDARD\020\002\022\016\n\nTIER_BATCH\020\003*\234\002\n\014R" +
+      "efuseReason\022\035\n\031REFUSE_REASON_UNSPECIFIED" +
+      "\020\000\022\032\n\026REFUSE_REASON_NOT_HOME\020\001\022\034\n\030REFUSE" +
+      "_REASON_QUEUE_FULL\020\002\022\032\n\026REFUSE_REASON_DE" +
+      "ADLINE\020\003\022\033\n\027REFUSE_REASON_DISPLACED\020\004\022\035\n" +
+      "\031REFUSE_REASON_TIER_CLOSED\020\005\022 \n\034REFUSE_R" +
+      "EASON_SERVER_LEAVING\020\006\022\035\n\031REFUSE_REASON_" +
+      "SERVER_DOWN\020\007\022\032\n\026REFUSE_REASON_SHUTDOWN\020" +
+      "\010*\324\001\n\013ResultClass\022\034\n\030RESULT_CLASS_UNSPEC" +
+      "IFIED\020\000\022\023\n\017RESULT_CLASS_OK\020\001\022\035\n\031RESULT_C" +
+      "LASS_SERVER_ERROR\020\002\022\"\n\036RESULT_CLASS_CONN" +
+      "ECTION_FAILED\020\003\022\030\n\024RESULT_CLASS_TIMEOUT\020" +
+      "\004\022\032\n\026RESULT_CLASS_CANCELLED\020\005\022\031\n\025RESULT_" +
+      "CLASS_DRAINING\020\006*\255\001\n\017LedgerOperation\022 \n\034" +
+      "LEDGER_OPERATION_UNSPECIFIED\020\000\022\034\n\030LEDGER" +
+      "_OPERATION_RESERVE\020\001\022\035\n\031LEDGER_OPERATION" +
+      "_COMPLETE\020\002\022\031\n\025LEDGER_OPERATION_VOID\020\003\022 " +
+      "\n\034LEDGER_OPERATION_OWNER_QUERY\020\004*\217\003\n\rLed" +
+      "gerOutcome\022\036\n\032LEDGER_OUTCOME_UNSPECIFIED" +
+      "\020\000\022\033\n\027LEDGER_OUTCOME_RECORDED\020\001\022\034\n\030LEDGE" +
+      "R_OUTCOME_COMPLETED\020\002\022\034\n\030LEDGER_OUTCOME_" +
+      "IN_FLIGHT\020\003\022\033\n\027LEDGER_OUTCOME_IN_DOUBT\020\004" +
+      "\022\033\n\027LEDGER_OUTCOME_MISMATCH\020\005\022\032\n\026LEDGER_" +
+      "OUTCOME_TOO_OLD\020\006\022\035\n\031LEDGER_OUTCOME_NOT_" +
+      "WRITER\020\007\022\036\n\032LEDGER_OUTCOME_UNAVAILABLE\020\010" +
+      "\022#\n\037LEDGER_OUTCOME_OWNER_DISPATCHED\020\t\022)\n" +
+      "%LEDGER_OUTCOME_OWNER_NEVER_DISPATCHED\020\n" +
+      "\022 \n\034LEDGER_OUTCOME_OWNER_UNKNOWN\020\013*\200\001\n\nM" +
+      "emberKind\022\033\n\027MEMBER_KIND_UNSPECIFIED\020\000\022\030" +
+      "\n\024MEMBER_KIND_INSTANCE\020\001\022\034\n\030MEMBER_KIND_" +
+      "MODEL_ENGINE\020\002\022\035\n\031MEMBER_KIND_PLAIN_SERV" +
+      "ICE\020\003*w\n\014RolloutStage\022\027\n\023ROLLOUT_STAGE_T" +
+      "RIAL\020\000\022\026\n\022ROLLOUT_STAGE_RAMP\020\001\022\031\n\025ROLLOU" +
+      "T_STAGE_SHIFTED\020\002\022\033\n\027ROLLOUT_STAGE_WITHD" +
+      "RAWN\020\0032D\n\004Peer\022<\n\004Link\022\027.lavenderhinge.v" +
+      "1.Frame\032\027.lavenderhinge.v1.Frame(\0010\001B \n\034" +
+      "io.lavenderhinge.protocol.v1P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -408,7 +408,7 @@
     internal_static_lavenderhinge_v1_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_Frame_descriptor,
-        new java.lang.String[] { "ProtocolVersion", "Hello", "Ask", "Grant", "Queued", "Refuse", "Release", "Done", "Preempt", "LedgerRequest", "LedgerReply", "Digest", "Delta", "VersionStats", "MemberList", "StateRequest", "StateCopy", "Body", });
+        new java.lang.String[] { "ProtocolVersion", "Hello", "Ask", "Grant", "Queued", "Refuse", "Release", "Done", "Preempt", "LedgerRequest", "LedgerReply", "Digest", "Delta", "VersionStats", "MemberList", "StateRequest", "StateCopy", "CrashObservations", "Body", });
     internal_static_lavenderhinge_v1_Hello_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_lavenderhinge_v1_Hello_fieldAccessorTable = new
@@ -516,7 +516,7 @@
     internal_static_lavenderhinge_v1_Digest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_Digest_descriptor,
-        new java.lang.String[] { "Revisions", "Heartbeats", "StopFlags", "Servers", "ReplyWanted", "CrashObservations", });
+        new java.lang.String[] { "Revisions", "Heartbeats", "StopFlags", "Servers", "ReplyWanted", });
     internal_static_lavenderhinge_v1_TeamSettings_descriptor =
       getDescriptor().getMessageType(19);
     internal_static_lavenderhinge_v1_TeamSettings_fieldAccessorTable = new
--- a/standins/src/main/kotlin/io/lavenderhinge/standins/engine/EngineHandler.kt
+++ b/standins/src/main/kotlin/io/lavenderhinge/standins/engine/EngineHandler.kt
@@ -98,6 +98,7 @@
     private suspend fun startGeneration(exchange: HttpExchange, body: JsonNode, version: String) {
         val requestId = exchange.request.header("X-Request-Id").orEmpty()
         val messages = body.path("messages").map { it.path("content").asText() }
+        if (state.faults.crashOnMessage in messages) Runtime.getRuntime().halt(1)
         val marker = messages.lastOrNull()?.substringBefore(' ').orEmpty()
         val tokenCount = body.path("max_tokens").asInt(DEFAULT_TOKEN_COUNT)
         val generation = Generation(requestId, marker, tokenCount)
--- a/standins/src/main/kotlin/io/lavenderhinge/standins/engine/EngineState.kt
+++ b/standins/src/main/kotlin/io/lavenderhinge/standins/engine/EngineState.kt
@@ -35,6 +35,7 @@
  * - [dropAfterTokens]: a stream is cut after this many tokens; the generation continues.
  * - [stallAfterTokens]: a stream sends nothing more after this many tokens.
  * - [versions]: faults by model version.
+ * - [crashOnMessage]: the process ends at a prompt with this message.
  */
 data class EngineFaults(
     val slowFactor: Double = 1.0,
@@ -42,6 +43,7 @@
     val dropAfterTokens: Int? = null,
     val stallAfterTokens: Int? = null,
     val versions: Map<String, VersionFault> = emptyMap(),
+    val crashOnMessage: String? = null,
 )
 
 /**
