--- a/http/src/test/kotlin/io/lavenderhinge/http/HttpClientTest.kt
+++ b/http/src/test/kotlin/io/lavenderhinge/http/HttpClientTest.kt
@@ -59,6 +59,12 @@
             }
         }
 
+        test("given a response that ends with its connection, when it is read, then it is whole") {
+            val address = serveOnce("HTTP/1.1 200 OK\r\n\r\nall of it")
+
+            String(client.call(address, get("/"), timeouts).body) shouldBe "all of it"
+        }
+
         test("given a server that stalls in the body, when it is read, then the call times out") {
             val release = CompletableDeferred<Unit>()
             val server = serve { exchange ->
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ForwardingTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ForwardingTest.kt
@@ -15,11 +15,13 @@
 import io.lavenderhinge.instance.gateway.ScriptedBackendServer.Companion.chunk
 import io.lavenderhinge.instance.gateway.ScriptedBackendServer.Companion.rawResponse
 import io.lavenderhinge.instance.gateway.ScriptedBackendServer.Companion.streamHead
+import io.lavenderhinge.instance.gateway.ScriptedBackendServer.Companion.unframed
 import io.lavenderhinge.instance.gateway.ServerAction.AwaitClose
 import io.lavenderhinge.instance.gateway.ServerAction.Flood
 import io.lavenderhinge.instance.gateway.ServerAction.Paced
 import io.lavenderhinge.instance.gateway.ServerAction.Send
 import io.lavenderhinge.instance.gateway.ServerAction.SendAndClose
+import io.lavenderhinge.instance.gateway.ServerAction.SendAndReset
 import io.lavenderhinge.instance.gateway.ServerAction.Trickle
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
@@ -239,6 +241,60 @@
             withGateway(endless) { it.call("/book/1", body = "b") }.status shouldBe 502
         }
 
+        // Guards against answers that are taken for broken ones because they state no length.
+        test("given an answer that ends with its connection, then the client gets it whole") {
+            val server = ScriptedBackendServer {
+                SendAndClose(unframed(rawResponse(it, "200 OK", "all of it")))
+            }
+
+            val response = withGateway(server) { it.call("/book/1", body = "b") }
+
+            response.status shouldBe 200
+            String(response.body) shouldBe "all of it"
+        }
+
+        test("given a stream that ends with its connection, then the client gets it whole") {
+            val server = ScriptedBackendServer {
+                SendAndClose(unframed(streamHead(it)) + event(1) + event(2))
+            }
+
+            val response = withGateway(server) { it.call("/digest/1", body = "p") }
+
+            String(response.body) shouldBe event(1) + event(2)
+        }
+
+        // Guards against a broken answer that passes for a whole one, since it states no length.
+        test("given an answer without a length that is reset, then the client gets an error") {
+            val server = ScriptedBackendServer {
+                SendAndReset(unframed(rawResponse(it, "200 OK", "half of")))
+            }
+
+            withGateway(server) { it.call("/book/1", body = "b") }.status shouldBe 502
+        }
+
+        test("given a stream without a length that is reset, then it does not end normally") {
+            val server = ScriptedBackendServer { SendAndReset(unframed(streamHead(it)) + event(1)) }
+
+            shouldThrow<HttpCallException.OutcomeUnknown> {
+                withGateway(server) { it.call("/digest/1", body = "p") }
+            }
+        }
+
+        test("given a stream that ends within an event, then another server resumes it") {
+            val script = { request: String ->
+                val head = unframed(streamHead(request))
+                if ("Last-Event-Id" in request) SendAndClose(head + event(2))
+                else SendAndClose(head + event(1) + "id: 2\nda")
+            }
+
+            val response =
+                withGateway(ScriptedBackendServer(script), ScriptedBackendServer(script)) {
+                    it.call("/draft/1", body = "p")
+                }
+
+            String(response.body) shouldBe event(1) + event(2)
+        }
+
         /** A server that is down from the first request with the prompt part `bad` on. */
         fun crashingServer(crashingRequests: AtomicInteger): ScriptedBackendServer {
             lateinit var server: ScriptedBackendServer
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ScriptedBackendServer.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ScriptedBackendServer.kt
@@ -16,6 +16,9 @@
     /** Sends [text] and closes the connection. */
     data class SendAndClose(val text: String) : ServerAction
 
+    /** Sends [text], waits until it has arrived, and resets the connection. */
+    data class SendAndReset(val text: String) : ServerAction
+
     /** Sends nothing until the peer closes the connection. */
     data object AwaitClose : ServerAction
 
@@ -74,6 +77,12 @@
                     send(socket, action.text)
                     return socket.close()
                 }
+                is ServerAction.SendAndReset -> {
+                    sendAfterPause(socket, action.text, pauseMillis = 0)
+                    Thread.sleep(RESET_PAUSE_MILLIS)
+                    socket.setSoLinger(true, 0)
+                    return socket.close()
+                }
                 is ServerAction.Paced -> {
                     send(socket, action.head)
                     action.parts.forEach { sendAfterPause(socket, it, action.pauseMillis) }
@@ -118,6 +127,7 @@
 
     companion object {
         private const val BACKLOG = 16
+        private const val RESET_PAUSE_MILLIS = 50L
 
         /** A complete server response to [request]. */
         fun rawResponse(
@@ -137,6 +147,12 @@
                 "X-Lavenderhinge-Server-Signature: s1\r\nContent-Type: text/event-stream\r\n" +
                 "Transfer-Encoding: chunked\r\n\r\n"
 
+        /** [head] without length and chunks: the body ends with the connection. */
+        fun unframed(head: String): String =
+            head
+                .replace("Transfer-Encoding: chunked\r\n", "")
+                .replace(Regex("Content-Length: \\d+\r\n"), "")
+
         /** [text] encoded as one body chunk. */
         fun chunk(text: String): String = "${text.length.toString(radix = 16)}\r\n$text\r\n"
 
