--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
@@ -105,4 +105,5 @@
     val waiting: Map<QueueKey, QueueState>,
     /** Null if nothing about crashes of servers has to be reported now. */
     val quarantine: QuarantineReport? = null,
+    val rateLimits: List<RateLimitReport> = emptyList(),
 )
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -26,6 +26,7 @@
     private val policies = HashMap<String, QueuePolicy>()
     private val queues = HashMap<String, MutableList<DispatchRequest>>()
     private val peers = PeerLoads()
+    private val rateLimits = ServerRateLimits(random)
     private var checkedRevision = 0
 
     /** Prompt parts that are kept away from the servers. */
@@ -34,6 +35,7 @@
     /** Replaces the set of known servers. Servers that remain keep their statistics. */
     fun onServers(servers: Collection<ServerEntry>, nowMillis: Long): List<DispatchEffect> {
         rollouts.onServers(servers, nowMillis)
+        rateLimits.retain(servers.mapTo(HashSet()) { it.run })
         val byService = servers.groupBy { it.service }
         (pools.keys + byService.keys).toSet().forEach { service ->
             poolOf(service).update(byService[service].orEmpty())
@@ -43,7 +45,9 @@
 
     private fun poolOf(service: String): ServerPool =
         pools.getOrPut(service) {
-            ServerPool(rollouts, random).also { policies[service] = QueuePolicy(it, peers) }
+            ServerPool(rollouts, rateLimits, random).also {
+                policies[service] = QueuePolicy(it, peers)
+            }
         }
 
     /** Requests a slot. The effect for [request] is returned here or by a later call. */
@@ -100,6 +104,18 @@
         quarantine.onActivity(server.run, sentMillis, nowMillis)
     }
 
+    /**
+     * Records that a response of [server] states that it takes [limitPerSecond] requests of all
+     * instances together, or any number if it is null.
+     */
+    fun onRateLimit(server: ServerEntry, limitPerSecond: Double?, nowMillis: Long) =
+        rateLimits.onStated(server.run, limitPerSecond, nowMillis)
+
+    /** Calls [listener] with each change of the limit that a server states. */
+    fun onRateLimitChange(listener: (RateLimitChange) -> Unit) {
+        rateLimits.onChange = listener
+    }
+
     /** Records the first event of a request; its prompt no longer counts as pending. */
     fun onFirstEvent(serverId: String, service: String, promptTokens: Double) {
         pools[service]?.record(serverId)?.let {
@@ -141,6 +157,7 @@
     /** Updates the usage and queue state of a peer. */
     fun onPeerReport(peer: String, report: LoadReport, nowMillis: Long): List<DispatchEffect> {
         peers.update(peer, report, nowMillis)
+        rateLimits.onPeerReport(peer, report.rateLimits, nowMillis)
         report.quarantine?.let { quarantine.onPeerReport(it, nowMillis) }
         return serveQueues(nowMillis)
     }
@@ -186,6 +203,7 @@
                 .groupBy { QueueKey(it.service, it.priority) }
                 .mapValues { (_, requests) -> queueState(requests, nowMillis) },
             quarantine.report(nowMillis),
+            rateLimits.reports(nowMillis),
         )
 
     private fun queueState(requests: List<DispatchRequest>, nowMillis: Long): QueueState {
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ForwardingConfig.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ForwardingConfig.kt
@@ -1,6 +1,6 @@
 package io.lavenderhinge.core.forwarding
 
-import io.lavenderhinge.core.quarantine.ServerRun
+import io.lavenderhinge.core.ServerRun
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.ImmutableSet
 
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -20,7 +20,11 @@
 }
 
 /** The backend servers of one service and their statistics. */
-internal class ServerPool(private val rollouts: RolloutTracker, private val random: Random) {
+internal class ServerPool(
+    private val rollouts: RolloutTracker,
+    private val rateLimits: ServerRateLimits,
+    private val random: Random,
+) {
     private val records = LinkedHashMap<String, ServerRecord>()
     private val model = FirstEventModel()
     private val affinity = PrefixAffinity()
@@ -59,6 +63,7 @@
         record.sentParts.add(request.promptParts, nowMillis)
         affinity.onSent(request.promptParts)
         if (record.inFlight == 0) record.onActivity(nowMillis)
+        rateLimits.onSent(record.entry.run)
         record.inFlight++
         record.pendingTokens += uncachedTokens
         minimumShare.onStarted(request.priority)
@@ -106,10 +111,16 @@
             rollouts
                 .select(records.values.filter { it.entry.acceptsWork }, request)
                 .filterNot { it.isBackingOff(nowMillis) }
-                .sumOf { it.entry.slots / expectedHoldMillis(it) }
+                .sumOf(::slotsPerMillis)
         return if (slotsPerMillis <= 0) MIN_HOLD_MILLIS else 1 / slotsPerMillis
     }
 
+    private fun slotsPerMillis(record: ServerRecord): Double {
+        val byDuration = record.entry.slots / expectedHoldMillis(record)
+        val statedPerSecond = rateLimits.perSecond(record.entry.run) ?: return byDuration
+        return minOf(byDuration, statedPerSecond / MILLIS_PER_SECOND)
+    }
+
     /** Returns the expected time from the send of [request] to its first event. */
     fun firstEventMillis(request: DispatchRequest): Double {
         // The model is fitted to latencies that are divided by these factors, so their mean may
@@ -225,8 +236,13 @@
         val pending = record.pendingTokens + peers.pendingTokens(id)
         val unloadedMillis = model.predictMillis(uncachedTokens + pending)
         val loadFactor = 1 + SLOWDOWN_PER_REQUEST * busy
-        val slotWaitMillis =
+        val limitWaitMillis =
+            if (rateLimits.isEmpty) 0.0
+            else rateLimits.waitMillis(record.entry.run, peers.count + 1, nowMillis)
+        val freeSlots = if (limitWaitMillis > 0) 0 else slots - busy
+        val releaseWaitMillis =
             if (busy < slots) 0.0 else expectedHoldMillis(record) * (busy - slots + 1) / slots
+        val slotWaitMillis = maxOf(releaseWaitMillis, limitWaitMillis)
         val expectedAttempts = 1 / (1 - record.failureFraction.coerceAtMost(MAX_FAILURE_FRACTION))
         val domainPenaltyMillis =
             if (record.entry.failureDomain == failureDomain) 0.0 else CROSS_DOMAIN_PENALTY_MILLIS
@@ -244,10 +260,11 @@
                 domainPenaltyMillis +
                 delayOfOthersMillis +
                 overrunMillis.coerceAtLeast(0.0)
-        return Estimate(record, slots - busy, expectedMillis, uncachedTokens)
+        return Estimate(record, freeSlots, expectedMillis, uncachedTokens)
     }
 
     private companion object {
+        const val MILLIS_PER_SECOND = 1_000.0
         const val MIN_HOLD_MILLIS = 20.0
         /** Up to this number of instances, each compares all servers. */
         const val COMPARING_FLEET = 10.0
--- a/core/src/main/kotlin/io/lavenderhinge/core/quarantine/CrashEvidence.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/quarantine/CrashEvidence.kt
@@ -1,5 +1,7 @@
 package io.lavenderhinge.core.quarantine
 
+import io.lavenderhinge.core.ServerRun
+
 /** A run that ended with unanswered requests, and the prompt parts that may have caused it. */
 internal class ServerCrash(val run: ServerRun, val service: String, val crashedMillis: Long) {
     /** Suspected parts with their positions in the prompt. */
--- a/core/src/main/kotlin/io/lavenderhinge/core/quarantine/CrashedRuns.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/quarantine/CrashedRuns.kt
@@ -1,6 +1,7 @@
 package io.lavenderhinge.core.quarantine
 
 import io.lavenderhinge.core.LruMap
+import io.lavenderhinge.core.ServerRun
 
 /**
  * Tells the runs of a server apart where its registration does not state its start. Connections
--- a/core/src/main/kotlin/io/lavenderhinge/core/quarantine/PromptQuarantine.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/quarantine/PromptQuarantine.kt
@@ -1,6 +1,7 @@
 package io.lavenderhinge.core.quarantine
 
 import io.lavenderhinge.core.LruMap
+import io.lavenderhinge.core.ServerRun
 import kotlin.random.Random
 
 /**
--- a/core/src/main/kotlin/io/lavenderhinge/core/quarantine/QuarantineDecision.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/quarantine/QuarantineDecision.kt
@@ -1,5 +1,7 @@
 package io.lavenderhinge.core.quarantine
 
+import io.lavenderhinge.core.ServerRun
+
 /** What the quarantine says about a request. */
 sealed interface QuarantineDecision {
     /** No part of the prompt is known to crash servers. */
--- a/core/src/main/kotlin/io/lavenderhinge/core/quarantine/QuarantineReport.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/quarantine/QuarantineReport.kt
@@ -1,7 +1,6 @@
 package io.lavenderhinge.core.quarantine
 
-/** One run of a backend server's process. A server that restarts begins another run. */
-data class ServerRun(val serverId: String, val startedMillis: Long)
+import io.lavenderhinge.core.ServerRun
 
 /** A run that ended with unanswered requests, as seen by one instance. */
 data class CrashReport(
--- a/core/src/main/kotlin/io/lavenderhinge/core/quarantine/QuarantineReporter.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/quarantine/QuarantineReporter.kt
@@ -1,6 +1,7 @@
 package io.lavenderhinge.core.quarantine
 
 import io.lavenderhinge.core.LruMap
+import io.lavenderhinge.core.ServerRun
 
 /**
  * Selects what an instance reports to its peers. New observations are reported soon, old ones
--- a/core/src/test/kotlin/io/lavenderhinge/core/quarantine/PromptQuarantineTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/quarantine/PromptQuarantineTest.kt
@@ -6,6 +6,7 @@
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
+import io.lavenderhinge.core.ServerRun
 import kotlin.random.Random
 
 private const val TEN_MINUTES_MILLIS = 600_000L
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
@@ -129,7 +129,12 @@
         }
         servers.start()
         loop.execute { loadReports.onReport = ::onPeerReport }
-        loop.execute { allocator.quarantine.onChange = quarantineLog::onChange }
+        loop.execute {
+            allocator.quarantine.onChange = quarantineLog::onChange
+            allocator.onRateLimitChange {
+                log.info("limit: {} takes {} requests per second", it.run, it.limitPerSecond)
+            }
+        }
         loadReports.start()
         loop.every(QUOTA_INTERVAL_MILLIS, ::tickQuotas)
         loop.every(ROLLOUT_INTERVAL_MILLIS, ::tickRollouts)
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportProtoConverters.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportProtoConverters.kt
@@ -3,11 +3,14 @@
 import io.lavenderhinge.core.forwarding.LoadReport
 import io.lavenderhinge.core.forwarding.QueueKey
 import io.lavenderhinge.core.forwarding.QueueState
+import io.lavenderhinge.core.forwarding.RateLimitReport
 import io.lavenderhinge.core.forwarding.ServerUse
 import io.lavenderhinge.instance.quarantine.toMessage
 import io.lavenderhinge.instance.quarantine.toReport
+import io.lavenderhinge.instance.quarantine.toRun
 import io.lavenderhinge.protocol.v1.LoadReport as LoadReportMessage
 import io.lavenderhinge.protocol.v1.QueueLength
+import io.lavenderhinge.protocol.v1.ServerRateLimit
 import io.lavenderhinge.protocol.v1.ServerUse as ServerUseMessage
 import io.lavenderhinge.protocol.v1.WorkspaceSpending
 
@@ -35,6 +38,7 @@
         )
     }
     report.quarantine?.let { setCrashObservations(it.toMessage()) }
+    report.rateLimits.forEach { addRateLimits(it.toMessage()) }
     spending.forEach { (workspace, cost) ->
         addWorkspaces(WorkspaceSpending.newBuilder().setWorkspace(workspace).setTotalCost(cost))
     }
@@ -50,8 +54,27 @@
                 QueueState(it.waiting, it.headWaitMillis, it.headLate)
         },
         if (hasCrashObservations()) crashObservations.toReport() else null,
+        rateLimitsList.map { it.toReport() },
     )
 
 /** Reads the total cost per workspace that the sender admitted. */
 internal fun LoadReportMessage.toSpending(): Map<String, Double> =
     workspacesList.associate { it.workspace to it.totalCost }
+
+private fun RateLimitReport.toMessage(): ServerRateLimit {
+    val message =
+        ServerRateLimit.newBuilder()
+            .setRun(run.toMessage())
+            .setAgeMillis(ageMillis)
+            .setSentCount(sentCount)
+    limitPerSecond?.let(message::setLimitPerSecond)
+    return message.build()
+}
+
+private fun ServerRateLimit.toReport() =
+    RateLimitReport(
+        run.toRun(),
+        if (hasLimitPerSecond()) limitPerSecond else null,
+        ageMillis,
+        sentCount,
+    )
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
@@ -5,6 +5,7 @@
 import io.lavenderhinge.core.forwarding.Dispatcher
 import io.lavenderhinge.core.forwarding.FinishedAttempt
 import io.lavenderhinge.core.forwarding.LoadReport
+import io.lavenderhinge.core.forwarding.RateLimitChange
 import io.lavenderhinge.core.forwarding.RolloutTracker
 import io.lavenderhinge.core.forwarding.ServerEntry
 import io.lavenderhinge.core.forwarding.ServerOutcome
@@ -62,6 +63,14 @@
     fun onServerActivity(server: ServerEntry, sentMillis: Long) =
         dispatcher.onActivity(server, sentMillis, loop.nowMillis())
 
+    /** Records the limit, if any, that a response of [server] states. */
+    fun onRateLimit(server: ServerEntry, limitPerSecond: Double?) =
+        dispatcher.onRateLimit(server, limitPerSecond, loop.nowMillis())
+
+    /** Calls [listener] with each change of the limit that a server states. */
+    fun onRateLimitChange(listener: (RateLimitChange) -> Unit) =
+        dispatcher.onRateLimitChange(listener)
+
     /** Records the first event of a request. */
     fun onFirstEvent(server: ServerEntry, promptTokens: Double) {
         dispatcher.onFirstEvent(server.id, server.service, promptTokens)
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
@@ -13,6 +13,7 @@
 import io.lavenderhinge.http.HttpStatus
 import io.lavenderhinge.http.LossReason
 import io.lavenderhinge.platform.PlatformHeaders
+import io.lavenderhinge.platform.ServerResponseHeaders
 import io.netty.handler.codec.http.HttpHeaderNames
 import java.net.InetSocketAddress
 import kotlinx.coroutines.CancellationException
@@ -97,10 +98,11 @@
     }
 
     private suspend fun readResponse(response: ClientResponse, relay: StreamRelay?): AttemptResult {
+        val isSigned = response.headers.contains(PlatformHeaders.SIGNATURE)
+        recordRateLimit(response, isSigned)
         if (response.headers.contains(PlatformHeaders.NOT_EXECUTED) || isMisdirected(response)) {
             return readNotExecuted(response)
         }
-        val isSigned = response.headers.contains(PlatformHeaders.SIGNATURE)
         val isSuccess = response.status in SUCCESS_STATUSES
         if (isSuccess && !isSigned)
             throw outcomeUnknown("sent a success response without its signature")
@@ -116,6 +118,13 @@
         return result
     }
 
+    // Only a signed response without a limit proves that the server has lifted it.
+    private fun recordRateLimit(response: ClientResponse, isSigned: Boolean) {
+        val limitPerSecond = ServerResponseHeaders.requestLimit(response.headers)
+        if (isMisdirected(response) || (limitPerSecond == null && !isSigned)) return
+        allocator.onRateLimit(server, limitPerSecond)
+    }
+
     private suspend fun relayStream(response: ClientResponse, relay: StreamRelay): AttemptResult {
         relay.relay(response, ::onEventsReceived, timeouts)
         recordAnswered()
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/quarantine/QuarantineProtoConverters.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/quarantine/QuarantineProtoConverters.kt
@@ -1,10 +1,10 @@
 package io.lavenderhinge.instance.quarantine
 
+import io.lavenderhinge.core.ServerRun
 import io.lavenderhinge.core.quarantine.CrashReport
 import io.lavenderhinge.core.quarantine.PartKey
 import io.lavenderhinge.core.quarantine.PartReport
 import io.lavenderhinge.core.quarantine.QuarantineReport
-import io.lavenderhinge.core.quarantine.ServerRun
 import io.lavenderhinge.protocol.v1.CrashObservations
 import io.lavenderhinge.protocol.v1.ObservedCrash
 import io.lavenderhinge.protocol.v1.PartObservation
@@ -44,7 +44,9 @@
 
 private fun PartObservation.toReport() = PartReport(PartKey(part), ageMillis)
 
-private fun ServerRun.toMessage(): ServerRunMessage =
+/** Converts this run to its protobuf message. */
+internal fun ServerRun.toMessage(): ServerRunMessage =
     ServerRunMessage.newBuilder().setServerId(serverId).setStartedMillis(startedMillis).build()
 
-private fun ServerRunMessage.toRun() = ServerRun(serverId, startedMillis)
+/** Reads the run from the message. */
+internal fun ServerRunMessage.toRun() = ServerRun(serverId, startedMillis)
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/LoadReportProtoConvertersTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/LoadReportProtoConvertersTest.kt
@@ -2,15 +2,16 @@
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
+import io.lavenderhinge.core.ServerRun
 import io.lavenderhinge.core.forwarding.LoadReport
 import io.lavenderhinge.core.forwarding.QueueKey
 import io.lavenderhinge.core.forwarding.QueueState
+import io.lavenderhinge.core.forwarding.RateLimitReport
 import io.lavenderhinge.core.forwarding.ServerUse
 import io.lavenderhinge.core.quarantine.CrashReport
 import io.lavenderhinge.core.quarantine.PartKey
 import io.lavenderhinge.core.quarantine.PartReport
 import io.lavenderhinge.core.quarantine.QuarantineReport
-import io.lavenderhinge.core.quarantine.ServerRun
 import io.lavenderhinge.protocol.v1.LoadReport as LoadReportMessage
 
 class LoadReportProtoConvertersTest :
@@ -33,6 +34,10 @@
                         quarantined = listOf(PartReport(PartKey(11), 12)),
                         alive = listOf(ServerRun("i-2", 13)),
                     ),
+                    listOf(
+                        RateLimitReport(run, limitPerSecond = 2.5, ageMillis = 14, sentCount = 15),
+                        RateLimitReport(run, limitPerSecond = null, ageMillis = 16, sentCount = 17),
+                    ),
                 )
 
             roundTrip(report) shouldBe report
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ServerLimitTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ServerLimitTest.kt
@@ -13,7 +13,7 @@
 class ServerLimitTest :
     FunSpec({
         // Guards against a server that gets more requests than the limit that it names.
-        test("!given a server that names a limit, then it gets no more than that") {
+        test("given a server that names a limit, then it gets no more than that") {
             val limited = ScriptedBackendServer {
                 Send(rawResponse(it, "200 OK", "ok", "Server-Limit: $LIMIT_PER_SECOND\r\n"))
             }
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/LoadReport.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/LoadReport.java
@@ -39,6 +39,7 @@
     queues_ = java.util.Collections.emptyList();
     workspaces_ = java.util.Collections.emptyList();
     rollouts_ = java.util.Collections.emptyList();
+    rateLimits_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -433,6 +434,47 @@
     return crashObservations_ == null ? io.lavenderhinge.protocol.v1.CrashObservations.getDefaultInstance() : crashObservations_;
   }
 
+  public static final int RATE_LIMITS_FIELD_NUMBER = 14;
+  @SuppressWarnings("serial")
+  private java.util.List<io.lavenderhinge.protocol.v1.ServerRateLimit> rateLimits_;
+  /**
+   * <code>repeated .lavenderhinge.v1.ServerRateLimit rate_limits = 14;</code>
+   */
+  @java.lang.Override
+  public java.util.List<io.lavenderhinge.protocol.v1.ServerRateLimit> getRateLimitsList() {
+    return rateLimits_;
+  }
+  /**
+   * <code>repeated .lavenderhinge.v1.ServerRateLimit rate_limits = 14;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends io.lavenderhinge.protocol.v1.ServerRateLimitOrBuilder> 
+      getRateLimitsOrBuilderList() {
+    return rateLimits_;
+  }
+  /**
+   * <code>repeated .lavenderhinge.v1.ServerRateLimit rate_limits = 14;</code>
+   */
+  @java.lang.Override
+  public int getRateLimitsCount() {
+    return rateLimits_.size();
+  }
+  /**
+   * <code>repeated .lavenderhinge.v1.ServerRateLimit rate_limits = 14;</code>
+   */
+  @java.lang.Override
+  public io.lavenderhinge.protocol.v1.ServerRateLimit getRateLimits(int index) {
+    return rateLimits_.get(index);
+  }
+  /**
+   * <code>repeated .lavenderhinge.v1.ServerRateLimit rate_limits = 14;</code>
+   */
+  @java.lang.Override
+  public io.lavenderhinge.protocol.v1.ServerRateLimitOrBuilder getRateLimitsOrBuilder(
+      int index) {
+    return rateLimits_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -486,6 +528,9 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(13, getCrashObservations());
     }
+    for (int i = 0; i < rateLimits_.size(); i++) {
+      output.writeMessage(14, rateLimits_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -545,6 +590,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(13, getCrashObservations());
     }
+    for (int i = 0; i < rateLimits_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(14, rateLimits_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -589,6 +638,8 @@
       if (!getCrashObservations()
           .equals(other.getCrashObservations())) return false;
     }
+    if (!getRateLimitsList()
+        .equals(other.getRateLimitsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -641,6 +692,10 @@
       hash = (37 * hash) + CRASH_OBSERVATIONS_FIELD_NUMBER;
       hash = (53 * hash) + getCrashObservations().hashCode();
     }
+    if (getRateLimitsCount() > 0) {
+      hash = (37 * hash) + RATE_LIMITS_FIELD_NUMBER;
+      hash = (53 * hash) + getRateLimitsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -781,6 +836,7 @@
         internalGetWorkspacesFieldBuilder();
         internalGetRolloutsFieldBuilder();
         internalGetCrashObservationsFieldBuilder();
+        internalGetRateLimitsFieldBuilder();
       }
     }
     @java.lang.Override
@@ -828,6 +884,13 @@
         crashObservationsBuilder_.dispose();
         crashObservationsBuilder_ = null;
       }
+      if (rateLimitsBuilder_ == null) {
+        rateLimits_ = java.util.Collections.emptyList();
+      } else {
+        rateLimits_ = null;
+        rateLimitsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00002000);
       return this;
     }
 
@@ -897,6 +960,15 @@
       } else {
         result.rollouts_ = rolloutsBuilder_.build();
       }
+      if (rateLimitsBuilder_ == null) {
+        if (((bitField0_ & 0x00002000) != 0)) {
+          rateLimits_ = java.util.Collections.unmodifiableList(rateLimits_);
+          bitField0_ = (bitField0_ & ~0x00002000);
+        }
+        result.rateLimits_ = rateLimits_;
+      } else {
+        result.rateLimits_ = rateLimitsBuilder_.build();
+      }
     }
 
     private void buildPartial0(io.lavenderhinge.protocol.v1.LoadReport result) {
@@ -1082,6 +1154,32 @@
       if (other.hasCrashObservations()) {
         mergeCrashObservations(other.getCrashObservations());
       }
+      if (rateLimitsBuilder_ == null) {
+        if (!other.rateLimits_.isEmpty()) {
+          if (rateLimits_.isEmpty()) {
+            rateLimits_ = other.rateLimits_;
+            bitField0_ = (bitField0_ & ~0x00002000);
+          } else {
+            ensureRateLimitsIsMutable();
+            rateLimits_.addAll(other.rateLimits_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.rateLimits_.isEmpty()) {
+          if (rateLimitsBuilder_.isEmpty()) {
+            rateLimitsBuilder_.dispose();
+            rateLimitsBuilder_ = null;
+            rateLimits_ = other.rateLimits_;
+            bitField0_ = (bitField0_ & ~0x00002000);
+            rateLimitsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetRateLimitsFieldBuilder() : null;
+          } else {
+            rateLimitsBuilder_.addAllMessages(other.rateLimits_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1207,6 +1305,19 @@
               bitField0_ |= 0x00001000;
               break;
             } // case 106
+            case 114: {
+              io.lavenderhinge.protocol.v1.ServerRateLimit m =
+                  input.readMessage(
+                      io.lavenderhinge.protocol.v1.ServerRateLimit.parser(),
+                      extensionRegistry);
+              if (rateLimitsBuilder_ == null) {
+                ensureRateLimitsIsMutable();
+                rateLimits_.add(m);
+              } else {
+                rateLimitsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 114
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2785,6 +2896,246 @@
       return crashObservationsBuilder_;
     }
 
+    private java.util.List<io.lavenderhinge.protocol.v1.ServerRateLimit> rateLimits_ =
+      java.util.Collections.emptyList();
+    private void ensureRateLimitsIsMutable() {
+      if (!((bitField0_ & 0x00002000) != 0)) {
+        rateLimits_ = new java.util.ArrayList<io.lavenderhinge.protocol.v1.ServerRateLimit>(rateLimits_);
+        bitField0_ |= 0x00002000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.lavenderhinge.protocol.v1.ServerRateLimit, io.lavenderhinge.protocol.v1.ServerRateLimit.Builder, io.lavenderhinge.protocol.v1.ServerRateLimitOrBuilder> rateLimitsBuilder_;
+
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit rate_limits = 14;</code>
+     */
+    public java.util.List<io.lavenderhinge.protocol.v1.ServerRateLimit> getRateLimitsList() {
+      if (rateLimitsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(rateLimits_);
+      } else {
+        return rateLimitsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit rate_limits = 14;</code>
+     */
+    public int getRateLimitsCount() {
+      if (rateLimitsBuilder_ == null) {
+        return rateLimits_.size();
+      } else {
+        return rateLimitsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit rate_limits = 14;</code>
+     */
+    public io.lavenderhinge.protocol.v1.ServerRateLimit getRateLimits(int index) {
+      if (rateLimitsBuilder_ == null) {
+        return rateLimits_.get(index);
+      } else {
+        return rateLimitsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit rate_limits = 14;</code>
+     */
+    public Builder setRateLimits(
+        int index, io.lavenderhinge.protocol.v1.ServerRateLimit value) {
+      if (rateLimitsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureRateLimitsIsMutable();
+        rateLimits_.set(index, value);
+        onChanged();
+      } else {
+        rateLimitsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit rate_limits = 14;</code>
+     */
+    public Builder setRateLimits(
+        int index, io.lavenderhinge.protocol.v1.ServerRateLimit.Builder builderForValue) {
+      if (rateLimitsBuilder_ == null) {
+        ensureRateLimitsIsMutable();
+        rateLimits_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        rateLimitsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit rate_limits = 14;</code>
+     */
+    public Builder addRateLimits(io.lavenderhinge.protocol.v1.ServerRateLimit value) {
+      if (rateLimitsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureRateLimitsIsMutable();
+        rateLimits_.add(value);
+        onChanged();
+      } else {
+        rateLimitsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit rate_limits = 14;</code>
+     */
+    public Builder addRateLimits(
+        int index, io.lavenderhinge.protocol.v1.ServerRateLimit value) {
+      if (rateLimitsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureRateLimitsIsMutable();
+        rateLimits_.add(index, value);
+        onChanged();
+      } else {
+        rateLimitsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit rate_limits = 14;</code>
+     */
+    public Builder addRateLimits(
+        io.lavenderhinge.protocol.v1.ServerRateLimit.Builder builderForValue) {
+      if (rateLimitsBuilder_ == null) {
+        ensureRateLimitsIsMutable();
+        rateLimits_.add(builderForValue.build());
+        onChanged();
+      } else {
+        rateLimitsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit rate_limits = 14;</code>
+     */
+    public Builder addRateLimits(
+        int index, io.lavenderhinge.protocol.v1.ServerRateLimit.Builder builderForValue) {
+      if (rateLimitsBuilder_ == null) {
+        ensureRateLimitsIsMutable();
+        rateLimits_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        rateLimitsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit rate_limits = 14;</code>
+     */
+    public Builder addAllRateLimits(
+        java.lang.Iterable<? extends io.lavenderhinge.protocol.v1.ServerRateLimit> values) {
+      if (rateLimitsBuilder_ == null) {
+        ensureRateLimitsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, rateLimits_);
+        onChanged();
+      } else {
+        rateLimitsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit rate_limits = 14;</code>
+     */
+    public Builder clearRateLimits() {
+      if (rateLimitsBuilder_ == null) {
+        rateLimits_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00002000);
+        onChanged();
+      } else {
+        rateLimitsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit rate_limits = 14;</code>
+     */
+    public Builder removeRateLimits(int index) {
+      if (rateLimitsBuilder_ == null) {
+        ensureRateLimitsIsMutable();
+        rateLimits_.remove(index);
+        onChanged();
+      } else {
+        rateLimitsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit rate_limits = 14;</code>
+     */
+    public io.lavenderhinge.protocol.v1.ServerRateLimit.Builder getRateLimitsBuilder(
+        int index) {
+      return internalGetRateLimitsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit rate_limits = 14;</code>
+     */
+    public io.lavenderhinge.protocol.v1.ServerRateLimitOrBuilder getRateLimitsOrBuilder(
+        int index) {
+      if (rateLimitsBuilder_ == null) {
+        return rateLimits_.get(index);  } else {
+        return rateLimitsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit rate_limits = 14;</code>
+     */
+    public java.util.List<? extends io.lavenderhinge.protocol.v1.ServerRateLimitOrBuilder> 
+         getRateLimitsOrBuilderList() {
+      if (rateLimitsBuilder_ != null) {
+        return rateLimitsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(rateLimits_);
+      }
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit rate_limits = 14;</code>
+     */
+    public io.lavenderhinge.protocol.v1.ServerRateLimit.Builder addRateLimitsBuilder() {
+      return internalGetRateLimitsFieldBuilder().addBuilder(
+          io.lavenderhinge.protocol.v1.ServerRateLimit.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit rate_limits = 14;</code>
+     */
+    public io.lavenderhinge.protocol.v1.ServerRateLimit.Builder addRateLimitsBuilder(
+        int index) {
+      return internalGetRateLimitsFieldBuilder().addBuilder(
+          index, io.lavenderhinge.protocol.v1.ServerRateLimit.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit rate_limits = 14;</code>
+     */
+    public java.util.List<io.lavenderhinge.protocol.v1.ServerRateLimit.Builder> 
+         getRateLimitsBuilderList() {
+      return internalGetRateLimitsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.lavenderhinge.protocol.v1.ServerRateLimit, io.lavenderhinge.protocol.v1.ServerRateLimit.Builder, io.lavenderhinge.protocol.v1.ServerRateLimitOrBuilder> 
+        internalGetRateLimitsFieldBuilder() {
+      if (rateLimitsBuilder_ == null) {
+        rateLimitsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            io.lavenderhinge.protocol.v1.ServerRateLimit, io.lavenderhinge.protocol.v1.ServerRateLimit.Builder, io.lavenderhinge.protocol.v1.ServerRateLimitOrBuilder>(
+                rateLimits_,
+                ((bitField0_ & 0x00002000) != 0),
+                getParentForChildren(),
+                isClean());
+        rateLimits_ = null;
+      }
+      return rateLimitsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:lavenderhinge.v1.LoadReport)
   }
 
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/LoadReportOrBuilder.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/LoadReportOrBuilder.java
@@ -224,4 +224,28 @@
    * <code>.lavenderhinge.v1.CrashObservations crash_observations = 13;</code>
    */
   io.lavenderhinge.protocol.v1.CrashObservationsOrBuilder getCrashObservationsOrBuilder();
+
+  /**
+   * <code>repeated .lavenderhinge.v1.ServerRateLimit rate_limits = 14;</code>
+   */
+  java.util.List<io.lavenderhinge.protocol.v1.ServerRateLimit> 
+      getRateLimitsList();
+  /**
+   * <code>repeated .lavenderhinge.v1.ServerRateLimit rate_limits = 14;</code>
+   */
+  io.lavenderhinge.protocol.v1.ServerRateLimit getRateLimits(int index);
+  /**
+   * <code>repeated .lavenderhinge.v1.ServerRateLimit rate_limits = 14;</code>
+   */
+  int getRateLimitsCount();
+  /**
+   * <code>repeated .lavenderhinge.v1.ServerRateLimit rate_limits = 14;</code>
+   */
+  java.util.List<? extends io.lavenderhinge.protocol.v1.ServerRateLimitOrBuilder> 
+      getRateLimitsOrBuilderList();
+  /**
+   * <code>repeated .lavenderhinge.v1.ServerRateLimit rate_limits = 14;</code>
+   */
+  io.lavenderhinge.protocol.v1.ServerRateLimitOrBuilder getRateLimitsOrBuilder(
+      int index);
 }
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/PeerOuterClass.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/PeerOuterClass.java
@@ -161,6 +161,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_lavenderhinge_v1_LoadReport_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_lavenderhinge_v1_ServerRateLimit_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_lavenderhinge_v1_ServerRateLimit_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_lavenderhinge_v1_ServerRun_descriptor;
   static final 
@@ -321,7 +326,7 @@
       "\020\n\010priority\030\002 \001(\005\022\017\n\007waiting\030\003 \001(\r\022\030\n\020he" +
       "ad_wait_millis\030\004 \001(\003\022\021\n\thead_late\030\005 \001(\010\"" +
       ":\n\021WorkspaceSpending\022\021\n\tworkspace\030\001 \001(\t\022" +
-      "\022\n\ntotal_cost\030\002 \001(\001\"\304\003\n\nLoadReport\022\023\n\013in" +
+      "\022\n\ntotal_cost\030\002 \001(\001\"\374\003\n\nLoadReport\022\023\n\013in" +
       "stance_id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\020\n\010" +
       "sequence\030\003 \001(\004\022\n\n\002ip\030\004 \001(\t\022\021\n\tpeer_port\030" +
       "\005 \001(\r\022,\n\007servers\030\006 \003(\0132\033.lavenderhinge.v" +
@@ -332,72 +337,78 @@
       "ision\030\n \001(\003\0223\n\010rollouts\030\013 \003(\0132!.lavender" +
       "hinge.v1.RolloutProgress\022\027\n\017watches_serv" +
       "ers\030\014 \001(\010\022?\n\022crash_observations\030\r \001(\0132#." +
-      "lavenderhinge.v1.CrashObservations\"6\n\tSe" +
-      "rverRun\022\021\n\tserver_id\030\001 \001(\t\022\026\n\016started_mi" +
-      "llis\030\002 \001(\003\"p\n\rObservedCrash\022(\n\003run\030\001 \001(\013" +
-      "2\033.lavenderhinge.v1.ServerRun\022\017\n\007service" +
-      "\030\002 \001(\t\022\022\n\nage_millis\030\003 \001(\003\022\020\n\010suspects\030\004" +
-      " \003(\006\"3\n\017PartObservation\022\014\n\004part\030\001 \001(\006\022\022\n" +
-      "\nage_millis\030\002 \001(\003\"\336\001\n\021CrashObservations\022" +
-      "0\n\007crashes\030\001 \003(\0132\037.lavenderhinge.v1.Obse" +
-      "rvedCrash\0223\n\010answered\030\002 \003(\0132!.lavenderhi" +
-      "nge.v1.PartObservation\0226\n\013quarantined\030\003 " +
-      "\003(\0132!.lavenderhinge.v1.PartObservation\022*" +
-      "\n\005alive\030\004 \003(\0132\033.lavenderhinge.v1.ServerR" +
-      "un\"\306\001\n\017RolloutProgress\022\017\n\007service\030\001 \001(\t\022" +
-      "\026\n\016order_revision\030\002 \001(\003\022-\n\005stage\030\003 \001(\0162\036" +
-      ".lavenderhinge.v1.RolloutStage\022\026\n\016elapse" +
-      "d_millis\030\004 \001(\003\022\025\n\rold_in_flight\030\005 \001(\005\022,\n" +
-      "\006routes\030\006 \003(\0132\034.lavenderhinge.v1.RouteTa" +
-      "lly\"\205\001\n\nRouteTally\022\r\n\005route\030\001 \001(\t\0223\n\013old" +
-      "_version\030\002 \001(\0132\036.lavenderhinge.v1.Versio" +
-      "nTally\0223\n\013new_version\030\003 \001(\0132\036.lavenderhi" +
-      "nge.v1.VersionTally\">\n\014VersionTally\022\020\n\010r" +
-      "equests\030\001 \001(\003\022\016\n\006errors\030\002 \001(\003\022\014\n\004slow\030\003 " +
-      "\001(\003\"F\n\014StateRequest\022\035\n\025configuration_ver" +
-      "sion\030\001 \001(\003\022\027\n\017server_revision\030\002 \001(\003\")\n\013S" +
-      "toredValue\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"k" +
-      "\n\tStateCopy\022\025\n\rconfiguration\030\001 \001(\t\022\027\n\017se" +
-      "rver_revision\030\002 \001(\003\022.\n\007servers\030\003 \003(\0132\035.l" +
-      "avenderhinge.v1.StoredValue*U\n\004Tier\022\024\n\020T" +
-      "IER_UNSPECIFIED\020\000\022\024\n\020TIER_INTERACTIVE\020\001\022" +
-      "\021\n\rTIER_STANDARD\020\002\022\016\n\nTIER_BATCH\020\003*\234\002\n\014R" +
-      "efuseReason\022\035\n\031REFUSE_REASON_UNSPECIFIED" +
-      "\020\000\022\032\n\026REFUSE_REASON_NOT_HOME\020\001\022\034\n\030REFUSE" +
-      "_REASON_QUEUE_FULL\020\002\022\032\n\026REFUSE_REASON_DE" +
-      "ADLINE\020\003\022\033\n\027REFUSE_REASON_DISPLACED\020\004\022\035\n" +
-      "\031REFUSE_REASON_TIER_CLOSED\020\005\022 \n\034REFUSE_R" +
-      "EASON_SERVER_LEAVING\020\006\022\035\n\031REFUSE_REASON_" +
-      "SERVER_DOWN\020\007\022\032\n\026REFUSE_REASON_SHUTDOWN\020" +
-      "\010*\324\001\n\013ResultClass\022\034\n\030RESULT_CLASS_UNSPEC" +
-      "IFIED\020\000\022\023\n\017RESULT_CLASS_OK\020\001\022\035\n\031RESULT_C" +
-      "LASS_SERVER_ERROR\020\002\022\"\n\036RESULT_CLASS_CONN" +
-      "ECTION_FAILED\020\003\022\030\n\024RESULT_CLASS_TIMEOUT\020" +
-      "\004\022\032\n\026RESULT_CLASS_CANCELLED\020\005\022\031\n\025RESULT_" +
-      "CLASS_DRAINING\020\006*\255\001\n\017LedgerOperation\022 \n\034" +
-      "LEDGER_OPERATION_UNSPECIFIED\020\000\022\034\n\030LEDGER" +
-      "_OPERATION_RESERVE\020\001\022\035\n\031LEDGER_OPERATION" +
-      "_COMPLETE\020\002\022\031\n\025LEDGER_OPERATION_VOID\020\003\022 " +
-      "\n\034LEDGER_OPERATION_OWNER_QUERY\020\004*\217\003\n\rLed" +
-      "gerOutcome\022\036\n\032LEDGER_OUTCOME_UNSPECIFIED" +
-      "\020\000\022\033\n\027LEDGER_OUTCOME_RECORDED\020\001\022\034\n\030LEDGE" +
-      "R_OUTCOME_COMPLETED\020\002\022\034\n\030LEDGER_OUTCOME_" +
-      "IN_FLIGHT\020\003\022\033\n\027LEDGER_OUTCOME_IN_DOUBT\020\004" +
-      "\022\033\n\027LEDGER_OUTCOME_MISMATCH\020\005\022\032\n\026LEDGER_" +
-      "OUTCOME_TOO_OLD\020\006\022\035\n\031LEDGER_OUTCOME_NOT_" +
-      "WRITER\020\007\022\036\n\032LEDGER_OUTCOME_UNAVAILABLE\020\010" +
-      "\022#\n\037LEDGER_OUTCOME_OWNER_DISPATCHED\020\t\022)\n" +
-      "%LEDGER_OUTCOME_OWNER_NEVER_DISPATCHED\020\n" +
-      "\022 \n\034LEDGER_OUTCOME_OWNER_UNKNOWN\020\013*\200\001\n\nM" +
-      "emberKind\022\033\n\027MEMBER_KIND_UNSPECIFIED\020\000\022\030" +
-      "\n\024MEMBER_KIND_INSTANCE\020\001\022\034\n\030MEMBER_KIND_" +
-      "MODEL_ENGINE\020\002\022\035\n\031MEMBER_KIND_PLAIN_SERV" +
-      "ICE\020\003*w\n\014RolloutStage\022\027\n\023ROLLOUT_STAGE_T" +
-      "RIAL\020\000\022\026\n\022ROLLOUT_STAGE_RAMP\020\001\022\031\n\025ROLLOU" +
-      "T_STAGE_SHIFTED\020\002\022\033\n\027ROLLOUT_STAGE_WITHD" +
-      "RAWN\020\0032D\n\004Peer\022<\n\004Link\022\027.lavenderhinge.v" +
-      "1.Frame\032\027.lavenderhinge.v1.Frame(\0010\001B \n\034" +
-      "io.lavenderhinge.protocol.v1P\001b\006proto3"
+      "lavenderhinge.v1.CrashObservations\0226\n\013ra" +
+      "te_limits\030\016 \003(\0132!.lavenderhinge.v1.Serve" +
+      "rRateLimit\"\227\001\n\017ServerRateLimit\022(\n\003run\030\001 " +
+      "\001(\0132\033.lavenderhinge.v1.ServerRun\022\035\n\020limi" +
+      "t_per_second\030\002 \001(\001H\000\210\001\001\022\022\n\nage_millis\030\003 " +
+      "\001(\003\022\022\n\nsent_count\030\004 \001(\003B\023\n\021_limit_per_se" +
+      "cond\"6\n\tServerRun\022\021\n\tserver_id\030\001 \001(\t\022\026\n\016" +
+      "started_millis\030\002 \001(\003\"p\n\rObservedCrash\022(\n" +
+      "\003run\030\001 \001(\0132\033.lavenderhinge.v1.ServerRun\022" +
+      "\017\n\007service\030\002 \001(\t\022\022\n\nage_millis\030\003 \001(\003\022\020\n\010" +
+      "suspects\030\004 \003(\006\"3\n\017PartObservation\022\014\n\004par" +
+      "t\030\001 \001(\006\022\022\n\nage_millis\030\002 \001(\003\"\336\001\n\021CrashObs" +
+      "ervations\0220\n\007crashes\030\001 \003(\0132\037.lavenderhin" +
+      "ge.v1.ObservedCrash\0223\n\010answered\030\002 \003(\0132!." +
+      "lavenderhinge.v1.PartObservation\0226\n\013quar" +
+      "antined\030\003 \003(\0132!.lavenderhinge.v1.PartObs" +
+      "ervation\022*\n\005alive\030\004 \003(\0132\033.lavenderhinge." +
+      "v1.ServerRun\"\306\001\n\017RolloutProgress\022\017\n\007serv" +
+      "ice\030\001 \001(\t\022\026\n\016order_revision\030\002 \001(\003\022-\n\005sta" +
+      "ge\030\003 \001(\0162\036.lavenderhinge.v1.RolloutStage" +
+      "\022\026\n\016elapsed_millis\030\004 \001(\003\022\025\n\rold_in_fligh" +
+      "t\030\005 \001(\005\022,\n\006routes\030\006 \003(\0132\034.lavenderhinge." +
+      "v1.RouteTally\"\205\001\n\nRouteTally\022\r\n\005route\030\001 " +
+      "\001(\t\0223\n\013old_version\030\002 \001(\0132\036.lavenderhinge" +
+      ".v1.VersionTally\0223\n\013new_version\030\003 \001(\0132\036." +
+      "lavenderhinge.v1.VersionTally\">\n\014Version" +
+      "Tally\022\020\n\010requests\030\001 \001(\003\022\016\n\006errors\030\002 \001(\003\022" +
+      "\014\n\004slow\030\003 \001(\003\"F\n\014StateRequest\022\035\n\025configu" +
+      "ration_version\030\001 \001(\003\022\027\n\017server_revision\030" +
+      "\002 \001(\003\")\n\013StoredValue\022\013\n\003key\030\001 \001(\t\022\r\n\005val" +
+      "ue\030\002 \001(\t\"k\n\tStateCopy\022\025\n\rconfiguration\030\001" +
+      " \001(\t\022\027\n\017server_revision\030\002 \001(\003\022.\n\007servers" +
+      "\030\003 \003(\0132\035.lavenderhinge.v1.StoredValue*U\n" +
+      "\004Tier\022\024\n\020TIER_UNSPECIFIED\020\000\022\024\n\020TIER_INTE" +
+      "RACTIVE\020\001\022\021\n\rTIER_STANDARD\020\002\022\016\n\nTIER_BAT" +
+      "CH\020\003*\234\002\n\014RefuseReason\022\035\n\031REFUSE_REASON_U" +
+      "NSPECIFIED\020\000\022\032\n\026REFUSE_REASON_NOT_HOME\020\001" +
+      "\022\034\n\030REFUSE_REASON_QUEUE_FULL\020\002\022\032\n\026REFUSE" +
+      "_REASON_DEADLINE\020\003\022\033\n\027REFUSE_REASON_DISP" +
+      "LACED\020\004\022\035\n\031REFUSE_REASON_TIER_CLOSED\020\005\022 " +
+      "\n\034REFUSE_REASON_SERVER_LEAVING\020\006\022\035\n\031REFU" +
+      "SE_REASON_SERVER_DOWN\020\007\022\032\n\026REFUSE_REASON" +
+      "_SHUTDOWN\020\010*\324\001\n\013ResultClass\022\034\n\030RESULT_CL" +
+      "ASS_UNSPECIFIED\020\000\022\023\n\017RESULT_CLASS_OK\020\001\022\035" +
+      "\n\031RESULT_CLASS_SERVER_ERROR\020\002\022\"\n\036RESULT_" +
+      "CLASS_CONNECTION_FAILED\020\003\022\030\n\024RESULT_CLAS" +
+      "S_TIMEOUT\020\004\022\032\n\026RESULT_CLASS_CANCELLED\020\005\022" +
+      "\031\n\025RESULT_CLASS_DRAINING\020\006*\255\001\n\017LedgerOpe" +
+      "ration\022 \n\034LEDGER_OPERATION_UNSPECIFIED\020\000" +
+      "\022\034\n\030LEDGER_OPERATION_RESERVE\020\001\022\035\n\031LEDGER" +
+      "_OPERATION_COMPLETE\020\002\022\031\n\025LEDGER_OPERATIO" +
+      "N_VOID\020\003\022 \n\034LEDGER_OPERATION_OWNER_QUERY" +
+      "\020\004*\217\003\n\rLedgerOutcome\022\036\n\032LEDGER_OUTCOME_U" +
+      "NSPECIFIED\020\000\022\033\n\027LEDGER_OUTCOME_RECORDED\020" +
+      "\001\022\034\n\030LEDGER_OUTCOME_COMPLETED\020\002\022\034\n\030LEDGE" +
+      "R_OUTCOME_IN_FLIGHT\020\003\022\033\n\027LEDGER_OUTCOME_" +
+      "IN_DOUBT\020\004\022\033\n\027LEDGER_OUTCOME_MISMATCH\020\005\022" +
+      "\032\n\026LEDGER_OUTCOME_TOO_OLD\020\006\022\035\n\031LEDGER_OU" +
+      "TCOME_NOT_WRITER\020\007\022\036\n\032LEDGER_OUTCOME_UNA" +
+      "VAILABLE\020\010\022#\n\037LEDGER_OUTCOME_OWNER_DISPA" +
+      "TCHED\020\t\022)\n%LEDGER_OUTCOME_OWNER_NEVER_DI" +
+      "SPATCHED\020\n\022 \n\034LEDGER_OUTCOME_OWNER_UNKNO" +
+      "WN\020\013*\200\001\n\nMemberKind\022\033\n\027MEMBER_KIND_UNSPE" +
+      "CIFIED\020\000\022\030\n\024MEMBER_KIND_INSTANCE\020\001\022\034\n\030ME" +
+      "MBER_KIND_MODEL_ENGINE\020\002\022\035\n\031MEMBER_KIND_" +
+      "PLAIN_SERVICE\020\003*w\n\014RolloutStage\022\027\n\023ROLLO" +
+      "UT_STAGE_TRIAL\020\000\022\026\n\022ROLLOUT_STAGE_RAMP\020\001" +
+      "\022\031\n\025ROLLOUT_STAGE_SHIFTED\020\002\022\033\n\027ROLLOUT_S" +
+      "TAGE_WITHDRAWN\020\0032D\n\004Peer\022<\n\004Link\022\027.laven" +
+      "derhinge.v1.Frame\032\027.lavenderhinge.v1.Fra" +
+      "me(\0010\001B \n\034io.lavenderhinge.protocol.v1P\001" +
+      "b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -564,63 +575,69 @@
     internal_static_lavenderhinge_v1_LoadReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_LoadReport_descriptor,
-        new java.lang.String[] { "InstanceId", "Incarnation", "Sequence", "Ip", "PeerPort", "Servers", "Queues", "Workspaces", "ConfigurationVersion", "ServerRevision", "Rollouts", "WatchesServers", "CrashObservations", });
-    internal_static_lavenderhinge_v1_ServerRun_descriptor =
+        new java.lang.String[] { "InstanceId", "Incarnation", "Sequence", "Ip", "PeerPort", "Servers", "Queues", "Workspaces", "ConfigurationVersion", "ServerRevision", "Rollouts", "WatchesServers", "CrashObservations", "RateLimits", });
+    internal_static_lavenderhinge_v1_ServerRateLimit_descriptor =
       getDescriptor().getMessageType(27);
+    internal_static_lavenderhinge_v1_ServerRateLimit_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_lavenderhinge_v1_ServerRateLimit_descriptor,
+        new java.lang.String[] { "Run", "LimitPerSecond", "AgeMillis", "SentCount", });
+    internal_static_lavenderhinge_v1_ServerRun_descriptor =
+      getDescriptor().getMessageType(28);
     internal_static_lavenderhinge_v1_ServerRun_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_ServerRun_descriptor,
         new java.lang.String[] { "ServerId", "StartedMillis", });
     internal_static_lavenderhinge_v1_ObservedCrash_descriptor =
-      getDescriptor().getMessageType(28);
+      getDescriptor().getMessageType(29);
     internal_static_lavenderhinge_v1_ObservedCrash_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_ObservedCrash_descriptor,
         new java.lang.String[] { "Run", "Service", "AgeMillis", "Suspects", });
     internal_static_lavenderhinge_v1_PartObservation_descriptor =
-      getDescriptor().getMessageType(29);
+      getDescriptor().getMessageType(30);
     internal_static_lavenderhinge_v1_PartObservation_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_PartObservation_descriptor,
         new java.lang.String[] { "Part", "AgeMillis", });
     internal_static_lavenderhinge_v1_CrashObservations_descriptor =
-      getDescriptor().getMessageType(30);
+      getDescriptor().getMessageType(31);
     internal_static_lavenderhinge_v1_CrashObservations_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_CrashObservations_descriptor,
         new java.lang.String[] { "Crashes", "Answered", "Quarantined", "Alive", });
     internal_static_lavenderhinge_v1_RolloutProgress_descriptor =
-      getDescriptor().getMessageType(31);
+      getDescriptor().getMessageType(32);
     internal_static_lavenderhinge_v1_RolloutProgress_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_RolloutProgress_descriptor,
         new java.lang.String[] { "Service", "OrderRevision", "Stage", "ElapsedMillis", "OldInFlight", "Routes", });
     internal_static_lavenderhinge_v1_RouteTally_descriptor =
-      getDescriptor().getMessageType(32);
+      getDescriptor().getMessageType(33);
     internal_static_lavenderhinge_v1_RouteTally_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_RouteTally_descriptor,
         new java.lang.String[] { "Route", "OldVersion", "NewVersion", });
     internal_static_lavenderhinge_v1_VersionTally_descriptor =
-      getDescriptor().getMessageType(33);
+      getDescriptor().getMessageType(34);
     internal_static_lavenderhinge_v1_VersionTally_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_VersionTally_descriptor,
         new java.lang.String[] { "Requests", "Errors", "Slow", });
     internal_static_lavenderhinge_v1_StateRequest_descriptor =
-      getDescriptor().getMessageType(34);
+      getDescriptor().getMessageType(35);
     internal_static_lavenderhinge_v1_StateRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_StateRequest_descriptor,
         new java.lang.String[] { "ConfigurationVersion", "ServerRevision", });
     internal_static_lavenderhinge_v1_StoredValue_descriptor =
-      getDescriptor().getMessageType(35);
+      getDescriptor().getMessageType(36);
     internal_static_lavenderhinge_v1_StoredValue_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_StoredValue_descriptor,
         new java.lang.String[] { "Key", "Value", });
     internal_static_lavenderhinge_v1_StateCopy_descriptor =
-      getDescriptor().getMessageType(36);
+      getDescriptor().getMessageType(37);
     internal_static_lavenderhinge_v1_StateCopy_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_StateCopy_descriptor,
