Use the limited rate of servers fully in small fleets

In fleets of up to 27 instances reports are recent, so the shared bucket alone keeps the limit; the own bucket only cost requests there: it held each instance to twice an equal share, while connections are spread unevenly. Requests after a pause are tested, too.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerRateLimits.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerRateLimits.kt
@@ -1,6 +1,7 @@
 package io.lavenderhinge.core.forwarding
 
 import io.lavenderhinge.core.ServerRun
+import kotlin.math.pow
 import kotlin.random.Random
 
 /** What an instance reports of the request limit of one server. */
@@ -22,10 +23,10 @@
  *
  * Two token buckets guard each limited server. The shared one has the stated rate and is charged
  * with the requests of this instance and, from their reports, of its peers. Between two reports it
- * cannot hold back instances that all see the same tokens. The own bucket therefore has only a few
- * times an equal share of the rate, and begins at a random level, so that the instances of a large
- * fleet do not send their first requests at once. Not thread-safe. Times are milliseconds on the
- * monotonic clock.
+ * cannot hold back instances that all see the same tokens. In a large fleet, where reports are
+ * older, the own bucket therefore has only a few times an equal share of the rate, and begins at a
+ * random level, so that the instances do not send their first requests at once. Not thread-safe.
+ * Times are milliseconds on the monotonic clock.
  */
 internal class ServerRateLimits(private val random: Random) {
     private class Bucket(var level: Double) {
@@ -97,14 +98,20 @@
     fun waitMillis(run: ServerRun, instanceCount: Int, nowMillis: Long): Double {
         val limit = limits[run] ?: return 0.0
         val perSecond = limit.perSecond?.coerceAtLeast(MIN_PER_SECOND) ?: return 0.0
-        val ownPerSecond = perSecond * minOf(1.0, OWN_SHARES / instanceCount)
         val elapsedMillis = nowMillis - limit.refilledMillis
         limit.refilledMillis = nowMillis
-        limit.shared.refill(perSecond, elapsedMillis, SHARED_BURST)
-        limit.own.refill(ownPerSecond, elapsedMillis, OWN_BURST)
-        return maxOf(limit.shared.waitMillis(perSecond), limit.own.waitMillis(ownPerSecond))
+        limit.shared.refill(perSecond, elapsedMillis, 1 + perSecond * SHARED_BURST_SECONDS)
+        val sharedWaitMillis = limit.shared.waitMillis(perSecond)
+        val ownShare = ownShares(instanceCount) / instanceCount
+        if (ownShare >= 1) return sharedWaitMillis
+        limit.own.refill(perSecond * ownShare, elapsedMillis, OWN_BURST)
+        return maxOf(sharedWaitMillis, limit.own.waitMillis(perSecond * ownShare))
     }
 
+    // The time between two reports grows with the square of the number of instances.
+    private fun ownShares(instanceCount: Int): Double =
+        maxOf(MIN_OWN_SHARES, FULL_SHARE_INSTANCES.pow(3) / instanceCount.toDouble().pow(2))
+
     /** Returns the reports for the peers; in turn, if there are more than [MAX_REPORTED]. */
     fun reports(nowMillis: Long): List<RateLimitReport> {
         limits.values.removeIf {
@@ -151,8 +158,12 @@
          */
         const val MIN_PER_SECOND = 0.1
         /** Connections are spread unevenly over the instances. */
-        const val OWN_SHARES = 2.0
-        const val SHARED_BURST = 2.0
+        const val MIN_OWN_SHARES = 2.0
+        /**
+         * Up to this number of instances, reports are recent enough for the shared bucket alone.
+         */
+        const val FULL_SHARE_INSTANCES = 27.0
+        const val SHARED_BURST_SECONDS = 0.5
         /** Bounds the size of a report. */
         const val MAX_REPORTED = 64
         /** By then, all peers have heard that a limit was lifted. */
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ServerRateLimitsTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ServerRateLimitsTest.kt
@@ -25,42 +25,48 @@
          * Returns when the fleet sends to a server that states [perSecond] from the start, while
          * requests for ten times as much arrive at random instances.
          */
-        fun sentMillis(instances: Int, reportMillis: Long, perSecond: Double, seed: Int) =
-            buildList {
-                val random = Random(seed)
-                val time = VirtualTime()
-                val fleet = List(instances) { ServerRateLimits(Random(seed * 1_000 + it)) }
-                val knownSince = arrayOfNulls<Long>(instances)
-                var millis = 0.0
-                while (millis < END_MILLIS) {
-                    time.at(millis.toLong()) { now ->
-                        val instance = random.nextInt(instances)
-                        if (fleet[instance].waitMillis(run, instances, now) > 0) return@at
-                        fleet[instance].onSent(run)
-                        val known = knownSince[instance]
-                        if (known != null && now - known >= KNOWN_MILLIS) add(now)
-                        time.at(now + RESPONSE_MILLIS) {
-                            fleet[instance].onStated(run, perSecond, it)
-                            knownSince[instance] = knownSince[instance] ?: it
-                        }
+        fun sentMillis(
+            instances: Int,
+            reportMillis: Long,
+            perSecond: Double,
+            seed: Int,
+            idleMillis: LongRange = LongRange.EMPTY,
+        ) = buildList {
+            val random = Random(seed)
+            val time = VirtualTime()
+            val fleet = List(instances) { ServerRateLimits(Random(seed * 1_000 + it)) }
+            val knownSince = arrayOfNulls<Long>(instances)
+            var millis = 0.0
+            while (millis < END_MILLIS) {
+                time.at(millis.toLong()) { now ->
+                    if (now in idleMillis) return@at
+                    val instance = random.nextInt(instances)
+                    if (fleet[instance].waitMillis(run, instances, now) > 0) return@at
+                    fleet[instance].onSent(run)
+                    val known = knownSince[instance]
+                    if (known != null && now - known >= KNOWN_MILLIS) add(now)
+                    time.at(now + RESPONSE_MILLIS) {
+                        fleet[instance].onStated(run, perSecond, it)
+                        knownSince[instance] = knownSince[instance] ?: it
                     }
-                    millis += 2 * random.nextDouble() * 1_000 / (DEMAND_FACTOR * perSecond)
                 }
-                fleet.forEachIndexed { from, limits ->
-                    val offsetMillis = random.nextLong(reportMillis)
-                    time.every(reportMillis, END_MILLIS) { now ->
-                        time.at(now + offsetMillis) { sent ->
-                            val reports = limits.reports(sent)
-                            time.at(sent + REPORT_DELAY_MILLIS) { received ->
-                                fleet.forEachIndexed { to, peer ->
-                                    if (to != from) peer.onPeerReport("$from", reports, received)
-                                }
+                millis += 2 * random.nextDouble() * 1_000 / (DEMAND_FACTOR * perSecond)
+            }
+            fleet.forEachIndexed { from, limits ->
+                val offsetMillis = random.nextLong(reportMillis)
+                time.every(reportMillis, END_MILLIS) { now ->
+                    time.at(now + offsetMillis) { sent ->
+                        val reports = limits.reports(sent)
+                        time.at(sent + REPORT_DELAY_MILLIS) { received ->
+                            fleet.forEachIndexed { to, peer ->
+                                if (to != from) peer.onPeerReport("$from", reports, received)
                             }
                         }
                     }
                 }
-                time.run()
             }
+            time.run()
+        }
 
         fun maxInWindow(sent: List<Long>): Int =
             sent
@@ -71,7 +77,8 @@
                     } ?: 0
                 }
 
-        listOf(1 to 20L, 7 to 20L, 9 to 250L, 95 to 450L).forEach { (instances, reportMillis) ->
+        listOf(1 to 20L, 7 to 20L, 9 to 250L, 30 to 90L, 95 to 450L).forEach {
+            (instances, reportMillis) ->
             listOf(0.4, 3.0, 12.0).forEach { perSecond ->
                 // Guards against a limit that each instance keeps and their sum exceeds.
                 test("given $instances instances, then a limit of $perSecond holds for the fleet") {
@@ -84,12 +91,22 @@
                 }
             }
 
+            // Guards against instances that all use a token which each has saved up meanwhile.
+            test("given $instances instances after a pause, then a limit holds for the fleet") {
+                (1..5).forEach { seed ->
+                    val sent = sentMillis(instances, reportMillis, 3.0, seed, 5_000L..15_000L)
+
+                    maxInWindow(sent).toDouble() shouldBeLessThanOrEqual
+                        1.5 * 3.0 * WINDOW_MILLIS / 1_000 + 5
+                }
+            }
+
             // Guards against a limited server that is hardly used, while requests wait.
             test("given $instances instances, then a limited server is used") {
                 val sent = sentMillis(instances, reportMillis, perSecond = 12.0, seed = 1)
                 val seconds = (END_MILLIS - CONTACT_TIMEOUT_MILLIS) / 1_000.0
 
-                sent.count { it >= CONTACT_TIMEOUT_MILLIS } / seconds shouldBeGreaterThan 6.0
+                sent.count { it >= CONTACT_TIMEOUT_MILLIS } / seconds shouldBeGreaterThan 9.0
             }
         }
 
