--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerRateLimits.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerRateLimits.kt
@@ -1,6 +1,9 @@
 package io.lavenderhinge.core.forwarding
 
 import io.lavenderhinge.core.ServerRun
+import io.lavenderhinge.core.limit.MIN_LIMIT_PER_SECOND
+import io.lavenderhinge.core.limit.TokenBucket
+import io.lavenderhinge.core.limit.burst
 import kotlin.math.pow
 import kotlin.random.Random
 
@@ -29,22 +32,11 @@
  * Times are milliseconds on the monotonic clock.
  */
 internal class ServerRateLimits(private val random: Random) {
-    private class Bucket(var level: Double) {
-        fun refill(perSecond: Double, elapsedMillis: Long, capacity: Double) {
-            val added = perSecond * elapsedMillis / MILLIS_PER_SECOND
-            level = (level + added).coerceAtMost(capacity)
-        }
-
-        fun waitMillis(perSecond: Double): Double =
-            if (level >= 1) 0.0 else (1 - level) / perSecond * MILLIS_PER_SECOND
-    }
-
     private class Limit(
         var perSecond: Double?,
         var statedMillis: Long,
-        val shared: Bucket,
-        val own: Bucket,
-        var refilledMillis: Long,
+        val shared: TokenBucket,
+        val own: TokenBucket,
     ) {
         var sentCount = 0L
         val peerSentCounts = HashMap<String, Long>()
@@ -71,8 +63,9 @@
     }
 
     private fun add(run: ServerRun, perSecond: Double, statedMillis: Long, nowMillis: Long): Limit {
-        val own = Bucket(random.nextDouble())
-        val limit = Limit(perSecond, statedMillis, Bucket(0.0), own, nowMillis)
+        val shared = TokenBucket(refilledMillis = nowMillis)
+        val own = TokenBucket(random.nextDouble(), nowMillis)
+        val limit = Limit(perSecond, statedMillis, shared, own)
         limits[run] = limit
         onChange(RateLimitChange(run, perSecond))
         return limit
@@ -90,21 +83,19 @@
     fun onSent(run: ServerRun) {
         val limit = limits[run] ?: return
         limit.sentCount++
-        limit.shared.level--
-        limit.own.level--
+        limit.shared.take()
+        limit.own.take()
     }
 
     /** Returns how long this instance, one of [instanceCount], has to wait for the next request. */
     fun waitMillis(run: ServerRun, instanceCount: Int, nowMillis: Long): Double {
         val limit = limits[run] ?: return 0.0
-        val perSecond = limit.perSecond?.coerceAtLeast(MIN_PER_SECOND) ?: return 0.0
-        val elapsedMillis = nowMillis - limit.refilledMillis
-        limit.refilledMillis = nowMillis
-        limit.shared.refill(perSecond, elapsedMillis, 1 + perSecond * SHARED_BURST_SECONDS)
+        val perSecond = limit.perSecond?.coerceAtLeast(MIN_LIMIT_PER_SECOND) ?: return 0.0
+        limit.shared.refill(perSecond, burst(perSecond), nowMillis)
         val sharedWaitMillis = limit.shared.waitMillis(perSecond)
         val ownShare = ownShares(instanceCount) / instanceCount
         if (ownShare >= 1) return sharedWaitMillis
-        limit.own.refill(perSecond * ownShare, elapsedMillis, OWN_BURST)
+        limit.own.refill(perSecond * ownShare, OWN_BURST, nowMillis)
         return maxOf(sharedWaitMillis, limit.own.waitMillis(perSecond * ownShare))
     }
 
@@ -143,7 +134,7 @@
             val previous = limit.peerSentCounts.put(peer, report.sentCount) ?: report.sentCount
             // A restarted peer counts from zero.
             val added = report.sentCount - previous
-            limit.shared.level -= if (added >= 0) added else report.sentCount
+            limit.shared.take(if (added >= 0) added else report.sentCount)
         }
 
     /** Forgets the servers that are not in [runs]. */
@@ -163,7 +154,6 @@
          * Up to this number of instances, reports are recent enough for the shared bucket alone.
          */
         const val FULL_SHARE_INSTANCES = 27.0
-        const val SHARED_BURST_SECONDS = 0.5
         /** Bounds the size of a report. */
         const val MAX_REPORTED = 64
         /** By then, all peers have heard that a limit was lifted. */
--- a/core/src/main/kotlin/io/lavenderhinge/core/scheduling/AdmissionPolicy.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/scheduling/AdmissionPolicy.kt
@@ -46,6 +46,7 @@
 
     fun fits(waiting: QueuedRequest, nowMillis: Long): Boolean {
         if (!state.circuitBreaker.allowsGrant(nowMillis)) return false
+        if (state.statedLimit.waitMillis(ahead = 0, nowMillis) > 0) return false
         if (!hasFreeSlots(nowMillis)) return false
         if (slots.size == 0) return true
         val backlogMillis = serviceTimes.prefillBacklogMillis(nowMillis)
@@ -92,6 +93,7 @@
             serviceTimes.prefillBacklogMillis(nowMillis) +
                 serviceTimes.prefillWorkMillis(queues.prefillTokensAhead(tier)) -
                 state.settings.prefillSlackMillis
-        return maxOf(slotWait, prefillWait, 0.0).toLong()
+        val limitWait = state.statedLimit.waitMillis(queues.countAhead(tier), nowMillis)
+        return maxOf(slotWait, prefillWait, limitWait).toLong()
     }
 }
--- a/core/src/main/kotlin/io/lavenderhinge/core/scheduling/Home.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/scheduling/Home.kt
@@ -143,6 +143,7 @@
 
     private fun onFinished(key: GrantRequestKey, result: SlotResult, nowMillis: Long) {
         state.circuitBreaker.onResult(result.resultClass, nowMillis)
+        result.limitStatement?.let { state.statedLimit.onStated(it, nowMillis) }
         val slot = slots[key]
         if (slot != null) state.recordResult(slot, result, nowMillis)
         slots.remove(key, nowMillis)
@@ -245,6 +246,7 @@
         }
         addSlot(waiting.request, waiting.prefillTokens, nowMillis)
         state.circuitBreaker.onGranted(nowMillis)
+        state.statedLimit.onSent()
         effects +=
             HomeEffect.Grant(
                 waiting.request.entryId,
--- a/core/src/main/kotlin/io/lavenderhinge/core/scheduling/HomeState.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/scheduling/HomeState.kt
@@ -2,6 +2,7 @@
 
 import io.lavenderhinge.core.limit.AdaptiveLimit
 import io.lavenderhinge.core.limit.LimitSample
+import io.lavenderhinge.core.limit.StatedRateLimit
 
 /** State of a home: its queues and slots, and its estimates about the backend server. */
 internal class HomeState(
@@ -16,6 +17,7 @@
     val circuitBreaker = CircuitBreaker()
     val prefixes = PrefixCacheEstimate()
     val serviceTimes = ServiceTimeEstimator()
+    val statedLimit = StatedRateLimit()
 
     /** Tiers closed by another home of the pool and by this home. */
     var poolClosure = TierClosure()
--- a/core/src/main/kotlin/io/lavenderhinge/core/scheduling/SlotResult.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/scheduling/SlotResult.kt
@@ -1,5 +1,7 @@
 package io.lavenderhinge.core.scheduling
 
+import io.lavenderhinge.core.limit.LimitStatement
+
 /** Outcome of a request in service. */
 enum class ResultClass {
     OK,
@@ -20,4 +22,6 @@
     val betweenTokensMicros: Long = 0,
     val promptTokens: Int = 0,
     val outputTokens: Int = 0,
+    /** Null if no response of the server was received. */
+    val limitStatement: LimitStatement? = null,
 )
--- a/core/src/test/kotlin/io/lavenderhinge/core/scheduling/HomeFixture.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/scheduling/HomeFixture.kt
@@ -3,6 +3,7 @@
 import io.lavenderhinge.core.Tier
 import io.lavenderhinge.core.limit.AdaptiveLimit
 import io.lavenderhinge.core.limit.LimitSample
+import io.lavenderhinge.core.limit.LimitStatement
 import io.lavenderhinge.core.port.LoadReport
 
 /** A fixed limit, so that tests observe only the behavior of the home. */
@@ -47,8 +48,14 @@
 
     fun submit(request: GrantRequest): List<String> = handle(HomeEvent.Requested(request))
 
-    fun finish(id: String, resultClass: ResultClass = ResultClass.OK): List<String> =
-        handle(HomeEvent.Finished(GrantRequestKey("e", id), SlotResult(resultClass)))
+    fun finish(
+        id: String,
+        resultClass: ResultClass = ResultClass.OK,
+        limitStatement: LimitStatement? = null,
+    ): List<String> {
+        val result = SlotResult(resultClass, limitStatement = limitStatement)
+        return handle(HomeEvent.Finished(GrantRequestKey("e", id), result))
+    }
 
     fun reportLoad(running: Int): List<String> =
         handle(HomeEvent.LoadReported(LoadReport(running, 0, 0, "1", 0)))
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/caller/ModelRequestHandler.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/caller/ModelRequestHandler.kt
@@ -13,8 +13,8 @@
 import io.lavenderhinge.http.HttpClient
 import io.lavenderhinge.http.HttpExchange
 import io.lavenderhinge.instance.dispatch.EngineStreamClient
+import io.lavenderhinge.instance.dispatch.StreamObservation
 import io.lavenderhinge.instance.dispatch.StreamOutcome
-import io.lavenderhinge.instance.dispatch.StreamTiming
 import io.lavenderhinge.instance.scheduling.Slot
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.async
@@ -122,7 +122,7 @@
         private val body: ByteArray,
         private val prompt: PromptEstimate,
     ) {
-        private val timing = StreamTiming()
+        private val observation = StreamObservation()
         private val version = slot.server.version
         private val model = target.target.name
         private val engineAddress = socketAddress(slot.server.address)
@@ -158,7 +158,7 @@
                     context.attemptId,
                     version,
                     body,
-                    timing,
+                    observation,
                     writer::writeEvent,
                 )
             }
@@ -211,15 +211,15 @@
             releaseSlot(ResultClass.OK)
             val nowMillis = services.nowMillis()
             val firstTokenSinceArrivalMillis = writer.firstEventMillis - context.receivedMillis
-            services.serverOutcomes.recordSuccess(slot.server.id, timing.firstTokenMillis)
-            recordOutcome(RequestOutcome.Answered(timing.firstTokenMillis))
+            services.serverOutcomes.recordSuccess(slot.server.id, observation.firstTokenMillis)
+            recordOutcome(RequestOutcome.Answered(observation.firstTokenMillis))
             services.promptGuard.recordAnswer(model, prompt.partIds)
             val tier = context.route.tier
             services.metrics.recordFirstToken(tier, firstTokenSinceArrivalMillis)
-            services.metrics.recordBetweenTokens(tier, timing.betweenTokensMicros)
+            services.metrics.recordBetweenTokens(tier, observation.betweenTokensMicros)
             val metTargets =
                 firstTokenSinceArrivalMillis <= context.route.firstTokenMillis &&
-                    timing.betweenTokensMicros <=
+                    observation.betweenTokensMicros <=
                         context.route.betweenTokensMillis * MICROS_PER_MILLI &&
                     nowMillis <= context.deadlineMillis
             services.metrics.recordAnswered(
@@ -261,10 +261,11 @@
             slot.done(
                 SlotResult(
                     resultClass = result,
-                    firstTokenMillis = timing.firstTokenMillis,
-                    betweenTokensMicros = timing.betweenTokensMicros,
+                    firstTokenMillis = observation.firstTokenMillis,
+                    betweenTokensMicros = observation.betweenTokensMicros,
                     promptTokens = prompt.promptTokens,
-                    outputTokens = timing.eventCount,
+                    outputTokens = observation.eventCount,
+                    limitStatement = observation.limitStatement,
                 )
             )
     }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/caller/ServiceCall.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/caller/ServiceCall.kt
@@ -1,7 +1,9 @@
 package io.lavenderhinge.instance.caller
 
 import io.lavenderhinge.adapters.Json
+import io.lavenderhinge.adapters.RequestLimitHeader
 import io.lavenderhinge.core.health.FailureKind
+import io.lavenderhinge.core.limit.LimitStatement
 import io.lavenderhinge.core.rollout.RequestOutcome
 import io.lavenderhinge.core.rollout.TeamTarget
 import io.lavenderhinge.core.routing.SlotRequest
@@ -136,24 +138,33 @@
         response: HttpResponse,
         latencyMillis: Long,
     ): ServiceCallOutcome? {
+        val limitStatement = RequestLimitHeader.decode(limitField(response))
         val draining = response.status == HttpStatus.UNAVAILABLE && isDraining(response)
         if (draining) {
-            reportFailure(slot, ResultClass.DRAINING, FailureKind.DRAINING)
+            reportFailure(slot, ResultClass.DRAINING, FailureKind.DRAINING, limitStatement)
             return null
         }
         if (response.status >= HttpStatus.SERVER_ERROR) {
-            reportFailure(slot, ResultClass.SERVER_ERROR, FailureKind.SERVER_ERROR)
+            reportFailure(slot, ResultClass.SERVER_ERROR, FailureKind.SERVER_ERROR, limitStatement)
             recordOutcome(slot, RequestOutcome.Failed)
         } else {
-            slot.done(SlotResult(ResultClass.OK, firstTokenMillis = latencyMillis))
+            slot.done(SlotResult(ResultClass.OK, latencyMillis, limitStatement = limitStatement))
             services.serverOutcomes.recordSuccess(slot.server.id, null)
             recordOutcome(slot, RequestOutcome.Answered(latencyMillis))
         }
         return ServiceCallOutcome.Answered(response)
     }
 
-    private fun reportFailure(slot: Slot, result: ResultClass, kind: FailureKind) {
-        slot.done(SlotResult(result))
+    private fun limitField(response: HttpResponse): String? =
+        response.headers.find { it.name.equals(RequestLimitHeader.NAME, ignoreCase = true) }?.value
+
+    private fun reportFailure(
+        slot: Slot,
+        result: ResultClass,
+        kind: FailureKind,
+        limitStatement: LimitStatement? = null,
+    ) {
+        slot.done(SlotResult(result, limitStatement = limitStatement))
         services.serverOutcomes.recordFailure(slot.server.id, kind)
     }
 
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/dispatch/EngineStreamClient.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/dispatch/EngineStreamClient.kt
@@ -1,6 +1,8 @@
 package io.lavenderhinge.instance.dispatch
 
 import io.lavenderhinge.adapters.Json
+import io.lavenderhinge.adapters.RequestLimitHeader
+import io.lavenderhinge.core.limit.LimitStatement
 import io.lavenderhinge.http.CallTimeouts
 import io.lavenderhinge.http.ClientResponse
 import io.lavenderhinge.http.HttpCallException
@@ -34,8 +36,8 @@
     data class Lost(val message: String) : StreamOutcome
 }
 
-/** Timing of a stream, measured at the instance. */
-internal class StreamTiming(private val startedNanos: Long = System.nanoTime()) {
+/** What an instance observes of an engine during a stream. */
+internal class StreamObservation(private val startedNanos: Long = System.nanoTime()) {
     private var firstEventNanos = 0L
     private var lastEventNanos = 0L
     var eventCount = 0
@@ -47,6 +49,9 @@
         eventCount++
     }
 
+    /** What the head of the response says of the engine's request limit; null without a head. */
+    var limitStatement: LimitStatement? = null
+
     /** Time to the first event; 0 until it arrives. */
     val firstTokenMillis: Long
         get() = if (eventCount == 0) 0 else (firstEventNanos - startedNanos) / NANOS_PER_MILLI
@@ -78,7 +83,7 @@
         attemptId: String,
         version: String,
         body: ByteArray,
-        timing: StreamTiming,
+        observation: StreamObservation,
         consumer: EventConsumer,
     ): StreamOutcome {
         val headers = DefaultHttpHeaders()
@@ -86,7 +91,7 @@
         headers.set("X-Request-Id", attemptId)
         headers.set("X-Model-Version", version)
         val request = HttpRequest("POST", "/v1/chat/completions", "", headers, body)
-        val progress = StreamProgress(timing, consumer)
+        val progress = StreamProgress(observation, consumer)
         val response =
             try {
                 client.send(address, request, timeouts)
@@ -95,6 +100,8 @@
             } catch (e: HttpCallException.OutcomeUnknown) {
                 return resume(address, attemptId, progress, e.message.orEmpty())
             }
+        observation.limitStatement =
+            RequestLimitHeader.decode(response.headers.get(RequestLimitHeader.NAME))
         if (response.status != HttpStatus.OK) return classifyErrorResponse(response)
         return when (val cutReason = progress.deliverEvents(response)) {
             null -> StreamOutcome.Complete
@@ -161,7 +168,7 @@
     }
 
     private class StreamProgress(
-        private val timing: StreamTiming,
+        private val observation: StreamObservation,
         private val consumer: EventConsumer,
     ) {
         /** Index of the next event to deliver to the consumer. */
@@ -198,7 +205,7 @@
             // A resumed stream may start before the requested event.
             if (index < nextEventIndex) return
             nextEventIndex = index + 1
-            timing.recordEvent()
+            observation.recordEvent()
             consumer.accept(event.data)
         }
     }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
@@ -1,5 +1,6 @@
 package io.lavenderhinge.instance.gateway
 
+import io.lavenderhinge.adapters.RequestLimitHeader
 import io.lavenderhinge.core.forwarding.DispatchEffect
 import io.lavenderhinge.core.forwarding.DispatchRequest
 import io.lavenderhinge.core.forwarding.FinishedAttempt
@@ -13,7 +14,6 @@
 import io.lavenderhinge.http.HttpStatus
 import io.lavenderhinge.http.LossReason
 import io.lavenderhinge.platform.PlatformHeaders
-import io.lavenderhinge.platform.ServerResponseHeaders
 import io.netty.handler.codec.http.HttpHeaderNames
 import java.net.InetSocketAddress
 import kotlinx.coroutines.CancellationException
@@ -120,7 +120,8 @@
 
     // Only a signed response without a limit proves that the server has lifted it.
     private fun recordRateLimit(response: ClientResponse, isSigned: Boolean) {
-        val limitPerSecond = ServerResponseHeaders.requestLimit(response.headers)
+        val limitPerSecond =
+            RequestLimitHeader.decode(response.headers.get(PlatformHeaders.REQUEST_LIMIT)).perSecond
         if (isMisdirected(response) || (limitPerSecond == null && !isSigned)) return
         allocator.onRateLimit(server, limitPerSecond)
     }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/scheduling/FrameDecoder.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/scheduling/FrameDecoder.kt
@@ -1,6 +1,7 @@
 package io.lavenderhinge.instance.scheduling
 
 import io.lavenderhinge.core.Tier
+import io.lavenderhinge.core.limit.LimitStatement
 import io.lavenderhinge.core.scheduling.GrantRequest
 import io.lavenderhinge.core.scheduling.GrantRequestKey
 import io.lavenderhinge.core.scheduling.HomeEffect
@@ -13,6 +14,7 @@
 import io.lavenderhinge.protocol.v1.Done
 import io.lavenderhinge.protocol.v1.Frame
 import io.lavenderhinge.protocol.v1.Grant
+import io.lavenderhinge.protocol.v1.LimitStatement as LimitStatementMessage
 import io.lavenderhinge.protocol.v1.Preempt
 import io.lavenderhinge.protocol.v1.Queued
 import io.lavenderhinge.protocol.v1.Refuse
@@ -101,9 +103,14 @@
                 betweenTokensMicros = done.betweenTokensMicros.toLong(),
                 promptTokens = done.promptTokens,
                 outputTokens = done.outputTokens,
+                limitStatement =
+                    if (done.hasLimitStatement()) limitStatement(done.limitStatement) else null,
             ),
         )
 
+    private fun limitStatement(message: LimitStatementMessage) =
+        LimitStatement(if (message.hasPerSecond()) message.perSecond else null)
+
     private fun refuse(selfId: String, refuse: Refuse) =
         HomeEffect.Refuse(
             entryId = selfId,
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/scheduling/FrameEncoder.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/scheduling/FrameEncoder.kt
@@ -1,6 +1,7 @@
 package io.lavenderhinge.instance.scheduling
 
 import io.lavenderhinge.core.Tier
+import io.lavenderhinge.core.limit.LimitStatement
 import io.lavenderhinge.core.scheduling.GrantRequest
 import io.lavenderhinge.core.scheduling.HomeEffect
 import io.lavenderhinge.core.scheduling.HomeEvent
@@ -11,6 +12,7 @@
 import io.lavenderhinge.protocol.v1.Done
 import io.lavenderhinge.protocol.v1.Frame
 import io.lavenderhinge.protocol.v1.Grant
+import io.lavenderhinge.protocol.v1.LimitStatement as LimitStatementMessage
 import io.lavenderhinge.protocol.v1.Preempt
 import io.lavenderhinge.protocol.v1.Queued
 import io.lavenderhinge.protocol.v1.Refuse
@@ -112,15 +114,25 @@
             .addAllPrefixHashes(request.prefixHashes)
     }
 
-    private fun done(serverId: String, grantRequestId: String, result: SlotResult) =
-        Done.newBuilder()
-            .setRequestId(grantRequestId)
-            .setServerId(serverId)
-            .setResultValue(result.resultClass.ordinal + 1)
-            .setFirstTokenMillis(bounded(result.firstTokenMillis))
-            .setBetweenTokensMicros(bounded(result.betweenTokensMicros))
-            .setPromptTokens(result.promptTokens)
-            .setOutputTokens(result.outputTokens)
+    private fun done(serverId: String, grantRequestId: String, result: SlotResult): Done {
+        val done =
+            Done.newBuilder()
+                .setRequestId(grantRequestId)
+                .setServerId(serverId)
+                .setResultValue(result.resultClass.ordinal + 1)
+                .setFirstTokenMillis(bounded(result.firstTokenMillis))
+                .setBetweenTokensMicros(bounded(result.betweenTokensMicros))
+                .setPromptTokens(result.promptTokens)
+                .setOutputTokens(result.outputTokens)
+        result.limitStatement?.let { done.setLimitStatement(limitStatement(it)) }
+        return done.build()
+    }
+
+    private fun limitStatement(statement: LimitStatement): LimitStatementMessage {
+        val message = LimitStatementMessage.newBuilder()
+        statement.perSecond?.let(message::setPerSecond)
+        return message.build()
+    }
 
     private fun tier(tier: Tier) = io.lavenderhinge.protocol.v1.Tier.forNumber(tier.ordinal + 1)
 
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/dispatch/EngineStreamClientTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/dispatch/EngineStreamClientTest.kt
@@ -29,7 +29,7 @@
             val delivered = mutableListOf<String>()
             val address = InetSocketAddress("127.0.0.1", engine.port)
             val outcome =
-                client.generate(address, "a1", "7", ByteArray(0), StreamTiming()) {
+                client.generate(address, "a1", "7", ByteArray(0), StreamObservation()) {
                     delivered += it
                 }
             engine.close()
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/scheduling/FrameEncoderTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/scheduling/FrameEncoderTest.kt
@@ -4,6 +4,7 @@
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import io.lavenderhinge.core.Tier
+import io.lavenderhinge.core.limit.LimitStatement
 import io.lavenderhinge.core.scheduling.GrantRequest
 import io.lavenderhinge.core.scheduling.GrantRequestKey
 import io.lavenderhinge.core.scheduling.HomeEffect
@@ -42,6 +43,17 @@
             received(HomeEvent.Requested(request)) shouldBe HomeEvent.Requested(expected)
         }
 
+        test(
+            "given a result with a request limit, when encoded and decoded, then it is unchanged"
+        ) {
+            for (statement in listOf(null, LimitStatement(2.5), LimitStatement(null))) {
+                val result = SlotResult(ResultClass.OK, limitStatement = statement)
+                val event = HomeEvent.Finished(GrantRequestKey("entry", "1"), result)
+
+                received(event) shouldBe event
+            }
+        }
+
         test("given every result class, when encoded and decoded, then it is unchanged") {
             for (resultClass in ResultClass.entries) {
                 val event =
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/Done.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/Done.java
@@ -46,6 +46,7 @@
             io.lavenderhinge.protocol.v1.Done.class, io.lavenderhinge.protocol.v1.Done.Builder.class);
   }
 
+  private int bitField0_;
   public static final int REQUEST_ID_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object requestId_ = "";
@@ -186,6 +187,44 @@
     return outputTokens_;
   }
 
+  public static final int LIMIT_STATEMENT_FIELD_NUMBER = 8;
+  private io.lavenderhinge.protocol.v1.LimitStatement limitStatement_;
+  /**
+   * <pre>
+   * Absent if no response of the server was received.
+   * </pre>
+   *
+   * <code>.lavenderhinge.v1.LimitStatement limit_statement = 8;</code>
+   * @return Whether the limitStatement field is set.
+   */
+  @java.lang.Override
+  public boolean hasLimitStatement() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * Absent if no response of the server was received.
+   * </pre>
+   *
+   * <code>.lavenderhinge.v1.LimitStatement limit_statement = 8;</code>
+   * @return The limitStatement.
+   */
+  @java.lang.Override
+  public io.lavenderhinge.protocol.v1.LimitStatement getLimitStatement() {
+    return limitStatement_ == null ? io.lavenderhinge.protocol.v1.LimitStatement.getDefaultInstance() : limitStatement_;
+  }
+  /**
+   * <pre>
+   * Absent if no response of the server was received.
+   * </pre>
+   *
+   * <code>.lavenderhinge.v1.LimitStatement limit_statement = 8;</code>
+   */
+  @java.lang.Override
+  public io.lavenderhinge.protocol.v1.LimitStatementOrBuilder getLimitStatementOrBuilder() {
+    return limitStatement_ == null ? io.lavenderhinge.protocol.v1.LimitStatement.getDefaultInstance() : limitStatement_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -221,6 +260,9 @@
     if (outputTokens_ != 0) {
       output.writeUInt32(7, outputTokens_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(8, getLimitStatement());
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -256,6 +298,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(7, outputTokens_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(8, getLimitStatement());
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -284,6 +330,11 @@
         != other.getPromptTokens()) return false;
     if (getOutputTokens()
         != other.getOutputTokens()) return false;
+    if (hasLimitStatement() != other.hasLimitStatement()) return false;
+    if (hasLimitStatement()) {
+      if (!getLimitStatement()
+          .equals(other.getLimitStatement())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -309,6 +360,10 @@
     hash = (53 * hash) + getPromptTokens();
     hash = (37 * hash) + OUTPUT_TOKENS_FIELD_NUMBER;
     hash = (53 * hash) + getOutputTokens();
+    if (hasLimitStatement()) {
+      hash = (37 * hash) + LIMIT_STATEMENT_FIELD_NUMBER;
+      hash = (53 * hash) + getLimitStatement().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -428,13 +483,19 @@
 
     // Construct using io.lavenderhinge.protocol.v1.Done.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetLimitStatementFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -447,6 +508,11 @@
       betweenTokensMicros_ = 0;
       promptTokens_ = 0;
       outputTokens_ = 0;
+      limitStatement_ = null;
+      if (limitStatementBuilder_ != null) {
+        limitStatementBuilder_.dispose();
+        limitStatementBuilder_ = null;
+      }
       return this;
     }
 
@@ -501,6 +567,14 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.outputTokens_ = outputTokens_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.limitStatement_ = limitStatementBuilder_ == null
+            ? limitStatement_
+            : limitStatementBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -540,6 +614,9 @@
       if (other.getOutputTokens() != 0) {
         setOutputTokens(other.getOutputTokens());
       }
+      if (other.hasLimitStatement()) {
+        mergeLimitStatement(other.getLimitStatement());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -601,6 +678,13 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 56
+            case 66: {
+              input.readMessage(
+                  internalGetLimitStatementFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 66
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -941,6 +1025,163 @@
       return this;
     }
 
+    private io.lavenderhinge.protocol.v1.LimitStatement limitStatement_;
+    private com.google.protobuf.SingleFieldBuilder<
+        io.lavenderhinge.protocol.v1.LimitStatement, io.lavenderhinge.protocol.v1.LimitStatement.Builder, io.lavenderhinge.protocol.v1.LimitStatementOrBuilder> limitStatementBuilder_;
+    /**
+     * <pre>
+     * Absent if no response of the server was received.
+     * </pre>
+     *
+     * <code>.lavenderhinge.v1.LimitStatement limit_statement = 8;</code>
+     * @return Whether the limitStatement field is set.
+     */
+    public boolean hasLimitStatement() {
+      return ((bitField0_ & 0x00000080) != 0);
+    }
+    /**
+     * <pre>
+     * Absent if no response of the server was received.
+     * </pre>
+     *
+     * <code>.lavenderhinge.v1.LimitStatement limit_statement = 8;</code>
+     * @return The limitStatement.
+     */
+    public io.lavenderhinge.protocol.v1.LimitStatement getLimitStatement() {
+      if (limitStatementBuilder_ == null) {
+        return limitStatement_ == null ? io.lavenderhinge.protocol.v1.LimitStatement.getDefaultInstance() : limitStatement_;
+      } else {
+        return limitStatementBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * Absent if no response of the server was received.
+     * </pre>
+     *
+     * <code>.lavenderhinge.v1.LimitStatement limit_statement = 8;</code>
+     */
+    public Builder setLimitStatement(io.lavenderhinge.protocol.v1.LimitStatement value) {
+      if (limitStatementBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        limitStatement_ = value;
+      } else {
+        limitStatementBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent if no response of the server was received.
+     * </pre>
+     *
+     * <code>.lavenderhinge.v1.LimitStatement limit_statement = 8;</code>
+     */
+    public Builder setLimitStatement(
+        io.lavenderhinge.protocol.v1.LimitStatement.Builder builderForValue) {
+      if (limitStatementBuilder_ == null) {
+        limitStatement_ = builderForValue.build();
+      } else {
+        limitStatementBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent if no response of the server was received.
+     * </pre>
+     *
+     * <code>.lavenderhinge.v1.LimitStatement limit_statement = 8;</code>
+     */
+    public Builder mergeLimitStatement(io.lavenderhinge.protocol.v1.LimitStatement value) {
+      if (limitStatementBuilder_ == null) {
+        if (((bitField0_ & 0x00000080) != 0) &&
+          limitStatement_ != null &&
+          limitStatement_ != io.lavenderhinge.protocol.v1.LimitStatement.getDefaultInstance()) {
+          getLimitStatementBuilder().mergeFrom(value);
+        } else {
+          limitStatement_ = value;
+        }
+      } else {
+        limitStatementBuilder_.mergeFrom(value);
+      }
+      if (limitStatement_ != null) {
+        bitField0_ |= 0x00000080;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent if no response of the server was received.
+     * </pre>
+     *
+     * <code>.lavenderhinge.v1.LimitStatement limit_statement = 8;</code>
+     */
+    public Builder clearLimitStatement() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      limitStatement_ = null;
+      if (limitStatementBuilder_ != null) {
+        limitStatementBuilder_.dispose();
+        limitStatementBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent if no response of the server was received.
+     * </pre>
+     *
+     * <code>.lavenderhinge.v1.LimitStatement limit_statement = 8;</code>
+     */
+    public io.lavenderhinge.protocol.v1.LimitStatement.Builder getLimitStatementBuilder() {
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return internalGetLimitStatementFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * Absent if no response of the server was received.
+     * </pre>
+     *
+     * <code>.lavenderhinge.v1.LimitStatement limit_statement = 8;</code>
+     */
+    public io.lavenderhinge.protocol.v1.LimitStatementOrBuilder getLimitStatementOrBuilder() {
+      if (limitStatementBuilder_ != null) {
+        return limitStatementBuilder_.getMessageOrBuilder();
+      } else {
+        return limitStatement_ == null ?
+            io.lavenderhinge.protocol.v1.LimitStatement.getDefaultInstance() : limitStatement_;
+      }
+    }
+    /**
+     * <pre>
+     * Absent if no response of the server was received.
+     * </pre>
+     *
+     * <code>.lavenderhinge.v1.LimitStatement limit_statement = 8;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.lavenderhinge.protocol.v1.LimitStatement, io.lavenderhinge.protocol.v1.LimitStatement.Builder, io.lavenderhinge.protocol.v1.LimitStatementOrBuilder> 
+        internalGetLimitStatementFieldBuilder() {
+      if (limitStatementBuilder_ == null) {
+        limitStatementBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.lavenderhinge.protocol.v1.LimitStatement, io.lavenderhinge.protocol.v1.LimitStatement.Builder, io.lavenderhinge.protocol.v1.LimitStatementOrBuilder>(
+                getLimitStatement(),
+                getParentForChildren(),
+                isClean());
+        limitStatement_ = null;
+      }
+      return limitStatementBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:lavenderhinge.v1.Done)
   }
 
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/DoneOrBuilder.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/DoneOrBuilder.java
@@ -68,4 +68,31 @@
    * @return The outputTokens.
    */
   int getOutputTokens();
+
+  /**
+   * <pre>
+   * Absent if no response of the server was received.
+   * </pre>
+   *
+   * <code>.lavenderhinge.v1.LimitStatement limit_statement = 8;</code>
+   * @return Whether the limitStatement field is set.
+   */
+  boolean hasLimitStatement();
+  /**
+   * <pre>
+   * Absent if no response of the server was received.
+   * </pre>
+   *
+   * <code>.lavenderhinge.v1.LimitStatement limit_statement = 8;</code>
+   * @return The limitStatement.
+   */
+  io.lavenderhinge.protocol.v1.LimitStatement getLimitStatement();
+  /**
+   * <pre>
+   * Absent if no response of the server was received.
+   * </pre>
+   *
+   * <code>.lavenderhinge.v1.LimitStatement limit_statement = 8;</code>
+   */
+  io.lavenderhinge.protocol.v1.LimitStatementOrBuilder getLimitStatementOrBuilder();
 }
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/PeerOuterClass.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/PeerOuterClass.java
@@ -66,6 +66,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_lavenderhinge_v1_Done_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_lavenderhinge_v1_LimitStatement_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_lavenderhinge_v1_LimitStatement_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_lavenderhinge_v1_Preempt_descriptor;
   static final 
@@ -267,148 +272,151 @@
       "\022.\n\006reason\030\003 \001(\0162\036.lavenderhinge.v1.Refu" +
       "seReason\022\034\n\024expected_wait_millis\030\004 \001(\r\022\030" +
       "\n\020lower_tier_count\030\005 \001(\r\"0\n\007Release\022\022\n\nr" +
-      "equest_id\030\001 \001(\t\022\021\n\tserver_id\030\002 \001(\t\"\305\001\n\004D" +
+      "equest_id\030\001 \001(\t\022\021\n\tserver_id\030\002 \001(\t\"\200\002\n\004D" +
       "one\022\022\n\nrequest_id\030\001 \001(\t\022\021\n\tserver_id\030\002 \001" +
       "(\t\022-\n\006result\030\003 \001(\0162\035.lavenderhinge.v1.Re" +
       "sultClass\022\032\n\022first_token_millis\030\004 \001(\r\022\035\n" +
       "\025between_tokens_micros\030\005 \001(\r\022\025\n\rprompt_t" +
-      "okens\030\006 \001(\r\022\025\n\routput_tokens\030\007 \001(\r\"0\n\007Pr" +
-      "eempt\022\022\n\nrequest_id\030\001 \001(\t\022\021\n\tserver_id\030\002" +
-      " \001(\t\"\210\002\n\rLedgerRequest\022\017\n\007call_id\030\001 \001(\004\022" +
-      "4\n\toperation\030\002 \001(\0162!.lavenderhinge.v1.Le" +
-      "dgerOperation\022\r\n\005shard\030\003 \001(\r\022\013\n\003key\030\004 \001(" +
-      "\t\022\027\n\017key_time_millis\030\005 \001(\004\022\021\n\tbody_hash\030" +
-      "\006 \001(\t\022\022\n\nattempt_id\030\007 \001(\t\022\020\n\010entry_id\030\010 " +
-      "\001(\t\022(\n\006answer\030\t \001(\0132\030.lavenderhinge.v1.A" +
-      "nswer\022\030\n\020retention_millis\030\n \001(\004\"\245\001\n\013Ledg" +
-      "erReply\022\017\n\007call_id\030\001 \001(\004\0220\n\007outcome\030\002 \001(" +
-      "\0162\037.lavenderhinge.v1.LedgerOutcome\022(\n\006an" +
-      "swer\030\003 \001(\0132\030.lavenderhinge.v1.Answer\022\016\n\006" +
-      "detail\030\004 \001(\t\022\031\n\021expires_at_millis\030\005 \001(\004\"" +
-      "<\n\006Answer\022\016\n\006status\030\001 \001(\r\022\024\n\014content_typ" +
-      "e\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"/\n\rRevisionEntry\022\014" +
-      "\n\004team\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\"\200\001\n\tHeart" +
-      "beat\022\023\n\013instance_id\030\001 \001(\t\022\023\n\013incarnation" +
-      "\030\002 \001(\004\022\017\n\007counter\030\003 \001(\004\022\017\n\007leaving\030\004 \001(\010" +
-      "\022\017\n\007address\030\005 \001(\t\022\026\n\016failure_domain\030\006 \001(" +
-      "\t\"\230\001\n\rServerSummary\022\021\n\tserver_id\030\001 \001(\t\022\034" +
-      "\n\024expected_wait_millis\030\002 \001(\r\022\022\n\nfree_slo" +
-      "ts\030\003 \001(\r\0220\n\020lowest_open_tier\030\004 \001(\0162\026.lav" +
-      "enderhinge.v1.Tier\022\020\n\010sequence\030\005 \001(\004\"\337\001\n" +
-      "\006Member\022\n\n\002id\030\001 \001(\t\022*\n\004kind\030\002 \001(\0162\034.lave" +
-      "nderhinge.v1.MemberKind\022\017\n\007address\030\003 \001(\t" +
-      "\022\026\n\016failure_domain\030\004 \001(\t\022\016\n\006region\030\005 \001(\t" +
-      "\022\017\n\007leaving\030\006 \001(\010\022\016\n\006serves\030\007 \001(\t\022\017\n\007ver" +
-      "sion\030\010 \001(\t\022\033\n\023hardware_generation\030\t \001(\r\022" +
-      "\025\n\rchecks_orders\030\n \001(\010\"G\n\nMemberList\022\016\n\006" +
-      "wanted\030\001 \001(\010\022)\n\007members\030\002 \003(\0132\030.lavender" +
-      "hinge.v1.Member\"Q\n\010StopFlag\022\016\n\006target\030\001 " +
-      "\001(\t\022\017\n\007version\030\002 \001(\t\022\022\n\nrollout_id\030\003 \001(\t" +
-      "\022\020\n\010evidence\030\004 \001(\t\"\345\001\n\006Digest\0222\n\trevisio" +
-      "ns\030\001 \003(\0132\037.lavenderhinge.v1.RevisionEntr" +
-      "y\022/\n\nheartbeats\030\002 \003(\0132\033.lavenderhinge.v1" +
-      ".Heartbeat\022.\n\nstop_flags\030\003 \003(\0132\032.lavende" +
-      "rhinge.v1.StopFlag\0220\n\007servers\030\004 \003(\0132\037.la" +
-      "venderhinge.v1.ServerSummary\022\024\n\014reply_wa" +
-      "nted\030\005 \001(\010\"<\n\014TeamSettings\022\014\n\004team\030\001 \001(\t" +
-      "\022\020\n\010revision\030\002 \001(\004\022\014\n\004text\030\003 \001(\t\"\177\n\005Delt" +
-      "a\0220\n\010settings\030\001 \003(\0132\036.lavenderhinge.v1.T" +
-      "eamSettings\022\024\n\014wanted_teams\030\002 \003(\t\022.\n\nsto" +
-      "p_flags\030\003 \003(\0132\032.lavenderhinge.v1.StopFla" +
-      "g\"\\\n\nRouteCount\022\r\n\005route\030\001 \001(\t\022\017\n\007versio" +
-      "n\030\002 \001(\t\022\020\n\010requests\030\003 \001(\004\022\016\n\006errors\030\004 \001(" +
-      "\004\022\014\n\004slow\030\005 \001(\004\"s\n\014VersionStats\022\022\n\nrollo" +
-      "ut_id\030\001 \001(\t\022\014\n\004step\030\002 \001(\r\022\023\n\013instance_id" +
-      "\030\003 \001(\t\022,\n\006counts\030\004 \003(\0132\034.lavenderhinge.v" +
-      "1.RouteCount\"I\n\tServerUse\022\021\n\tserver_id\030\001" +
-      " \001(\t\022\021\n\tin_flight\030\002 \001(\r\022\026\n\016pending_token" +
-      "s\030\003 \001(\001\"n\n\013QueueLength\022\017\n\007service\030\001 \001(\t\022" +
-      "\020\n\010priority\030\002 \001(\005\022\017\n\007waiting\030\003 \001(\r\022\030\n\020he" +
-      "ad_wait_millis\030\004 \001(\003\022\021\n\thead_late\030\005 \001(\010\"" +
-      ":\n\021WorkspaceSpending\022\021\n\tworkspace\030\001 \001(\t\022" +
-      "\022\n\ntotal_cost\030\002 \001(\001\"\374\003\n\nLoadReport\022\023\n\013in" +
-      "stance_id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\020\n\010" +
-      "sequence\030\003 \001(\004\022\n\n\002ip\030\004 \001(\t\022\021\n\tpeer_port\030" +
-      "\005 \001(\r\022,\n\007servers\030\006 \003(\0132\033.lavenderhinge.v" +
-      "1.ServerUse\022-\n\006queues\030\007 \003(\0132\035.lavenderhi" +
-      "nge.v1.QueueLength\0227\n\nworkspaces\030\010 \003(\0132#" +
-      ".lavenderhinge.v1.WorkspaceSpending\022\035\n\025c" +
-      "onfiguration_version\030\t \001(\003\022\027\n\017server_rev" +
-      "ision\030\n \001(\003\0223\n\010rollouts\030\013 \003(\0132!.lavender" +
-      "hinge.v1.RolloutProgress\022\027\n\017watches_serv" +
-      "ers\030\014 \001(\010\022?\n\022crash_observations\030\r \001(\0132#." +
-      "lavenderhinge.v1.CrashObservations\0226\n\013ra" +
-      "te_limits\030\016 \003(\0132!.lavenderhinge.v1.Serve" +
-      "rRateLimit\"\227\001\n\017ServerRateLimit\022(\n\003run\030\001 " +
-      "\001(\0132\033.lavenderhinge.v1.ServerRun\022\035\n\020limi" +
-      "t_per_second\030\002 \001(\001H\000\210\001\001\022\022\n\nage_millis\030\003 " +
-      "\001(\003\022\022\n\nsent_count\030\004 \001(\003B\023\n\021_limit_per_se" +
-      "cond\"6\n\tServerRun\022\021\n\tserver_id\030\001 \001(\t\022\026\n\016" +
-      "started_millis\030\002 \001(\003\"p\n\rObservedCrash\022(\n" +
-      "\003run\030\001 \001(\0132\033.lavenderhinge.v1.ServerRun\022" +
-      "\017\n\007service\030\002 \001(\t\022\022\n\nage_millis\030\003 \001(\003\022\020\n\010" +
-      "suspects\030\004 \003(\006\"3\n\017PartObservation\022\014\n\004par" +
-      "t\030\001 \001(\006\022\022\n\nage_millis\030\002 \001(\003\"\336\001\n\021CrashObs" +
-      "ervations\0220\n\007crashes\030\001 \003(\0132\037.lavenderhin" +
-      "ge.v1.ObservedCrash\0223\n\010answered\030\002 \003(\0132!." +
-      "lavenderhinge.v1.PartObservation\0226\n\013quar" +
-      "antined\030\003 \003(\0132!.lavenderhinge.v1.PartObs" +
-      "ervation\022*\n\005alive\030\004 \003(\0132\033.lavenderhinge." +
-      "v1.ServerRun\"\306\001\n\017RolloutProgress\022\017\n\007serv" +
-      "ice\030\001 \001(\t\022\026\n\016order_revision\030\002 \001(\003\022-\n\005sta" +
-      "ge\030\003 \001(\0162\036.lavenderhinge.v1.RolloutStage" +
-      "\022\026\n\016elapsed_millis\030\004 \001(\003\022\025\n\rold_in_fligh" +
-      "t\030\005 \001(\005\022,\n\006routes\030\006 \003(\0132\034.lavenderhinge." +
-      "v1.RouteTally\"\205\001\n\nRouteTally\022\r\n\005route\030\001 " +
-      "\001(\t\0223\n\013old_version\030\002 \001(\0132\036.lavenderhinge" +
-      ".v1.VersionTally\0223\n\013new_version\030\003 \001(\0132\036." +
-      "lavenderhinge.v1.VersionTally\">\n\014Version" +
-      "Tally\022\020\n\010requests\030\001 \001(\003\022\016\n\006errors\030\002 \001(\003\022" +
-      "\014\n\004slow\030\003 \001(\003\"F\n\014StateRequest\022\035\n\025configu" +
-      "ration_version\030\001 \001(\003\022\027\n\017server_revision\030" +
-      "\002 \001(\003\")\n\013StoredValue\022\013\n\003key\030\001 \001(\t\022\r\n\005val" +
-      "ue\030\002 \001(\t\"k\n\tStateCopy\022\025\n\rconfiguration\030\001" +
-      " \001(\t\022\027\n\017server_revision\030\002 \001(\003\022.\n\007servers" +
-      "\030\003 \003(\0132\035.lavenderhinge.v1.StoredValue*U\n" +
-      "\004Tier\022\024\n\020TIER_UNSPECIFIED\020\000\022\024\n\020TIER_INTE" +
-      "RACTIVE\020\001\022\021\n\rTIER_STANDARD\020\002\022\016\n\nTIER_BAT" +
-      "CH\020\003*\234\002\n\014RefuseReason\022\035\n\031REFUSE_REASON_U" +
-      "NSPECIFIED\020\000\022\032\n\026REFUSE_REASON_NOT_HOME\020\001" +
-      "\022\034\n\030REFUSE_REASON_QUEUE_FULL\020\002\022\032\n\026REFUSE" +
-      "_REASON_DEADLINE\020\003\022\033\n\027REFUSE_REASON_DISP" +
-      "LACED\020\004\022\035\n\031REFUSE_REASON_TIER_CLOSED\020\005\022 " +
-      "\n\034REFUSE_REASON_SERVER_LEAVING\020\006\022\035\n\031REFU" +
-      "SE_REASON_SERVER_DOWN\020\007\022\032\n\026REFUSE_REASON" +
-      "_SHUTDOWN\020\010*\324\001\n\013ResultClass\022\034\n\030RESULT_CL" +
-      "ASS_UNSPECIFIED\020\000\022\023\n\017RESULT_CLASS_OK\020\001\022\035" +
-      "\n\031RESULT_CLASS_SERVER_ERROR\020\002\022\"\n\036RESULT_" +
-      "CLASS_CONNECTION_FAILED\020\003\022\030\n\024RESULT_CLAS" +
-      "S_TIMEOUT\020\004\022\032\n\026RESULT_CLASS_CANCELLED\020\005\022" +
-      "\031\n\025RESULT_CLASS_DRAINING\020\006*\255\001\n\017LedgerOpe" +
-      "ration\022 \n\034LEDGER_OPERATION_UNSPECIFIED\020\000" +
-      "\022\034\n\030LEDGER_OPERATION_RESERVE\020\001\022\035\n\031LEDGER" +
-      "_OPERATION_COMPLETE\020\002\022\031\n\025LEDGER_OPERATIO" +
-      "N_VOID\020\003\022 \n\034LEDGER_OPERATION_OWNER_QUERY" +
-      "\020\004*\217\003\n\rLedgerOutcome\022\036\n\032LEDGER_OUTCOME_U" +
-      "NSPECIFIED\020\000\022\033\n\027LEDGER_OUTCOME_RECORDED\020" +
-      "\001\022\034\n\030LEDGER_OUTCOME_COMPLETED\020\002\022\034\n\030LEDGE" +
-      "R_OUTCOME_IN_FLIGHT\020\003\022\033\n\027LEDGER_OUTCOME_" +
-      "IN_DOUBT\020\004\022\033\n\027LEDGER_OUTCOME_MISMATCH\020\005\022" +
-      "\032\n\026LEDGER_OUTCOME_TOO_OLD\020\006\022\035\n\031LEDGER_OU" +
-      "TCOME_NOT_WRITER\020\007\022\036\n\032LEDGER_OUTCOME_UNA" +
-      "VAILABLE\020\010\022#\n\037LEDGER_OUTCOME_OWNER_DISPA" +
-      "TCHED\020\t\022)\n%LEDGER_OUTCOME_OWNER_NEVER_DI" +
-      "SPATCHED\020\n\022 \n\034LEDGER_OUTCOME_OWNER_UNKNO" +
-      "WN\020\013*\200\001\n\nMemberKind\022\033\n\027MEMBER_KIND_UNSPE" +
-      "CIFIED\020\000\022\030\n\024MEMBER_KIND_INSTANCE\020\001\022\034\n\030ME" +
-      "MBER_KIND_MODEL_ENGINE\020\002\022\035\n\031MEMBER_KIND_" +
-      "PLAIN_SERVICE\020\003*w\n\014RolloutStage\022\027\n\023ROLLO" +
-      "UT_STAGE_TRIAL\020\000\022\026\n\022ROLLOUT_STAGE_RAMP\020\001" +
-      "\022\031\n\025ROLLOUT_STAGE_SHIFTED\020\002\022\033\n\027ROLLOUT_S" +
-      "TAGE_WITHDRAWN\020\0032D\n\004Peer\022<\n\004Link\022\027.laven" +
-      "derhinge.v1.Frame\032\027.lavenderhinge.v1.Fra" +
-      "me(\0010\001B \n\034io.lavenderhinge.protocol.v1P\001" +
-      "b\006proto3"
+      "okens\030\006 \001(\r\022\025\n\routput_tokens\030\007 \001(\r\0229\n\017li" +
+      "mit_statement\030\010 \001(\0132 .lavenderhinge.v1.L" +
+      "imitStatement\"8\n\016LimitStatement\022\027\n\nper_s" +
+      "econd\030\001 \001(\001H\000\210\001\001B\r\n\013_per_second\"0\n\007Preem" +
+      "pt\022\022\n\nrequest_id\030\001 \001(\t\022\021\n\tserver_id\030\002 \001(" +
+      "\t\"\210\002\n\rLedgerRequest\022\017\n\007call_id\030\001 \001(\004\0224\n\t" +
+      "operation\030\002 \001(\0162!.lavenderhinge.v1.Ledge" +
+      "rOperation\022\r\n\005shard\030\003 \001(\r\022\013\n\003key\030\004 \001(\t\022\027" +
+      "\n\017key_time_millis\030\005 \001(\004\022\021\n\tbody_hash\030\006 \001" +
+      "(\t\022\022\n\nattempt_id\030\007 \001(\t\022\020\n\010entry_id\030\010 \001(\t" +
+      "\022(\n\006answer\030\t \001(\0132\030.lavenderhinge.v1.Answ" +
+      "er\022\030\n\020retention_millis\030\n \001(\004\"\245\001\n\013LedgerR" +
+      "eply\022\017\n\007call_id\030\001 \001(\004\0220\n\007outcome\030\002 \001(\0162\037" +
+      ".lavenderhinge.v1.LedgerOutcome\022(\n\006answe" +
+      "r\030\003 \001(\0132\030.lavenderhinge.v1.Answer\022\016\n\006det" +
+      "ail\030\004 \001(\t\022\031\n\021expires_at_millis\030\005 \001(\004\"<\n\006" +
+      "Answer\022\016\n\006status\030\001 \001(\r\022\024\n\014content_type\030\002" +
+      " \001(\t\022\014\n\004body\030\003 \001(\014\"/\n\rRevisionEntry\022\014\n\004t" +
+      "eam\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\"\200\001\n\tHeartbea" +
+      "t\022\023\n\013instance_id\030\001 \001(\t\022\023\n\013incarnation\030\002 " +
+      "\001(\004\022\017\n\007counter\030\003 \001(\004\022\017\n\007leaving\030\004 \001(\010\022\017\n" +
+      "\007address\030\005 \001(\t\022\026\n\016failure_domain\030\006 \001(\t\"\230" +
+      "\001\n\rServerSummary\022\021\n\tserver_id\030\001 \001(\t\022\034\n\024e" +
+      "xpected_wait_millis\030\002 \001(\r\022\022\n\nfree_slots\030" +
+      "\003 \001(\r\0220\n\020lowest_open_tier\030\004 \001(\0162\026.lavend" +
+      "erhinge.v1.Tier\022\020\n\010sequence\030\005 \001(\004\"\337\001\n\006Me" +
+      "mber\022\n\n\002id\030\001 \001(\t\022*\n\004kind\030\002 \001(\0162\034.lavende" +
+      "rhinge.v1.MemberKind\022\017\n\007address\030\003 \001(\t\022\026\n" +
+      "\016failure_domain\030\004 \001(\t\022\016\n\006region\030\005 \001(\t\022\017\n" +
+      "\007leaving\030\006 \001(\010\022\016\n\006serves\030\007 \001(\t\022\017\n\007versio" +
+      "n\030\010 \001(\t\022\033\n\023hardware_generation\030\t \001(\r\022\025\n\r" +
+      "checks_orders\030\n \001(\010\"G\n\nMemberList\022\016\n\006wan" +
+      "ted\030\001 \001(\010\022)\n\007members\030\002 \003(\0132\030.lavenderhin" +
+      "ge.v1.Member\"Q\n\010StopFlag\022\016\n\006target\030\001 \001(\t" +
+      "\022\017\n\007version\030\002 \001(\t\022\022\n\nrollout_id\030\003 \001(\t\022\020\n" +
+      "\010evidence\030\004 \001(\t\"\345\001\n\006Digest\0222\n\trevisions\030" +
+      "\001 \003(\0132\037.lavenderhinge.v1.RevisionEntry\022/" +
+      "\n\nheartbeats\030\002 \003(\0132\033.lavenderhinge.v1.He" +
+      "artbeat\022.\n\nstop_flags\030\003 \003(\0132\032.lavenderhi" +
+      "nge.v1.StopFlag\0220\n\007servers\030\004 \003(\0132\037.laven" +
+      "derhinge.v1.ServerSummary\022\024\n\014reply_wante" +
+      "d\030\005 \001(\010\"<\n\014TeamSettings\022\014\n\004team\030\001 \001(\t\022\020\n" +
+      "\010revision\030\002 \001(\004\022\014\n\004text\030\003 \001(\t\"\177\n\005Delta\0220" +
+      "\n\010settings\030\001 \003(\0132\036.lavenderhinge.v1.Team" +
+      "Settings\022\024\n\014wanted_teams\030\002 \003(\t\022.\n\nstop_f" +
+      "lags\030\003 \003(\0132\032.lavenderhinge.v1.StopFlag\"\\" +
+      "\n\nRouteCount\022\r\n\005route\030\001 \001(\t\022\017\n\007version\030\002" +
+      " \001(\t\022\020\n\010requests\030\003 \001(\004\022\016\n\006errors\030\004 \001(\004\022\014" +
+      "\n\004slow\030\005 \001(\004\"s\n\014VersionStats\022\022\n\nrollout_" +
+      "id\030\001 \001(\t\022\014\n\004step\030\002 \001(\r\022\023\n\013instance_id\030\003 " +
+      "\001(\t\022,\n\006counts\030\004 \003(\0132\034.lavenderhinge.v1.R" +
+      "outeCount\"I\n\tServerUse\022\021\n\tserver_id\030\001 \001(" +
+      "\t\022\021\n\tin_flight\030\002 \001(\r\022\026\n\016pending_tokens\030\003" +
+      " \001(\001\"n\n\013QueueLength\022\017\n\007service\030\001 \001(\t\022\020\n\010" +
+      "priority\030\002 \001(\005\022\017\n\007waiting\030\003 \001(\r\022\030\n\020head_" +
+      "wait_millis\030\004 \001(\003\022\021\n\thead_late\030\005 \001(\010\":\n\021" +
+      "WorkspaceSpending\022\021\n\tworkspace\030\001 \001(\t\022\022\n\n" +
+      "total_cost\030\002 \001(\001\"\374\003\n\nLoadReport\022\023\n\013insta" +
+      "nce_id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\020\n\010seq" +
+      "uence\030\003 \001(\004\022\n\n\002ip\030\004 \001(\t\022\021\n\tpeer_port\030\005 \001" +
+      "(\r\022,\n\007servers\030\006 \003(\0132\033.lavenderhinge.v1.S" +
+      "erverUse\022-\n\006queues\030\007 \003(\0132\035.lavenderhinge" +
+      ".v1.QueueLength\0227\n\nworkspaces\030\010 \003(\0132#.la" +
+      "venderhinge.v1.WorkspaceSpending\022\035\n\025conf" +
+      "iguration_version\030\t \001(\003\022\027\n\017server_revisi" +
+      "on\030\n \001(\003\0223\n\010rollouts\030\013 \003(\0132!.lavenderhin" +
+      "ge.v1.RolloutProgress\022\027\n\017watches_servers" +
+      "\030\014 \001(\010\022?\n\022crash_observations\030\r \001(\0132#.lav" +
+      "enderhinge.v1.CrashObservations\0226\n\013rate_" +
+      "limits\030\016 \003(\0132!.lavenderhinge.v1.ServerRa" +
+      "teLimit\"\227\001\n\017ServerRateLimit\022(\n\003run\030\001 \001(\013" +
+      "2\033.lavenderhinge.v1.ServerRun\022\035\n\020limit_p" +
+      "er_second\030\002 \001(\001H\000\210\001\001\022\022\n\nage_millis\030\003 \001(\003" +
+      "\022\022\n\nsent_count\030\004 \001(\003B\023\n\021_limit_per_secon" +
+      "d\"6\n\tServerRun\022\021\n\tserver_id\030\001 \001(\t\022\026\n\016sta" +
+      "rted_millis\030\002 \001(\003\"p\n\rObservedCrash\022(\n\003ru" +
+      "n\030\001 \001(\0132\033.lavenderhinge.v1.ServerRun\022\017\n\007" +
+      "service\030\002 \001(\t\022\022\n\nage_millis\030\003 \001(\003\022\020\n\010sus" +
+      "pects\030\004 \003(\006\"3\n\017PartObservation\022\014\n\004part\030\001" +
+      " \001(\006\022\022\n\nage_millis\030\002 \001(\003\"\336\001\n\021CrashObserv" +
+      "ations\0220\n\007crashes\030\001 \003(\0132\037.lavenderhinge." +
+      "v1.ObservedCrash\0223\n\010answered\030\002 \003(\0132!.lav" +
+      "enderhinge.v1.PartObservation\0226\n\013quarant" +
+      "ined\030\003 \003(\0132!.lavenderhinge.v1.PartObserv" +
+      "ation\022*\n\005alive\030\004 \003(\0132\033.lavenderhinge.v1." +
+      "ServerRun\"\306\001\n\017RolloutProgress\022\017\n\007service" +
+      "\030\001 \001(\t\022\026\n\016order_revision\030\002 \001(\003\022-\n\005stage\030" +
+      "\003 \001(\0162\036.lavenderhinge.v1.RolloutStage\022\026\n" +
+      "\016elapsed_millis\030\004 \001(\003\022\025\n\rold_in_flight\030\005" +
+      " \001(\005\022,\n\006routes\030\006 \003(\0132\034.lavenderhinge.v1." +
+      "RouteTally\"\205\001\n\nRouteTally\022\r\n\005route\030\001 \001(\t" +
+      "\0223\n\013old_version\030\002 \001(\0132\036.lavenderhinge.v1" +
+      ".VersionTally\0223\n\013new_version\030\003 \001(\0132\036.lav" +
+      "enderhinge.v1.VersionTally\">\n\014VersionTal" +
+      "ly\022\020\n\010requests\030\001 \001(\003\022\016\n\006errors\030\002 \001(\003\022\014\n\004" +
+      "slow\030\003 \001(\003\"F\n\014StateRequest\022\035\n\025configurat" +
+      "ion_version\030\001 \001(\003\022\027\n\017server_revision\030\002 \001" +
+      "(\003\")\n\013StoredValue\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030" +
+      "\002 \001(\t\"k\n\tStateCopy\022\025\n\rconfiguration\030\001 \001(" +
+      "\t\022\027\n\017server_revision\030\002 \001(\003\022.\n\007servers\030\003 " +
+      "\003(\0132\035.lavenderhinge.v1.StoredValue*U\n\004Ti" +
+      "er\022\024\n\020TIER_UNSPECIFIED\020\000\022\024\n\020TIER_INTERAC" +
+      "TIVE\020\001\022\021\n\rTIER_STANDARD\020\002\022\016\n\nTIER_BATCH\020" +
+      "\003*\234\002\n\014RefuseReason\022\035\n\031REFUSE_REASON_UNSP" +
+      "ECIFIED\020\000\022\032\n\026REFUSE_REASON_NOT_HOME\020\001\022\034\n" +
+      "\030REFUSE_REASON_QUEUE_FULL\020\002\022\032\n\026REFUSE_RE" +
+      "ASON_DEADLINE\020\003\022\033\n\027REFUSE_REASON_DISPLAC" +
+      "ED\020\004\022\035\n\031REFUSE_REASON_TIER_CLOSED\020\005\022 \n\034R" +
+      "EFUSE_REASON_SERVER_LEAVING\020\006\022\035\n\031REFUSE_" +
+      "REASON_SERVER_DOWN\020\007\022\032\n\026REFUSE_REASON_SH" +
+      "UTDOWN\020\010*\324\001\n\013ResultClass\022\034\n\030RESULT_CLASS" +
+      "_UNSPECIFIED\020\000\022\023\n\017RESULT_CLASS_OK\020\001\022\035\n\031R" +
+      "ESULT_CLASS_SERVER_ERROR\020\002\022\"\n\036RESULT_CLA" +
+      "SS_CONNECTION_FAILED\020\003\022\030\n\024RESULT_CLASS_T" +
+      "IMEOUT\020\004\022\032\n\026RESULT_CLASS_CANCELLED\020\005\022\031\n\025" +
+      "RESULT_CLASS_DRAINING\020\006*\255\001\n\017LedgerOperat" +
+      "ion\022 \n\034LEDGER_OPERATION_UNSPECIFIED\020\000\022\034\n" +
+      "\030LEDGER_OPERATION_RESERVE\020\001\022\035\n\031LEDGER_OP" +
+      "ERATION_COMPLETE\020\002\022\031\n\025LEDGER_OPERATION_V" +
+      "OID\020\003\022 \n\034LEDGER_OPERATION_OWNER_QUERY\020\004*" +
+      "\217\003\n\rLedgerOutcome\022\036\n\032LEDGER_OUTCOME_UNSP" +
+      "ECIFIED\020\000\022\033\n\027LEDGER_OUTCOME_RECORDED\020\001\022\034" +
+      "\n\030LEDGER_OUTCOME_COMPLETED\020\002\022\034\n\030LEDGER_O" +
+      "UTCOME_IN_FLIGHT\020\003\022\033\n\027LEDGER_OUTCOME_IN_" +
+      "DOUBT\020\004\022\033\n\027LEDGER_OUTCOME_MISMATCH\020\005\022\032\n\026" +
+      "LEDGER_OUTCOME_TOO_OLD\020\006\022\035\n\031LEDGER_OUTCO" +
+      "ME_NOT_WRITER\020\007\022\036\n\032LEDGER_OUTCOME_UNAVAI" +
+      "LABLE\020\010\022#\n\037LEDGER_OUTCOME_OWNER_DISPATCH" +
+      "ED\020\t\022)\n%LEDGER_OUTCOME_OWNER_NEVER_DISPA" +
+      "TCHED\020\n\022 \n\034LEDGER_OUTCOME_OWNER_UNKNOWN\020" +
+      "\013*\200\001\n\nMemberKind\022\033\n\027MEMBER_KIND_UNSPECIF" +
+      "IED\020\000\022\030\n\024MEMBER_KIND_INSTANCE\020\001\022\034\n\030MEMBE" +
+      "R_KIND_MODEL_ENGINE\020\002\022\035\n\031MEMBER_KIND_PLA" +
+      "IN_SERVICE\020\003*w\n\014RolloutStage\022\027\n\023ROLLOUT_" +
+      "STAGE_TRIAL\020\000\022\026\n\022ROLLOUT_STAGE_RAMP\020\001\022\031\n" +
+      "\025ROLLOUT_STAGE_SHIFTED\020\002\022\033\n\027ROLLOUT_STAG" +
+      "E_WITHDRAWN\020\0032D\n\004Peer\022<\n\004Link\022\027.lavender" +
+      "hinge.v1.Frame\032\027.lavenderhinge.v1.Frame(" +
+      "\0010\001B \n\034io.lavenderhinge.protocol.v1P\001b\006p" +
+      "roto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -461,183 +469,189 @@
     internal_static_lavenderhinge_v1_Done_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_Done_descriptor,
-        new java.lang.String[] { "RequestId", "ServerId", "Result", "FirstTokenMillis", "BetweenTokensMicros", "PromptTokens", "OutputTokens", });
-    internal_static_lavenderhinge_v1_Preempt_descriptor =
+        new java.lang.String[] { "RequestId", "ServerId", "Result", "FirstTokenMillis", "BetweenTokensMicros", "PromptTokens", "OutputTokens", "LimitStatement", });
+    internal_static_lavenderhinge_v1_LimitStatement_descriptor =
       getDescriptor().getMessageType(8);
+    internal_static_lavenderhinge_v1_LimitStatement_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_lavenderhinge_v1_LimitStatement_descriptor,
+        new java.lang.String[] { "PerSecond", });
+    internal_static_lavenderhinge_v1_Preempt_descriptor =
+      getDescriptor().getMessageType(9);
     internal_static_lavenderhinge_v1_Preempt_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_Preempt_descriptor,
         new java.lang.String[] { "RequestId", "ServerId", });
     internal_static_lavenderhinge_v1_LedgerRequest_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(10);
     internal_static_lavenderhinge_v1_LedgerRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_LedgerRequest_descriptor,
         new java.lang.String[] { "CallId", "Operation", "Shard", "Key", "KeyTimeMillis", "BodyHash", "AttemptId", "EntryId", "Answer", "RetentionMillis", });
     internal_static_lavenderhinge_v1_LedgerReply_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(11);
     internal_static_lavenderhinge_v1_LedgerReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_LedgerReply_descriptor,
         new java.lang.String[] { "CallId", "Outcome", "Answer", "Detail", "ExpiresAtMillis", });
     internal_static_lavenderhinge_v1_Answer_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_lavenderhinge_v1_Answer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_Answer_descriptor,
         new java.lang.String[] { "Status", "ContentType", "Body", });
     internal_static_lavenderhinge_v1_RevisionEntry_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_lavenderhinge_v1_RevisionEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_RevisionEntry_descriptor,
         new java.lang.String[] { "Team", "Revision", });
     internal_static_lavenderhinge_v1_Heartbeat_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_lavenderhinge_v1_Heartbeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_Heartbeat_descriptor,
         new java.lang.String[] { "InstanceId", "Incarnation", "Counter", "Leaving", "Address", "FailureDomain", });
     internal_static_lavenderhinge_v1_ServerSummary_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_lavenderhinge_v1_ServerSummary_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_ServerSummary_descriptor,
         new java.lang.String[] { "ServerId", "ExpectedWaitMillis", "FreeSlots", "LowestOpenTier", "Sequence", });
     internal_static_lavenderhinge_v1_Member_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(16);
     internal_static_lavenderhinge_v1_Member_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_Member_descriptor,
         new java.lang.String[] { "Id", "Kind", "Address", "FailureDomain", "Region", "Leaving", "Serves", "Version", "HardwareGeneration", "ChecksOrders", });
     internal_static_lavenderhinge_v1_MemberList_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(17);
     internal_static_lavenderhinge_v1_MemberList_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_MemberList_descriptor,
         new java.lang.String[] { "Wanted", "Members", });
     internal_static_lavenderhinge_v1_StopFlag_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(18);
     internal_static_lavenderhinge_v1_StopFlag_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_StopFlag_descriptor,
         new java.lang.String[] { "Target", "Version", "RolloutId", "Evidence", });
     internal_static_lavenderhinge_v1_Digest_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(19);
     internal_static_lavenderhinge_v1_Digest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_Digest_descriptor,
         new java.lang.String[] { "Revisions", "Heartbeats", "StopFlags", "Servers", "ReplyWanted", });
     internal_static_lavenderhinge_v1_TeamSettings_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(20);
     internal_static_lavenderhinge_v1_TeamSettings_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_TeamSettings_descriptor,
         new java.lang.String[] { "Team", "Revision", "Text", });
     internal_static_lavenderhinge_v1_Delta_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(21);
     internal_static_lavenderhinge_v1_Delta_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_Delta_descriptor,
         new java.lang.String[] { "Settings", "WantedTeams", "StopFlags", });
     internal_static_lavenderhinge_v1_RouteCount_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(22);
     internal_static_lavenderhinge_v1_RouteCount_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_RouteCount_descriptor,
         new java.lang.String[] { "Route", "Version", "Requests", "Errors", "Slow", });
     internal_static_lavenderhinge_v1_VersionStats_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(23);
     internal_static_lavenderhinge_v1_VersionStats_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_VersionStats_descriptor,
         new java.lang.String[] { "RolloutId", "Step", "InstanceId", "Counts", });
     internal_static_lavenderhinge_v1_ServerUse_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(24);
     internal_static_lavenderhinge_v1_ServerUse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_ServerUse_descriptor,
         new java.lang.String[] { "ServerId", "InFlight", "PendingTokens", });
     internal_static_lavenderhinge_v1_QueueLength_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(25);
     internal_static_lavenderhinge_v1_QueueLength_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_QueueLength_descriptor,
         new java.lang.String[] { "Service", "Priority", "Waiting", "HeadWaitMillis", "HeadLate", });
     internal_static_lavenderhinge_v1_WorkspaceSpending_descriptor =
-      getDescriptor().getMessageType(25);
+      getDescriptor().getMessageType(26);
     internal_static_lavenderhinge_v1_WorkspaceSpending_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_WorkspaceSpending_descriptor,
         new java.lang.String[] { "Workspace", "TotalCost", });
     internal_static_lavenderhinge_v1_LoadReport_descriptor =
-      getDescriptor().getMessageType(26);
+      getDescriptor().getMessageType(27);
     internal_static_lavenderhinge_v1_LoadReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_LoadReport_descriptor,
         new java.lang.String[] { "InstanceId", "Incarnation", "Sequence", "Ip", "PeerPort", "Servers", "Queues", "Workspaces", "ConfigurationVersion", "ServerRevision", "Rollouts", "WatchesServers", "CrashObservations", "RateLimits", });
     internal_static_lavenderhinge_v1_ServerRateLimit_descriptor =
-      getDescriptor().getMessageType(27);
+      getDescriptor().getMessageType(28);
     internal_static_lavenderhinge_v1_ServerRateLimit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_ServerRateLimit_descriptor,
         new java.lang.String[] { "Run", "LimitPerSecond", "AgeMillis", "SentCount", });
     internal_static_lavenderhinge_v1_ServerRun_descriptor =
-      getDescriptor().getMessageType(28);
+      getDescriptor().getMessageType(29);
     internal_static_lavenderhinge_v1_ServerRun_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_ServerRun_descriptor,
         new java.lang.String[] { "ServerId", "StartedMillis", });
     internal_static_lavenderhinge_v1_ObservedCrash_descriptor =
-      getDescriptor().getMessageType(29);
+      getDescriptor().getMessageType(30);
     internal_static_lavenderhinge_v1_ObservedCrash_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_ObservedCrash_descriptor,
         new java.lang.String[] { "Run", "Service", "AgeMillis", "Suspects", });
     internal_static_lavenderhinge_v1_PartObservation_descriptor =
-      getDescriptor().getMessageType(30);
+      getDescriptor().getMessageType(31);
     internal_static_lavenderhinge_v1_PartObservation_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_PartObservation_descriptor,
         new java.lang.String[] { "Part", "AgeMillis", });
     internal_static_lavenderhinge_v1_CrashObservations_descriptor =
-      getDescriptor().getMessageType(31);
+      getDescriptor().getMessageType(32);
     internal_static_lavenderhinge_v1_CrashObservations_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_CrashObservations_descriptor,
         new java.lang.String[] { "Crashes", "Answered", "Quarantined", "Alive", });
     internal_static_lavenderhinge_v1_RolloutProgress_descriptor =
-      getDescriptor().getMessageType(32);
+      getDescriptor().getMessageType(33);
     internal_static_lavenderhinge_v1_RolloutProgress_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_RolloutProgress_descriptor,
         new java.lang.String[] { "Service", "OrderRevision", "Stage", "ElapsedMillis", "OldInFlight", "Routes", });
     internal_static_lavenderhinge_v1_RouteTally_descriptor =
-      getDescriptor().getMessageType(33);
+      getDescriptor().getMessageType(34);
     internal_static_lavenderhinge_v1_RouteTally_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_RouteTally_descriptor,
         new java.lang.String[] { "Route", "OldVersion", "NewVersion", });
     internal_static_lavenderhinge_v1_VersionTally_descriptor =
-      getDescriptor().getMessageType(34);
+      getDescriptor().getMessageType(35);
     internal_static_lavenderhinge_v1_VersionTally_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_VersionTally_descriptor,
         new java.lang.String[] { "Requests", "Errors", "Slow", });
     internal_static_lavenderhinge_v1_StateRequest_descriptor =
-      getDescriptor().getMessageType(35);
+      getDescriptor().getMessageType(36);
     internal_static_lavenderhinge_v1_StateRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_StateRequest_descriptor,
         new java.lang.String[] { "ConfigurationVersion", "ServerRevision", });
     internal_static_lavenderhinge_v1_StoredValue_descriptor =
-      getDescriptor().getMessageType(36);
+      getDescriptor().getMessageType(37);
     internal_static_lavenderhinge_v1_StoredValue_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_StoredValue_descriptor,
         new java.lang.String[] { "Key", "Value", });
     internal_static_lavenderhinge_v1_StateCopy_descriptor =
-      getDescriptor().getMessageType(37);
+      getDescriptor().getMessageType(38);
     internal_static_lavenderhinge_v1_StateCopy_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_StateCopy_descriptor,
