--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerRateLimits.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerRateLimits.kt
@@ -4,7 +4,6 @@
 import io.lavenderhinge.core.limit.MIN_LIMIT_PER_SECOND
 import io.lavenderhinge.core.limit.TokenBucket
 import io.lavenderhinge.core.limit.burst
-import kotlin.math.pow
 import kotlin.random.Random
 
 /** What an instance reports of the request limit of one server. */
@@ -100,8 +99,10 @@
     }
 
     // The time between two reports grows with the square of the number of instances.
-    private fun ownShares(instanceCount: Int): Double =
-        maxOf(MIN_OWN_SHARES, FULL_SHARE_INSTANCES.pow(3) / instanceCount.toDouble().pow(2))
+    private fun ownShares(instanceCount: Int): Double {
+        val ratio = FULL_SHARE_INSTANCES / instanceCount
+        return maxOf(MIN_OWN_SHARES, FULL_SHARE_INSTANCES * ratio * ratio)
+    }
 
     /** Returns the reports for the peers; in turn, if there are more than [MAX_REPORTED]. */
     fun reports(nowMillis: Long): List<RateLimitReport> {
