Judge answers of a new version only once the old version's speed is known

Cause: an instance compares answers with the old version's latencies. Until it had 40 samples of a route or service, it counted every answer as fast, which is evidence for the version. An order soon after a start, or an instance of a large fleet, never reached that number before the shift. Change: answers wait until the baseline is known, and a service is compared from 12 samples on. Good versions are completed with the same starts. LatencyTable uses LruMap.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/RolloutTracker.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/RolloutTracker.kt
@@ -1,5 +1,6 @@
 package io.lavenderhinge.core.forwarding
 
+import io.lavenderhinge.core.LruMap
 import io.lavenderhinge.core.rollout.LatencyQuantile
 import io.lavenderhinge.core.rollout.RouteCounts
 import io.lavenderhinge.core.rollout.VersionCounts
@@ -9,8 +10,8 @@
     private val rollouts = HashMap<String, ServiceRollout>()
     private val inFlight = HashMap<ServiceVersion, Int>()
     private val warmedUpMillis = HashMap<String, Long>()
-    private val serviceLatencies = LatencyTable()
-    private val routeLatencies = LatencyTable()
+    private val serviceLatencies = LatencyTable { LatencyQuantile(MIN_SERVICE_SAMPLES) }
+    private val routeLatencies = LatencyTable(::LatencyQuantile)
 
     /** Starts the rollout of [order]; an order that is already known is ignored. */
     fun onOrder(order: RolloutOrder, nowMillis: Long) {
@@ -82,32 +83,43 @@
         outcome: ServerOutcome,
         nowMillis: Long,
     ) {
-        val isWarm = nowMillis >= (warmedUpMillis[server.id] ?: 0)
-        val baselineMillis = if (isWarm) baselineMillis(server.service, route) else null
-        val counts = counts(outcome, baselineMillis) ?: return
-        rollout.count(route, if (isTarget) RouteCounts(new = counts) else RouteCounts(old = counts))
-    }
-
-    // A route with too few samples is compared with the latency of its whole service, for both
-    // versions alike.
-    private fun baselineMillis(service: String, route: String): Long? =
-        routeLatencies.baselineMillis(route) ?: serviceLatencies.baselineMillis(service)
-
-    private fun counts(outcome: ServerOutcome, baselineMillis: Long?): VersionCounts? =
+        countUnjudged(rollout)
         when (outcome) {
             is ServerOutcome.Answered -> {
-                val isSlow =
-                    baselineMillis != null &&
-                        outcome.firstEventMillis > baselineMillis * SLOW_FACTOR
-                VersionCounts(requests = 1, slow = if (isSlow) 1 else 0)
+                val isWarm = nowMillis >= (warmedUpMillis[server.id] ?: 0)
+                val answer = UnjudgedAnswer(route, isTarget, isWarm, outcome.firstEventMillis)
+                if (!countAnswer(rollout, answer)) rollout.unjudgedAnswers.add(answer)
             }
             is ServerOutcome.Failed,
             is ServerOutcome.ConnectionLost,
-            is ServerOutcome.Unresponsive -> VersionCounts(requests = 1, errors = 1)
+            is ServerOutcome.Unresponsive ->
+                rollout.count(route, counts(isTarget, VersionCounts(requests = 1, errors = 1)))
             is ServerOutcome.Unreachable,
             is ServerOutcome.Full,
-            is ServerOutcome.Inconclusive -> null
+            is ServerOutcome.Inconclusive -> Unit
         }
+    }
+
+    private fun countUnjudged(rollout: ServiceRollout) =
+        rollout.unjudgedAnswers.removeIf { countAnswer(rollout, it) }
+
+    /** Returns false if it is not known yet how fast the old version answers. */
+    private fun countAnswer(rollout: ServiceRollout, answer: UnjudgedAnswer): Boolean {
+        val baselineMillis = baselineMillis(rollout.order.service, answer.route) ?: return false
+        // Servers that are warming up are slow whatever their version.
+        val isSlow = answer.isWarm && answer.firstEventMillis > baselineMillis * SLOW_FACTOR
+        val counts = VersionCounts(requests = 1, slow = if (isSlow) 1 else 0)
+        rollout.count(answer.route, counts(answer.isTarget, counts))
+        return true
+    }
+
+    private fun counts(isTarget: Boolean, counts: VersionCounts) =
+        if (isTarget) RouteCounts(new = counts) else RouteCounts(old = counts)
+
+    // A route with too few samples is compared with the latency of its whole service, for both
+    // versions alike.
+    private fun baselineMillis(service: String, route: String): Long? =
+        routeLatencies.baselineMillis(route) ?: serviceLatencies.baselineMillis(service)
 
     /** Merges the rollout reports of [peer]. */
     fun onPeerReport(peer: String, reports: List<RolloutReport>, nowMillis: Long) =
@@ -139,6 +151,11 @@
          * the old version count as slow.
          */
         const val SLOW_FACTOR = 1.5
+        /**
+         * An instance of a large fleet sees few requests during a rollout. A rough threshold
+         * suffices for a version that is several times slower.
+         */
+        const val MIN_SERVICE_SAMPLES = 12
     }
 }
 
@@ -147,23 +164,16 @@
 private val ServerEntry.serviceVersion
     get() = ServiceVersion(service, softwareVersion)
 
-/** Latency percentile by name; evicts the oldest names beyond [MAX_NAMES]. */
-private class LatencyTable {
-    private val quantiles =
-        object : LinkedHashMap<String, LatencyQuantile>() {
-            override fun removeEldestEntry(eldest: Map.Entry<String, LatencyQuantile>) =
-                size > MAX_NAMES
-        }
+/** Latency percentile by name. */
+private class LatencyTable(private val newQuantile: () -> LatencyQuantile) {
+    private val quantiles = LruMap<String, LatencyQuantile>(MAX_NAMES)
 
     fun baselineMillis(name: String): Long? = quantiles[name]?.thresholdMillis
 
     fun add(name: String, latencyMillis: Long) =
-        quantiles.getOrPut(name, ::LatencyQuantile).add(latencyMillis)
+        quantiles.getOrPut(name, newQuantile).add(latencyMillis)
 
     private companion object {
         const val MAX_NAMES = 2_048
     }
 }
-
-/** A change to [stage]. [evidence] is the strongest test result against the version, if any. */
-data class RolloutChange(val order: RolloutOrder, val stage: RolloutStage, val evidence: String?)
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServiceRollout.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServiceRollout.kt
@@ -35,6 +35,9 @@
     private val totalSample = Sample()
     private var firstShiftedMillis: Long? = null
 
+    /** Answers that this instance cannot judge yet. */
+    val unjudgedAnswers = UnjudgedAnswers()
+
     var stage = RolloutStage.TRIAL
         private set
 
--- a/core/src/main/kotlin/io/lavenderhinge/core/rollout/LatencyQuantile.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/rollout/LatencyQuantile.kt
@@ -9,14 +9,14 @@
  * halved after every [HALVE_AFTER] samples, so that the percentile follows load changes over the
  * day.
  */
-internal class LatencyQuantile {
+internal class LatencyQuantile(private val minSamples: Int = MIN_SAMPLES) {
     private val buckets = FloatArray(BUCKETS)
     private var total = 0f
     private var added = 0
 
-    /** The percentile, or null until [MIN_SAMPLES] samples are available. */
+    /** The percentile, or null until [minSamples] samples are available. */
     val thresholdMillis: Long?
-        get() = if (added >= MIN_SAMPLES) percentile() else null
+        get() = if (added >= minSamples) percentile() else null
 
     /** Adds a latency of the old version. */
     fun add(latencyMillis: Long) {
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/RolloutSimulation.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/RolloutSimulation.kt
@@ -23,6 +23,8 @@
     seed: Int = 1,
     private val requestsPerSecond: Int = 45,
     private val oldFailureFraction: Double = 0.01,
+    /** Time before the order in which latencies of the old version are known. */
+    private val warmUpMillis: Long = 20_000,
     private val target: (SimulatedRequest) -> Behaviour,
 ) {
     private val random = Random(seed)
@@ -55,9 +57,9 @@
         private set
 
     fun run(): RolloutSimulation {
-        trackers.forEach { it.onServers(servers, nowMillis = -WARM_UP_MILLIS) }
+        trackers.forEach { it.onServers(servers, nowMillis = -warmUpMillis) }
         // Collects baseline latencies of each route before the order.
-        for (atMillis in -WARM_UP_MILLIS until 0 step STEP_MILLIS) generateRequests(atMillis)
+        for (atMillis in -warmUpMillis until 0 step STEP_MILLIS) generateRequests(atMillis)
         requests = 0
         trackers.forEach { it.onOrder(order, nowMillis = 0) }
         for (atMillis in 0 until DURATION_MILLIS step STEP_MILLIS) {
@@ -129,7 +131,6 @@
 
     companion object {
         const val DURATION_MILLIS = 12_000L
-        private const val WARM_UP_MILLIS = 20_000L
         private const val STEP_MILLIS = 20L
         private const val REPORT_MILLIS = 160L
         private const val HALF_SECOND_MILLIS = 500L
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ServiceRolloutTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ServiceRolloutTest.kt
@@ -58,6 +58,48 @@
             }
         }
 
+        // Guards against a slow version that is ordered before its predecessor's speed is known.
+        listOf(0L, 1_000L, 4_000L).forEach { warmUpMillis ->
+            test("given an order $warmUpMillis ms after the start, then a slow version is undone") {
+                seeds.forEach { seed ->
+                    RolloutSimulation(seed = seed, warmUpMillis = warmUpMillis) {
+                            Behaviour(slowness = 4.0)
+                        }
+                        .run()
+                        .shouldBeRolledBackInTime()
+                }
+            }
+
+            test("given an order $warmUpMillis ms after the start, then a good one is completed") {
+                seeds.forEach { seed ->
+                    val rollout =
+                        RolloutSimulation(seed = seed, warmUpMillis = warmUpMillis) {
+                                Behaviour(failureFraction = 0.01)
+                            }
+                            .run()
+
+                    rollout.verdict shouldBe RolloutVerdict.COMPLETED
+                }
+            }
+        }
+
+        // Guards against instances that each see too little of the old version to judge the new
+        // one.
+        test("given a large fleet and a version that is four times slower, then it is undone") {
+            seeds.forEach { seed ->
+                RolloutSimulation(
+                        instanceCount = 95,
+                        seed = seed,
+                        requestsPerSecond = 250,
+                        warmUpMillis = 4_000,
+                    ) {
+                        Behaviour(slowness = 4.0)
+                    }
+                    .run()
+                    .shouldBeRolledBackInTime()
+            }
+        }
+
         test("given a version that fails on one route only, then it is rolled back") {
             seeds.forEach { seed ->
                 RolloutSimulation(seed = seed) {
