--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -1,7 +1,6 @@
 package io.lavenderhinge.core.forwarding
 
 import io.lavenderhinge.core.quarantine.PromptQuarantine
-import io.lavenderhinge.core.quarantine.QuarantineDecision
 import kotlin.random.Random
 
 /**
@@ -27,10 +26,10 @@
     private val queues = HashMap<String, MutableList<DispatchRequest>>()
     private val peers = PeerLoads()
     private val rateLimits = ServerRateLimits(random)
-    private var checkedRevision = 0
 
     /** Prompt parts that are kept away from the servers. */
     val quarantine = PromptQuarantine(random)
+    private val quarantineGate = QuarantineGate(quarantine)
 
     /** Replaces the set of known servers. Servers that remain keep their statistics. */
     fun onServers(servers: Collection<ServerEntry>, nowMillis: Long): List<DispatchEffect> {
@@ -52,7 +51,7 @@
 
     /** Requests a slot. The effect for [request] is returned here or by a later call. */
     fun submit(request: DispatchRequest, nowMillis: Long): List<DispatchEffect> {
-        quarantineRefusal(request, nowMillis)?.let {
+        quarantineGate.refusal(request, peers.count, nowMillis)?.let {
             return listOf(it)
         }
         val pool = pools[request.service]
@@ -68,31 +67,6 @@
         return serve(pool, queue, nowMillis)
     }
 
-    private fun quarantineRefusal(
-        request: DispatchRequest,
-        nowMillis: Long,
-    ): DispatchEffect.Refuse? {
-        if (quarantine.isIdle) return null
-        val decision =
-            quarantine.decide(
-                request.service,
-                request.promptParts.map { it.id },
-                request.hasLostServer,
-                peers.count,
-                nowMillis,
-            )
-        return when (decision) {
-            is QuarantineDecision.Admit -> null
-            is QuarantineDecision.Quarantined ->
-                quarantined(request, DispatchRefusal.QUARANTINED, decision.partId)
-            is QuarantineDecision.Suspected ->
-                quarantined(request, DispatchRefusal.SUSPECTED, decision.partId)
-        }
-    }
-
-    private fun quarantined(request: DispatchRequest, reason: DispatchRefusal, partId: String) =
-        DispatchEffect.Refuse(request.id, reason, QUARANTINE_RETRY_MILLIS, "prompt part $partId")
-
     /** Removes a queued request. */
     fun cancel(requestId: Long) {
         queues.values.forEach { queue -> queue.removeIf { it.id == requestId } }
@@ -127,33 +101,15 @@
     fun onFinished(attempt: FinishedAttempt, nowMillis: Long): List<DispatchEffect> {
         val service = attempt.server.service
         val pool = pools[service] ?: return emptyList()
-        recordForQuarantine(attempt, pool, nowMillis)
+        val isServerSilent =
+            pool.record(attempt.server.id)?.hasBeenSilentSince(attempt.sentMillis) ?: true
+        quarantineGate.onFinished(attempt, isServerSilent, nowMillis)
         pool.onFinished(attempt, nowMillis)
-        val refusals = refuseQuarantined()
+        val refusals = quarantineGate.refuseQueued(queues.values)
         val queue = queues[service] ?: return refusals
         return refusals + serve(pool, queue, nowMillis)
     }
 
-    private fun recordForQuarantine(attempt: FinishedAttempt, pool: ServerPool, nowMillis: Long) {
-        val server = attempt.server
-        val partIds = attempt.promptParts.map { it.id }
-        val isCrash =
-            when (attempt.outcome) {
-                is ServerOutcome.Answered -> {
-                    quarantine.onAnswered(server.service, partIds, nowMillis)
-                    false
-                }
-                is ServerOutcome.ConnectionLost -> true
-                is ServerOutcome.Unresponsive ->
-                    pool.record(server.id)?.hasBeenSilentSince(attempt.sentMillis) == true
-                is ServerOutcome.Failed,
-                is ServerOutcome.Unreachable,
-                is ServerOutcome.Full,
-                is ServerOutcome.Inconclusive -> false
-            }
-        if (isCrash) quarantine.onCrash(server.run, server.service, partIds, nowMillis)
-    }
-
     /** Updates the usage and queue state of a peer. */
     fun onPeerReport(peer: String, report: LoadReport, nowMillis: Long): List<DispatchEffect> {
         peers.update(peer, report, nowMillis)
@@ -165,31 +121,13 @@
     /** Reassigns free slots; must be called every few milliseconds while requests are queued. */
     fun serveQueues(nowMillis: Long): List<DispatchEffect> {
         peers.expire(nowMillis)
-        return refuseQuarantined() +
+        return quarantineGate.refuseQueued(queues.values) +
             queues.flatMap { (service, queue) ->
                 val pool = pools[service]
                 if (queue.isEmpty() || pool == null) emptyList() else serve(pool, queue, nowMillis)
             }
     }
 
-    // Requests with a part that was quarantined after they were queued.
-    private fun refuseQuarantined(): List<DispatchEffect> {
-        if (quarantine.revision == checkedRevision) return emptyList()
-        checkedRevision = quarantine.revision
-        return queues.values.flatMap { queue ->
-            val refusals =
-                queue.mapNotNull { request ->
-                    val partIds = request.promptParts.map { it.id }
-                    quarantine.quarantinedPart(request.service, partIds)?.let {
-                        quarantined(request, DispatchRefusal.QUARANTINED, it)
-                    }
-                }
-            val refusedIds = refusals.mapTo(HashSet()) { it.requestId }
-            queue.removeIf { it.id in refusedIds }
-            refusals
-        }
-    }
-
     /** True when any request is queued. */
     val hasWaiting: Boolean
         get() = queues.values.any { it.isNotEmpty() }
@@ -280,7 +218,5 @@
 
     private companion object {
         const val NO_SERVER_RETRY_MILLIS = 300L
-        /** A part stays in quarantine for minutes. */
-        const val QUARANTINE_RETRY_MILLIS = 60_000L
     }
 }
--- /dev/null
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QuarantineGate.kt
@@ -0,0 +1,77 @@
+package io.lavenderhinge.core.forwarding
+
+import io.lavenderhinge.core.quarantine.PromptQuarantine
+import io.lavenderhinge.core.quarantine.QuarantineDecision
+
+/** Applies the [quarantine] of prompt parts to the requests of a [Dispatcher]. */
+internal class QuarantineGate(private val quarantine: PromptQuarantine) {
+    private var checkedRevision = 0
+
+    /** Returns the refusal of a request that arrives or that is repeated, or null. */
+    fun refusal(request: DispatchRequest, peerCount: Int, nowMillis: Long): DispatchEffect.Refuse? {
+        if (quarantine.isIdle) return null
+        val decision =
+            quarantine.decide(
+                request.service,
+                partIds(request.promptParts),
+                request.hasLostServer,
+                peerCount,
+                nowMillis,
+            )
+        return when (decision) {
+            is QuarantineDecision.Admit -> null
+            is QuarantineDecision.Quarantined ->
+                refuse(request, DispatchRefusal.QUARANTINED, decision.partId)
+            is QuarantineDecision.Suspected ->
+                refuse(request, DispatchRefusal.SUSPECTED, decision.partId)
+        }
+    }
+
+    /** Removes requests with parts that were quarantined after they had been queued. */
+    fun refuseQueued(queues: Collection<MutableList<DispatchRequest>>): List<DispatchEffect> {
+        if (quarantine.revision == checkedRevision) return emptyList()
+        checkedRevision = quarantine.revision
+        return queues.flatMap(::refuseQueued)
+    }
+
+    private fun refuseQueued(queue: MutableList<DispatchRequest>): List<DispatchEffect> {
+        val refusals =
+            queue.mapNotNull { request ->
+                quarantine.quarantinedPart(request.service, partIds(request.promptParts))?.let {
+                    refuse(request, DispatchRefusal.QUARANTINED, it)
+                }
+            }
+        val refusedIds = refusals.mapTo(HashSet()) { it.requestId }
+        queue.removeIf { it.id in refusedIds }
+        return refusals
+    }
+
+    /** Learns from the outcome of [attempt]. [isServerSilent]: its server sent nothing since. */
+    fun onFinished(attempt: FinishedAttempt, isServerSilent: Boolean, nowMillis: Long) {
+        val server = attempt.server
+        val ids = partIds(attempt.promptParts)
+        when (attempt.outcome) {
+            is ServerOutcome.Answered -> quarantine.onAnswered(server.service, ids, nowMillis)
+            is ServerOutcome.ConnectionLost ->
+                quarantine.onCrash(server.run, server.service, ids, nowMillis)
+            is ServerOutcome.Unresponsive ->
+                if (isServerSilent) {
+                    quarantine.onCrash(server.run, server.service, ids, nowMillis)
+                }
+            is ServerOutcome.Failed,
+            is ServerOutcome.Unreachable,
+            is ServerOutcome.Full,
+            is ServerOutcome.Inconclusive -> Unit
+        }
+    }
+
+    private fun refuse(request: DispatchRequest, reason: DispatchRefusal, partId: String) =
+        DispatchEffect.Refuse(request.id, reason, RETRY_MILLIS, "prompt part $partId")
+
+    private fun partIds(parts: List<PromptPart>): List<String> = parts.map { it.id }
+
+    private companion object {
+        /** A part stays in quarantine for minutes. */
+        const val RETRY_MILLIS = 60_000L
+    }
+}
--- a/core/src/main/kotlin/io/lavenderhinge/core/quarantine/CrashEvidence.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/quarantine/CrashEvidence.kt
@@ -76,15 +76,14 @@
     /** Clears [part] of all crashes before [beforeMillis]. */
     fun clear(part: PartKey, beforeMillis: Long) {
         val crashes = byPart[part] ?: return
-        crashes.removeIf { crash ->
-            val isCleared = crash.crashedMillis < beforeMillis
-            if (isCleared) {
-                crash.suspects.remove(part)
-                crash.ownSuspects.remove(part)
-                if (crash.cause == part) crash.cause = null
-            }
-            isCleared
+        val cleared = crashes.filter { it.crashedMillis < beforeMillis }
+        cleared.forEach { crash ->
+            crash.suspects.remove(part)
+            crash.ownSuspects.remove(part)
+            if (crash.cause == part) crash.cause = null
+            if (crash.suspects.isEmpty()) byRun.remove(crash.run)
         }
+        crashes.removeAll(cleared.toSet())
         if (crashes.isEmpty()) byPart.remove(part)
     }
 
