Let a trial of a quarantined message pass on the own interface

The handler asked the quarantine again after the wait for a slot, which blocked the one request that had been admitted as a trial. It asks again only if a part was quarantined meanwhile.

--- a/core/src/main/kotlin/io/lavenderhinge/core/quarantine/QuarantineReporter.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/quarantine/QuarantineReporter.kt
@@ -13,6 +13,7 @@
     private var reportedMillis: Long? = null
     private var hasNews = false
 
+    /** Records that the next report should be sent soon. */
     fun onNews() {
         hasNews = true
     }
@@ -28,6 +29,7 @@
         hasNews = true
     }
 
+    /** Returns true if this instance has seen that [run] responds after its alleged crash. */
     fun isAlive(run: ServerRun): Boolean = run in alive
 
     /** Returns the report, or null if nothing has to be reported now. */
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/caller/ModelRequestHandler.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/caller/ModelRequestHandler.kt
@@ -45,6 +45,7 @@
                 ?: return respondWithProblem(exchange, context, Problem.NO_ROUTE)
         val request = slotRequest(context, version, estimate)
         val writer = CompletionWriter.of(exchange, context, body)
+        val checkedRevision = services.promptGuard.revision
         if (isBlocked(request, estimate))
             return respondWithProblem(exchange, context, Problem.PROMPT_QUARANTINED)
         repeat(MAX_DISPATCH_ATTEMPTS) { attempt ->
@@ -58,7 +59,8 @@
                         { it },
                     )
             // A part of the prompt may have been quarantined while the request was queued.
-            if (isBlocked(request, estimate)) {
+            val isUnchanged = services.promptGuard.revision == checkedRevision
+            if (!isUnchanged && isBlocked(request, estimate)) {
                 slot.release()
                 return respondWithProblem(exchange, context, Problem.PROMPT_QUARANTINED)
             }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/quarantine/QuarantineService.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/quarantine/QuarantineService.kt
@@ -8,18 +8,6 @@
 import io.lavenderhinge.protocol.v1.Frame
 import kotlinx.coroutines.withContext
 
-/** Keeps prompt parts that crash model engines away from them. Thread-safe. */
-internal interface PromptGuard {
-    /** Returns the id of a part that must not be sent to an engine of [model], or null. */
-    suspend fun blockedPart(model: String, partIds: List<String>): String?
-
-    /** Records that the engine [serverId] ended before it had answered a prompt. */
-    fun recordCrash(serverId: String, model: String, partIds: List<String>)
-
-    /** Records that an engine has answered a prompt completely. */
-    fun recordAnswer(model: String, partIds: List<String>)
-}
-
 /**
  * Runs the quarantine of prompt parts on the control thread and exchanges its reports with the
  * other live instances.
@@ -36,6 +24,10 @@
     // Spares requests a change of threads while there is nothing to decide.
     @Volatile private var isIdle = true
 
+    @Volatile
+    override var revision = 0
+        private set
+
     /** Hashes of the parts that this instance has quarantined, for the status page. */
     val parts: List<String>
         get() = quarantineLog.parts
@@ -80,12 +72,12 @@
     private fun receive(frame: Frame) {
         if (frame.bodyCase != Frame.BodyCase.CRASH_OBSERVATIONS) return
         quarantine.onPeerReport(frame.crashObservations.toReport(), control.nowMillis())
-        isIdle = quarantine.isIdle
+        publishState()
     }
 
     private fun report() {
         val report = quarantine.report(control.nowMillis())
-        isIdle = quarantine.isIdle
+        publishState()
         if (report == null) return
         val frame = Frame.newBuilder().setCrashObservations(report.toMessage()).build()
         peers().forEach { links.send(it, frame) }
@@ -96,9 +88,14 @@
     private fun update(action: () -> Unit) =
         control.execute {
             action()
-            isIdle = quarantine.isIdle
+            publishState()
         }
 
+    private fun publishState() {
+        isIdle = quarantine.isIdle
+        revision = quarantine.revision
+    }
+
     private companion object {
         const val REPORT_MILLIS = 100L
     }
