Quarantine a prompt part only 250 ms after its third crash

Cause: instances that have just started know of no answers, so shared parts count as unproven, and connections at three servers had broken at once. Change: three crashes have to be 250 ms old, by when peers have reported answers. The new case of PromptQuarantineTest failed before by its rule (three crashes quarantined at once). CrashingPromptPartTest keeps its bounds.

--- a/core/src/main/kotlin/io/lavenderhinge/core/quarantine/CrashEvidence.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/quarantine/CrashEvidence.kt
@@ -59,14 +59,16 @@
         byRun.values.filter { it.cause == part }.forEach { it.cause = null }
 
     /**
-     * Returns the part that is suspected of the most unexplained crashes, if these are at least
-     * [minCrashes]. Among equals it is the one that comes later in its prompts: these are shared by
-     * fewer requests.
+     * Returns the part that is suspected of the most unexplained crashes, if at least [minCrashes]
+     * of these happened before [beforeMillis]. Among equals it is the one that comes later in its
+     * prompts: these are shared by fewer requests.
      */
-    fun strongestSuspect(minCrashes: Int): PartKey? =
+    fun strongestSuspect(minCrashes: Int, beforeMillis: Long): PartKey? =
         byPart.keys
             .map { it to unexplained(it) }
-            .filter { (_, crashes) -> crashes.size >= minCrashes }
+            .filter { (_, crashes) ->
+                crashes.count { it.crashedMillis <= beforeMillis } >= minCrashes
+            }
             .maxWithOrNull(
                 compareBy<Pair<PartKey, List<ServerCrash>>> { it.second.size }
                     .thenBy { (part, crashes) -> crashes.sumOf { it.suspects.getValue(part) } }
--- a/core/src/main/kotlin/io/lavenderhinge/core/quarantine/PromptQuarantine.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/quarantine/PromptQuarantine.kt
@@ -11,9 +11,10 @@
  * A broken connection alone tells nothing about its cause: servers crash for other reasons, and a
  * crash also breaks the requests that happened to be in flight. A part is therefore quarantined
  * only when [MIN_CRASHES] runs of servers have ended with it in flight, no server has answered it
- * meanwhile, and other prompts are answered. Every complete answer clears the parts of its prompt.
- * A crash that a quarantined part explains does not count against other parts. The last part of a
- * prompt belongs to its request alone and is not suspected.
+ * meanwhile or within [CONFIRMATION_MILLIS] after that, and other prompts are answered. Every
+ * complete answer clears the parts of its prompt. A crash that a quarantined part explains does not
+ * count against other parts. The last part of a prompt belongs to its request alone and is not
+ * suspected.
  *
  * Each instance sees few of the crashes, so all exchange what they have observed with
  * [QuarantineReport]s. Not thread-safe. Times are milliseconds on the monotonic clock.
@@ -59,6 +60,7 @@
         peerCount: Int,
         nowMillis: Long,
     ): QuarantineDecision {
+        evaluate(nowMillis)
         val quarantinedId = quarantinedPart(service, partIds)
         if (quarantinedId != null) {
             val isTrial = takeTrial(PartKey.of(service, quarantinedId), peerCount, nowMillis)
@@ -163,6 +165,7 @@
     /** Returns the report for the peers, or null if nothing has to be reported now. */
     fun report(nowMillis: Long): QuarantineReport? {
         expire(nowMillis)
+        evaluate(nowMillis)
         val own = quarantined.map { (part, it) -> PartReport(part, nowMillis - it.sinceMillis) }
         return reporter.report(own, nowMillis)
     }
@@ -179,7 +182,8 @@
     private fun evaluate(nowMillis: Long) {
         (quarantined.keys + quarantinedAtPeers.keys).forEach(evidence::explain)
         while (true) {
-            val part = evidence.strongestSuspect(MIN_CRASHES) ?: return
+            val confirmedMillis = nowMillis - CONFIRMATION_MILLIS
+            val part = evidence.strongestSuspect(MIN_CRASHES, confirmedMillis) ?: return
             val crashes = evidence.unexplained(part)
             if (!areOthersAnswered(crashes)) return
             quarantine(part, crashes, nowMillis)
@@ -232,6 +236,11 @@
 
     private companion object {
         const val MIN_CRASHES = 3
+        /**
+         * By then, peers have reported answers and responses that clear a part. Instances that have
+         * just started know of none themselves.
+         */
+        const val CONFIRMATION_MILLIS = 250L
         /** A request that has lost a server already adds to the suspicion. */
         const val MIN_CRASHES_FOR_REPEAT = 2
         const val EVIDENCE_MILLIS = 600_000L
