Spare requests repeated work of the quarantine and of limits

Found on reading the change again; behaviour stays as it is. ServerEntry.run allocated an object for each event of a stream and for each server in an estimate; it is made once with its entry. For ten minutes after a crash, each request compared all unexplained crashes of every suspected part; parts with too few crashes are now skipped by a count. Two constants of ServerRateLimits that had moved to StatedRateLimit, and an unused property, are removed. Core tests pass.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ForwardingConfig.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ForwardingConfig.kt
@@ -136,6 +136,5 @@
     val warmUpRemainingMillis: Long = 0,
 ) {
     /** The run of the server's process that this entry describes. */
-    val run: ServerRun
-        get() = ServerRun(id, startedMillis)
+    val run = ServerRun(id, startedMillis)
 }
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerRateLimits.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerRateLimits.kt
@@ -144,11 +144,6 @@
     }
 
     private companion object {
-        const val MILLIS_PER_SECOND = 1_000.0
-        /**
-         * A server that states no rate at all is tried now and then, since only answers lift it.
-         */
-        const val MIN_PER_SECOND = 0.1
         /** Connections are spread unevenly over the instances. */
         const val MIN_OWN_SHARES = 2.0
         /**
--- a/core/src/main/kotlin/io/lavenderhinge/core/quarantine/CrashEvidence.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/quarantine/CrashEvidence.kt
@@ -64,7 +64,9 @@
      * prompts: these are shared by fewer requests.
      */
     fun strongestSuspect(minCrashes: Int, beforeMillis: Long): PartKey? =
-        byPart.keys
+        byPart
+            .filterValues { it.size >= minCrashes }
+            .keys
             .map { it to unexplained(it) }
             .filter { (_, crashes) ->
                 crashes.count { it.crashedMillis <= beforeMillis } >= minCrashes
--- a/core/src/main/kotlin/io/lavenderhinge/core/quarantine/PromptQuarantine.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/quarantine/PromptQuarantine.kt
@@ -40,10 +40,6 @@
     /** Called with each change of the quarantine by this instance, for the log. */
     var onChange: (QuarantineChange) -> Unit = {}
 
-    /** Number of parts that are kept away from the servers. */
-    val quarantinedCount: Int
-        get() = (quarantined.keys + quarantinedAtPeers.keys).size
-
     /** True if there is neither a quarantined nor a suspected part, as nearly always. */
     val isIdle: Boolean
         get() = quarantined.isEmpty() && quarantinedAtPeers.isEmpty() && evidence.crashes.isEmpty()
@@ -180,7 +176,8 @@
     }
 
     private fun evaluate(nowMillis: Long) {
-        (quarantined.keys + quarantinedAtPeers.keys).forEach(evidence::explain)
+        quarantined.keys.forEach(evidence::explain)
+        quarantinedAtPeers.keys.forEach(evidence::explain)
         while (true) {
             val confirmedMillis = nowMillis - CONFIRMATION_MILLIS
             val part = evidence.strongestSuspect(MIN_CRASHES, confirmedMillis) ?: return
