--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QuotaLimiter.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QuotaLimiter.kt
@@ -1,5 +1,7 @@
 package io.lavenderhinge.core.forwarding
 
+import io.lavenderhinge.core.limit.TokenBucket
+
 /** Usage above the quotas that the deployment tolerates, summed over all instances. */
 data class QuotaTolerance(
     val windowMillis: Long,
@@ -21,15 +23,13 @@
  * from one thread.
  */
 class QuotaLimiter(private val tolerance: QuotaTolerance) {
-    private class Bucket(var level: Double, var refilledMillis: Long)
-
     private class PeerUsage(var incarnation: Long) {
         val reported = HashMap<String, Double>()
         val assumed = HashMap<String, Double>()
         var lastReportMillis = 0L
     }
 
-    private val buckets = HashMap<String, Bucket>()
+    private val buckets = HashMap<String, TokenBucket>()
     private val admittedCost = HashMap<String, Double>()
     private val peers = HashMap<String, PeerUsage>()
     private val firstListedMillis = HashMap<String, Long>()
@@ -45,7 +45,7 @@
         if (quota.ratePerSecond <= 0) return true
         val bucket = refill(workspace.name, quota, nowMillis)
         if (bucket.level <= 0) return false
-        bucket.level -= cost
+        bucket.take(cost)
         admittedCost.merge(workspace.name, cost, Double::plus)
         return true
     }
@@ -75,7 +75,7 @@
         totals.forEach { (workspace, total) ->
             val previous = usage.reported.put(workspace, total) ?: 0.0
             val assumed = usage.assumed.remove(workspace) ?: 0.0
-            buckets[workspace]?.let { it.level -= (total - previous).coerceAtLeast(0.0) - assumed }
+            buckets[workspace]?.take((total - previous).coerceAtLeast(0.0) - assumed)
         }
     }
 
@@ -115,7 +115,7 @@
             val bucket = buckets[workspace.name] ?: return@forEach
             val cost = effectiveRate(quota) * share
             silent.forEach { peer ->
-                bucket.level -= cost
+                bucket.take(cost)
                 peers[peer]?.assumed?.merge(workspace.name, cost, Double::plus)
             }
         }
@@ -127,17 +127,12 @@
         return nowMillis - lastSeenMillis > REPORT_TIMEOUT_MILLIS
     }
 
-    private fun refill(name: String, quota: WorkspaceQuota, nowMillis: Long): Bucket {
-        val bucket = buckets.getOrPut(name) { Bucket(quota.burst, nowMillis) }
-        val elapsedSeconds = (nowMillis - bucket.refilledMillis) / MILLIS_PER_SECOND
+    private fun refill(name: String, quota: WorkspaceQuota, nowMillis: Long): TokenBucket {
+        val bucket = buckets.getOrPut(name) { TokenBucket(quota.burst, nowMillis) }
+        val perSecond = effectiveRate(quota)
         // Forgetting debt within the window would admit more in it than the quota allows.
-        val floor = -effectiveRate(quota) * tolerance.windowMillis / MILLIS_PER_SECOND
-        bucket.level =
-            (bucket.level + elapsedSeconds * effectiveRate(quota)).coerceIn(
-                floor,
-                maxOf(quota.burst, 1.0),
-            )
-        bucket.refilledMillis = nowMillis
+        val floor = -perSecond * tolerance.windowMillis / MILLIS_PER_SECOND
+        bucket.refill(perSecond, capacity = maxOf(quota.burst, 1.0), nowMillis, floor)
         return bucket
     }
 
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerRateLimits.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerRateLimits.kt
@@ -135,7 +135,7 @@
             val previous = limit.peerSentCounts.put(peer, report.sentCount) ?: report.sentCount
             // A restarted peer counts from zero.
             val added = report.sentCount - previous
-            limit.shared.take(if (added >= 0) added else report.sentCount)
+            limit.shared.take((if (added >= 0) added else report.sentCount).toDouble())
         }
 
     /** Forgets the servers that are not in [runs]. */
