--- a/review/standins/Replica.java
+++ b/review/standins/Replica.java
@@ -119,6 +119,7 @@
             wasAnswered = true;
         } finally {
             slots.release();
+            Lab.note(requestId + " run at " + id + (wasAnswered ? "" : ", not answered"));
             observer.onRunEnded(this, requestId, wasAnswered);
         }
     }
--- a/review/standins/StreamClient.java
+++ b/review/standins/StreamClient.java
@@ -24,6 +24,15 @@
     /** Sends one request and reads its stream; gives up after {@code patienceMillis} without an event. */
     static Result send(Lab.Gateway gateway, String prefix, String id, long deadlineMillis,
             int patienceMillis) {
+        long sentMillis = Lab.now();
+        Result result = exchange(gateway, prefix, id, deadlineMillis, patienceMillis);
+        Lab.note(id + " sent to " + gateway.ip + " at " + sentMillis + ", " + result.status() + ", "
+                + result.events() + " events, " + result.end());
+        return result;
+    }
+
+    private static Result exchange(Lab.Gateway gateway, String prefix, String id, long deadlineMillis,
+            int patienceMillis) {
         long number = Long.parseLong(id.substring(1));
         // Prompts differ in length; the mean is about that of the sheet.
         long ownTokens = 1_000 + number * 97 % 5_400;
