Keep missing servers only after an outage in which entries can lapse

Cause: each failed call counted as an outage of the store, after which missing entries are kept. Change: missing entries are kept only if the store had not answered for 1.75 heartbeats, learnt from the servers' writes, and not once their server has written again. Followers apply the list that their watcher uses, including the entries it keeps.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerDirectory.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerDirectory.kt
@@ -3,15 +3,19 @@
 /**
  * Maintains the list of registered backend servers.
  *
- * Leases of live servers may expire during an outage of the store. Those servers register again
+ * The entries of live servers may lapse during an outage of the store. Those servers register again
  * within [REAPPEARANCE_GRACE_MILLIS] of its recovery, so entries that are missing then are kept for
- * that time. At any other time, a missing entry is removed immediately. Not thread-safe: all calls
- * must come from one thread.
+ * that time. At any other time, a missing entry is removed immediately: a single failed call, such
+ * as a watch that was cut, is no outage in which entries could have lapsed. Not thread-safe: all
+ * calls must come from one thread.
  */
 class ServerDirectory {
     private val entries = LinkedHashMap<String, ServerEntry>()
     private val removalMillis = HashMap<String, Long>()
+    private val heartbeat = HeartbeatInterval()
+    private val writtenSinceReturn = HashSet<String>()
     private var isStoreUnavailable = false
+    private var lastAnswerMillis: Long? = null
     private var storeReturnedMillis: Long? = null
 
     /** The servers that are currently considered registered. */
@@ -21,23 +25,48 @@
     /** Records a failed call to the store. */
     fun onStoreUnavailable() {
         isStoreUnavailable = true
+        heartbeat.onInterrupted()
     }
 
     /** Records a successful call to the store. */
     fun onStoreAvailable(nowMillis: Long) {
-        if (isStoreUnavailable) storeReturnedMillis = nowMillis
+        if (isStoreUnavailable && mayHaveLapsed(nowMillis)) {
+            storeReturnedMillis = nowMillis
+            writtenSinceReturn.clear()
+        }
         isStoreUnavailable = false
+        lastAnswerMillis = nowMillis
+    }
+
+    // An outage began after the last answer at the earliest.
+    private fun mayHaveLapsed(nowMillis: Long): Boolean {
+        val intervalMillis = heartbeat.millis ?: return true
+        val answerMillis = lastAnswerMillis ?: return true
+        return nowMillis - answerMillis >= MIN_LAPSE_INTERVALS * intervalMillis
     }
 
     /** Replaces all entries with those in the store. */
     fun onSnapshot(listed: List<ServerEntry>, nowMillis: Long) {
         val ids = listed.mapTo(HashSet()) { it.id }
         entries.keys.filter { it !in ids }.forEach { onRemoved(it, nowMillis) }
-        listed.forEach(::onWritten)
+        listed.forEach(::put)
+    }
+
+    /** Replaces all entries with the [listed] ones of an instance that watches the store. */
+    fun onPeerCopy(listed: List<ServerEntry>) {
+        entries.clear()
+        removalMillis.clear()
+        listed.forEach(::put)
     }
 
-    /** Adds or replaces an entry. */
-    fun onWritten(entry: ServerEntry) {
+    /** Adds or replaces an entry that its server has just written. */
+    fun onWritten(entry: ServerEntry, nowMillis: Long) {
+        heartbeat.onWritten(entry.id, nowMillis)
+        writtenSinceReturn.add(entry.id)
+        put(entry)
+    }
+
+    private fun put(entry: ServerEntry) {
         removalMillis.remove(entry.id)
         entries[entry.id] = entry
     }
@@ -45,10 +74,10 @@
     /** Removes an entry that was deleted from the store or cannot be decoded. */
     fun onRemoved(id: String, nowMillis: Long) {
         val returnedMillis = storeReturnedMillis
-        if (returnedMillis == null || nowMillis - returnedMillis > REAPPEARANCE_GRACE_MILLIS) {
-            entries.remove(id)
-            removalMillis.remove(id)
-            return
+        val isAfterOutage =
+            returnedMillis != null && nowMillis - returnedMillis <= REAPPEARANCE_GRACE_MILLIS
+        if (returnedMillis == null || !isAfterOutage || id in writtenSinceReturn) {
+            return remove(id)
         }
         if (id in entries) removalMillis.putIfAbsent(id, returnedMillis + REAPPEARANCE_GRACE_MILLIS)
     }
@@ -56,14 +85,23 @@
     /** Drops entries whose grace period has ended and returns true if there were any. */
     fun expire(nowMillis: Long): Boolean {
         val expired = removalMillis.filterValues { it <= nowMillis }.keys.toList()
-        expired.forEach {
-            removalMillis.remove(it)
-            entries.remove(it)
-        }
+        expired.forEach(::remove)
         return expired.isNotEmpty()
     }
 
+    private fun remove(id: String) {
+        entries.remove(id)
+        removalMillis.remove(id)
+        writtenSinceReturn.remove(id)
+        heartbeat.onRemoved(id)
+    }
+
     private companion object {
         const val REAPPEARANCE_GRACE_MILLIS = 2_200L
+        /**
+         * An entry lapses after three heartbeats without a write, and its last write is up to one
+         * heartbeat older than the outage. The rest is for writes that come early.
+         */
+        const val MIN_LAPSE_INTERVALS = 1.75
     }
 }
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ServerDirectoryTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ServerDirectoryTest.kt
@@ -7,6 +7,18 @@
     FunSpec({
         fun ServerDirectory.ids() = servers.map { it.id }
 
+        /** A directory whose servers wrote their entries every 1.2 s, at last at 12 s. */
+        fun directoryWithHeartbeats(): ServerDirectory {
+            val directory = ServerDirectory()
+            directory.onSnapshot(listOf(server("a"), server("b")), nowMillis = 0)
+            for (atMillis in 0L..12_000L step 1_200) {
+                directory.onStoreAvailable(atMillis)
+                directory.onWritten(server("a"), atMillis)
+                directory.onWritten(server("b"), atMillis)
+            }
+            return directory
+        }
+
         test("given a store without outage, when an entry is removed, then it is dropped at once") {
             val directory = ServerDirectory()
             directory.onSnapshot(listOf(server("a"), server("b")), nowMillis = 0)
@@ -38,9 +50,77 @@
             directory.onStoreAvailable(nowMillis = 5_000)
             directory.onSnapshot(emptyList(), nowMillis = 5_000)
 
-            directory.onWritten(server("a"))
+            directory.onWritten(server("a"), nowMillis = 5_500)
 
             directory.expire(nowMillis = 8_000) shouldBe false
             directory.ids() shouldBe listOf("a")
         }
+
+        // Guards against using a server that has left because a watch was cut shortly before.
+        test("given a call that failed while the store was up, then a removed entry is dropped") {
+            val directory = directoryWithHeartbeats()
+            directory.onStoreUnavailable()
+            directory.onStoreAvailable(nowMillis = 13_500)
+
+            directory.onSnapshot(listOf(server("b")), nowMillis = 13_500)
+
+            directory.ids() shouldBe listOf("b")
+        }
+
+        // Guards against losing a pool whose entries lapse in an outage of the store.
+        listOf(2_400L, 5_000L, 20_000L).forEach { outageMillis ->
+            test("given an outage of $outageMillis ms, then entries that lapsed are kept") {
+                val directory = directoryWithHeartbeats()
+                val returnMillis = 12_000 + outageMillis
+                directory.onStoreUnavailable()
+                directory.onStoreAvailable(returnMillis)
+
+                directory.onSnapshot(listOf(server("b")), returnMillis)
+                directory.onRemoved("b", returnMillis + 100)
+
+                directory.ids() shouldBe listOf("a", "b")
+                directory.expire(returnMillis + 2_000) shouldBe false
+                directory.expire(returnMillis + 2_200) shouldBe true
+                directory.ids() shouldBe emptyList()
+            }
+        }
+
+        // Guards against using a server that leaves after it has come back from an outage.
+        test("given an entry that was written after an outage, then its removal counts at once") {
+            val directory = directoryWithHeartbeats()
+            directory.onStoreUnavailable()
+            directory.onStoreAvailable(nowMillis = 18_000)
+            directory.onSnapshot(listOf(server("a"), server("b")), nowMillis = 18_000)
+            directory.onWritten(server("a"), nowMillis = 18_200)
+
+            directory.onRemoved("a", nowMillis = 18_400)
+
+            directory.ids() shouldBe listOf("b")
+        }
+
+        // Guards against judging an outage by heartbeats that were missed in an earlier one.
+        test("given two outages in a row, then entries that lapsed in the second one are kept") {
+            val directory = directoryWithHeartbeats()
+            directory.onStoreUnavailable()
+            directory.onStoreAvailable(nowMillis = 40_000)
+            directory.onWritten(server("a"), nowMillis = 40_100)
+            directory.onWritten(server("b"), nowMillis = 40_100)
+            directory.onStoreUnavailable()
+            directory.onStoreAvailable(nowMillis = 43_000)
+
+            directory.onSnapshot(emptyList(), nowMillis = 43_000)
+
+            directory.ids() shouldBe listOf("a", "b")
+        }
+
+        // Guards against a second judgement on a list that a watcher has judged already.
+        test("given a copy of a peer after an outage, then it replaces the list as it is") {
+            val directory = directoryWithHeartbeats()
+            directory.onStoreUnavailable()
+            directory.onStoreAvailable(nowMillis = 18_000)
+
+            directory.onPeerCopy(listOf(server("b")))
+
+            directory.ids() shouldBe listOf("b")
+        }
     })
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/GatewayStatus.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/GatewayStatus.kt
@@ -36,7 +36,7 @@
                     "revision" to servers.revision,
                     "watched" to !servers.isFollowingPeers,
                     "stale" to (servers.isStale && !servers.isFollowingPeers),
-                    "known" to servers.entries.keys.toList(),
+                    "known" to servers.ids,
                 ),
             "peers" to peerIds().toList(),
             "quarantinedPromptParts" to quarantinedParts(),
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ServerRegistry.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ServerRegistry.kt
@@ -19,8 +19,8 @@
     private val publish: (List<ServerEntry>) -> Unit,
 ) : StoreListener {
     private val directory = ServerDirectory()
-    private val storedValues = LinkedHashMap<String, String>()
-    private var published: List<ServerEntry> = emptyList()
+    private val storedValues = HashMap<String, String>()
+    @Volatile private var published: List<ServerEntry> = emptyList()
     private var lastAnswerMillis: Long? = null
 
     /** Store revision of the newest answer that was applied. */
@@ -34,9 +34,19 @@
     /** True if the list is taken from peers that watch it, and not from the store. */
     @Volatile var isFollowingPeers = false
 
-    /** Raw entries by key, for peers that do not have them. */
+    /** Ids of the known servers; can be read from any thread. */
+    val ids: List<String>
+        get() = published.map { it.id }
+
+    /**
+     * Raw entries of the known servers by key, for peers that do not watch the store. Entries that
+     * are kept after an outage are included.
+     */
     val entries: Map<String, String>
-        get() = storedValues
+        get() {
+            val keys = directory.servers.mapTo(HashSet()) { PlatformKeys.SERVER_PREFIX + it.id }
+            return storedValues.filterKeys { it in keys }
+        }
 
     /** True if the store has not answered within [staleAfterMillis]. */
     val isStale: Boolean
@@ -50,7 +60,10 @@
 
     override fun onSnapshot(snapshot: Snapshot) {
         onStoreAnswered()
-        if (!isOutdated(snapshot.revision)) replace(snapshot.values, snapshot.revision)
+        if (isOutdated(snapshot.revision)) return
+        val entries = takeOver(snapshot.values, snapshot.revision)
+        directory.onSnapshot(entries, monotonicMillis())
+        publishChanges()
     }
 
     override fun onChanges(changes: WatchResult) {
@@ -71,7 +84,8 @@
     fun onPeerCopy(values: List<VersionedValue>, revision: Long) {
         if (!(isFollowingPeers || isStale) || revision <= this.revision) return
         log.info("servers: list of revision {} was taken over from a peer", revision)
-        replace(values, revision)
+        directory.onPeerCopy(takeOver(values, revision))
+        publishChanges()
     }
 
     // A peer's list may be newer than an answer of the store that was delayed. Applying the answer
@@ -86,30 +100,27 @@
         return true
     }
 
-    private fun replace(values: List<VersionedValue>, revision: Long) {
+    // Raw values of servers that are no longer listed are needed as long as the directory keeps
+    // them.
+    private fun takeOver(values: List<VersionedValue>, revision: Long): List<ServerEntry> {
         answerRevision = revision
         this.revision = revision
-        storedValues.clear()
-        values.forEach { storedValues[it.key] = it.value }
-        directory.onSnapshot(values.mapNotNull(::decode), monotonicMillis())
-        publishChanges()
+        storedValues.keys.retainAll(entries.keys)
+        return values.mapNotNull(::decode)
     }
 
     private fun accept(value: VersionedValue) {
-        storedValues[value.key] = value.value
         val entry = decode(value)
         if (entry == null) directory.onRemoved(serverId(value.key), monotonicMillis())
-        else directory.onWritten(entry)
+        else directory.onWritten(entry, monotonicMillis())
     }
 
-    private fun remove(key: String) {
-        storedValues.remove(key)
-        directory.onRemoved(serverId(key), monotonicMillis())
-    }
+    private fun remove(key: String) = directory.onRemoved(serverId(key), monotonicMillis())
 
     private fun decode(value: VersionedValue): ServerEntry? =
         ServerEntryDecoder.decode(value.key, value.value)
             .onLeft { log.warn("servers: ignoring invalid entry {}: {}", value.key, it) }
+            .onRight { storedValues[value.key] = value.value }
             .getOrNull()
 
     // Returns whether the list has changed. Servers write their entries periodically to show that
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ServerRegistryTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ServerRegistryTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import io.lavenderhinge.core.port.Snapshot
+import io.lavenderhinge.core.port.StoreFault
 import io.lavenderhinge.core.port.VersionedValue
 import io.lavenderhinge.core.port.WatchResult
 import io.lavenderhinge.instance.control.ControlThread
@@ -56,6 +57,29 @@
                 fixture.published shouldBe listOf("b")
             }
         }
+
+        // Guards against followers that drop a pool whose entries lapsed in an outage.
+        test("given entries that lapsed in an outage, then peers get them from a watcher") {
+            RegistryFixture().use { fixture ->
+                fixture.registry.onSnapshot(snapshot(10, value("a"), value("b")))
+                fixture.registry.onStoreUnavailable(StoreFault.Unavailable("down"))
+
+                fixture.registry.onSnapshot(snapshot(20, value("b")))
+
+                fixture.published shouldBe listOf("a", "b")
+                fixture.registry.entries.keys shouldBe setOf("servers/a", "servers/b")
+            }
+        }
+
+        test("given an entry that was removed, then peers do not get it") {
+            RegistryFixture().use { fixture ->
+                fixture.registry.onSnapshot(snapshot(10, value("a"), value("b")))
+
+                fixture.registry.onSnapshot(snapshot(20, value("b")))
+
+                fixture.registry.entries.keys shouldBe setOf("servers/b")
+            }
+        }
     })
 
 private class RegistryFixture : AutoCloseable {
