Let followers copy the server list from the next watcher if theirs is behind

Cause: a follower ignored newer lists of all watchers but its own source, which notices a silent path to the store only after about 4 s. Change: ListSources allows each further watcher 400 ms later. StateLag keeps the time for which the own state has been old when peers that are behind as well report; before, their reports began it anew, also for the configuration.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/WatcherSelection.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/WatcherSelection.kt
@@ -1,6 +1,7 @@
 package io.lavenderhinge.core.forwarding
 
 import io.lavenderhinge.core.membership.RendezvousHash
+import kotlinx.collections.immutable.toImmutableList
 
 /**
  * Decides which instances watch the list of backend servers in the store. The others get it from
@@ -21,19 +22,23 @@
     /** Returns true if this instance has to watch the list, as one of a fleet with [peerIds]. */
     fun mustWatch(peerIds: Set<String>, nowMillis: Long): Boolean {
         watchingMillis.keys.retainAll(peerIds)
-        return selfId in selected(peerIds) || source(nowMillis) == null
+        return selfId in selected(peerIds) || recentWatchers(nowMillis).isEmpty()
     }
 
     /** Returns the ids that are selected to watch, of the fleet of this instance and [peerIds]. */
     fun selected(peerIds: Set<String>): Set<String> =
         RendezvousHash.highest(WATCHED_LIST, peerIds + selfId, WATCHERS).toSet()
 
-    /** Returns the watcher from which this instance gets the list, or null if there is none. */
-    fun source(nowMillis: Long): String? =
-        RendezvousHash.highest(
-            selfId,
-            watchingMillis.filterValues { nowMillis - it < MAX_REPORT_AGE_MILLIS }.keys,
+    /** Returns the watchers from which this instance may copy the list. */
+    fun sources(nowMillis: Long): ListSources {
+        val watchers = recentWatchers(nowMillis)
+        return ListSources(
+            RendezvousHash.highest(selfId, watchers, watchers.size).toImmutableList()
         )
+    }
+
+    private fun recentWatchers(nowMillis: Long): Set<String> =
+        watchingMillis.filterValues { nowMillis - it < MAX_REPORT_AGE_MILLIS }.keys
 
     private companion object {
         /** Several in each failure domain of a deployment with a few of them. */
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/WatcherSelectionTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/WatcherSelectionTest.kt
@@ -3,7 +3,6 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.ints.shouldBeInRange
 import io.kotest.matchers.shouldBe
-import io.kotest.matchers.shouldNotBe
 
 class WatcherSelectionTest :
     FunSpec({
@@ -45,11 +44,25 @@
             val selection = WatcherSelection("a")
             selection.onReport("b", isWatching = true, nowMillis = 0)
             selection.onReport("c", isWatching = true, nowMillis = 0)
-            val lost = selection.source(nowMillis = 10)
+            val lost = selection.sources(nowMillis = 10).ranked.first()
 
-            selection.onReport(checkNotNull(lost), isWatching = false, nowMillis = 20)
+            selection.onReport(lost, isWatching = false, nowMillis = 20)
 
-            selection.source(nowMillis = 30) shouldNotBe lost
-            selection.source(nowMillis = 30) shouldNotBe null
+            selection.sources(nowMillis = 30).ranked shouldBe listOf("b", "c") - lost
+        }
+
+        // Guards against a watcher to which all followers turn at once.
+        test("given a large fleet, then the preferred and the next sources are spread") {
+            val watchers = watchers(fleet)
+            val sources =
+                (fleet - watchers.toSet()).map { id ->
+                    val selection = WatcherSelection(id)
+                    watchers.forEach { selection.onReport(it, isWatching = true, nowMillis = 0) }
+                    selection.sources(nowMillis = 0).ranked
+                }
+
+            listOf(0, 1).forEach { rank ->
+                sources.groupingBy { it[rank] }.eachCount().values.max() shouldBeInRange 1..20
+            }
         }
     })
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
@@ -67,7 +67,7 @@
             loadReports.address(it)?.let(::socketAddress)
         }
     private val stateSync =
-        PeerStateSync(links, control, configuration, servers, watcherRole::source)
+        PeerStateSync(links, control, configuration, servers, watcherRole::sources)
     private val members =
         MemberRegistry(identity.id, settings.listen.peer, store, control) { members ->
             loop.execute { loadReports.onMembers(members) }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/PeerStateSync.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/PeerStateSync.kt
@@ -1,5 +1,7 @@
 package io.lavenderhinge.instance.gateway
 
+import io.lavenderhinge.core.forwarding.ListSources
+import io.lavenderhinge.core.forwarding.StateLag
 import io.lavenderhinge.core.port.VersionedValue
 import io.lavenderhinge.instance.control.ControlThread
 import io.lavenderhinge.instance.peer.PeerLinks
@@ -19,12 +21,13 @@
     private val control: ControlThread,
     private val configuration: ConfigurationHolder,
     private val servers: ServerRegistry,
-    /** The peer from which this instance gets the server list if it does not watch it. */
-    private val serverSource: () -> String? = { null },
+    /** The peers from which this instance gets the server list if it does not watch it. */
+    private val serverSources: () -> ListSources = { ListSources() },
 ) {
     private var isStarted = false
     private var lastRequestMillis = 0L
-    @Volatile private var behindSinceMillis: Long? = null
+    private val configurationLag = StateLag()
+    private val serverLag = StateLag()
 
     /** Starts requesting state from peers and answering their requests. */
     fun start() {
@@ -34,8 +37,7 @@
 
     /** Returns true if [report] concerns this object; can be called from any thread. */
     fun isConcernedBy(report: LoadReport): Boolean =
-        behindSinceMillis != null ||
-            report.configurationVersion > configuration.version ||
+        report.configurationVersion > configuration.version ||
             report.serverRevision > servers.revision
 
     /**
@@ -43,18 +45,11 @@
      * [STORE_GRACE_MILLIS]. Until then the store is expected to deliver the change.
      */
     fun onReport(report: LoadReport) {
-        val needsConfiguration = report.configurationVersion > configuration.version
-        val needsServers = needsServersOf(report)
-        if (!needsConfiguration && !needsServers) {
-            behindSinceMillis = null
-            return
-        }
         val nowMillis = control.nowMillis()
-        val sinceMillis = behindSinceMillis ?: nowMillis
-        behindSinceMillis = sinceMillis
-        val isFollowing = needsServers && servers.isFollowingPeers
-        if (!isFollowing && nowMillis - sinceMillis < STORE_GRACE_MILLIS) return
-        if (!isStarted || nowMillis - lastRequestMillis < REQUEST_INTERVAL_MILLIS) return
+        val needsConfiguration = needsConfigurationOf(report, nowMillis)
+        val needsServers = needsServersOf(report, nowMillis)
+        if (!isStarted || !(needsConfiguration || needsServers)) return
+        if (nowMillis - lastRequestMillis < REQUEST_INTERVAL_MILLIS) return
         lastRequestMillis = nowMillis
         val request =
             StateRequest.newBuilder()
@@ -63,10 +58,20 @@
         links.send(report.instanceId, Frame.newBuilder().setStateRequest(request).build())
     }
 
-    private fun needsServersOf(report: LoadReport): Boolean {
-        if (report.serverRevision <= servers.revision) return false
-        if (servers.isFollowingPeers) return report.instanceId == serverSource()
-        return servers.isStale
+    private fun needsConfigurationOf(report: LoadReport, nowMillis: Long): Boolean {
+        val reported = report.configurationVersion
+        val lagMillis = configurationLag.onReported(reported, configuration.version, nowMillis)
+        return reported > configuration.version && lagMillis >= STORE_GRACE_MILLIS
+    }
+
+    private fun needsServersOf(report: LoadReport, nowMillis: Long): Boolean {
+        val reported = report.serverRevision
+        val lagMillis = serverLag.onReported(reported, servers.revision, nowMillis)
+        if (reported <= servers.revision) return false
+        if (servers.isFollowingPeers) {
+            return serverSources().allowsCopyFrom(report.instanceId, lagMillis)
+        }
+        return servers.isStale && lagMillis >= STORE_GRACE_MILLIS
     }
 
     private fun receive(from: String, frame: Frame) {
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/WatcherRole.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/WatcherRole.kt
@@ -1,5 +1,6 @@
 package io.lavenderhinge.instance.gateway
 
+import io.lavenderhinge.core.forwarding.ListSources
 import io.lavenderhinge.core.forwarding.WatcherSelection
 import io.lavenderhinge.protocol.v1.LoadReport
 import kotlinx.coroutines.flow.MutableStateFlow
@@ -8,7 +9,7 @@
 
 /**
  * Whether this instance watches all keys of the store, or only those of the operator and takes the
- * server list from a peer. Confined to the traffic thread, except for reading the state.
+ * server list from peers. Confined to the traffic thread, except for reading the state.
  */
 internal class WatcherRole(selfId: String) {
     private val selection = WatcherSelection(selfId)
@@ -18,9 +19,9 @@
     val isWatchingAll: StateFlow<Boolean>
         get() = state
 
-    /** The peer from which a follower takes the server list, if there is one. */
+    /** The peers from which a follower takes the server list. */
     @Volatile
-    var source: String? = null
+    var sources = ListSources()
         private set
 
     /** Records the role that the sender of [report] has. */
@@ -31,16 +32,17 @@
     fun selected(peerIds: Set<String>): Set<String> = selection.selected(peerIds)
 
     /**
-     * Updates the source and returns the role that is due. An instance that is not ready watches,
+     * Updates the sources and returns the role that is due. An instance that is not ready watches,
      * because it has not read the state that a watcher's changes refer to.
      */
     fun due(isReady: Boolean, peerIds: Set<String>, nowMillis: Long): Boolean {
-        source = selection.source(nowMillis)
+        sources = selection.sources(nowMillis)
         return !isReady || selection.mustWatch(peerIds, nowMillis)
     }
 
     /** Enters the role; can be called from any thread. */
     fun enter(watchesAll: Boolean) {
+        val source = sources.ranked.firstOrNull()
         log.info("gateway: watching the server list is {}, its source is {}", watchesAll, source)
         state.value = watchesAll
     }
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/PeerStateSyncTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/PeerStateSyncTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainExactly
+import io.lavenderhinge.core.forwarding.ListSources
 import io.lavenderhinge.instance.control.ControlThread
 import io.lavenderhinge.instance.peer.FrameReceiver
 import io.lavenderhinge.instance.peer.PeerLinks
@@ -10,6 +11,7 @@
 import io.lavenderhinge.protocol.v1.LoadReport
 import java.time.Instant
 import java.time.InstantSource
+import kotlinx.collections.immutable.persistentListOf
 
 /** Guards against opening links to peers for changes that the store is about to deliver. */
 class PeerStateSyncTest :
@@ -31,28 +33,78 @@
 
             fixture.requested.shouldContainExactly("peer-1")
         }
+
+        // Guards against peers that are behind as well and restart the grace period.
+        test("a peer is asked in time while others are behind too") {
+            val fixture = StateSyncFixture()
+
+            for (atMillis in 1_000L until 1_400L step 100) {
+                fixture.receiveNewerConfigurationReport(atMillis)
+                fixture.receive(report("peer-2"), atMillis + 50)
+            }
+            fixture.receiveNewerConfigurationReport(atMillis = 1_400)
+
+            fixture.requested.shouldContainExactly("peer-1")
+        }
+
+        // Guards against a server that leaves while the preferred watcher has lost the store.
+        test("a follower asks the next watcher if the preferred one does not learn of a change") {
+            val fixture = StateSyncFixture(ListSources(persistentListOf("w1", "w2", "w3")))
+            fixture.servers.isFollowingPeers = true
+
+            for (atMillis in 1_000L..1_300L step 100) {
+                fixture.receive(report("w1", serverRevision = 0), atMillis)
+                fixture.receive(report("w2", serverRevision = 9), atMillis + 10)
+                fixture.receive(report("w3", serverRevision = 9), atMillis + 20)
+            }
+            fixture.requested.shouldBeEmpty()
+            fixture.receive(report("w2", serverRevision = 9), atMillis = 1_410)
+
+            fixture.requested.shouldContainExactly("w2")
+        }
+
+        test("a follower asks the preferred watcher at once") {
+            val fixture = StateSyncFixture(ListSources(persistentListOf("w1", "w2")))
+            fixture.servers.isFollowingPeers = true
+
+            fixture.receive(report("w2", serverRevision = 9), atMillis = 1_000)
+            fixture.receive(report("w1", serverRevision = 9), atMillis = 1_050)
+
+            fixture.requested.shouldContainExactly("w1")
+        }
     })
 
-private class StateSyncFixture {
+private fun report(id: String, configurationVersion: Long = 0, serverRevision: Long = 0) =
+    LoadReport.newBuilder()
+        .setInstanceId(id)
+        .setConfigurationVersion(configurationVersion)
+        .setServerRevision(serverRevision)
+        .build()
+
+private class StateSyncFixture(sources: ListSources = ListSources()) {
     val requested = mutableListOf<String>()
     private var nowMillis = 0L
     private val control = ControlThread(InstantSource { Instant.ofEpochMilli(nowMillis) })
+    val servers = ServerRegistry(control, staleAfterMillis = 3_000) {}
     private val stateSync =
         PeerStateSync(
             RecordingLinks(requested),
             control,
             ConfigurationHolder(ReadinessGate(), confirmationValidMillis = 3_000),
-            ServerRegistry(control, staleAfterMillis = 3_000) {},
+            servers,
+            { sources },
         )
 
     init {
         stateSync.start()
     }
 
-    fun receiveNewerConfigurationReport(atMillis: Long) {
+    fun receiveNewerConfigurationReport(atMillis: Long) =
+        receive(report("peer-1", configurationVersion = 7), atMillis)
+
+    fun receive(report: LoadReport, atMillis: Long) {
         nowMillis = atMillis
-        val report = LoadReport.newBuilder().setInstanceId("peer-1").setConfigurationVersion(7)
-        stateSync.onReport(report.build())
+        stateSync.onReport(report)
     }
 }
 
