End a stalled attempt only when another server can take its request

Cause: an attempt was ended after four target gaps, and only then was the retry budget asked and another server sought. A stream to be resumed was also refused once its first target had passed, even with idle servers.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/AttemptProgress.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/AttemptProgress.kt
@@ -9,6 +9,7 @@
 class AttemptProgress(private val limits: SilenceLimits, private val sentMillis: Long) {
     private var firstEventMillis: Long? = null
     private var lastProgressMillis = sentMillis
+    private var deliveringSinceMillis: Long? = null
     private var events = 0
 
     /** True once the response has stalled, also if it has gone on since. */
@@ -34,13 +35,29 @@
         if (firstEventMillis == null) firstEventMillis = nowMillis
     }
 
+    /** Records that data is passed on to the client, which may be slower than the server. */
+    fun onDelivering(nowMillis: Long) {
+        deliveringSinceMillis = nowMillis
+    }
+
+    /** Records that the client has taken the data. The time until then is not the server's. */
+    fun onDelivered(nowMillis: Long) {
+        val sinceMillis = deliveringSinceMillis ?: return
+        deliveringSinceMillis = null
+        lastProgressMillis += nowMillis - sinceMillis
+    }
+
     /** Restarts the wait after this instance itself was paused and could not receive anything. */
     fun onOwnPause(nowMillis: Long) {
         lastProgressMillis = nowMillis
     }
 
-    /** Returns true if the server has sent nothing for longer than the limits allow. */
-    fun isStalled(nowMillis: Long): Boolean = nowMillis >= stallMillis
+    /**
+     * Returns true if the server has sent nothing for longer than the limits allow. Never the case
+     * while data waits for the client.
+     */
+    fun isStalled(nowMillis: Long): Boolean =
+        deliveringSinceMillis == null && nowMillis >= stallMillis
 
     /** Returns true when the response is found to have stalled, but only the first time. */
     fun detectStall(nowMillis: Long): Boolean {
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/AttemptHistory.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/AttemptHistory.kt
@@ -45,7 +45,8 @@
                 if (result.isFailure) failureResponse = result
                 result.isFailure && hasServersLeft()
             }
-            is AttemptResult.OutcomeUnknown -> {
+            is AttemptResult.OutcomeUnknown,
+            is AttemptResult.Replaced -> {
                 executedCount++
                 hasLostServer = true
                 hasServersLeft()
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/AttemptResult.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/AttemptResult.kt
@@ -21,6 +21,9 @@
     /** The server may have executed the request, but its response is missing or incomplete. */
     class OutcomeUnknown(val reason: String) : AttemptResult
 
+    /** The response has stalled, and another server has a slot for the request. */
+    class Replaced(val reason: String) : AttemptResult
+
     private companion object {
         const val FIRST_SERVER_ERROR = 500
     }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
@@ -3,8 +3,9 @@
 import io.lavenderhinge.core.forwarding.Admission
 import io.lavenderhinge.core.forwarding.DispatchEffect
 import io.lavenderhinge.core.forwarding.DispatchRequest
+import io.lavenderhinge.core.forwarding.RequestTiming
+import io.lavenderhinge.core.forwarding.RetryAllowance
 import io.lavenderhinge.core.forwarding.RouteKind
-import io.lavenderhinge.core.forwarding.SilenceLimits
 import io.lavenderhinge.http.HttpExchange
 import io.lavenderhinge.http.HttpResponse
 import io.lavenderhinge.http.HttpStatus
@@ -30,6 +31,7 @@
     private val deadlineMillis =
         arrivedMillis +
             minOf(clientHeaders.remainingMillis ?: route.timeoutMillis, route.timeoutMillis)
+    private val timing = RequestTiming(route, arrivedMillis, deadlineMillis)
     private val relay =
         if (route.kind is RouteKind.Streaming) {
             StreamRelay(exchange, clientHeaders.lastEventId, loop::nowMillis)
@@ -65,27 +67,74 @@
         usesTargetVersion =
             context.allocator.rollouts.shouldUseTarget(service, route.name, context.instanceCount())
         context.retryBudget.onRequest(service, loop.nowMillis())
-        while (true) {
-            val request = dispatchRequest(service)
-            val grant =
-                when (val effect = context.allocator.acquire(request)) {
-                    is DispatchEffect.Assign -> effect
-                    is DispatchEffect.Refuse -> return onRefused(effect)
-                }
-            trace.attemptStarted(grant, loop.nowMillis())
-            val result = attempt(grant, request)
-            trace.attemptEnded(result)
-            if (!shouldRetry(result, grant, service)) return finish(result)
+        val search = StalledRequestSearch(service)
+        try {
+            while (true) {
+                val slot = search.take() ?: acquire(service) ?: return
+                trace.attemptStarted(slot.grant, loop.nowMillis())
+                search.currentServerId = slot.grant.server.id
+                val result = attempt(slot, search)
+                trace.attemptEnded(result)
+                if (!shouldRetry(result, slot.grant, service)) return finish(result)
+            }
+        } finally {
+            search.giveBack()
         }
     }
 
-    private suspend fun attempt(
-        grant: DispatchEffect.Assign,
-        request: DispatchRequest,
-    ): AttemptResult {
+    /** A slot at a server and the request for which it was granted. */
+    private class Slot(val grant: DispatchEffect.Assign, val request: DispatchRequest)
+
+    // Returns null if the request was refused, which has been answered then.
+    private suspend fun acquire(service: String): Slot? {
+        val request = dispatchRequest(service)
+        return when (val effect = context.allocator.acquire(request)) {
+            is DispatchEffect.Assign -> Slot(effect, request)
+            is DispatchEffect.Refuse -> {
+                onRefused(effect)
+                null
+            }
+        }
+    }
+
+    /** Finds a slot at another server while the response of the current one has stalled. */
+    private inner class StalledRequestSearch(private val service: String) :
+        ReplacementSearch, RetryAllowance {
+        private var slot: Slot? = null
+        var currentServerId = ""
+
+        fun take(): Slot? = slot.also { slot = null }
+
+        override suspend fun search(): Boolean {
+            val request =
+                dispatchRequest(service)
+                    .copy(
+                        excludedServers = history.triedServers.add(currentServerId),
+                        hasLostServer = true,
+                    )
+            when (val effect = context.allocator.acquire(request)) {
+                is DispatchEffect.Assign -> slot = Slot(effect, request)
+                is DispatchEffect.Refuse -> trace.replacementRefused(effect)
+            }
+            return slot != null
+        }
+
+        override fun giveBack() {
+            take()?.let { context.allocator.giveBack(it.grant, it.request) }
+        }
+
+        override fun isAllowed(nowMillis: Long): Boolean =
+            history.allowsFailure &&
+                context.retryBudget.allowsRetry(service, context.instanceCount(), nowMillis)
+
+        override fun tryUse(nowMillis: Long): Boolean =
+            context.retryBudget.tryRetry(service, context.instanceCount(), nowMillis)
+    }
+
+    private suspend fun attempt(slot: Slot, search: StalledRequestSearch): AttemptResult {
         val fields =
             UpstreamFields(
-                grant.server,
+                slot.grant.server,
                 admitted.workspace?.name,
                 deadlineMillis - loop.nowMillis(),
                 relay?.lastEventId,
@@ -94,12 +143,13 @@
                 context.client,
                 context.allocator,
                 loop,
-                grant,
-                request,
-                progressTimeouts(grant),
+                slot.grant,
+                slot.request,
                 route,
+                retries = search,
+                deadlineMillis,
             )
-            .run(upstreamRequest(exchange.request, fields), relay)
+            .run(upstreamRequest(exchange.request, fields), relay, replacement = search)
     }
 
     // Records the result of an attempt and returns whether the request is retried.
@@ -109,6 +159,8 @@
         service: String,
     ): Boolean {
         if (!history.record(result, grant.server.id)) return false
+        // The budget was charged before the attempt was given up.
+        if (result is AttemptResult.Replaced) return true
         val wasSent = result !is AttemptResult.NotExecuted || result.wasSent
         return !wasSent ||
             context.retryBudget.tryRetry(service, context.instanceCount(), loop.nowMillis())
@@ -119,7 +171,8 @@
             is AttemptResult.Delivered -> Unit
             is AttemptResult.Response -> deliver(result)
             is AttemptResult.NotExecuted -> fail("not run")
-            is AttemptResult.OutcomeUnknown -> fail("lost")
+            is AttemptResult.OutcomeUnknown,
+            is AttemptResult.Replaced -> fail("lost")
         }
     }
 
@@ -170,9 +223,9 @@
             promptParts = clientHeaders.promptParts,
             expectedEvents = expectedEvents(service),
             arrivedMillis = arrivedMillis,
-            targetMillis = arrivedMillis + route.targetLatencyMillis,
+            targetMillis = timing.targetMillis(relay?.lastEventMillis),
             deadlineMillis = deadlineMillis,
-            firstEventDeadlineMillis = minOf(deadlineMillis, arrivedMillis + route.patienceMillis),
+            firstEventDeadlineMillis = timing.patienceEndMillis(relay?.lastEventMillis),
             excludedServers = history.triedServers,
             usesTargetVersion = usesTargetVersion,
             hasLostServer = history.hasLostServer,
@@ -185,24 +238,6 @@
         return tokens.toDouble() / context.tokensPerEvent(service)
     }
 
-    private fun progressTimeouts(grant: DispatchEffect.Assign): ProgressTimeouts {
-        val leftMillis = (deadlineMillis - loop.nowMillis()).coerceAtLeast(1)
-        val canRetry =
-            history.allowsFailure &&
-                context.retryBudget.allowsRetry(
-                    trace.service.orEmpty(),
-                    context.instanceCount(),
-                    loop.nowMillis(),
-                )
-        // If no retry is possible, only the deadline ends the wait.
-        if (!canRetry) return ProgressTimeouts(leftMillis * 2, leftMillis * 2)
-        val limits = SilenceLimits.of(route, grant.expectedMillis)
-        return ProgressTimeouts(
-            limits.firstEventMillis.coerceAtMost(leftMillis),
-            limits.betweenEventsMillis.coerceAtMost(leftMillis),
-        )
-    }
-
     private fun pickService(): String {
         val destinations = route.destinations
         val total = destinations.sumOf { it.weight }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestTrace.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestTrace.kt
@@ -80,13 +80,21 @@
             }
             is AttemptResult.Response -> events += "status ${result.status}"
             is AttemptResult.NotExecuted -> events += "not run: ${result.reason}"
-            is AttemptResult.OutcomeUnknown -> {
-                hasLostServer = true
-                events += "lost: ${result.reason}"
-            }
+            is AttemptResult.OutcomeUnknown -> recordLoss(result.reason)
+            is AttemptResult.Replaced -> recordLoss(result.reason)
         }
     }
 
+    /** Records that no other server can replace one whose response has stalled. */
+    fun replacementRefused(effect: DispatchEffect.Refuse) {
+        events += "not replaced: ${effect.reason}"
+    }
+
+    private fun recordLoss(reason: String) {
+        hasLostServer = true
+        events += "lost: $reason"
+    }
+
     private companion object {
         const val STATUS_CLASS_SIZE = 100
     }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
@@ -83,6 +83,20 @@
         onChange()
     }
 
+    /** Releases the slot of [grant], to which [request] has not been sent. */
+    fun giveBack(grant: DispatchEffect.Assign, request: DispatchRequest) =
+        release(
+            FinishedAttempt(
+                grant.server,
+                ServerOutcome.Inconclusive,
+                grant.uncachedTokens,
+                isPromptPending = true,
+                request.priority,
+                request.promptParts,
+                sentMillis = loop.nowMillis(),
+            )
+        )
+
     /** Replaces the list of servers. */
     fun onServers(servers: List<ServerEntry>) =
         complete(dispatcher.onServers(servers, loop.nowMillis()))
@@ -98,19 +112,7 @@
         waiting.remove(request.id)
         dispatcher.cancel(request.id)
         val effect = waiter.effect
-        if (effect is DispatchEffect.Assign) {
-            release(
-                FinishedAttempt(
-                    effect.server,
-                    ServerOutcome.Inconclusive,
-                    effect.uncachedTokens,
-                    isPromptPending = true,
-                    request.priority,
-                    request.promptParts,
-                    sentMillis = loop.nowMillis(),
-                )
-            )
-        }
+        if (effect is DispatchEffect.Assign) giveBack(effect, request)
     }
 
     private fun complete(effects: List<DispatchEffect>) =
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/StreamRelay.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/StreamRelay.kt
@@ -9,6 +9,18 @@
 import io.lavenderhinge.http.LossReason
 import java.io.ByteArrayOutputStream
 
+/** Observes what a [StreamRelay] does. */
+internal interface RelayListener {
+    /** Called when [count] events have arrived; 0 at the end of the stream. */
+    fun onEvents(count: Int)
+
+    /** Called before data is sent to the client, which may be slower than the server. */
+    fun onDelivering()
+
+    /** Called when the client can take more data. */
+    fun onDelivered()
+}
+
 /**
  * Relays the events of a stream to the client. A broken stream can be resumed with another
  * response, because only complete events are relayed and events that the client already has are
@@ -29,20 +41,18 @@
     val isStarted: Boolean
         get() = writer != null
 
+    /** Time of the last event that was sent to the client; null before the first one. */
+    var lastEventMillis: Long? = null
+        private set
+
     /**
-     * Relays [response] to its end; throws if the response is incomplete, or if no event arrives
-     * within the [timeouts]. Only events count as progress: a stalled server may send comments or
-     * parts of an event for as long as the connection is open.
+     * Relays [response] to its end; throws if the response is incomplete. Only events count as
+     * progress: a stalled server may send comments or parts of an event for as long as the
+     * connection is open.
      */
-    suspend fun relay(
-        response: ClientResponse,
-        onEvents: (count: Int) -> Unit,
-        timeouts: ProgressTimeouts,
-    ) {
+    suspend fun relay(response: ClientResponse, listener: RelayListener) {
         val splitter = EventStreamSplitter()
-        var progressDeadlineMillis = nowMillis() + timeouts.firstEventMillis
         while (true) {
-            response.progressMillis = progressDeadlineMillis - nowMillis()
             val chunk = response.readChunk() ?: break
             val events = newEvents(splitter, chunk)
             if (splitter.isOverflowing) {
@@ -51,10 +61,10 @@
             if (events.isEmpty()) continue
             val count = events.count { !it.isComment }
             if (count > 0) {
-                onEvents(count)
-                progressDeadlineMillis = nowMillis() + timeouts.betweenEventsMillis
+                lastEventMillis = nowMillis()
+                listener.onEvents(count)
             }
-            startOrGetWriter(response).write(concatenate(events))
+            send(response, events, listener)
         }
         if (splitter.hasPartialEvent) {
             throw HttpCallException.OutcomeUnknown(
@@ -62,10 +72,21 @@
                 LossReason.CONNECTION_CLOSED,
             )
         }
-        onEvents(0)
+        listener.onEvents(0)
+        listener.onDelivering()
         startOrGetWriter(response).end()
     }
 
+    private suspend fun send(
+        response: ClientResponse,
+        events: List<StreamEvent>,
+        listener: RelayListener,
+    ) {
+        listener.onDelivering()
+        startOrGetWriter(response).write(concatenate(events))
+        listener.onDelivered()
+    }
+
     private fun newEvents(splitter: EventStreamSplitter, chunk: ByteArray): List<StreamEvent> =
         splitter.accept(chunk).filter { event ->
             val id = event.id
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
@@ -6,9 +6,11 @@
 import io.lavenderhinge.core.forwarding.DispatchRequest
 import io.lavenderhinge.core.forwarding.FinishedAttempt
 import io.lavenderhinge.core.forwarding.ForwardRoute
+import io.lavenderhinge.core.forwarding.RetryAllowance
 import io.lavenderhinge.core.forwarding.ServerEntry
 import io.lavenderhinge.core.forwarding.ServerOutcome
 import io.lavenderhinge.core.forwarding.SilenceLimits
+import io.lavenderhinge.core.forwarding.StallRecovery
 import io.lavenderhinge.http.CallTimeouts
 import io.lavenderhinge.http.ClientResponse
 import io.lavenderhinge.http.HttpCallException
@@ -20,12 +22,22 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import java.net.InetSocketAddress
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.async
+import kotlinx.coroutines.cancel
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 
-/** Maximum waits for the next event of a backend server before the attempt is abandoned. */
-internal data class ProgressTimeouts(val firstEventMillis: Long, val betweenEventsMillis: Long)
+/** Finds another server for a request whose response has stalled. */
+internal interface ReplacementSearch {
+    /** Waits for a slot at another server; returns false if none can take the request. */
+    suspend fun search(): Boolean
+
+    /** Gives back the slot that [search] has found. */
+    fun giveBack()
+}
 
 /**
  * One attempt to send a request to a backend server. Always releases the granted slot at its end
@@ -37,8 +49,9 @@
     private val loop: TrafficLoop,
     private val grant: DispatchEffect.Assign,
     private val request: DispatchRequest,
-    private val timeouts: ProgressTimeouts,
     route: ForwardRoute,
+    retries: RetryAllowance,
+    private val deadlineMillis: Long,
 ) {
     private val server: ServerEntry = grant.server
     private val promptTokens = grant.uncachedTokens
@@ -46,31 +59,76 @@
     private val sentMillis = loop.nowMillis()
     private val progress =
         AttemptProgress(SilenceLimits.of(route, grant.expectedMillis), sentMillis)
+    private val recovery = StallRecovery(progress, retries)
+    private var onProgress: () -> Unit = {}
+    private var isReplaced = false
     private var outcome: ServerOutcome = ServerOutcome.Inconclusive
 
     /**
      * Sends [upstreamRequest] and streams the response to [relay], or returns the complete response
-     * if [relay] is null.
+     * if [relay] is null. If the response stalls and [replacement] finds another server, the
+     * attempt ends as [AttemptResult.Replaced].
      */
-    suspend fun run(upstreamRequest: HttpRequest, relay: StreamRelay?): AttemptResult =
-        coroutineScope {
-            val stallDetection = launch { detectStall() }
-            exchange(upstreamRequest, relay).also { stallDetection.cancel() }
+    suspend fun run(
+        upstreamRequest: HttpRequest,
+        relay: StreamRelay?,
+        replacement: ReplacementSearch,
+    ): AttemptResult =
+        try {
+            coroutineScope {
+                val scope = this
+                val stallWatch = launch {
+                    awaitReplacement(replacement)
+                    isReplaced = true
+                    scope.cancel()
+                }
+                exchange(upstreamRequest, relay).also { stallWatch.cancel() }
+            }
+        } catch (e: CancellationException) {
+            // Rethrows if the request itself was cancelled.
+            currentCoroutineContext().ensureActive()
+            if (!isReplaced) throw e
+            AttemptResult.Replaced("the server sent nothing for too long")
         }
 
-    private suspend fun detectStall() {
+    /** Returns once the response has stalled and another server has a slot for the request. */
+    private suspend fun awaitReplacement(replacement: ReplacementSearch) {
         while (true) {
-            val waitMillis = progress.stallMillis - loop.nowMillis()
-            val wakeMillis = loop.nowMillis() + waitMillis
-            delay(waitMillis)
-            val nowMillis = loop.nowMillis()
-            if (nowMillis - wakeMillis > OWN_PAUSE_MILLIS) progress.onOwnPause(nowMillis)
-            if (!progress.detectStall(nowMillis)) continue
-            allocator.rollouts.onStalled(server, routeName)
-            return
+            awaitCheck()
+            if (progress.detectStall(loop.nowMillis())) {
+                allocator.rollouts.onStalled(server, routeName)
+            }
+            if (!recovery.shouldSearch(loop.nowMillis())) continue
+            val isFound = searchWhileSilent(replacement)
+            if (isFound && recovery.shouldReplace(loop.nowMillis())) return
+            if (isFound) replacement.giveBack()
+            recovery.onSearchFailed(loop.nowMillis())
         }
     }
 
+    private suspend fun awaitCheck() {
+        val delayMillis = recovery.checkDelayMillis(loop.nowMillis())
+        val dueMillis = loop.nowMillis() + delayMillis
+        delay(delayMillis)
+        val nowMillis = loop.nowMillis()
+        if (nowMillis - dueMillis > OWN_PAUSE_MILLIS) progress.onOwnPause(nowMillis)
+    }
+
+    // An event of the server ends the search.
+    private suspend fun searchWhileSilent(replacement: ReplacementSearch): Boolean =
+        coroutineScope {
+            val search = async { replacement.search() }
+            onProgress = { search.cancel() }
+            try {
+                search.await()
+            } catch (_: CancellationException) {
+                ensureActive()
+                false
+            } finally {
+                onProgress = {}
+            }
+        }
+
     private suspend fun exchange(upstreamRequest: HttpRequest, relay: StreamRelay?): AttemptResult {
         var response: ClientResponse? = null
         allocator.rollouts.onRequestSent(server)
@@ -85,7 +143,8 @@
             outcome = lossOutcome(e.reason)
             return AttemptResult.OutcomeUnknown(e.message.orEmpty())
         } catch (e: CancellationException) {
-            outcome = progress.abandoned(loop.nowMillis())
+            outcome =
+                if (isReplaced) ServerOutcome.Unresponsive else progress.abandoned(loop.nowMillis())
             throw e
         } finally {
             response?.abort()
@@ -118,7 +177,8 @@
         return client.send(
             InetSocketAddress(server.ip, server.port),
             upstreamRequest,
-            CallTimeouts(CONNECT_MILLIS, timeouts.firstEventMillis),
+            // The deadline of the request and its replacement end the wait.
+            CallTimeouts(CONNECT_MILLIS, 2 * (deadlineMillis - sentMillis).coerceAtLeast(1)),
             // A late response to an earlier request on this connection has a different id.
             acceptsResponse = { it.get(PlatformHeaders.REQUEST_ID)?.equals(id) ?: true },
         )
@@ -154,7 +214,7 @@
     }
 
     private suspend fun relayStream(response: ClientResponse, relay: StreamRelay): AttemptResult {
-        relay.relay(response, ::onEventsReceived, timeouts)
+        relay.relay(response, relayListener)
         recordAnswered()
         return AttemptResult.Delivered
     }
@@ -182,7 +242,17 @@
 
     private fun isMisdirected(response: ClientResponse) = response.status == HttpStatus.MISDIRECTED
 
+    private val relayListener =
+        object : RelayListener {
+            override fun onEvents(count: Int) = onEventsReceived(count)
+
+            override fun onDelivering() = progress.onDelivering(loop.nowMillis())
+
+            override fun onDelivered() = progress.onDelivered(loop.nowMillis())
+        }
+
     private fun onEventsReceived(count: Int) {
+        onProgress()
         val isFirst = !progress.hasFirstEvent
         progress.onEvents(count, loop.nowMillis())
         allocator.onServerActivity(server, sentMillis)
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/GatewayHarness.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/GatewayHarness.kt
@@ -16,7 +16,10 @@
 import java.net.InetSocketAddress
 
 /** Runs a request forwarder for one host with the given servers as service `s`. */
-internal class GatewayHarness(vararg servers: ScriptedBackendServer) : AutoCloseable {
+internal class GatewayHarness(
+    vararg servers: ScriptedBackendServer,
+    retryBudget: ServiceRetryBudget = ServiceRetryBudget(ratio = 0.5, fleetSlack = 20.0),
+) : AutoCloseable {
     private val loop = TrafficLoop()
     private val control = ControlThread()
     private val clients = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
@@ -34,7 +37,7 @@
                 loop,
                 HttpClient(loop.group),
                 allocator,
-                ServiceRetryBudget(ratio = 0.5, fleetSlack = 20.0),
+                retryBudget,
                 RequestLog(configuration::version, GatewayMetrics(control)),
                 instanceCount = { 1 },
                 tokensPerEvent = { 1 },
