Obey servers that say in their answers that they leave or want a pause

Cause: the users' newest rules (DRAIN with Server-Leaving, BUDGET with a 503 and Retry-After) are in force, and nothing read the two fields. Change: ServerStatements keeps what a server has said for one run of its process; placement asks it for the access to a server. A leaving server is used only if its pool has no other, and not later than the drain bound after its first statement. A pausing one gets nothing until the end, then its slots come back within a second. A request that cannot wait is refused with the time at which the first server is back. Malformed fields are ignored, counted and logged once a minute for each server.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
@@ -79,6 +79,8 @@
     OVERLOAD,
     /** No slot became available before the deadline. */
     EXPIRED,
+    /** All servers of the service have asked for a pause that ends too late for the request. */
+    PAUSED,
     /** A part of the prompt crashes the servers that answer it. */
     QUARANTINED,
     /** A part of the prompt may have crashed the server that the request lost. */
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -20,12 +20,15 @@
     private val failureDomain: String,
     private val rollouts: RolloutTracker = RolloutTracker(),
     private val random: Random = Random.Default,
+    /** Time until a server that says that it is leaving must not get requests any more. */
+    drainMillis: Long = DEFAULT_DRAIN_MILLIS,
 ) {
     private val pools = HashMap<String, ServerPool>()
     private val policies = HashMap<String, QueuePolicy>()
     private val queues = HashMap<String, MutableList<DispatchRequest>>()
     private val peers = PeerLoads()
     private val rateLimits = ServerRateLimits(random)
+    private val statements = ServerStatements(drainMillis)
 
     /** Prompt parts that are kept away from the servers. */
     val quarantine = PromptQuarantine(random)
@@ -44,7 +47,7 @@
 
     private fun poolOf(service: String): ServerPool =
         pools.getOrPut(service) {
-            ServerPool(rollouts, rateLimits, random).also {
+            ServerPool(rollouts, rateLimits, statements, random).also {
                 policies[service] = QueuePolicy(it, peers)
             }
         }
@@ -55,11 +58,13 @@
             return listOf(it)
         }
         val pool = pools[request.service]
-        if (pool == null || pool.eligibleServers(request, nowMillis).isEmpty()) {
-            val reason = DispatchRefusal.NO_SERVER
-            return listOf(DispatchEffect.Refuse(request.id, reason, NO_SERVER_RETRY_MILLIS))
-        }
+        if (pool == null) return listOf(refuseWithoutServer(request))
         val queue = queues.getOrPut(request.service, ::mutableListOf)
+        if (pool.eligibleServers(request, nowMillis).isEmpty()) {
+            val refusal = onNoServer(request, pool, nowMillis)
+            if (refusal == null) queue.add(request)
+            return listOfNotNull(refusal)
+        }
         policies.getValue(request.service).rejection(request, queue, nowMillis)?.let {
             return listOf(it)
         }
@@ -85,6 +90,15 @@
     fun onRateLimit(server: ServerEntry, limitPerSecond: Double?, nowMillis: Long) =
         rateLimits.onStated(server.run, limitPerSecond, nowMillis)
 
+    /** Records what a response of [server] states about it, except for its limit. */
+    fun onStatement(server: ServerEntry, statement: ServerStatement, nowMillis: Long) =
+        statements.onStated(server.run, statement, nowMillis)
+
+    /** Calls [listener] with each change of what servers state about themselves. */
+    fun onStatementChange(listener: (ServerStatementChange) -> Unit) {
+        statements.onChange = listener
+    }
+
     /** Calls [listener] with each change of the limit that a server states. */
     fun onRateLimitChange(listener: (RateLimitChange) -> Unit) {
         rateLimits.onChange = listener
@@ -212,11 +226,30 @@
                         DispatchRefusal.EXPIRED,
                         NO_SERVER_RETRY_MILLIS,
                     )
-            is Placement.NoServer ->
-                DispatchEffect.Refuse(request.id, DispatchRefusal.NO_SERVER, NO_SERVER_RETRY_MILLIS)
+            is Placement.NoServer -> onNoServer(request, pool, nowMillis)
         }
 
+    // A request waits for servers that pause if the first one is back before its target time.
+    private fun onNoServer(
+        request: DispatchRequest,
+        pool: ServerPool,
+        nowMillis: Long,
+    ): DispatchEffect.Refuse? {
+        val reopenMillis = pool.reopenMillis(nowMillis) ?: return refuseWithoutServer(request)
+        if (reopenMillis + pool.firstEventMillis(request) <= request.targetMillis) return null
+        return DispatchEffect.Refuse(
+            request.id,
+            DispatchRefusal.PAUSED,
+            reopenMillis - nowMillis,
+            "the first server is back in ${reopenMillis - nowMillis} ms",
+        )
+    }
+
+    private fun refuseWithoutServer(request: DispatchRequest) =
+        DispatchEffect.Refuse(request.id, DispatchRefusal.NO_SERVER, NO_SERVER_RETRY_MILLIS)
+
     private companion object {
+        const val DEFAULT_DRAIN_MILLIS = 2_000L
         const val NO_SERVER_RETRY_MILLIS = 300L
     }
 }
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -23,6 +23,7 @@
 internal class ServerPool(
     private val rollouts: RolloutTracker,
     private val rateLimits: ServerRateLimits,
+    private val statements: ServerStatements,
     private val random: Random,
 ) {
     private val records = LinkedHashMap<String, ServerRecord>()
@@ -91,12 +92,32 @@
             records.values.filter {
                 it.entry.acceptsWork && it.entry.id !in request.excludedServers
             }
-        val accepting = rollouts.select(listed, request)
+        val accepting = rollouts.select(accessible(listed, nowMillis), request)
         return accepting
             .filterNot { it.isBackingOff(nowMillis) || isSilent(it, nowMillis) }
             .ifEmpty { accepting }
     }
 
+    // Leaving servers are used only if there is no other.
+    private fun accessible(servers: List<ServerRecord>, nowMillis: Long): List<ServerRecord> {
+        if (statements.isEmpty) return servers
+        val byAccess = servers.groupBy { statements.access(it.entry.run, nowMillis) }
+        return byAccess[ServerAccess.Open] ?: byAccess[ServerAccess.LastResort].orEmpty()
+    }
+
+    /**
+     * Returns when the first server takes requests again, if all of them want a pause; otherwise
+     * null.
+     */
+    fun reopenMillis(nowMillis: Long): Long? {
+        val listed = records.values.filter { it.entry.acceptsWork }
+        if (accessible(listed, nowMillis).isNotEmpty()) return null
+        return listed
+            .mapNotNull { statements.access(it.entry.run, nowMillis) as? ServerAccess.Closed }
+            .mapNotNull { it.endMillis }
+            .minOrNull()
+    }
+
     private fun isSilent(record: ServerRecord, nowMillis: Long): Boolean {
         val expectedMillis = record.latencyFactor * model.predictMillis(record.pendingTokens)
         return record.isSilent(
@@ -109,7 +130,10 @@
     fun slotIntervalMillis(request: DispatchRequest, nowMillis: Long): Double {
         val slotsPerMillis =
             rollouts
-                .select(records.values.filter { it.entry.acceptsWork }, request)
+                .select(
+                    accessible(records.values.filter { it.entry.acceptsWork }, nowMillis),
+                    request,
+                )
                 .filterNot { it.isBackingOff(nowMillis) }
                 .sumOf(::slotsPerMillis)
         return if (slotsPerMillis <= 0) MIN_HOLD_MILLIS else 1 / slotsPerMillis
@@ -166,20 +190,27 @@
                 .minBy { it.expectedMillis }
         val freeSlots = estimates.sumOf { it.freeSlots.coerceAtLeast(0) }
         if (best.freeSlots > 0 && freeSlots > aheadAtPeers) {
-            return send(best, eligible.size, peers.count)
+            return send(best, eligible.size, inaccessibleCount(nowMillis), peers.count)
         }
         // Reserves a slot, so that less urgent requests do not take the one this request waits for.
         reserved.merge(best.record.entry.id, 1, Int::plus)
         return Placement.Wait
     }
 
-    private fun send(best: Estimate, eligibleCount: Int, peerCount: Int) =
+    private fun inaccessibleCount(nowMillis: Long): Int =
+        if (statements.isEmpty) 0
+        else
+            records.values.count {
+                statements.access(it.entry.run, nowMillis) !is ServerAccess.Open
+            }
+
+    private fun send(best: Estimate, eligibleCount: Int, inaccessibleCount: Int, peerCount: Int) =
         Placement.Send(
             best.record.entry,
             best.expectedMillis,
             best.uncachedTokens,
             "expected ${best.expectedMillis.toInt()} ms, ${best.freeSlots} slots free, " +
-                "$eligibleCount servers, $peerCount peers",
+                "$eligibleCount servers, $inaccessibleCount leaving or pausing, $peerCount peers",
         )
 
     // Reports are older in a larger fleet, where more instances decide between two of them. If all
@@ -232,7 +263,9 @@
     ): Estimate {
         val id = record.entry.id
         val busy = record.inFlight + peers.inFlight(id) + (reserved[id] ?: 0)
-        val slots = if (record.isHalfOpen) 1 else record.entry.slots
+        val slots =
+            if (record.isHalfOpen) 1
+            else statements.usableSlots(record.entry.run, record.entry.slots, nowMillis)
         val pending = record.pendingTokens + peers.pendingTokens(id)
         val unloadedMillis = model.predictMillis(uncachedTokens + pending)
         val loadFactor = 1 + SLOWDOWN_PER_REQUEST * busy
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
@@ -2,6 +2,7 @@
 
 import io.lavenderhinge.core.forwarding.Admission
 import io.lavenderhinge.core.forwarding.DispatchEffect
+import io.lavenderhinge.core.forwarding.DispatchRefusal
 import io.lavenderhinge.core.forwarding.DispatchRequest
 import io.lavenderhinge.core.forwarding.RequestTiming
 import io.lavenderhinge.core.forwarding.RetryAllowance
@@ -148,6 +149,7 @@
                 route,
                 retries = search,
                 deadlineMillis,
+                context.ignoredStatements,
             )
             .run(upstreamRequest(exchange.request, fields), relay, replacement = search)
     }
@@ -191,6 +193,9 @@
             relay?.isStarted == true -> fail("no server to resume at")
             response != null -> deliver(response)
             history.mayHaveExecuted -> fail("no other server")
+            // The end of a pause is known, so clients need not be spread over a longer time.
+            refusal.reason == DispatchRefusal.PAUSED ->
+                respondNotExecuted(refusal.retryAfterMillis, PAUSE_END_SPREAD_MILLIS)
             else -> respondNotExecuted(refusal.retryAfterMillis)
         }
     }
@@ -204,8 +209,12 @@
         respond(emptyResponse(status))
     }
 
-    private suspend fun respondNotExecuted(retryAfterMillis: Long) {
-        respond(emptyResponse(HttpStatus.UNAVAILABLE, withJitter(retryAfterMillis)))
+    private suspend fun respondNotExecuted(
+        retryAfterMillis: Long,
+        spreadMillis: Long = retryAfterMillis,
+    ) {
+        val spreadRetryMillis = withJitter(retryAfterMillis, spreadMillis)
+        respond(emptyResponse(HttpStatus.UNAVAILABLE, spreadRetryMillis))
     }
 
     private suspend fun respond(response: HttpResponse) {
@@ -250,11 +259,12 @@
     }
 
     // Jitter keeps clients that were rejected together from retrying together.
-    private fun withJitter(retryAfterMillis: Long): Long =
-        (retryAfterMillis * (1 + context.random.nextDouble())).toLong()
+    private fun withJitter(retryAfterMillis: Long, spreadMillis: Long): Long =
+        retryAfterMillis + (spreadMillis * context.random.nextDouble()).toLong()
 
     private companion object {
         const val RETRY_AFTER_MILLIS = 300L
+        const val PAUSE_END_SPREAD_MILLIS = 500L
         val NOT_EXECUTED_STATUSES =
             setOf(
                 HttpStatus.REQUEST_TIMEOUT,
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
@@ -45,7 +45,12 @@
     private val watchPacing = WatchPacing.of(settings.bounds.propagation)
     private val configuration = ConfigurationHolder(gate, watchPacing.staleAfterMillis)
     private val quotas = QuotaLimiter(settings.bounds.quotaTolerance)
-    private val allocator = SlotAllocator(identity.failureDomain, loop)
+    private val allocator =
+        SlotAllocator(
+            identity.failureDomain,
+            loop,
+            drainMillis = settings.bounds.propagation.drainMillis,
+        )
     private val servers = ServerRegistry(control, watchPacing.staleAfterMillis, ::publish)
     private val watcherRole = WatcherRole(identity.id)
     private val loadReports =
@@ -131,6 +136,7 @@
         loop.execute { loadReports.onReport = ::onPeerReport }
         loop.execute {
             allocator.quarantine.onChange = quarantineLog::onChange
+            allocator.onStatementChange { log.info("server: {} states {}", it.run, it) }
             allocator.onRateLimitChange {
                 log.info("limit: {} takes {} requests per second", it.run, it.limitPerSecond)
             }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestForwarder.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestForwarder.kt
@@ -22,6 +22,7 @@
     /** Number of output tokens per stream event of a service. */
     val tokensPerEvent: (service: String) -> Int,
     val random: Random = Random.Default,
+    val ignoredStatements: IgnoredStatements = IgnoredStatements(),
 )
 
 /** Admits client requests and forwards them to backend servers. */
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
@@ -9,6 +9,8 @@
 import io.lavenderhinge.core.forwarding.RolloutTracker
 import io.lavenderhinge.core.forwarding.ServerEntry
 import io.lavenderhinge.core.forwarding.ServerOutcome
+import io.lavenderhinge.core.forwarding.ServerStatement
+import io.lavenderhinge.core.forwarding.ServerStatementChange
 import io.lavenderhinge.core.quarantine.PromptQuarantine
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
@@ -22,8 +24,10 @@
     private val loop: TrafficLoop,
     /** Rollout state that determines which servers are eligible for a request. */
     val rollouts: RolloutTracker = RolloutTracker(),
+    /** Time until a server that says that it is leaving must not get requests any more. */
+    drainMillis: Long = DEFAULT_DRAIN_MILLIS,
 ) {
-    private val dispatcher = Dispatcher(failureDomain, rollouts)
+    private val dispatcher = Dispatcher(failureDomain, rollouts, drainMillis = drainMillis)
 
     /** Prompt parts that are kept away from the servers. */
     val quarantine: PromptQuarantine
@@ -63,6 +67,14 @@
     fun onServerActivity(server: ServerEntry, sentMillis: Long) =
         dispatcher.onActivity(server, sentMillis, loop.nowMillis())
 
+    /** Records what a response of [server] states about it, except for its limit. */
+    fun onStatement(server: ServerEntry, statement: ServerStatement) =
+        dispatcher.onStatement(server, statement, loop.nowMillis())
+
+    /** Calls [listener] with each change of what servers state about themselves. */
+    fun onStatementChange(listener: (ServerStatementChange) -> Unit) =
+        dispatcher.onStatementChange(listener)
+
     /** Records the limit, if any, that a response of [server] states. */
     fun onRateLimit(server: ServerEntry, limitPerSecond: Double?) =
         dispatcher.onRateLimit(server, limitPerSecond, loop.nowMillis())
@@ -134,6 +146,7 @@
     }
 
     private companion object {
+        const val DEFAULT_DRAIN_MILLIS = 2_000L
         const val TICK_MILLIS = 10L
     }
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
@@ -1,6 +1,5 @@
 package io.lavenderhinge.instance.gateway
 
-import io.lavenderhinge.adapters.RequestLimitHeader
 import io.lavenderhinge.core.forwarding.AttemptProgress
 import io.lavenderhinge.core.forwarding.DispatchEffect
 import io.lavenderhinge.core.forwarding.DispatchRequest
@@ -19,6 +18,7 @@
 import io.lavenderhinge.http.HttpStatus
 import io.lavenderhinge.http.LossReason
 import io.lavenderhinge.platform.PlatformHeaders
+import io.lavenderhinge.platform.ServerStatementDecoder
 import io.netty.handler.codec.http.HttpHeaderNames
 import java.net.InetSocketAddress
 import kotlinx.coroutines.CancellationException
@@ -52,6 +52,7 @@
     route: ForwardRoute,
     retries: RetryAllowance,
     private val deadlineMillis: Long,
+    private val ignoredStatements: IgnoredStatements,
 ) {
     private val server: ServerEntry = grant.server
     private val promptTokens = grant.uncachedTokens
@@ -186,7 +187,7 @@
 
     private suspend fun readResponse(response: ClientResponse, relay: StreamRelay?): AttemptResult {
         val isSigned = response.headers.contains(PlatformHeaders.SIGNATURE)
-        recordRateLimit(response, isSigned)
+        recordStatement(response, isSigned)
         if (response.headers.contains(PlatformHeaders.NOT_EXECUTED) || isMisdirected(response)) {
             return readNotExecuted(response)
         }
@@ -205,12 +206,15 @@
         return result
     }
 
-    // Only a signed response without a limit proves that the server has lifted it.
-    private fun recordRateLimit(response: ClientResponse, isSigned: Boolean) {
-        val limitPerSecond =
-            RequestLimitHeader.decode(response.headers.get(PlatformHeaders.REQUEST_LIMIT)).perSecond
-        if (isMisdirected(response) || (limitPerSecond == null && !isSigned)) return
-        allocator.onRateLimit(server, limitPerSecond)
+    private fun recordStatement(response: ClientResponse, isSigned: Boolean) {
+        // Another server may have taken over the address.
+        if (isMisdirected(response)) return
+        val decoded = ServerStatementDecoder.decode(response.status, response.headers)
+        decoded.ignoredFields.forEach { ignoredStatements.onIgnored(server.id, it, sentMillis) }
+        allocator.onStatement(server, decoded.statement)
+        // Only a signed response without a limit proves that the server has lifted it.
+        val limitPerSecond = decoded.statement.limitPerSecond
+        if (limitPerSecond != null || isSigned) allocator.onRateLimit(server, limitPerSecond)
     }
 
     private suspend fun relayStream(response: ClientResponse, relay: StreamRelay): AttemptResult {
