Seek another server for a silent first event as early as before

Change: SilenceLimits tells the search before the first event from the stall that counts for a version. A search that the retry budget does not allow is asked again after 200 ms instead of 20 ms.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/AttemptProgress.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/AttemptProgress.kt
@@ -28,6 +28,10 @@
             return lastProgressMillis + limitMillis
         }
 
+    /** Time from which another server may be sought unless an event arrives before. */
+    val searchMillis: Long
+        get() = if (hasFirstEvent) stallMillis else lastProgressMillis + limits.searchMillis
+
     /** Records the arrival of [count] events; 0 at the end of the response. */
     fun onEvents(count: Int, nowMillis: Long) {
         events += count
@@ -59,6 +63,10 @@
     fun isStalled(nowMillis: Long): Boolean =
         deliveringSinceMillis == null && nowMillis >= stallMillis
 
+    /** Returns true if the request is better sent to another server that has a slot for it. */
+    fun isSearchDue(nowMillis: Long): Boolean =
+        deliveringSinceMillis == null && nowMillis >= searchMillis
+
     /** Returns true when the response is found to have stalled, but only the first time. */
     fun detectStall(nowMillis: Long): Boolean {
         if (hasStalled || !isStalled(nowMillis)) return false
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -210,7 +210,8 @@
             best.expectedMillis,
             best.uncachedTokens,
             "expected ${best.expectedMillis.toInt()} ms, ${best.freeSlots} slots free, " +
-                "$eligibleCount servers, $inaccessibleCount leaving or pausing, $peerCount peers",
+                "$eligibleCount servers, $peerCount peers" +
+                if (inaccessibleCount == 0) "" else ", $inaccessibleCount leaving or pausing",
         )
 
     // Reports are older in a larger fleet, where more instances decide between two of them. If all
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/StallRecovery.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/StallRecovery.kt
@@ -1,7 +1,7 @@
 package io.lavenderhinge.core.forwarding
 
 /**
- * Decides when an attempt whose response has stalled is replaced by one at another server.
+ * Decides when an attempt whose server is silent is replaced by one at another server.
  *
  * The server may be sound and go on, so its silence alone is no reason to end the attempt. It ends
  * only once another server has a slot for the request and the retry budget allows its use. Until
@@ -15,12 +15,17 @@
 
     /** Returns how long to wait before the state of the attempt has to be checked again. */
     fun checkDelayMillis(nowMillis: Long): Long =
-        (maxOf(progress.stallMillis, nextSearchMillis) - nowMillis).coerceAtLeast(MIN_CHECK_MILLIS)
+        (maxOf(progress.searchMillis, nextSearchMillis) - nowMillis).coerceAtLeast(MIN_CHECK_MILLIS)
 
-    /** Returns true if another server should be sought now. */
-    fun shouldSearch(nowMillis: Long): Boolean {
-        val isDue = progress.isStalled(nowMillis) && nowMillis >= nextSearchMillis
-        return isDue && retries.isAllowed(nowMillis)
+    /**
+     * Returns true if another server is to be sought now. If the budget does not allow it, it is
+     * asked again later.
+     */
+    fun beginSearch(nowMillis: Long): Boolean {
+        if (!progress.isSearchDue(nowMillis) || nowMillis < nextSearchMillis) return false
+        if (retries.isAllowed(nowMillis)) return true
+        onSearchFailed(nowMillis)
+        return false
     }
 
     /** Records that no other server can take the request now. */
@@ -33,7 +38,7 @@
      * if so. Otherwise the slot has to be given back.
      */
     fun shouldReplace(nowMillis: Long): Boolean =
-        progress.isStalled(nowMillis) && retries.tryUse(nowMillis)
+        progress.isSearchDue(nowMillis) && retries.tryUse(nowMillis)
 
     private companion object {
         const val MIN_CHECK_MILLIS = 20L
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/StallRecoveryTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/StallRecoveryTest.kt
@@ -17,14 +17,25 @@
         test("given a sound server that is silent for 1600 ms, then no other server is sought") {
             val recovery = StallRecovery(progress(), UnlimitedRetries)
 
-            recovery.shouldSearch(nowMillis = 1_700) shouldBe false
+            recovery.beginSearch(nowMillis = 1_700) shouldBe false
             recovery.checkDelayMillis(nowMillis = 1_700) shouldBe 200
         }
 
+        // Guards against a request that waits for a dead server longer than for a new start.
+        test("given no first event, then another server is sought before the response stalls") {
+            val progress = AttemptProgress(limits, sentMillis = 0)
+            val recovery = StallRecovery(progress, UnlimitedRetries)
+
+            recovery.beginSearch(nowMillis = 1_199) shouldBe false
+            recovery.beginSearch(nowMillis = 1_200) shouldBe true
+            progress.detectStall(nowMillis = 1_700) shouldBe false
+            progress.detectStall(nowMillis = 1_800) shouldBe true
+        }
+
         test("given a stream that has stalled, then it is replaced once a server has a slot") {
             val recovery = StallRecovery(progress(), UnlimitedRetries)
 
-            recovery.shouldSearch(nowMillis = 1_900) shouldBe true
+            recovery.beginSearch(nowMillis = 1_900) shouldBe true
             recovery.shouldReplace(nowMillis = 1_950) shouldBe true
         }
 
@@ -34,18 +45,18 @@
             val retries = BudgetedRetries(budget)
             val recovery = StallRecovery(progress(), retries)
 
-            recovery.shouldSearch(nowMillis = 1_900) shouldBe true
+            recovery.beginSearch(nowMillis = 1_900) shouldBe true
             retries.tryUse(nowMillis = 1_910) shouldBe true
 
             recovery.shouldReplace(nowMillis = 1_950) shouldBe false
-            recovery.shouldSearch(nowMillis = 1_960) shouldBe false
+            recovery.beginSearch(nowMillis = 1_960) shouldBe false
         }
 
         test("given a server that goes on during the search, then its stream is not replaced") {
             val progress = progress()
             val recovery = StallRecovery(progress, UnlimitedRetries)
 
-            recovery.shouldSearch(nowMillis = 1_900) shouldBe true
+            recovery.beginSearch(nowMillis = 1_900) shouldBe true
             progress.onEvents(1, nowMillis = 1_920)
 
             recovery.shouldReplace(nowMillis = 1_950) shouldBe false
@@ -56,8 +67,8 @@
 
             recovery.onSearchFailed(nowMillis = 1_900)
 
-            recovery.shouldSearch(nowMillis = 2_000) shouldBe false
-            recovery.shouldSearch(nowMillis = 2_100) shouldBe true
+            recovery.beginSearch(nowMillis = 2_000) shouldBe false
+            recovery.beginSearch(nowMillis = 2_100) shouldBe true
         }
 
         // Guards against blaming a server for a client that reads slowly.
@@ -66,12 +77,12 @@
             val recovery = StallRecovery(progress, UnlimitedRetries)
             progress.onDelivering(nowMillis = 100)
 
-            recovery.shouldSearch(nowMillis = 9_000) shouldBe false
+            recovery.beginSearch(nowMillis = 9_000) shouldBe false
             progress.detectStall(nowMillis = 9_000) shouldBe false
             progress.onDelivered(nowMillis = 9_000)
 
-            recovery.shouldSearch(nowMillis = 10_700) shouldBe false
-            recovery.shouldSearch(nowMillis = 10_800) shouldBe true
+            recovery.beginSearch(nowMillis = 10_700) shouldBe false
+            recovery.beginSearch(nowMillis = 10_800) shouldBe true
         }
 
         // Guards against a stalled stream that is kept open by comments.
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
@@ -99,7 +99,7 @@
             if (progress.detectStall(loop.nowMillis())) {
                 allocator.rollouts.onStalled(server, routeName)
             }
-            if (!recovery.shouldSearch(loop.nowMillis())) continue
+            if (!recovery.beginSearch(loop.nowMillis())) continue
             val isFound = searchWhileSilent(replacement)
             if (isFound && recovery.shouldReplace(loop.nowMillis())) return
             if (isFound) replacement.giveBack()
