Close connections after answers that bear no request id

Cause: an answer without a request id was taken for the answer of the request in progress, whatever the connection had carried before. Change: the connection is not used again after such an answer, so that a late copy of it finds no request.

--- a/http/src/main/kotlin/io/lavenderhinge/http/HttpClient.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/HttpClient.kt
@@ -47,6 +47,26 @@
  */
 data class CallTimeouts(val connectMillis: Long = 1_000, val progressMillis: Long = 30_000)
 
+/** Tells by its headers to which request a response belongs. */
+interface ResponseMatcher {
+    /** Returns false if a response belongs to an earlier request; it is skipped then. */
+    fun accepts(headers: HttpHeaders): Boolean
+
+    /**
+     * Returns true if an accepted response proves that it belongs to the present request. After one
+     * that does not, the connection is closed: a second copy of it that comes late could not be
+     * told from the response to the next request.
+     */
+    fun identifies(headers: HttpHeaders): Boolean
+}
+
+/** Takes each response for the one to the request in progress. */
+private object InOrder : ResponseMatcher {
+    override fun accepts(headers: HttpHeaders) = true
+
+    override fun identifies(headers: HttpHeaders) = true
+}
+
 /** An HTTP/1.1 client on Netty with keep-alive connections and streamed responses. */
 class HttpClient(private val group: EventLoopGroup) {
     private val idle = ConcurrentHashMap<InetSocketAddress, ConcurrentLinkedDeque<IdleConnection>>()
@@ -57,22 +77,26 @@
      * Sends [request] to [address] and returns once the response head has arrived.
      *
      * Pass `reuseConnection = false` to open a new connection, because a pooled connection that is
-     * no longer reachable would leave the outcome unknown. Responses whose headers
-     * [acceptsResponse] rejects are skipped.
+     * no longer reachable would leave the outcome unknown. Pass a [matcher] if servers may send
+     * late responses to earlier requests.
      */
     suspend fun send(
         address: InetSocketAddress,
         request: HttpRequest,
         timeouts: CallTimeouts = CallTimeouts(),
         reuseConnection: Boolean = true,
-        acceptsResponse: (HttpHeaders) -> Boolean = { true },
+        matcher: ResponseMatcher = InOrder,
     ): ClientResponse {
         val reused = if (reuseConnection) takeIdle(address) else null
         val channel = reused ?: connect(address, timeouts)
         val handler = channel.pipeline().get(ClientConnection::class.java)
-        val response = ClientResponse(handler, timeouts) { release(address, channel, it) }
+        val response =
+            ClientResponse(handler, timeouts) { headers ->
+                if (matcher.identifies(headers)) release(address, channel, headers)
+                else channel.close()
+            }
         try {
-            handler.send(request, address, acceptsResponse)
+            handler.send(request, address, matcher::accepts)
             response.awaitHead()
             return response
         } catch (e: Exception) {
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
@@ -17,9 +17,11 @@
 import io.lavenderhinge.http.HttpRequest
 import io.lavenderhinge.http.HttpStatus
 import io.lavenderhinge.http.LossReason
+import io.lavenderhinge.http.ResponseMatcher
 import io.lavenderhinge.platform.PlatformHeaders
 import io.lavenderhinge.platform.ServerStatementDecoder
 import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
 import java.net.InetSocketAddress
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.async
@@ -39,6 +41,15 @@
     fun giveBack()
 }
 
+/** Recognizes responses by the request id that servers repeat, except in some refusals. */
+private class RequestIdMatcher(private val requestId: String?) : ResponseMatcher {
+    override fun accepts(headers: HttpHeaders): Boolean =
+        headers.get(PlatformHeaders.REQUEST_ID)?.equals(requestId) ?: true
+
+    override fun identifies(headers: HttpHeaders): Boolean =
+        requestId == null || headers.contains(PlatformHeaders.REQUEST_ID)
+}
+
 /**
  * One attempt to send a request to a backend server. Always releases the granted slot at its end
  * and reports the observed server behavior to the dispatcher.
@@ -180,8 +191,7 @@
             upstreamRequest,
             // The deadline of the request and its replacement end the wait.
             CallTimeouts(CONNECT_MILLIS, 2 * (deadlineMillis - sentMillis).coerceAtLeast(1)),
-            // A late response to an earlier request on this connection has a different id.
-            acceptsResponse = { it.get(PlatformHeaders.REQUEST_ID)?.equals(id) ?: true },
+            matcher = RequestIdMatcher(id),
         )
     }
 
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ScriptedBackendServer.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ScriptedBackendServer.kt
@@ -13,6 +13,9 @@
     /** Sends [text] verbatim and keeps the connection open. */
     data class Send(val text: String) : ServerAction
 
+    /** Sends [text], and once more when the next request arrives on the connection. */
+    data class SendTwice(val text: String) : ServerAction
+
     /** Sends [text] and closes the connection. */
     data class SendAndClose(val text: String) : ServerAction
 
@@ -51,6 +54,10 @@
     val port: Int
         get() = listener.localPort
 
+    /** Number of connections that were accepted. */
+    val connectionCount: Int
+        get() = sockets.size
+
     init {
         thread(isDaemon = true) {
             while (!listener.isClosed) {
@@ -67,12 +74,19 @@
     }
 
     private fun serve(socket: Socket) {
+        var secondCopy = ""
         while (true) {
             val request = read(socket.getInputStream()) ?: return
             requests += request
+            send(socket, secondCopy)
+            secondCopy = ""
             val action = script(request)
             when (action) {
                 is ServerAction.Send -> send(socket, action.text)
+                is ServerAction.SendTwice -> {
+                    send(socket, action.text)
+                    secondCopy = action.text
+                }
                 is ServerAction.SendAndClose -> {
                     send(socket, action.text)
                     return socket.close()
