Forget the body of a request once it has been received

Cause: each connection kept the body of its last request while it was idle; forty of them filled the heap. Change: RequestBody keeps the parts of a body only while it arrives, and joins them once.

--- a/http/src/main/kotlin/io/lavenderhinge/http/ServerConnection.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/ServerConnection.kt
@@ -1,6 +1,5 @@
 package io.lavenderhinge.http
 
-import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
@@ -21,7 +20,6 @@
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
 import io.netty.util.concurrent.ScheduledFuture
-import java.io.ByteArrayOutputStream
 import java.nio.channels.ClosedChannelException
 import java.util.concurrent.TimeUnit
 import kotlinx.coroutines.CancellationException
@@ -49,7 +47,7 @@
     private lateinit var context: ChannelHandlerContext
     private val pending = ArrayDeque<PendingRequest>()
     private var head: NettyRequest? = null
-    private var body = ByteArrayOutputStream()
+    private val body = RequestBody()
     private var active: Job? = null
     private var timer: ScheduledFuture<*>? = null
     private var closing = false
@@ -127,7 +125,7 @@
         if (!hasUnambiguousFraming(request)) return reject(HttpFault.MALFORMED)
         head = request
         hasReceivedRequest = true
-        body = ByteArrayOutputStream()
+        body.clear()
         armTimer(limits.bodyTimeoutMillis) { reject(HttpFault.BODY_TIMEOUT) }
         if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes) {
             return reject(HttpFault.BODY_TOO_LARGE)
@@ -150,10 +148,10 @@
     }
 
     private fun appendBody(content: HttpContent) {
-        if (body.size() + content.content().readableBytes() > limits.maxBodyBytes) {
+        if (body.sizeBytes + content.content().readableBytes() > limits.maxBodyBytes) {
             return reject(HttpFault.BODY_TOO_LARGE)
         }
-        body.write(ByteBufUtil.getBytes(content.content()))
+        body.append(content.content())
     }
 
     private fun finishRequest() {
@@ -176,7 +174,7 @@
             path,
             query,
             request.headers(),
-            body.toByteArray(),
+            body.take(),
             request.uri(),
         )
     }
@@ -228,6 +226,7 @@
         if (closing) return
         closing = true
         head = null
+        body.clear()
         timer?.cancel(false)
         pending.clear()
         // The request in progress is answered first; the rejection follows and closes the
