Send to an idle pool whatever the prediction says

Cause: a prediction that was learnt from nearly one length and a slow start refused all requests on arrival, and without answers nothing corrected it. Change: on arrival, a prediction refuses nothing while a slot is free and nothing waits. Not played with real processes.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -65,7 +65,8 @@
             if (refusal == null) queue.add(request)
             return listOfNotNull(refusal)
         }
-        policies.getValue(request.service).rejection(request, queue, nowMillis)?.let {
+        val policy = policies.getValue(request.service)
+        policy.rejectionOnArrival(request, queue, nowMillis)?.let {
             return listOf(it)
         }
         queue.add(request)
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QueuePolicy.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QueuePolicy.kt
@@ -44,9 +44,24 @@
             .thenBy { isLate(it, nowMillis) }
             .thenBy { it.arrivedMillis }
 
+    /**
+     * Returns the rejection of [request] on its arrival, or null if it is queued. A prediction
+     * alone rejects nothing while a slot is free and nothing waits: it may be wrong, and only
+     * answers correct it.
+     */
+    fun rejectionOnArrival(
+        request: DispatchRequest,
+        queue: Collection<DispatchRequest>,
+        nowMillis: Long,
+    ): DispatchEffect.Refuse? {
+        val isNoneWaiting = queue.isEmpty() && peers.waiting(request.service, request.priority) == 0
+        if (isNoneWaiting && pool.hasFreeSlot(request, peers, nowMillis)) return null
+        return rejection(request, queue, nowMillis)
+    }
+
     /**
      * Returns the rejection of [request] if it has to wait too long behind [queue], or null if it
-     * is queued. Called on arrival and once the request can no longer be on time.
+     * is queued. Called once the request can no longer be on time.
      */
     fun rejection(
         request: DispatchRequest,
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -264,15 +264,11 @@
     ): Estimate {
         val id = record.entry.id
         val busy = record.inFlight + peers.inFlight(id) + (reserved[id] ?: 0)
-        val slots =
-            if (record.isHalfOpen) 1
-            else statements.usableSlots(record.entry.run, record.entry.slots, nowMillis)
+        val slots = usableSlots(record, nowMillis)
         val pending = record.pendingTokens + peers.pendingTokens(id)
         val unloadedMillis = model.predictMillis(uncachedTokens + pending)
         val loadFactor = 1 + SLOWDOWN_PER_REQUEST * busy
-        val limitWaitMillis =
-            if (rateLimits.isEmpty) 0.0
-            else rateLimits.waitMillis(record.entry.run, peers.count + 1, nowMillis)
+        val limitWaitMillis = limitWaitMillis(record, peers, nowMillis)
         val freeSlots = if (limitWaitMillis > 0) 0 else slots - busy
         val releaseWaitMillis =
             if (busy < slots) 0.0 else expectedHoldMillis(record) * (busy - slots + 1) / slots
@@ -297,6 +293,21 @@
         return Estimate(record, freeSlots, expectedMillis, uncachedTokens)
     }
 
+    /** Returns true if a server can take [request] at once. */
+    fun hasFreeSlot(request: DispatchRequest, peers: PeerLoads, nowMillis: Long): Boolean =
+        eligibleServers(request, nowMillis).any { record ->
+            val busy = record.inFlight + peers.inFlight(record.entry.id)
+            busy < usableSlots(record, nowMillis) && limitWaitMillis(record, peers, nowMillis) <= 0
+        }
+
+    private fun usableSlots(record: ServerRecord, nowMillis: Long): Int =
+        if (record.isHalfOpen) 1
+        else statements.usableSlots(record.entry.run, record.entry.slots, nowMillis)
+
+    private fun limitWaitMillis(record: ServerRecord, peers: PeerLoads, nowMillis: Long): Double =
+        if (rateLimits.isEmpty) 0.0
+        else rateLimits.waitMillis(record.entry.run, peers.count + 1, nowMillis)
+
     private companion object {
         const val MILLIS_PER_SECOND = 1_000.0
         const val MIN_HOLD_MILLIS = 20.0
