Compare failures of versions also where their speed is not known

Callers: with 95 instances and 50 requests a second, a version that hangs 30 of 100 streams was completed. Cause: answers wait to be counted until an instance knows how fast the old version is. With few requests for each instance that is after the shift, so failures had no answers of the old version to be compared with. Change: from half of an order's duration on, before the shift, answers are counted without their speed. Evidence: StalledVersionTest, the new case failed before; ServiceRolloutTest still takes back slow versions.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/RolloutTracker.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/RolloutTracker.kt
@@ -96,12 +96,12 @@
         outcome: ServerOutcome,
         nowMillis: Long,
     ) {
-        countUnjudged(rollout)
+        countUnjudged(rollout, nowMillis)
         when (outcome) {
             is ServerOutcome.Answered -> {
                 val isWarm = nowMillis >= (warmedUpMillis[server.id] ?: 0)
                 val answer = UnjudgedAnswer(route, isTarget, isWarm, outcome.firstEventMillis)
-                if (!countAnswer(rollout, answer)) rollout.unjudgedAnswers.add(answer)
+                if (!countAnswer(rollout, answer, nowMillis)) rollout.unjudgedAnswers.add(answer)
             }
             is ServerOutcome.Failed,
             is ServerOutcome.ConnectionLost,
@@ -115,19 +115,30 @@
     private fun countFailure(rollout: ServiceRollout, isTarget: Boolean, route: String) =
         rollout.count(route, counts(isTarget, VersionCounts(requests = 1, errors = 1)))
 
-    private fun countUnjudged(rollout: ServiceRollout) =
-        rollout.unjudgedAnswers.removeIf { countAnswer(rollout, it) }
+    private fun countUnjudged(rollout: ServiceRollout, nowMillis: Long) =
+        rollout.unjudgedAnswers.removeIf { countAnswer(rollout, it, nowMillis) }
 
-    /** Returns false if it is not known yet how fast the old version answers. */
-    private fun countAnswer(rollout: ServiceRollout, answer: UnjudgedAnswer): Boolean {
-        val baselineMillis = baselineMillis(rollout.order.service, answer.route) ?: return false
-        // Servers that are warming up are slow whatever their version.
-        val isSlow = answer.isWarm && answer.firstEventMillis > baselineMillis * SLOW_FACTOR
-        val counts = VersionCounts(requests = 1, slow = if (isSlow) 1 else 0)
+    // Returns false if it is not known yet how fast the old version answers. Before the target
+    // version gets all traffic, answers are counted without it, so that failures can be compared.
+    private fun countAnswer(
+        rollout: ServiceRollout,
+        answer: UnjudgedAnswer,
+        nowMillis: Long,
+    ): Boolean {
+        val baselineMillis = baselineMillis(rollout.order.service, answer.route)
+        if (baselineMillis == null && !rollout.isShiftNear(nowMillis)) return false
+        val counts =
+            VersionCounts(requests = 1, slow = if (isSlow(answer, baselineMillis)) 1 else 0)
         rollout.count(answer.route, counts(answer.isTarget, counts))
         return true
     }
 
+    // Servers that are warming up are slow whatever their version.
+    private fun isSlow(answer: UnjudgedAnswer, baselineMillis: Long?): Boolean =
+        baselineMillis != null &&
+            answer.isWarm &&
+            answer.firstEventMillis > baselineMillis * SLOW_FACTOR
+
     private fun counts(isTarget: Boolean, counts: VersionCounts) =
         if (isTarget) RouteCounts(new = counts) else RouteCounts(old = counts)
 
@@ -148,6 +159,7 @@
     fun advance(nowMillis: Long): List<RolloutChange> =
         rollouts.values.mapNotNull { rollout ->
             val before = rollout.stage
+            countUnjudged(rollout, nowMillis)
             rollout.advance(nowMillis)
             if (rollout.stage == before) null
             else RolloutChange(rollout.order, rollout.stage, rollout.strongestResult?.toString())
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServiceRollout.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServiceRollout.kt
@@ -127,7 +127,7 @@
             stage = RolloutStage.WITHDRAWN
             return
         }
-        val elapsedFraction = (nowMillis - startedMillis).toDouble() / order.durationMillis
+        val elapsedFraction = elapsedFraction(nowMillis)
         val due =
             when {
                 elapsedFraction >= SHIFT_FRACTION -> RolloutStage.SHIFTED
@@ -140,6 +140,12 @@
         }
     }
 
+    /** Returns true if the target version will soon get all traffic. */
+    fun isShiftNear(nowMillis: Long): Boolean = elapsedFraction(nowMillis) >= LAST_CHECK_FRACTION
+
+    private fun elapsedFraction(nowMillis: Long): Double =
+        (nowMillis - startedMillis).toDouble() / order.durationMillis
+
     // Compares the new version with the most recent requests of the old version on the route. The
     // baseline is reused in each comparison, because the old version gets no requests after the
     // shift.
@@ -199,6 +205,7 @@
          * Fractions of the order's duration; the time after the shift is for requests in flight.
          */
         const val RAMP_FRACTION = 0.4
+        const val LAST_CHECK_FRACTION = 0.5
         const val SHIFT_FRACTION = 0.6
         /** A version as good as the old one is withdrawn in about 1 of 100 rollouts. */
         val WITHDRAWAL_LOG_EVIDENCE = ln(100.0)
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/StalledVersionTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/StalledVersionTest.kt
@@ -44,6 +44,19 @@
                 .shouldBeRolledBackInTime()
         }
 
+        // Guards against instances that never learn how fast the old version answers, and therefore
+        // compare no failures either.
+        test("given few requests for each instance, then a version that hangs is rolled back") {
+            StreamRolloutSimulation(
+                    never,
+                    StreamPause(null, 30),
+                    instanceCount = 95,
+                    requestsPerSecond = 50,
+                )
+                .run()
+                .shouldBeRolledBackInTime()
+        }
+
         listOf(1_000L, 1_600L).forEach { millis ->
             test("given streams of the new version that pause for $millis ms, then it completes") {
                 StreamRolloutSimulation(never, StreamPause(millis, 30)).run().verdict shouldBe
