Move streams during a rollout only when they have stalled

Cause: before the first event, another server was sought after twice the target, which a sound server's pause of a second or so may outlast; the move then counted as a failure of its version, and two or three of these take a good version back. The watch of a silent attempt and the matcher of request ids have files of their own. Evidence: AttemptProgressTest; the tests of streams, rollouts and forwarding pass.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/RolloutTracker.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/RolloutTracker.kt
@@ -41,6 +41,10 @@
         servers.forEach { warmedUpMillis.putIfAbsent(it.id, nowMillis + it.warmUpRemainingMillis) }
     }
 
+    /** Returns true while two versions of [service] are compared. */
+    fun isInProgress(service: String, nowMillis: Long): Boolean =
+        rollouts[service]?.isInProgress(nowMillis) ?: false
+
     /** Decides whether a request of [route] uses the target version; call it once per request. */
     fun shouldUseTarget(service: String, route: String, instanceCount: Int): Boolean =
         rollouts[service]?.shouldUseTarget(route, instanceCount) ?: false
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServiceRollout.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServiceRollout.kt
@@ -140,6 +140,10 @@
         }
     }
 
+    /** Returns true while the versions are compared. */
+    fun isInProgress(nowMillis: Long): Boolean =
+        stage != RolloutStage.WITHDRAWN && elapsedFraction(nowMillis) < 1
+
     /** Returns true if the target version will soon get all traffic. */
     fun isShiftNear(nowMillis: Long): Boolean = elapsedFraction(nowMillis) >= LAST_CHECK_FRACTION
 
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/SilenceLimits.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/SilenceLimits.kt
@@ -22,8 +22,16 @@
         private const val FIRST_EVENT_ESTIMATE_FACTOR = 3.0
         private const val GAP_TARGET_FACTOR = 4L
 
-        /** Returns the limits of an attempt on [route] with an expected latency. */
-        fun of(route: ForwardRoute, expectedMillis: Double): SilenceLimits {
+        /**
+         * Returns the limits of an attempt on [route] with an expected latency. While versions are
+         * compared ([isRollout]), a stream moves only when it has stalled, so that each move counts
+         * against its version and no pause of a sound server does.
+         */
+        fun of(
+            route: ForwardRoute,
+            expectedMillis: Double,
+            isRollout: Boolean = false,
+        ): SilenceLimits {
             val searchMillis =
                 maxOf(
                     FIRST_EVENT_TARGET_FACTOR * route.targetLatencyMillis,
@@ -35,9 +43,10 @@
                     SilenceLimits(searchMillis, searchMillis, searchMillis)
                 is RouteKind.Streaming -> {
                     val gapMillis = kind.targetGapMillis.coerceAtMost(route.timeoutMillis)
+                    val stallMillis = maxOf(searchMillis, MIN_STREAM_STALL_MILLIS)
                     SilenceLimits(
-                        searchMillis,
-                        maxOf(searchMillis, MIN_STREAM_STALL_MILLIS),
+                        if (isRollout) stallMillis else searchMillis,
+                        stallMillis,
                         maxOf(GAP_TARGET_FACTOR * gapMillis, MIN_STREAM_STALL_MILLIS),
                     )
                 }
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/AttemptProgressTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/AttemptProgressTest.kt
@@ -50,6 +50,15 @@
                 ServerOutcome.Answered(100.0, 2_300.0, 10.0, events = 3)
         }
 
+        // Guards against taking back a good version whose server pauses before a first event.
+        test("given a rollout, then a stream moves only when it has stalled") {
+            val compared = SilenceLimits.of(streaming, expectedMillis = 100.0, isRollout = true)
+
+            limits.searchMillis shouldBe 1_200
+            compared.searchMillis shouldBe SilenceLimits.MIN_STREAM_STALL_MILLIS
+            compared.searchMillis shouldBe compared.firstEventMillis
+        }
+
         test("given a lookup, then its limits follow its target and the expected time") {
             SilenceLimits.of(route(), expectedMillis = 100.0).firstEventMillis shouldBe 1_200
             SilenceLimits.of(route(), expectedMillis = 900.0).firstEventMillis shouldBe 2_700
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
@@ -5,7 +5,6 @@
 import io.lavenderhinge.core.forwarding.DispatchRefusal
 import io.lavenderhinge.core.forwarding.DispatchRequest
 import io.lavenderhinge.core.forwarding.RequestTiming
-import io.lavenderhinge.core.forwarding.RetryAllowance
 import io.lavenderhinge.core.forwarding.RouteKind
 import io.lavenderhinge.http.HttpExchange
 import io.lavenderhinge.http.HttpResponse
@@ -99,8 +98,7 @@
     }
 
     /** Finds a slot at another server while the response of the current one has stalled. */
-    private inner class StalledRequestSearch(private val service: String) :
-        ReplacementSearch, RetryAllowance {
+    private inner class StalledRequestSearch(private val service: String) : ReplacementSearch {
         private var slot: Slot? = null
         var currentServerId = ""
 
@@ -147,11 +145,11 @@
                 slot.grant,
                 slot.request,
                 route,
-                retries = search,
                 deadlineMillis,
+                replacement = search,
                 context.ignoredStatements,
             )
-            .run(upstreamRequest(exchange.request, fields), relay, replacement = search)
+            .run(upstreamRequest(exchange.request, fields), relay)
     }
 
     // Records the result of an attempt and returns whether the request is retried.
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
@@ -5,11 +5,9 @@
 import io.lavenderhinge.core.forwarding.DispatchRequest
 import io.lavenderhinge.core.forwarding.FinishedAttempt
 import io.lavenderhinge.core.forwarding.ForwardRoute
-import io.lavenderhinge.core.forwarding.RetryAllowance
 import io.lavenderhinge.core.forwarding.ServerEntry
 import io.lavenderhinge.core.forwarding.ServerOutcome
 import io.lavenderhinge.core.forwarding.SilenceLimits
-import io.lavenderhinge.core.forwarding.StallRecovery
 import io.lavenderhinge.http.CallTimeouts
 import io.lavenderhinge.http.ClientResponse
 import io.lavenderhinge.http.HttpCallException
@@ -17,39 +15,17 @@
 import io.lavenderhinge.http.HttpRequest
 import io.lavenderhinge.http.HttpStatus
 import io.lavenderhinge.http.LossReason
-import io.lavenderhinge.http.ResponseMatcher
 import io.lavenderhinge.platform.PlatformHeaders
 import io.lavenderhinge.platform.ServerStatementDecoder
 import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpHeaders
 import java.net.InetSocketAddress
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.async
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.currentCoroutineContext
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 
-/** Finds another server for a request whose response has stalled. */
-internal interface ReplacementSearch {
-    /** Waits for a slot at another server; returns false if none can take the request. */
-    suspend fun search(): Boolean
-
-    /** Gives back the slot that [search] has found. */
-    fun giveBack()
-}
-
-/** Recognizes responses by the request id that servers repeat, except in some refusals. */
-private class RequestIdMatcher(private val requestId: String?) : ResponseMatcher {
-    override fun accepts(headers: HttpHeaders): Boolean =
-        headers.get(PlatformHeaders.REQUEST_ID)?.equals(requestId) ?: true
-
-    override fun identifies(headers: HttpHeaders): Boolean =
-        requestId == null || headers.contains(PlatformHeaders.REQUEST_ID)
-}
-
 /**
  * One attempt to send a request to a backend server. Always releases the granted slot at its end
  * and reports the observed server behavior to the dispatcher.
@@ -61,8 +37,8 @@
     private val grant: DispatchEffect.Assign,
     private val request: DispatchRequest,
     route: ForwardRoute,
-    retries: RetryAllowance,
     private val deadlineMillis: Long,
+    replacement: ReplacementSearch,
     private val ignoredStatements: IgnoredStatements,
 ) {
     private val server: ServerEntry = grant.server
@@ -70,31 +46,44 @@
     private val routeName = route.name
     private val sentMillis = loop.nowMillis()
     private val progress =
-        AttemptProgress(SilenceLimits.of(route, grant.expectedMillis), sentMillis)
-    private val recovery = StallRecovery(progress, retries)
-    private var onProgress: () -> Unit = {}
+        AttemptProgress(
+            SilenceLimits.of(
+                route,
+                grant.expectedMillis,
+                isRollout = allocator.rollouts.isInProgress(server.service, sentMillis),
+            ),
+            sentMillis,
+        )
+    private val stallWatch =
+        StallWatch(progress, replacement, loop::nowMillis) {
+            allocator.rollouts.onStalled(server, routeName)
+        }
+    private val relayListener =
+        object : RelayListener {
+            override fun onEvents(count: Int) = onEventsReceived(count)
+
+            override fun onDelivering() = progress.onDelivering(loop.nowMillis())
+
+            override fun onDelivered() = progress.onDelivered(loop.nowMillis())
+        }
     private var isReplaced = false
     private var outcome: ServerOutcome = ServerOutcome.Inconclusive
 
     /**
      * Sends [upstreamRequest] and streams the response to [relay], or returns the complete response
-     * if [relay] is null. If the response stalls and [replacement] finds another server, the
-     * attempt ends as [AttemptResult.Replaced].
+     * if [relay] is null. Ends as [AttemptResult.Replaced] once another server has a slot for the
+     * request of a silent one.
      */
-    suspend fun run(
-        upstreamRequest: HttpRequest,
-        relay: StreamRelay?,
-        replacement: ReplacementSearch,
-    ): AttemptResult =
+    suspend fun run(upstreamRequest: HttpRequest, relay: StreamRelay?): AttemptResult =
         try {
             coroutineScope {
                 val scope = this
-                val stallWatch = launch {
-                    awaitReplacement(replacement)
+                val watch = launch {
+                    stallWatch.awaitReplacement()
                     isReplaced = true
                     scope.cancel()
                 }
-                exchange(upstreamRequest, relay).also { stallWatch.cancel() }
+                exchange(upstreamRequest, relay).also { watch.cancel() }
             }
         } catch (e: CancellationException) {
             // Rethrows if the request itself was cancelled.
@@ -103,44 +92,6 @@
             AttemptResult.Replaced("the server sent nothing for too long")
         }
 
-    /** Returns once the response has stalled and another server has a slot for the request. */
-    private suspend fun awaitReplacement(replacement: ReplacementSearch) {
-        while (true) {
-            awaitCheck()
-            if (progress.detectStall(loop.nowMillis())) {
-                allocator.rollouts.onStalled(server, routeName)
-            }
-            if (!recovery.beginSearch(loop.nowMillis())) continue
-            val isFound = searchWhileSilent(replacement)
-            if (isFound && recovery.shouldReplace(loop.nowMillis())) return
-            if (isFound) replacement.giveBack()
-            recovery.onSearchFailed(loop.nowMillis())
-        }
-    }
-
-    private suspend fun awaitCheck() {
-        val delayMillis = recovery.checkDelayMillis(loop.nowMillis())
-        val dueMillis = loop.nowMillis() + delayMillis
-        delay(delayMillis)
-        val nowMillis = loop.nowMillis()
-        if (nowMillis - dueMillis > OWN_PAUSE_MILLIS) progress.onOwnPause(nowMillis)
-    }
-
-    // An event of the server ends the search.
-    private suspend fun searchWhileSilent(replacement: ReplacementSearch): Boolean =
-        coroutineScope {
-            val search = async { replacement.search() }
-            onProgress = { search.cancel() }
-            try {
-                search.await()
-            } catch (_: CancellationException) {
-                ensureActive()
-                false
-            } finally {
-                onProgress = {}
-            }
-        }
-
     private suspend fun exchange(upstreamRequest: HttpRequest, relay: StreamRelay?): AttemptResult {
         var response: ClientResponse? = null
         allocator.rollouts.onRequestSent(server)
@@ -256,17 +207,8 @@
 
     private fun isMisdirected(response: ClientResponse) = response.status == HttpStatus.MISDIRECTED
 
-    private val relayListener =
-        object : RelayListener {
-            override fun onEvents(count: Int) = onEventsReceived(count)
-
-            override fun onDelivering() = progress.onDelivering(loop.nowMillis())
-
-            override fun onDelivered() = progress.onDelivered(loop.nowMillis())
-        }
-
     private fun onEventsReceived(count: Int) {
-        onProgress()
+        stallWatch.onProgress()
         val isFirst = !progress.hasFirstEvent
         progress.onEvents(count, loop.nowMillis())
         allocator.onServerActivity(server, sentMillis)
