Save a timer for each event of a stream

Cause: the request's deadline and the watch of a silent attempt bound each wait, and a third timer was set and cancelled for each chunk of a response. Change: CallTimeouts.NO_LIMIT_MILLIS leaves the limit to the caller; only the gateway's attempts use it.

--- a/http/src/main/kotlin/io/lavenderhinge/http/ClientResponse.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/ClientResponse.kt
@@ -8,12 +8,9 @@
 class ClientResponse
 internal constructor(
     private val connection: ClientConnection,
-    timeouts: CallTimeouts,
+    private val timeouts: CallTimeouts,
     private val release: (HttpHeaders) -> Unit,
 ) {
-    /** Maximum time to wait for the next part of the response. */
-    var progressMillis: Long = timeouts.progressMillis
-
     private lateinit var head: ClientEvent.Head
     private var finished = false
 
@@ -67,19 +64,20 @@
 
     private suspend fun nextEvent(timeoutReason: String): ClientEvent {
         var closed = false
-        val event =
-            withTimeoutOrNull(progressMillis.coerceAtLeast(1)) {
-                connection.next().also { closed = it == null }
-            }
+        val event = withProgressLimit { connection.next().also { closed = it == null } }
         if (event != null) return event
         abort()
         if (closed) {
             val what = "closed the connection before the answer was whole"
             throw outcomeUnknown(what, LossReason.CONNECTION_CLOSED)
         }
-        throw outcomeUnknown("$timeoutReason for $progressMillis ms", LossReason.SILENCE)
+        throw outcomeUnknown("$timeoutReason for ${timeouts.progressMillis} ms", LossReason.SILENCE)
     }
 
+    private suspend fun withProgressLimit(next: suspend () -> ClientEvent?): ClientEvent? =
+        if (timeouts.progressMillis == CallTimeouts.NO_LIMIT_MILLIS) next()
+        else withTimeoutOrNull(timeouts.progressMillis.coerceAtLeast(1)) { next() }
+
     private fun invalid(what: String) = outcomeUnknown(what, LossReason.INVALID_RESPONSE)
 
     private fun outcomeUnknown(what: String, reason: LossReason) =
--- a/http/src/main/kotlin/io/lavenderhinge/http/HttpClient.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/HttpClient.kt
@@ -43,9 +43,15 @@
 
 /**
  * Timeouts of one call. [progressMillis] limits the wait for the response head and for each further
- * chunk.
+ * chunk; [NO_LIMIT_MILLIS] leaves that to the caller, who then cancels the call.
  */
-data class CallTimeouts(val connectMillis: Long = 1_000, val progressMillis: Long = 30_000)
+data class CallTimeouts(val connectMillis: Long = 1_000, val progressMillis: Long = 30_000) {
+    /** Special values. */
+    companion object {
+        /** Saves a timer for each chunk of a response. */
+        const val NO_LIMIT_MILLIS = Long.MAX_VALUE
+    }
+}
 
 /** Tells by its headers to which request a response belongs. */
 interface ResponseMatcher {
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
@@ -145,7 +145,6 @@
                 slot.grant,
                 slot.request,
                 route,
-                deadlineMillis,
                 replacement = search,
                 context.ignoredStatements,
             )
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
@@ -37,7 +37,6 @@
     private val grant: DispatchEffect.Assign,
     private val request: DispatchRequest,
     route: ForwardRoute,
-    private val deadlineMillis: Long,
     replacement: ReplacementSearch,
     private val ignoredStatements: IgnoredStatements,
 ) {
@@ -140,8 +139,8 @@
         return client.send(
             InetSocketAddress(server.ip, server.port),
             upstreamRequest,
-            // The deadline of the request and its replacement end the wait.
-            CallTimeouts(CONNECT_MILLIS, 2 * (deadlineMillis - sentMillis).coerceAtLeast(1)),
+            // The request's deadline and its replacement cancel the attempt.
+            CallTimeouts(CONNECT_MILLIS, CallTimeouts.NO_LIMIT_MILLIS),
             matcher = RequestIdMatcher(id),
         )
     }
