--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/AttemptProgress.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/AttemptProgress.kt
@@ -89,4 +89,11 @@
      */
     fun abandoned(nowMillis: Long): ServerOutcome =
         if (isStalled(nowMillis)) ServerOutcome.Failed else ServerOutcome.Inconclusive
+
+    /**
+     * Returns what the end of the attempt with [outcome] shows of its version. A stall was counted
+     * when it was found, and counts only once.
+     */
+    fun versionOutcome(outcome: ServerOutcome): ServerOutcome =
+        if (hasStalled) ServerOutcome.Inconclusive else outcome
 }
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -249,8 +249,10 @@
     private fun refuseWithoutServer(request: DispatchRequest) =
         DispatchEffect.Refuse(request.id, DispatchRefusal.NO_SERVER, NO_SERVER_RETRY_MILLIS)
 
-    private companion object {
+    /** Default values. */
+    companion object {
+        /** Drain time of a deployment that sets none. */
         const val DEFAULT_DRAIN_MILLIS = 2_000L
-        const val NO_SERVER_RETRY_MILLIS = 300L
+        private const val NO_SERVER_RETRY_MILLIS = 300L
     }
 }
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerDirectory.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerDirectory.kt
@@ -73,13 +73,10 @@
 
     /** Removes an entry that was deleted from the store or cannot be decoded. */
     fun onRemoved(id: String, nowMillis: Long) {
-        val returnedMillis = storeReturnedMillis
-        val isAfterOutage =
-            returnedMillis != null && nowMillis - returnedMillis <= REAPPEARANCE_GRACE_MILLIS
-        if (returnedMillis == null || !isAfterOutage || id in writtenSinceReturn) {
-            return remove(id)
-        }
-        if (id in entries) removalMillis.putIfAbsent(id, returnedMillis + REAPPEARANCE_GRACE_MILLIS)
+        val graceEndMillis = storeReturnedMillis?.plus(REAPPEARANCE_GRACE_MILLIS)
+        if (graceEndMillis == null || nowMillis > graceEndMillis) return remove(id)
+        if (id in writtenSinceReturn) return remove(id)
+        if (id in entries) removalMillis.putIfAbsent(id, graceEndMillis)
     }
 
     /** Drops entries whose grace period has ended and returns true if there were any. */
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/StreamRolloutSimulation.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/StreamRolloutSimulation.kt
@@ -93,7 +93,7 @@
         }
         streams.removeIf { stream ->
             val outcome = stream.advance(nowMillis) ?: return@removeIf false
-            val counted = if (stream.progress.hasStalled) ServerOutcome.Inconclusive else outcome
+            val counted = stream.progress.versionOutcome(outcome)
             stream.tracker.onRequestEnded(stream.server, route.name, counted, nowMillis)
             true
         }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
@@ -25,7 +25,7 @@
     /** Rollout state that determines which servers are eligible for a request. */
     val rollouts: RolloutTracker = RolloutTracker(),
     /** Time until a server that says that it is leaving must not get requests any more. */
-    drainMillis: Long = DEFAULT_DRAIN_MILLIS,
+    drainMillis: Long = Dispatcher.DEFAULT_DRAIN_MILLIS,
 ) {
     private val dispatcher = Dispatcher(failureDomain, rollouts, drainMillis = drainMillis)
 
@@ -146,7 +146,6 @@
     }
 
     private companion object {
-        const val DEFAULT_DRAIN_MILLIS = 2_000L
         const val TICK_MILLIS = 10L
     }
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
@@ -110,7 +110,7 @@
             throw e
         } finally {
             response?.abort()
-            val versionOutcome = if (progress.hasStalled) ServerOutcome.Inconclusive else outcome
+            val versionOutcome = progress.versionOutcome(outcome)
             allocator.rollouts.onRequestEnded(server, routeName, versionOutcome, loop.nowMillis())
             allocator.release(finishedAttempt())
         }
