Log and count answers that were skipped or taken without a request id

It now names skipped answers with their status, and an accepted answer without an id together with whether its connection had carried answers before; lavenderhinge_gateway_unusual_responses_total counts both. What is accepted is unchanged.

--- a/http/src/main/kotlin/io/lavenderhinge/http/ClientConnection.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/ClientConnection.kt
@@ -8,7 +8,6 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse as NettyResponse
@@ -41,7 +40,8 @@
     private var keepAlive = true
     private var awaitingResponse = false
     private var skipping = false
-    private var acceptsResponse: (HttpHeaders) -> Boolean = { true }
+    private var hasCarriedResponse = false
+    private var acceptsResponse: (ResponseHead) -> Boolean = { true }
     @Volatile private var events = Channel<ClientEvent>(Channel.UNLIMITED)
 
     override fun handlerAdded(ctx: ChannelHandlerContext) {
@@ -49,13 +49,13 @@
     }
 
     /**
-     * Sends [request]. Responses whose headers [acceptsResponse] rejects belong to an earlier
-     * request and are skipped, as are interim (1xx) responses.
+     * Sends [request]. Responses whose head [acceptsResponse] rejects belong to an earlier request
+     * and are skipped, as are interim (1xx) responses.
      */
     suspend fun send(
         request: HttpRequest,
         address: InetSocketAddress,
-        acceptsResponse: (HttpHeaders) -> Boolean,
+        acceptsResponse: (ResponseHead) -> Boolean,
     ) {
         events = Channel(Channel.UNLIMITED)
         this.acceptsResponse = acceptsResponse
@@ -146,11 +146,15 @@
 
     private fun startResponse(response: NettyResponse) {
         val isInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
-        skipping = isInterim || !acceptsResponse(response.headers())
+        skipping = isInterim || !acceptsResponse(headOf(response))
+        if (!isInterim) hasCarriedResponse = true
         keepAlive = HttpUtil.isKeepAlive(response)
         if (!skipping) events.trySend(ClientEvent.Head(response))
     }
 
+    private fun headOf(response: NettyResponse) =
+        ResponseHead(response.status().code(), response.headers(), !hasCarriedResponse)
+
     private fun deliver(content: HttpContent) {
         val bytes = ByteBufUtil.getBytes(content.content())
         if (bufferedBytes.addAndGet(bytes.size) > HIGH_WATER_BYTES) {
--- a/http/src/main/kotlin/io/lavenderhinge/http/HttpClient.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/HttpClient.kt
@@ -53,26 +53,6 @@
     }
 }
 
-/** Tells by its headers to which request a response belongs. */
-interface ResponseMatcher {
-    /** Returns false if a response belongs to an earlier request; it is skipped then. */
-    fun accepts(headers: HttpHeaders): Boolean
-
-    /**
-     * Returns true if an accepted response proves that it belongs to the present request. After one
-     * that does not, the connection is closed: a second copy of it that comes late could not be
-     * told from the response to the next request.
-     */
-    fun identifies(headers: HttpHeaders): Boolean
-}
-
-/** Takes each response for the one to the request in progress. */
-private object InOrder : ResponseMatcher {
-    override fun accepts(headers: HttpHeaders) = true
-
-    override fun identifies(headers: HttpHeaders) = true
-}
-
 /** An HTTP/1.1 client on Netty with keep-alive connections and streamed responses. */
 class HttpClient(private val group: EventLoopGroup) {
     private val idle = ConcurrentHashMap<InetSocketAddress, ConcurrentLinkedDeque<IdleConnection>>()
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
@@ -138,7 +138,8 @@
                 deadlineMillis - loop.nowMillis(),
                 relay?.lastEventId,
             )
-        return UpstreamAttempt(
+        val attempt =
+            UpstreamAttempt(
                 context.client,
                 context.allocator,
                 loop,
@@ -148,7 +149,11 @@
                 replacement = search,
                 context.ignoredStatements,
             )
-            .run(upstreamRequest(exchange.request, fields), relay)
+        try {
+            return attempt.run(upstreamRequest(exchange.request, fields), relay)
+        } finally {
+            trace.responsesObserved(attempt.responses)
+        }
     }
 
     // Records the result of an attempt and returns whether the request is retried.
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/GatewayMetrics.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/GatewayMetrics.kt
@@ -23,7 +23,13 @@
         val workspace = trace.admitted.workspace?.name
         val result = trace.result
         val millis = nowMillis - trace.arrivedMillis
-        control.execute { requests.recordGatewayRequest(priority, workspace, result, millis) }
+        val skippedCount = trace.skippedResponseCount
+        val unidentifiedCount = trace.unidentifiedResponseCount
+        control.execute {
+            requests.recordGatewayRequest(priority, workspace, result, millis)
+            requests.recordUnusualResponses("skipped", skippedCount)
+            requests.recordUnusualResponses("unidentified", unidentifiedCount)
+        }
     }
 
     /** Records a request that was not admitted. */
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestTrace.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestTrace.kt
@@ -19,6 +19,14 @@
     private var isDelivered = false
     private var hasLostServer = false
 
+    /** Number of responses of other requests that arrived in place of this request's. */
+    var skippedResponseCount = 0
+        private set
+
+    /** Number of responses that were accepted although they bear no request id. */
+    var unidentifiedResponseCount = 0
+        private set
+
     /** The selected service. */
     var service: String? = null
 
@@ -85,6 +93,13 @@
         }
     }
 
+    /** Records what was unusual about the responses on the connection of an attempt. */
+    fun responsesObserved(responses: ResponseObservation) {
+        responses.describe()?.let { events += it }
+        skippedResponseCount += responses.skippedCount
+        if (responses.isUnidentified) unidentifiedResponseCount++
+    }
+
     /** Records that no other server can replace one whose response has stalled. */
     fun replacementRefused(effect: DispatchEffect.Refuse) {
         events += "not replaced: ${effect.reason}"
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
@@ -65,6 +65,8 @@
 
             override fun onDelivered() = progress.onDelivered(loop.nowMillis())
         }
+    /** The unusual responses on the connection, complete when [run] has returned. */
+    val responses = ResponseObservation()
     private var isReplaced = false
     private var outcome: ServerOutcome = ServerOutcome.Inconclusive
 
@@ -141,7 +143,7 @@
             upstreamRequest,
             // The request's deadline and its replacement cancel the attempt.
             CallTimeouts(CONNECT_MILLIS, CallTimeouts.NO_LIMIT_MILLIS),
-            matcher = RequestIdMatcher(id),
+            matcher = RequestIdMatcher(id, responses),
         )
     }
 
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/metrics/RequestMetrics.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/metrics/RequestMetrics.kt
@@ -65,6 +65,17 @@
             .increment()
     }
 
+    /**
+     * Counts responses of backend servers that were `skipped` as those of other requests, or
+     * accepted although `unidentified`.
+     */
+    fun recordUnusualResponses(kind: String, count: Int) {
+        if (count == 0) return
+        registry
+            .counter("lavenderhinge.gateway.unusual.responses", "kind", kind)
+            .increment(count.toDouble())
+    }
+
     /** Counts a request of the users' platform that was rejected at admission. */
     fun recordGatewayRejection(reason: String) =
         registry.counter("lavenderhinge.gateway.rejections", "reason", reason).increment()
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ForwardingTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ForwardingTest.kt
@@ -393,6 +393,21 @@
             pairs["sends"].toString() shouldContain "lost: the server closed the connection"
         }
 
+        // Guards against a mixed-up answer whose log line does not tell how it was attributed.
+        test("given an answer of another request, then the log line states that it was skipped") {
+            val lines = recordRequestLog()
+            val server = ScriptedBackendServer { request ->
+                val stale = rawResponse("X-Lavenderhinge-Request-Id: old", "500 Failed", "stale")
+                Send(stale + rawResponse(request, "200 OK", "own"))
+            }
+
+            withGateway(server) { it.call("/book/1", body = "b", id = "x10") }
+
+            val line = lines.list.single { "request=\"x10\"" in it.keyValuePairs.toString() }
+            val sends = line.keyValuePairs.single { it.key == "sends" }.value.toString()
+            sends shouldContain "skipped answers of other requests with status 500"
+        }
+
         // Guards against servers that end under one prompt part without a trace of that part.
         test("given a request whose server ended, then its log line states its prompt parts") {
             val lines = recordRequestLog()
