Attribute answers without a request id only where no earlier one can be meant

Cause: RequestIdMatcher took an answer without an id for that of the present request, also on a connection that had carried other answers. A server that sends an answer again, late and without its id, thereby answered the next request. Class of fault: answers attributed by their position on a connection.

Why it works: an answer without an id is skipped unless it is the first of its connection or a refusal. A connection is closed after a refusal, after a first answer without an id, and once an answer was skipped, so on a connection in use again all earlier answers bore their id and none was a refusal: a refusal without an id can only be the present request's, and anything else without one is a copy. Requests without an id go on new connections.

Weighed: to fail a request as soon as an answer without an id arrives; the caller of a record that ran would then get 502 though its own answer follows.

--- a/http/src/main/kotlin/io/lavenderhinge/http/ClientConnection.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/ClientConnection.kt
@@ -37,11 +37,11 @@
 internal class ClientConnection : ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
     private val bufferedBytes = AtomicInteger()
-    private var keepAlive = true
+    private var reusable = true
     private var awaitingResponse = false
     private var skipping = false
     private var hasCarriedResponse = false
-    private var acceptsResponse: (ResponseHead) -> Boolean = { true }
+    private var matcher = responsesInOrder
     @Volatile private var events = Channel<ClientEvent>(Channel.UNLIMITED)
 
     override fun handlerAdded(ctx: ChannelHandlerContext) {
@@ -49,16 +49,12 @@
     }
 
     /**
-     * Sends [request]. Responses whose head [acceptsResponse] rejects belong to an earlier request
-     * and are skipped, as are interim (1xx) responses.
+     * Sends [request]. Responses that belong to another request according to [matcher] are skipped,
+     * as are interim (1xx) responses.
      */
-    suspend fun send(
-        request: HttpRequest,
-        address: InetSocketAddress,
-        acceptsResponse: (ResponseHead) -> Boolean,
-    ) {
+    suspend fun send(request: HttpRequest, address: InetSocketAddress, matcher: ResponseMatcher) {
         events = Channel(Channel.UNLIMITED)
-        this.acceptsResponse = acceptsResponse
+        this.matcher = matcher
         awaitingResponse = true
         val message =
             DefaultFullHttpRequest(
@@ -140,15 +136,20 @@
         if (message is HttpContent && message.content().isReadable) deliver(message)
         if (message is LastHttpContent) {
             awaitingResponse = false
-            events.trySend(ClientEvent.End(keepAlive))
+            events.trySend(ClientEvent.End(reusable))
         }
     }
 
     private fun startResponse(response: NettyResponse) {
-        val isInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
-        skipping = isInterim || !acceptsResponse(headOf(response))
-        if (!isInterim) hasCarriedResponse = true
-        keepAlive = HttpUtil.isKeepAlive(response)
+        skipping = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
+        if (skipping) return
+        val owner = matcher.ownerOf(headOf(response))
+        hasCarriedResponse = true
+        // A server that answers once too often on a connection may do so again.
+        if (owner != ResponseOwner.PRESENT_REQUEST || !HttpUtil.isKeepAlive(response)) {
+            reusable = false
+        }
+        skipping = owner == ResponseOwner.OTHER_REQUEST
         if (!skipping) events.trySend(ClientEvent.Head(response))
     }
 
--- a/http/src/main/kotlin/io/lavenderhinge/http/HttpClient.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/HttpClient.kt
@@ -71,18 +71,15 @@
         request: HttpRequest,
         timeouts: CallTimeouts = CallTimeouts(),
         reuseConnection: Boolean = true,
-        matcher: ResponseMatcher = InOrder,
+        matcher: ResponseMatcher = responsesInOrder,
     ): ClientResponse {
         val reused = if (reuseConnection) takeIdle(address) else null
         val channel = reused ?: connect(address, timeouts)
         val handler = channel.pipeline().get(ClientConnection::class.java)
         val response =
-            ClientResponse(handler, timeouts) { headers ->
-                if (matcher.identifies(headers)) release(address, channel, headers)
-                else channel.close()
-            }
+            ClientResponse(handler, timeouts) { headers -> release(address, channel, headers) }
         try {
-            handler.send(request, address, matcher::accepts)
+            handler.send(request, address, matcher)
             response.awaitHead()
             return response
         } catch (e: Exception) {
--- a/http/src/main/kotlin/io/lavenderhinge/http/ResponseMatcher.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/ResponseMatcher.kt
@@ -10,22 +10,24 @@
     val isFirstOnConnection: Boolean,
 )
 
-/** Tells by its head to which request a response belongs. */
-interface ResponseMatcher {
-    /** Returns false if a response belongs to an earlier request; it is skipped then. */
-    fun accepts(head: ResponseHead): Boolean
-
+/** To which request of its connection a response belongs. */
+enum class ResponseOwner {
+    /** The request in progress. A late copy of the response would be recognized. */
+    PRESENT_REQUEST,
     /**
-     * Returns true if an accepted response proves that it belongs to the present request. After one
-     * that does not, the connection is closed: a second copy of it that comes late could not be
-     * told from the response to the next request.
+     * The request in progress. The connection is closed after the response, because a late copy of
+     * it could not be told from the response to the next request.
      */
-    fun identifies(headers: HttpHeaders): Boolean
+    PRESENT_REQUEST_ONLY,
+    /** An earlier request, or none. The response is skipped. */
+    OTHER_REQUEST,
 }
 
-/** Takes each response for the one to the request in progress. */
-internal object InOrder : ResponseMatcher {
-    override fun accepts(head: ResponseHead) = true
-
-    override fun identifies(headers: HttpHeaders) = true
+/** Tells by its head to which request a response belongs. */
+fun interface ResponseMatcher {
+    /** Returns the owner of the response with [head]. Called once for each final response. */
+    fun ownerOf(head: ResponseHead): ResponseOwner
 }
+
+/** Takes each response for the one to the request in progress. */
+internal val responsesInOrder = ResponseMatcher { ResponseOwner.PRESENT_REQUEST }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
@@ -143,6 +143,7 @@
             upstreamRequest,
             // The request's deadline and its replacement cancel the attempt.
             CallTimeouts(CONNECT_MILLIS, CallTimeouts.NO_LIMIT_MILLIS),
+            reuseConnection = id != null,
             matcher = RequestIdMatcher(id, responses),
         )
     }
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/GatewayHarness.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/GatewayHarness.kt
@@ -56,15 +56,15 @@
     suspend fun call(
         path: String,
         body: String = "",
-        id: String = "r1",
+        id: String? = "r1",
         fields: Map<String, String> = emptyMap(),
     ): HttpResponse {
         val headers =
             DefaultHttpHeaders()
                 .set("Host", "h")
                 .set("X-Lavenderhinge-Key", "k")
-                .set("X-Lavenderhinge-Request-Id", id)
                 .set("X-Lavenderhinge-Deadline-Remaining", "3000")
+        id?.let { headers.set("X-Lavenderhinge-Request-Id", it) }
         fields.forEach { (name, value) -> headers.set(name, value) }
         val method = if (body.isEmpty()) "GET" else "POST"
         val request = HttpRequest(method, path, "q=1", headers, body.toByteArray())
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ScriptedBackendServer.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ScriptedBackendServer.kt
@@ -13,8 +13,12 @@
     /** Sends [text] verbatim and keeps the connection open. */
     data class Send(val text: String) : ServerAction
 
-    /** Sends [text], and once more when the next request arrives on the connection. */
-    data class SendTwice(val text: String) : ServerAction
+    /**
+     * Sends [text], and [copy] when the next request arrives on the connection. The first
+     * [earlyBytes] bytes of the copy are sent right after [text].
+     */
+    data class SendTwice(val text: String, val copy: String = text, val earlyBytes: Int = 0) :
+        ServerAction
 
     /** Sends [text] and closes the connection. */
     data class SendAndClose(val text: String) : ServerAction
@@ -84,8 +88,8 @@
             when (action) {
                 is ServerAction.Send -> send(socket, action.text)
                 is ServerAction.SendTwice -> {
-                    send(socket, action.text)
-                    secondCopy = action.text
+                    send(socket, action.text + action.copy.take(action.earlyBytes))
+                    secondCopy = action.copy.drop(action.earlyBytes)
                 }
                 is ServerAction.SendAndClose -> {
                     send(socket, action.text)
