--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportExchange.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportExchange.kt
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.InvalidProtocolBufferException
 import io.lavenderhinge.core.forwarding.QuotaLimiter
+import io.lavenderhinge.core.forwarding.QuotaReport
 import io.lavenderhinge.core.settings.Address
 import io.lavenderhinge.protocol.v1.LoadReport
 import io.netty.bootstrap.Bootstrap
@@ -146,10 +147,10 @@
             }
         val nowMillis = loop.nowMillis()
         if (report.instanceId == self.id || !peers.onReport(report, nowMillis)) return
-        val spending = report.toSpending()
         // Clock skew between machines is small compared to the quota window.
         val ageMillis = System.currentTimeMillis() - report.incarnation
-        quotas.onPeerReport(report.instanceId, report.incarnation, ageMillis, spending, nowMillis)
+        val quotaReport = QuotaReport(report.incarnation, ageMillis, report.toSpending())
+        quotas.onPeerReport(report.instanceId, quotaReport, nowMillis)
         allocator.onPeerReport(report.instanceId, report.toReport())
         allocator.rollouts.onPeerReport(report.instanceId, report.toRollouts(), nowMillis)
         onReport(report)
