Attribute the answers of plain services by the request's id

Calls of services took answers in their order on a connection. A service that answers twice, the second time late, gave the next caller the earlier caller's answer; the connection of a call that is not idempotent is new, but went to the pool afterwards and did the same to the next idempotent call. A late copy of a refusal was taken for a second refusal, although the service ran the request.

Services get X-Request-Id; RepeatedIdMatcher recognizes an answer that repeats it. An answer without an id is taken only where no earlier one can be meant, and its connection is closed. The stand-ins repeat the id.

--- a/http/src/main/kotlin/io/lavenderhinge/http/HttpClient.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/HttpClient.kt
@@ -94,8 +94,9 @@
         request: HttpRequest,
         timeouts: CallTimeouts = CallTimeouts(),
         reuseConnection: Boolean = true,
+        matcher: ResponseMatcher = responsesInOrder,
     ): HttpResponse {
-        val response = send(address, request, timeouts, reuseConnection)
+        val response = send(address, request, timeouts, reuseConnection, matcher)
         val body =
             try {
                 response.readAll()
--- a/http/src/main/kotlin/io/lavenderhinge/http/ResponseMatcher.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/ResponseMatcher.kt
@@ -29,5 +29,25 @@
     fun ownerOf(head: ResponseHead): ResponseOwner
 }
 
+/**
+ * Recognizes the response to a request by its [id], which servers repeat in the field [fieldName].
+ *
+ * The connection is closed after each error, because the request may be sent again with the same
+ * id. An error without an id therefore belongs to the present request. Other responses without an
+ * id belong to it only if the connection has carried no response before.
+ */
+class RepeatedIdMatcher(private val fieldName: String, private val id: String) : ResponseMatcher {
+    override fun ownerOf(head: ResponseHead): ResponseOwner {
+        val statedId = head.headers.get(fieldName)
+        return when {
+            statedId != null && statedId != id -> ResponseOwner.OTHER_REQUEST
+            head.status >= HttpStatus.BAD_REQUEST -> ResponseOwner.PRESENT_REQUEST_ONLY
+            statedId != null -> ResponseOwner.PRESENT_REQUEST
+            head.isFirstOnConnection -> ResponseOwner.PRESENT_REQUEST_ONLY
+            else -> ResponseOwner.OTHER_REQUEST
+        }
+    }
+}
+
 /** Takes each response for the one to the request in progress. */
 internal val responsesInOrder = ResponseMatcher { ResponseOwner.PRESENT_REQUEST }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/caller/ServiceCall.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/caller/ServiceCall.kt
@@ -1,6 +1,7 @@
 package io.lavenderhinge.instance.caller
 
 import io.lavenderhinge.adapters.Json
+import io.lavenderhinge.adapters.RequestIdHeader
 import io.lavenderhinge.adapters.RequestLimitHeader
 import io.lavenderhinge.core.health.FailureKind
 import io.lavenderhinge.core.limit.LimitStatement
@@ -118,6 +119,7 @@
             upstream,
             CallTimeouts(progressMillis = remainingMillis),
             reuseConnection = idempotent,
+            matcher = RequestIdHeader.matcher(context.attemptId),
         )
     }
 
@@ -128,7 +130,7 @@
         }
         headers.remove("Authorization")
         request.header("Content-Type")?.let { headers.set("Content-Type", it) }
-        headers.set("X-Request-Id", context.attemptId)
+        headers.set(RequestIdHeader.NAME, context.attemptId)
         headers.set("X-Service-Version", slot.server.version)
         return headers
     }
--- a/standins/src/main/kotlin/io/lavenderhinge/standins/StandinServer.kt
+++ b/standins/src/main/kotlin/io/lavenderhinge/standins/StandinServer.kt
@@ -11,12 +11,13 @@
 
 /**
  * Starts [handler] behind a [FaultInjector] on [listen] (`ip:port`; port 0 selects a free port).
+ * Responses repeat the id of their request.
  */
 fun startStandin(listen: String, handler: HttpHandler, threads: Int = 2): HttpServer {
     val group = MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory())
     val address =
         InetSocketAddress(listen.substringBeforeLast(':'), listen.substringAfterLast(':').toInt())
-    return HttpServer(group, FaultInjector(handler)).start(address)
+    return HttpServer(group, RequestIdRepeater(FaultInjector(handler))).start(address)
 }
 
 /** A command that runs a server until the process is terminated. */
