Attribute the streams of engines by the request's id

Generations are sent on pooled connections and took answers in their order: with an engine that answers twice, the second time late, each caller got the stream of the one before. A late copy of a refusal was taken for a second refusal of the same request, which is then sent to another engine although the first one runs it.

Generations and resumed streams are recognized by X-Request-Id as service calls are.

--- a/instance/src/main/kotlin/io/lavenderhinge/instance/dispatch/EngineStreamClient.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/dispatch/EngineStreamClient.kt
@@ -1,6 +1,7 @@
 package io.lavenderhinge.instance.dispatch
 
 import io.lavenderhinge.adapters.Json
+import io.lavenderhinge.adapters.RequestIdHeader
 import io.lavenderhinge.adapters.RequestLimitHeader
 import io.lavenderhinge.core.limit.LimitStatement
 import io.lavenderhinge.http.CallTimeouts
@@ -88,13 +89,18 @@
     ): StreamOutcome {
         val headers = DefaultHttpHeaders()
         headers.set("Content-Type", "application/json")
-        headers.set("X-Request-Id", attemptId)
+        headers.set(RequestIdHeader.NAME, attemptId)
         headers.set("X-Model-Version", version)
         val request = HttpRequest("POST", "/v1/chat/completions", "", headers, body)
         val progress = StreamProgress(observation, consumer)
         val response =
             try {
-                client.send(address, request, timeouts)
+                client.send(
+                    address,
+                    request,
+                    timeouts,
+                    matcher = RequestIdHeader.matcher(attemptId),
+                )
             } catch (e: HttpCallException.NotSent) {
                 return StreamOutcome.NotSent(e.message.orEmpty())
             } catch (e: HttpCallException.OutcomeUnknown) {
@@ -135,17 +141,18 @@
         progress: StreamProgress,
     ): String? {
         val path = "/v1/streams/$attemptId"
-        val request =
-            HttpRequest(
-                "GET",
-                path,
-                "from=${progress.nextEventIndex}",
-                DefaultHttpHeaders(),
-                ByteArray(0),
-            )
+        val headers = DefaultHttpHeaders().set(RequestIdHeader.NAME, attemptId)
+        val query = "from=${progress.nextEventIndex}"
+        val request = HttpRequest("GET", path, query, headers, ByteArray(0))
         val response =
             try {
-                client.send(address, request, timeouts, reuseConnection = false)
+                client.send(
+                    address,
+                    request,
+                    timeouts,
+                    reuseConnection = false,
+                    matcher = RequestIdHeader.matcher(attemptId),
+                )
             } catch (e: HttpCallException) {
                 return e.message.orEmpty()
             }
