Attribute the answers of engines and stores to calls by their id

Load reports, orders, the key-value service, the live list and the weight store took answers in their order on a connection. After a late second answer, a conditional write that failed counted as done, a read returned the value of another key, and a fenced order counted as carried out.

JsonClient gives each call an id of its own and recognizes the answer by it.

--- a/adapters/src/main/kotlin/io/lavenderhinge/adapters/JsonClient.kt
+++ b/adapters/src/main/kotlin/io/lavenderhinge/adapters/JsonClient.kt
@@ -8,9 +8,11 @@
 import io.lavenderhinge.http.HttpCallException
 import io.lavenderhinge.http.HttpClient
 import io.lavenderhinge.http.HttpRequest
+import io.lavenderhinge.http.HttpResponse
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import java.net.InetSocketAddress
 import java.net.URLEncoder
+import java.util.UUID
 
 /** A JSON response; [body] is null when the response carried no JSON. */
 data class JsonResponse(val status: Int, val body: JsonNode?)
@@ -26,11 +28,17 @@
     data class Unknown(override val message: String) : CallFault
 }
 
-/** Client of one HTTP endpoint with a JSON API. */
+/**
+ * Client of one HTTP endpoint with a JSON API.
+ *
+ * Each call has an id of its own, by which its response is recognized. Pass `repeatsIds = false`
+ * for an endpoint that does not repeat ids: its responses are taken in their order.
+ */
 class JsonClient(
     private val client: HttpClient,
     private val address: InetSocketAddress,
     private val timeouts: CallTimeouts,
+    private val repeatsIds: Boolean = true,
 ) {
     /** Calls [path] and returns the response regardless of its status. */
     suspend fun call(
@@ -42,13 +50,21 @@
     ): Either<CallFault, JsonResponse> =
         try {
             val request = HttpRequest(method, path, query, DefaultHttpHeaders(), body)
-            val response = client.call(address, request, timeouts)
+            val response =
+                if (repeatsIds) callWithId(request, timeouts)
+                else client.call(address, request, timeouts)
             JsonResponse(response.status, Json.parseOrNull(response.body)).right()
         } catch (e: HttpCallException.NotSent) {
             CallFault.NotSent(e.message.orEmpty()).left()
         } catch (e: HttpCallException.OutcomeUnknown) {
             CallFault.Unknown(e.message.orEmpty()).left()
         }
+
+    private suspend fun callWithId(request: HttpRequest, timeouts: CallTimeouts): HttpResponse {
+        val id = UUID.randomUUID().toString()
+        request.headers.set(RequestIdHeader.NAME, id)
+        return client.call(address, request, timeouts, matcher = RequestIdHeader.matcher(id))
+    }
 }
 
 /** Encodes [text] for a path segment or a query. */
