Send each change of the platform's store on a connection of its own

Answers of the store bear no id and were taken in their order: after a late second answer, a conditional write that had failed counted as done, with the revision of another one, and the reverse.

A change now opens a connection and closes it, so that no other answer can reach it. Changes are rare (renewals every 3 s, rollout states); reads and watches keep their connections, and no call is added.

PlatformStoreTest, a store that answers writes twice: failed before (the second write got the answer to the first one), passes now.

--- a/adapters/src/main/kotlin/io/lavenderhinge/adapters/JsonClient.kt
+++ b/adapters/src/main/kotlin/io/lavenderhinge/adapters/JsonClient.kt
@@ -9,6 +9,7 @@
 import io.lavenderhinge.http.HttpClient
 import io.lavenderhinge.http.HttpRequest
 import io.lavenderhinge.http.HttpResponse
+import io.lavenderhinge.http.onlyResponse
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import java.net.InetSocketAddress
 import java.net.URLEncoder
@@ -32,7 +33,8 @@
  * Client of one HTTP endpoint with a JSON API.
  *
  * Each call has an id of its own, by which its response is recognized. Pass `repeatsIds = false`
- * for an endpoint that does not repeat ids: its responses are taken in their order.
+ * for an endpoint that does not repeat ids: each change then has a connection of its own, and the
+ * responses to reads, which the caller must check, are taken in their order.
  */
 class JsonClient(
     private val client: HttpClient,
@@ -51,8 +53,11 @@
         try {
             val request = HttpRequest(method, path, query, DefaultHttpHeaders(), body)
             val response =
-                if (repeatsIds) callWithId(request, timeouts)
-                else client.call(address, request, timeouts)
+                when {
+                    repeatsIds -> callWithId(request, timeouts)
+                    method == "GET" -> client.call(address, request, timeouts)
+                    else -> callOnOwnConnection(request, timeouts)
+                }
             JsonResponse(response.status, Json.parseOrNull(response.body)).right()
         } catch (e: HttpCallException.NotSent) {
             CallFault.NotSent(e.message.orEmpty()).left()
@@ -65,6 +70,9 @@
         request.headers.set(RequestIdHeader.NAME, id)
         return client.call(address, request, timeouts, matcher = RequestIdHeader.matcher(id))
     }
+
+    private suspend fun callOnOwnConnection(request: HttpRequest, timeouts: CallTimeouts) =
+        client.call(address, request, timeouts, reuseConnection = false, onlyResponse)
 }
 
 /** Encodes [text] for a path segment or a query. */
--- a/http/src/main/kotlin/io/lavenderhinge/http/ResponseMatcher.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/ResponseMatcher.kt
@@ -49,5 +49,11 @@
     }
 }
 
+/**
+ * Takes each response for the one to the request in progress, and closes its connection. On a new
+ * connection, no response of another request can be mistaken for it.
+ */
+val onlyResponse = ResponseMatcher { ResponseOwner.PRESENT_REQUEST_ONLY }
+
 /** Takes each response for the one to the request in progress. */
 internal val responsesInOrder = ResponseMatcher { ResponseOwner.PRESENT_REQUEST }
