Answer requests whose handler ends with a timeout or an error of the JVM

Seen by callers: a request that was read whole got no answer. If the handler ended with its own timeout (a CancellationException), the connection was closed; if it ended with an Error, the connection stayed open and silent. A failed handler also closed the connection under pipelined requests that were waiting for their turn.

Cause: every CancellationException was taken for a client that had left, and only Exception was caught.

Change: a cancellation counts as the client's end only if the request's job is cancelled; everything else is answered with 500, on a connection that stays open if the client asks for it.

Evidence: the three tests of ServerConnectionTest fail on (an empty response twice, the second of two responses missing) and pass now.

--- a/http/src/main/kotlin/io/lavenderhinge/http/NettyExchange.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/NettyExchange.kt
@@ -1,6 +1,7 @@
 package io.lavenderhinge.http
 
 import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.http.DefaultHttpContent
@@ -46,9 +47,16 @@
 
     override suspend fun respond(response: HttpResponse) {
         check(state == State.UNANSWERED) { "a response has already been started" }
+        send(response)?.awaitDone()
+    }
+
+    // Returns null if the connection closes after the response.
+    private fun send(response: HttpResponse): ChannelFuture? {
         state = State.ANSWERED
-        if (!pending.keepAlive) return sendAndClose(context, response)
-        context.writeAndFlush(fullResponse(response, keepAlive = true)).awaitDone()
+        if (pending.keepAlive)
+            return context.writeAndFlush(fullResponse(response, keepAlive = true))
+        sendAndClose(context, response)
+        return null
     }
 
     override suspend fun startStream(
@@ -66,8 +74,7 @@
 
     /** Sends [response] if nothing has been sent yet, otherwise closes without ending the body. */
     fun fail(response: HttpResponse) {
-        if (state == State.UNANSWERED) sendAndClose(context, response) else context.close()
-        state = State.ANSWERED
+        if (state == State.UNANSWERED) send(response) else context.close()
     }
 
     /** Closes the connection if the handler returned without a complete response. */
--- a/http/src/main/kotlin/io/lavenderhinge/http/ServerConnection.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/ServerConnection.kt
@@ -26,6 +26,8 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
 
@@ -183,30 +185,34 @@
         if (active != null || closing) return
         val next = pending.removeFirstOrNull() ?: return awaitNextRequest()
         val exchange = NettyExchange(context, next, writability)
-        val job =
-            scope.launch(start = CoroutineStart.LAZY) {
-                try {
-                    handler.handle(exchange)
-                    exchange.closeUnfinished()
-                } catch (e: CancellationException) {
-                    context.close()
-                    throw e
-                } catch (e: ClosedChannelException) {
-                    log.debug(
-                        "http: client disconnected before the response was sent: {}",
-                        e.toString(),
-                    )
-                    context.close()
-                } catch (e: Exception) {
-                    log.error("http: handler failed for {}", next.request.path, e)
-                    exchange.fail(faults.render(HttpFault.HANDLER_FAILED))
-                }
-            }
+        val job = scope.launch(start = CoroutineStart.LAZY) { handle(exchange) }
         active = job
         job.invokeOnCompletion { context.executor().execute { finishExchange(next.keepAlive) } }
         job.start()
     }
 
+    private suspend fun handle(exchange: NettyExchange) {
+        try {
+            handler.handle(exchange)
+            exchange.closeUnfinished()
+        } catch (e: CancellationException) {
+            // The handler's own timeouts are cancellations too, but its client still waits.
+            if (currentCoroutineContext().isActive) return fail(exchange, e)
+            context.close()
+            throw e
+        } catch (e: ClosedChannelException) {
+            log.debug("http: client disconnected before the response was sent: {}", e.toString())
+            context.close()
+        } catch (e: Throwable) {
+            fail(exchange, e)
+        }
+    }
+
+    private fun fail(exchange: NettyExchange, cause: Throwable) {
+        log.error("http: handler failed for {}", exchange.request.path, cause)
+        exchange.fail(faults.render(HttpFault.HANDLER_FAILED))
+    }
+
     private fun finishExchange(keepAlive: Boolean) {
         active = null
         if (!keepAlive) {
--- /dev/null
+++ b/http/src/test/kotlin/io/lavenderhinge/http/ServerConnectionTest.kt
@@ -0,0 +1,62 @@
+package io.lavenderhinge.http
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldStartWith
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeout
+
+private const val HANDLER_TIMEOUT_MILLIS = 20L
+
+/** Returns the status codes and bodies of the responses in [bytes], in their order. */
+private fun statusesAndPaths(bytes: String): List<String> =
+    Regex("HTTP/1\\.1 (\\d{3})|\r\n\r\n(/[a-z]+)")
+        .findAll(bytes)
+        .map { match -> match.groupValues.drop(1).first(String::isNotEmpty) }
+        .toList()
+
+/** Guards against requests that were read whole and get neither an answer nor a refusal. */
+class ServerConnectionTest :
+    FunSpec({
+        // Guards against a timeout within the handler that looks like a client that has left.
+        test(
+            "given a handler with a timeout that it does not catch, then the request is answered"
+        ) {
+            val server = serve { withTimeout(HANDLER_TIMEOUT_MILLIS) { awaitCancellation() } }
+
+            val response = sendRaw(server.address, "GET /a HTTP/1.1\r\nConnection: close\r\n\r\n")
+
+            response shouldStartWith "HTTP/1.1 500"
+            response shouldContain "internal-error"
+            server.close()
+        }
+
+        // Guards against a connection that stays open without an answer after a fatal error.
+        test("given a handler that throws an error, then the request is answered") {
+            val server = serve { throw NoClassDefFoundError("a class that cannot be loaded") }
+
+            val response = sendRaw(server.address, "GET /a HTTP/1.1\r\nConnection: close\r\n\r\n")
+
+            response shouldStartWith "HTTP/1.1 500"
+            server.close()
+        }
+
+        // Guards against a failed request that takes the answer of the next one with it.
+        test("given a handler that fails, when a request was pipelined, then both are answered") {
+            val server = serve { exchange ->
+                if (exchange.request.path == "/fail") {
+                    delay(50)
+                    error("the handler fails")
+                }
+                exchange.respond(HttpResponse(200, exchange.request.path.toByteArray()))
+            }
+
+            val bytes = "GET /fail HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\nConnection: close\r\n\r\n"
+            val responses = sendRaw(server.address, bytes)
+
+            statusesAndPaths(responses) shouldContainExactly listOf("500", "200", "/b")
+            server.close()
+        }
+    })
