Answer pipelined requests before the rejection that follows them

Seen by callers: requests that were read whole got neither an answer nor a refusal if a later request on the same connection was malformed, too large or too slow, or if there were too many of them.

Cause: ServerConnection.reject cleared the queue of pipelined requests; only the one in progress was answered.

Change: the rejection waits until the queue is empty. Nothing is read after it, so its bound is unchanged.

--- a/http/src/main/kotlin/io/lavenderhinge/http/ServerConnection.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/ServerConnection.kt
@@ -52,7 +52,10 @@
     private val body = RequestBody()
     private var active: Job? = null
     private var timer: ScheduledFuture<*>? = null
+    /** True once no further request of this connection is accepted. */
     private var closing = false
+    /** Sent after the responses to the requests that were received before it. */
+    private var rejection: HttpFault? = null
     private var hasReceivedRequest = false
 
     private val isIdle: Boolean
@@ -182,8 +185,8 @@
     }
 
     private fun startNext() {
-        if (active != null || closing) return
-        val next = pending.removeFirstOrNull() ?: return awaitNextRequest()
+        if (active != null || !context.channel().isActive) return
+        val next = pending.removeFirstOrNull() ?: return onAllAnswered()
         val exchange = NettyExchange(context, next, writability)
         val job = scope.launch(start = CoroutineStart.LAZY) { handle(exchange) }
         active = job
@@ -217,6 +220,7 @@
         active = null
         if (!keepAlive) {
             closing = true
+            pending.clear()
             // Closes only after the queued response has been written, so that it is not truncated.
             context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener { context.close() }
             return
@@ -224,26 +228,25 @@
         startNext()
     }
 
-    private fun awaitNextRequest() {
-        if (head == null) armTimer(limits.idleTimeoutMillis) { context.close() }
+    private fun onAllAnswered() {
+        val fault = rejection
+        when {
+            fault != null -> sendAndClose(context, faults.render(fault))
+            closing || head != null -> Unit
+            else -> armTimer(limits.idleTimeoutMillis) { context.close() }
+        }
     }
 
+    // The requests that were received before are answered first; the rejection closes the
+    // connection.
     private fun reject(fault: HttpFault) {
         if (closing) return
         closing = true
+        rejection = fault
         head = null
         body.clear()
         timer?.cancel(false)
-        pending.clear()
-        // The request in progress is answered first; the rejection follows and closes the
-        // connection.
-        val current = active
-        if (current == null) sendRejection(fault)
-        else current.invokeOnCompletion { context.executor().execute { sendRejection(fault) } }
-    }
-
-    private fun sendRejection(fault: HttpFault) {
-        sendAndClose(context, faults.render(fault))
+        startNext()
     }
 
     private fun armTimer(delayMillis: Long, action: () -> Unit) {
--- a/http/src/test/kotlin/io/lavenderhinge/http/ServerConnectionTest.kt
+++ b/http/src/test/kotlin/io/lavenderhinge/http/ServerConnectionTest.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.withTimeout
 
 private const val HANDLER_TIMEOUT_MILLIS = 20L
+private const val MAX_PIPELINED = 2
 
 /** Returns the status codes and bodies of the responses in [bytes], in their order. */
 private fun statusesAndPaths(bytes: String): List<String> =
@@ -20,6 +21,38 @@
 /** Guards against requests that were read whole and get neither an answer nor a refusal. */
 class ServerConnectionTest :
     FunSpec({
+        // Guards against an invalid request that takes the answers of the valid ones before it.
+        test("given pipelined requests, when an invalid one follows, then all are answered first") {
+            val server = serve { exchange ->
+                if (exchange.request.path == "/slow") delay(50)
+                exchange.respond(HttpResponse(200, exchange.request.path.toByteArray()))
+            }
+
+            val bytes = "GET /slow HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\nnonsense\r\n\r\n"
+            val responses = sendRaw(server.address, bytes)
+
+            statusesAndPaths(responses) shouldContainExactly
+                listOf("200", "/slow", "200", "/b", "400")
+            server.close()
+        }
+
+        // Guards against a client that pipelines too much and loses what was accepted before.
+        test("given too many pipelined requests, then those within the limit are answered") {
+            val server =
+                serve(HttpLimits(maxPipelinedRequests = MAX_PIPELINED)) { exchange ->
+                    if (exchange.request.path == "/slow") delay(50)
+                    exchange.respond(HttpResponse(200, exchange.request.path.toByteArray()))
+                }
+
+            val paths = listOf("/slow", "/b", "/c", "/d")
+            val responses =
+                sendRaw(server.address, paths.joinToString("") { "GET $it HTTP/1.1\r\n\r\n" })
+
+            statusesAndPaths(responses) shouldContainExactly
+                listOf("200", "/slow", "200", "/b", "200", "/c", "429")
+            server.close()
+        }
+
         // Guards against a timeout within the handler that looks like a client that has left.
         test(
             "given a handler with a timeout that it does not catch, then the request is answered"
