Decide once whether a connection closes after a response

Seen by callers: beside a SIGTERM, a connection was closed after a response that had announced keep-alive, under the next request; or a response announced the close, and a request that came after it was still passed on to a server, though its client no longer expected an answer.

Cause: PendingRequest.keepAlive was evaluated for the head, for the end and again when the exchange had finished, and the listener may begin to drain, or another request may arrive, in between.

Change: it is decided when the response starts. After an announced close nothing further is handled; after an announced keep-alive the connection stays open until the drain closes idle connections or the next response announces the close.

Evidence: the test fails on (/a and /b handled) and passes now.

--- a/http/src/main/kotlin/io/lavenderhinge/http/ServerConnection.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/ServerConnection.kt
@@ -56,6 +56,8 @@
     private var closing = false
     /** Sent after the responses to the requests that were received before it. */
     private var rejection: HttpFault? = null
+    /** True if the connection closes once no request is in progress. */
+    private var isDrained = false
     private var hasReceivedRequest = false
 
     private val isIdle: Boolean
@@ -91,6 +93,7 @@
             event !== DrainEvent -> ctx.fireUserEventTriggered(event)
             !hasReceivedRequest -> closeIfUnused()
             isIdle -> ctx.close()
+            else -> isDrained = true
         }
     }
 
@@ -164,13 +167,20 @@
         head = null
         timer?.cancel(false)
         if (pending.size >= limits.maxPipelinedRequests) return reject(HttpFault.TOO_MANY_PIPELINED)
-        val keepAlive = HttpUtil.isKeepAlive(request)
-        pending.addLast(
-            PendingRequest(toRequest(request)) { keepAlive && !(draining() && pending.isEmpty()) }
-        )
+        val isKeepAlive = HttpUtil.isKeepAlive(request)
+        pending.addLast(PendingRequest(toRequest(request)) { decideKeepAlive(isKeepAlive) })
         startNext()
     }
 
+    // Nothing further is handled once a response announces the close: its answer would be lost.
+    private fun decideKeepAlive(isRequested: Boolean): Boolean {
+        if (isRequested && !(draining() && pending.isEmpty())) return true
+        closing = true
+        rejection = null
+        pending.clear()
+        return false
+    }
+
     private fun toRequest(request: NettyRequest): HttpRequest {
         val path = request.uri().substringBefore('?')
         val query = request.uri().substringAfter('?', "")
@@ -190,7 +200,7 @@
         val exchange = NettyExchange(context, next, writability)
         val job = scope.launch(start = CoroutineStart.LAZY) { handle(exchange) }
         active = job
-        job.invokeOnCompletion { context.executor().execute { finishExchange(next.keepAlive) } }
+        job.invokeOnCompletion { context.executor().execute(::finishExchange) }
         job.start()
     }
 
@@ -216,15 +226,8 @@
         exchange.fail(faults.render(HttpFault.HANDLER_FAILED))
     }
 
-    private fun finishExchange(keepAlive: Boolean) {
+    private fun finishExchange() {
         active = null
-        if (!keepAlive) {
-            closing = true
-            pending.clear()
-            // Closes only after the queued response has been written, so that it is not truncated.
-            context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener { context.close() }
-            return
-        }
         startNext()
     }
 
@@ -233,6 +236,7 @@
         when {
             fault != null -> sendAndClose(context, faults.render(fault))
             closing || head != null -> Unit
+            isDrained -> context.close()
             else -> armTimer(limits.idleTimeoutMillis) { context.close() }
         }
     }
@@ -270,13 +274,12 @@
 }
 
 /** A request that awaits its response; the connection closes after it unless [keepAlive]. */
-internal class PendingRequest(
-    val request: HttpRequest,
-    private val decideKeepAlive: () -> Boolean,
-) {
-    /** Evaluated when the response is sent, because the listener may have started draining. */
-    val keepAlive: Boolean
-        get() = decideKeepAlive()
+internal class PendingRequest(val request: HttpRequest, decideKeepAlive: () -> Boolean) {
+    /**
+     * Decided once, when the response starts: the listener may have started draining by then, and
+     * what the response announces has to hold until its end.
+     */
+    val keepAlive: Boolean by lazy(decideKeepAlive)
 }
 
 /** Notifies a connection that its listener is draining. */
--- a/http/src/test/kotlin/io/lavenderhinge/http/ServerConnectionTest.kt
+++ b/http/src/test/kotlin/io/lavenderhinge/http/ServerConnectionTest.kt
@@ -3,7 +3,10 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldEndWith
 import io.kotest.matchers.string.shouldStartWith
+import java.net.Socket
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeout
@@ -92,4 +95,35 @@
             statusesAndPaths(responses) shouldContainExactly listOf("500", "200", "/b")
             server.close()
         }
+
+        // Guards against a request that is run although its client was told that the connection
+        // closes.
+        test("given a response that announces the close, then no further request is handled") {
+            val isStreaming = CompletableDeferred<Unit>()
+            val release = CompletableDeferred<Unit>()
+            val handledPaths = mutableListOf<String>()
+            val server = serve { exchange ->
+                handledPaths += exchange.request.path
+                val writer = exchange.startStream(200, "text/plain")
+                isStreaming.complete(Unit)
+                release.await()
+                writer.end()
+            }
+            server.disableKeepAlive()
+
+            Socket(loopback, server.port).use { socket ->
+                socket.soTimeout = 2_000
+                socket.getOutputStream().write("GET /a HTTP/1.1\r\n\r\n".toByteArray())
+                isStreaming.await()
+                socket.getOutputStream().write("GET /b HTTP/1.1\r\n\r\n".toByteArray())
+                delay(50)
+                release.complete(Unit)
+                val response = String(socket.getInputStream().readBytes())
+
+                response.lowercase() shouldContain "connection: close"
+                response shouldEndWith "0\r\n\r\n"
+            }
+            handledPaths shouldContainExactly listOf("/a")
+            server.close()
+        }
     })
