Handle SIGHUP before clients can connect

Seen by callers: connections were reset during the start of an instance, so that their requests got neither an answer nor a refusal, and the process had to be started once more.

A reload in between ended the JVM.

A reload that arrives during the start is applied once the gateway exists. Before main is reached, SIGHUP still ends the JVM, but no address is bound by then.

--- a/e2e/src/test/kotlin/io/lavenderhinge/e2e/GatewayProcessTest.kt
+++ b/e2e/src/test/kotlin/io/lavenderhinge/e2e/GatewayProcessTest.kt
@@ -17,7 +17,9 @@
 import io.lavenderhinge.http.HttpServer
 import io.lavenderhinge.standins.metadata.MetadataStoreHandler
 import io.lavenderhinge.standins.startStandin
+import java.net.ConnectException
 import java.net.InetSocketAddress
+import java.net.Socket
 import java.nio.file.Path
 import java.util.Base64
 import kotlin.io.path.createFile
@@ -51,7 +53,8 @@
             TestProcess(
                 "gateway",
                 "io.lavenderhinge.instance.MainKt",
-                listOf("--platform", "--config", settingsFile.toString()),
+                listOf("--platform", "--listen", "127.0.0.1:$callerPort") +
+                    listOf("--config", settingsFile.toString()),
                 directory.resolve("gateway.log"),
             )
     }
@@ -118,6 +121,14 @@
     suspend fun answersReadinessChecks(): Boolean =
         statusOrNull(TestHttpClient(loopback(readyPort)), "/readiness") != null
 
+    fun acceptsClients(): Boolean =
+        try {
+            Socket().use { it.connect(loopback(callerPort)) }
+            true
+        } catch (_: ConnectException) {
+            false
+        }
+
     suspend fun isReady(): Boolean =
         statusOrNull(TestHttpClient(loopback(readyPort)), "/readiness") == 200
 
@@ -235,6 +246,18 @@
             }
         }
 
+        // Guards against clients that connect during the start and are reset by a reload.
+        test("given SIGHUP as soon as clients can connect, then the gateway keeps running") {
+            GatewayProcess(tempdir().toPath()).use { gateway ->
+                awaitCondition("clients can connect") { gateway.acceptsClients() }
+
+                gateway.process.sendHangup()
+
+                gateway.publishConfiguration()
+                awaitCondition("the gateway is ready") { gateway.isReady() }
+            }
+        }
+
         test(
             "given a request in flight, when SIGTERM arrives, then it is answered before the exit"
         ) {
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/InstanceCommand.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/InstanceCommand.kt
@@ -19,6 +19,7 @@
 import io.lavenderhinge.instance.gateway.Gateway
 import java.io.IOException
 import java.net.InetSocketAddress
+import java.util.concurrent.CompletableFuture
 import kotlin.io.path.readText
 import kotlin.system.exitProcess
 import sun.misc.Signal
@@ -57,13 +58,14 @@
     }
 
     private fun runGateway() {
-        val preboundListener = listen?.let(::prebindListener)
-        val gateway = Gateway(valueOrExit(gatewaySettings()))
+        val gateway = CompletableFuture<Gateway>()
         // Signals may arrive as soon as a listener is open. Without these handlers, the JVM would
         // terminate on SIGHUP, and on SIGTERM without answering the requests that it accepted.
-        Signal.handle(Signal("HUP")) { gateway.reload(gatewaySettings()) }
-        Runtime.getRuntime().addShutdownHook(Thread { gateway.shutdown() })
-        startOrExit { gateway.start(preboundListener) }
+        Signal.handle(Signal("HUP")) { gateway.thenAccept { it.reload(gatewaySettings()) } }
+        Runtime.getRuntime().addShutdownHook(Thread { gateway.getNow(null)?.shutdown() })
+        val preboundListener = listen?.let(::prebindListener)
+        gateway.complete(Gateway(valueOrExit(gatewaySettings())))
+        startOrExit { gateway.join().start(preboundListener) }
     }
 
     private fun gatewaySettings() = GatewaySettingsParser.parse(config.readText(), "$config")
