--- a/http/src/main/kotlin/io/lavenderhinge/http/ServerConnection.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/ServerConnection.kt
@@ -26,6 +26,8 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
 
@@ -50,7 +52,12 @@
     private val body = RequestBody()
     private var active: Job? = null
     private var timer: ScheduledFuture<*>? = null
+    /** True once no further request of this connection is accepted. */
     private var closing = false
+    /** Sent after the responses to the requests that were received before it. */
+    private var rejection: HttpFault? = null
+    /** True if the connection closes once no request is in progress. */
+    private var isDrained = false
     private var hasReceivedRequest = false
 
     private val isIdle: Boolean
@@ -86,6 +93,7 @@
             event !== DrainEvent -> ctx.fireUserEventTriggered(event)
             !hasReceivedRequest -> closeIfUnused()
             isIdle -> ctx.close()
+            else -> isDrained = true
         }
     }
 
@@ -159,13 +167,20 @@
         head = null
         timer?.cancel(false)
         if (pending.size >= limits.maxPipelinedRequests) return reject(HttpFault.TOO_MANY_PIPELINED)
-        val keepAlive = HttpUtil.isKeepAlive(request)
-        pending.addLast(
-            PendingRequest(toRequest(request)) { keepAlive && !(draining() && pending.isEmpty()) }
-        )
+        val isKeepAlive = HttpUtil.isKeepAlive(request)
+        pending.addLast(PendingRequest(toRequest(request)) { decideKeepAlive(isKeepAlive) })
         startNext()
     }
 
+    // Nothing further is handled once a response announces the close: its answer would be lost.
+    private fun decideKeepAlive(isRequested: Boolean): Boolean {
+        if (isRequested && !(draining() && pending.isEmpty())) return true
+        closing = true
+        rejection = null
+        pending.clear()
+        return false
+    }
+
     private fun toRequest(request: NettyRequest): HttpRequest {
         val path = request.uri().substringBefore('?')
         val query = request.uri().substringAfter('?', "")
@@ -180,64 +195,62 @@
     }
 
     private fun startNext() {
-        if (active != null || closing) return
-        val next = pending.removeFirstOrNull() ?: return awaitNextRequest()
+        if (active != null || !context.channel().isActive) return
+        val next = pending.removeFirstOrNull() ?: return onAllAnswered()
         val exchange = NettyExchange(context, next, writability)
-        val job =
-            scope.launch(start = CoroutineStart.LAZY) {
-                try {
-                    handler.handle(exchange)
-                    exchange.closeUnfinished()
-                } catch (e: CancellationException) {
-                    context.close()
-                    throw e
-                } catch (e: ClosedChannelException) {
-                    log.debug(
-                        "http: client disconnected before the response was sent: {}",
-                        e.toString(),
-                    )
-                    context.close()
-                } catch (e: Exception) {
-                    log.error("http: handler failed for {}", next.request.path, e)
-                    exchange.fail(faults.render(HttpFault.HANDLER_FAILED))
-                }
-            }
+        val job = scope.launch(start = CoroutineStart.LAZY) { handle(exchange) }
         active = job
-        job.invokeOnCompletion { context.executor().execute { finishExchange(next.keepAlive) } }
+        job.invokeOnCompletion { context.executor().execute(::finishExchange) }
         job.start()
     }
 
-    private fun finishExchange(keepAlive: Boolean) {
-        active = null
-        if (!keepAlive) {
-            closing = true
-            // Closes only after the queued response has been written, so that it is not truncated.
-            context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener { context.close() }
-            return
+    private suspend fun handle(exchange: NettyExchange) {
+        try {
+            handler.handle(exchange)
+            exchange.closeUnfinished()
+        } catch (e: CancellationException) {
+            // The handler's own timeouts are cancellations too, but its client still waits.
+            if (currentCoroutineContext().isActive) return fail(exchange, e)
+            context.close()
+            throw e
+        } catch (e: ClosedChannelException) {
+            log.debug("http: client disconnected before the response was sent: {}", e.toString())
+            context.close()
+        } catch (e: Throwable) {
+            fail(exchange, e)
         }
+    }
+
+    private fun fail(exchange: NettyExchange, cause: Throwable) {
+        log.error("http: handler failed for {}", exchange.request.path, cause)
+        exchange.fail(faults.render(HttpFault.HANDLER_FAILED))
+    }
+
+    private fun finishExchange() {
+        active = null
         startNext()
     }
 
-    private fun awaitNextRequest() {
-        if (head == null) armTimer(limits.idleTimeoutMillis) { context.close() }
+    private fun onAllAnswered() {
+        val fault = rejection
+        when {
+            fault != null -> sendAndClose(context, faults.render(fault))
+            closing || head != null -> Unit
+            isDrained -> context.close()
+            else -> armTimer(limits.idleTimeoutMillis) { context.close() }
+        }
     }
 
+    // The requests that were received before are answered first; the rejection closes the
+    // connection.
     private fun reject(fault: HttpFault) {
         if (closing) return
         closing = true
+        rejection = fault
         head = null
         body.clear()
         timer?.cancel(false)
-        pending.clear()
-        // The request in progress is answered first; the rejection follows and closes the
-        // connection.
-        val current = active
-        if (current == null) sendRejection(fault)
-        else current.invokeOnCompletion { context.executor().execute { sendRejection(fault) } }
-    }
-
-    private fun sendRejection(fault: HttpFault) {
-        sendAndClose(context, faults.render(fault))
+        startNext()
     }
 
     private fun armTimer(delayMillis: Long, action: () -> Unit) {
@@ -261,13 +274,12 @@
 }
 
 /** A request that awaits its response; the connection closes after it unless [keepAlive]. */
-internal class PendingRequest(
-    val request: HttpRequest,
-    private val decideKeepAlive: () -> Boolean,
-) {
-    /** Evaluated when the response is sent, because the listener may have started draining. */
-    val keepAlive: Boolean
-        get() = decideKeepAlive()
+internal class PendingRequest(val request: HttpRequest, decideKeepAlive: () -> Boolean) {
+    /**
+     * Decided once, when the response starts: the listener may have started draining by then, and
+     * what the response announces has to hold until its end.
+     */
+    val keepAlive: Boolean by lazy(decideKeepAlive)
 }
 
 /** Notifies a connection that its listener is draining. */
