--- a/core/src/main/kotlin/io/lavenderhinge/core/routing/SlotRouter.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/routing/SlotRouter.kt
@@ -1,7 +1,6 @@
 package io.lavenderhinge.core.routing
 
 import io.lavenderhinge.core.Tier
-import io.lavenderhinge.core.scheduling.GrantRequest
 import io.lavenderhinge.core.scheduling.GrantRequestKey
 import io.lavenderhinge.core.scheduling.HomeDirectory
 import io.lavenderhinge.core.scheduling.HomeEffect
@@ -35,11 +34,7 @@
     private val refusals = RefusalPolicy(settings, random)
     private val pending = LinkedHashMap<String, PendingRequest>()
     private val held = HeldSlots(settings, directory, selection, ::send)
-    private val requestByGrantRequest = HashMap<String, String>()
-
-    // Starts at a random number, so that slots granted to an earlier process with the same instance
-    // id are not mistaken for slots of this process.
-    private var nextGrantRequestNumber = random.nextLong(1L shl FIRST_NUMBER_BITS)
+    private val grantRequests = OpenGrantRequests(selfId, random, ::send)
     private var isClosed = false
     private val effects = ArrayList<RouterEffect>()
 
@@ -115,29 +110,7 @@
             waiting.refusals[serverId] = HomeEffect.Refuse(selfId, "", RefusalReason.NOT_HOME, 0, 0)
             return proceed(waiting, nowMillis)
         }
-        val grantRequest = grantRequest(waiting, mayPreempt)
-        requestByGrantRequest[grantRequest.grantRequestId] = waiting.request.requestId
-        waiting.openRequests[grantRequest.grantRequestId] =
-            OpenGrantRequest(grantRequest, serverId, homeId, nowMillis)
-        send(homeId, serverId, HomeEvent.Requested(grantRequest))
-    }
-
-    private fun grantRequest(waiting: PendingRequest, mayPreempt: Boolean): GrantRequest {
-        val request = waiting.request
-        return GrantRequest(
-            // Kept short because it is part of every message about the request.
-            grantRequestId = (nextGrantRequestNumber++).toString(Character.MAX_RADIX),
-            entryId = selfId,
-            tier = request.tier,
-            workspace = request.workspace,
-            weight = request.weight,
-            promptTokens = request.promptTokens,
-            outputTokens = request.outputTokens,
-            deadlineMillis = request.deadlineMillis,
-            prefixHashes = waiting.prefixHashes,
-            firstTokenDueMillis = request.firstTokenDueMillis,
-            mayPreempt = mayPreempt,
-        )
+        grantRequests.send(waiting, serverId, homeId, mayPreempt, nowMillis)
     }
 
     /** Asks a home that serves a lower tier to preempt it. Returns false if there is none. */
@@ -171,17 +144,17 @@
             "request ${waiting.request.requestId} was shed while a home serves a lower tier"
         }
         pending.remove(waiting.request.requestId)
-        releaseOpenRequests(waiting)
+        grantRequests.releaseAll(waiting)
         effects += RouterEffect.Refused(waiting.request.requestId, refusal)
     }
 
     private fun onReleased(requestId: String) {
-        pending.remove(requestId)?.let { releaseOpenRequests(it) }
+        pending.remove(requestId)?.let { grantRequests.releaseAll(it) }
         held.onReleased(requestId)
     }
 
     private fun onHomeAnswered(event: RouterEvent.HomeAnswered, nowMillis: Long) {
-        val waiting = requestByGrantRequest[event.message.grantRequestId]?.let { pending[it] }
+        val waiting = grantRequests.requestOf(event.message.grantRequestId)?.let { pending[it] }
         val open = waiting?.openRequests?.get(event.message.grantRequestId)
         when (val message = event.message) {
             is HomeEffect.Grant ->
@@ -215,9 +188,9 @@
         nowMillis: Long,
     ) {
         val request = waiting.request
-        removeOpenRequest(waiting, open)
+        grantRequests.remove(waiting, open)
         pending.remove(request.requestId)
-        releaseOpenRequests(waiting)
+        grantRequests.releaseAll(waiting)
         val server = selection[open.serverId]
         if (server == null) {
             send(open.homeId, open.serverId, HomeEvent.Released(open.request.key))
@@ -264,7 +237,7 @@
         message: HomeEffect.Refuse,
         nowMillis: Long,
     ) {
-        removeOpenRequest(waiting, open)
+        grantRequests.remove(waiting, open)
         waiting.refusals[open.serverId] = message
         val server = selection[open.serverId]
         when (message.reason) {
@@ -295,7 +268,7 @@
         for (waiting in pending.values.toList()) {
             for (open in waiting.openRequests.values.toList()) {
                 if (!isLost(open) && directory.homeOf(open.serverId) == open.homeId) continue
-                removeOpenRequest(waiting, open)
+                grantRequests.remove(waiting, open)
                 if (!isLost(open))
                     send(open.homeId, open.serverId, HomeEvent.Released(open.request.key))
             }
@@ -334,23 +307,7 @@
         proceed(waiting, nowMillis)
     }
 
-    private fun releaseOpenRequests(waiting: PendingRequest) {
-        for (open in waiting.openRequests.values.toList()) {
-            removeOpenRequest(waiting, open)
-            send(open.homeId, open.serverId, HomeEvent.Released(open.request.key))
-        }
-    }
-
-    private fun removeOpenRequest(waiting: PendingRequest, open: OpenGrantRequest) {
-        waiting.openRequests.remove(open.request.grantRequestId)
-        requestByGrantRequest.remove(open.request.grantRequestId)
-    }
-
     private fun send(homeId: String, serverId: String, event: HomeEvent) {
         effects += RouterEffect.Send(homeId, serverId, event)
     }
-
-    private companion object {
-        const val FIRST_NUMBER_BITS = 30
-    }
 }
