Report a connection that ends before its use as a request that was not sent

A run of the end-to-end tests on a busy machine failed in 3 of 10 specs with a NullPointerException of HttpClient.send: Netty removes the handlers of a connection that has ended, here before the request was written. Callers expect an HttpCallException; this one states now that nothing was sent.

HttpClientTest, a server that closes at once and a caller that is delayed: failed before, passes now.

--- a/http/src/main/kotlin/io/lavenderhinge/http/HttpClient.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/HttpClient.kt
@@ -75,7 +75,10 @@
     ): ClientResponse {
         val reused = if (reuseConnection) takeIdle(address) else null
         val channel = reused ?: connect(address, timeouts)
-        val handler = channel.pipeline().get(ClientConnection::class.java)
+        // A connection that has ended in the meantime has lost its handlers.
+        val handler =
+            channel.pipeline().get(ClientConnection::class.java)
+                ?: throw HttpCallException.NotSent("$address closed the connection")
         val response =
             ClientResponse(handler, timeouts) { headers -> release(address, channel, headers) }
         try {
--- a/http/src/test/kotlin/io/lavenderhinge/http/HttpClientTest.kt
+++ b/http/src/test/kotlin/io/lavenderhinge/http/HttpClientTest.kt
@@ -7,10 +7,15 @@
 import io.kotest.matchers.string.shouldContain
 import java.net.InetSocketAddress
 import java.net.ServerSocket
+import java.util.concurrent.Executors
+import kotlin.concurrent.thread
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
 
 /**
  * Guards against truncated responses that look complete, and against a request reported as not sent
@@ -28,6 +33,23 @@
             }
         }
 
+        // Guards against a fault that callers do not expect instead of one that states the outcome.
+        test("given a connection that ends before it is used, then the request was not sent") {
+            val listener = ServerSocket(0, 1, loopback)
+            thread(isDaemon = true) { listener.use { it.accept().close() } }
+            val address = InetSocketAddress(loopback, listener.localPort)
+
+            Executors.newSingleThreadExecutor().asCoroutineDispatcher().use { oneThread ->
+                withContext(oneThread) {
+                    // Delays the call between its connection and its request.
+                    launch { Thread.sleep(300) }
+                    shouldThrow<HttpCallException.NotSent> {
+                        client.call(address, get("/"), CallTimeouts(2_000, 2_000))
+                    }
+                }
+            }
+        }
+
         data class TruncatedResponse(val name: String, val response: String, val message: String)
 
         context("given a truncated response, when it is read, then the outcome is unknown") {
