Return early with getOrElse and write two repeated pieces once

27 calls of fold whose right side was { it } are now getOrElse, which says the same in one line instead of eight. The two request handlers share respondWithProblem, and EngineStreamClient sends both kinds of requests in one place.

--- a/adapters/src/main/kotlin/io/lavenderhinge/adapters/HttpKeyValueStore.kt
+++ b/adapters/src/main/kotlin/io/lavenderhinge/adapters/HttpKeyValueStore.kt
@@ -1,6 +1,7 @@
 package io.lavenderhinge.adapters
 
 import arrow.core.Either
+import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
 import com.fasterxml.jackson.databind.JsonNode
@@ -35,26 +36,18 @@
 
     override suspend fun get(key: String): Either<StoreFault, VersionedValue?> {
         val response =
-            call(readBudget, "GET", "/v1/kv/${urlEncode(key)}")
-                .fold(
-                    {
-                        return it.left()
-                    },
-                    { it },
-                )
+            call(readBudget, "GET", "/v1/kv/${urlEncode(key)}").getOrElse {
+                return it.left()
+            }
         if (response.status == HttpStatus.NOT_FOUND) return null.right()
         return parseValue(response.body).map { it }
     }
 
     override suspend fun list(prefix: String): Either<StoreFault, ImmutableList<VersionedValue>> {
         val response =
-            call(readBudget, "GET", "/v1/kv", "prefix=${urlEncode(prefix)}")
-                .fold(
-                    {
-                        return it.left()
-                    },
-                    { it },
-                )
+            call(readBudget, "GET", "/v1/kv", "prefix=${urlEncode(prefix)}").getOrElse {
+                return it.left()
+            }
         return parseValues(response.body?.get("entries"))
     }
 
@@ -75,12 +68,9 @@
                     "expected=$expectedVersion$lease",
                     bytes,
                 )
-                .fold(
-                    {
-                        return it.left()
-                    },
-                    { it },
-                )
+                .getOrElse {
+                    return it.left()
+                }
         return when (response.status) {
             HttpStatus.OK -> longField(response.body, "version")
             HttpStatus.CONFLICT -> parseConflict(response.body).left()
@@ -97,45 +87,29 @@
         val query = "prefix=${urlEncode(prefix)}&after=$afterRevision&wait=$waitMillis"
         val timeouts = CallTimeouts(timeoutMillis, waitMillis + timeoutMillis)
         val response =
-            call(readBudget, "GET", "/v1/watch", query, timeouts = timeouts)
-                .fold(
-                    {
-                        return it.left()
-                    },
-                    { it },
-                )
+            call(readBudget, "GET", "/v1/watch", query, timeouts = timeouts).getOrElse {
+                return it.left()
+            }
         val revision =
-            longField(response.body, "revision")
-                .fold(
-                    {
-                        return it.left()
-                    },
-                    { it },
-                )
+            longField(response.body, "revision").getOrElse {
+                return it.left()
+            }
         return parseValues(response.body?.get("changes")).map { WatchResult(it, revision) }
     }
 
     override suspend fun grantLease(timeToLiveMillis: Long): Either<StoreFault, Lease> {
         val response =
-            call(writeBudget, "POST", "/v1/leases", "ttl=$timeToLiveMillis")
-                .fold(
-                    {
-                        return it.left()
-                    },
-                    { it },
-                )
+            call(writeBudget, "POST", "/v1/leases", "ttl=$timeToLiveMillis").getOrElse {
+                return it.left()
+            }
         return parseLease(response)
     }
 
     override suspend fun renewLease(leaseId: String): Either<StoreFault, Lease> {
         val response =
-            call(writeBudget, "POST", "/v1/leases/${urlEncode(leaseId)}/renew")
-                .fold(
-                    {
-                        return it.left()
-                    },
-                    { it },
-                )
+            call(writeBudget, "POST", "/v1/leases/${urlEncode(leaseId)}/renew").getOrElse {
+                return it.left()
+            }
         if (response.status == HttpStatus.NOT_FOUND) return StoreFault.Conflict(null).left()
         return parseLease(response)
     }
@@ -170,13 +144,9 @@
         if (node == null || !node.isArray) return malformed().left()
         return node
             .map { entry ->
-                parseValue(entry)
-                    .fold(
-                        {
-                            return it.left()
-                        },
-                        { it },
-                    )
+                parseValue(entry).getOrElse {
+                    return it.left()
+                }
             }
             .toImmutableList()
             .right()
--- a/adapters/src/main/kotlin/io/lavenderhinge/adapters/HttpLiveList.kt
+++ b/adapters/src/main/kotlin/io/lavenderhinge/adapters/HttpLiveList.kt
@@ -1,6 +1,7 @@
 package io.lavenderhinge.adapters
 
 import arrow.core.Either
+import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
 import com.fasterxml.jackson.module.kotlin.treeToValue
@@ -27,14 +28,9 @@
         if (readBudget.acquireOrWaitMillis() > 0)
             return LiveListFault("the call budget is exhausted").left()
         val response =
-            http
-                .call("GET", "/v1/members")
-                .fold(
-                    {
-                        return LiveListFault(it.message).left()
-                    },
-                    { it },
-                )
+            http.call("GET", "/v1/members").getOrElse {
+                return LiveListFault(it.message).left()
+            }
         val body = response.body
         if (response.status != HttpStatus.OK || body == null || !body.isArray) {
             return LiveListFault("the live list responded with status ${response.status}").left()
--- a/adapters/src/main/kotlin/io/lavenderhinge/adapters/HttpModelEngine.kt
+++ b/adapters/src/main/kotlin/io/lavenderhinge/adapters/HttpModelEngine.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import arrow.core.flatMap
+import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
 import com.fasterxml.jackson.databind.JsonNode
@@ -33,13 +34,9 @@
             if (!body.isArray) return@flatMap malformed().left()
             body
                 .map { node ->
-                    decode<CacheEvent>(node)
-                        .fold(
-                            {
-                                return@flatMap it.left()
-                            },
-                            { it },
-                        )
+                    decode<CacheEvent>(node).getOrElse {
+                        return@flatMap it.left()
+                    }
                 }
                 .toImmutableList()
                 .right()
@@ -58,14 +55,9 @@
         body: ByteArray = ByteArray(0),
     ): Either<EngineFault, JsonNode> {
         val response =
-            http
-                .call(method, path, query, body)
-                .fold(
-                    {
-                        return toEngineFault(it).left()
-                    },
-                    { it },
-                )
+            http.call(method, path, query, body).getOrElse {
+                return toEngineFault(it).left()
+            }
         val content = response.body ?: Json.mapper.nullNode()
         return when (response.status) {
             HttpStatus.OK -> content.right()
--- a/adapters/src/main/kotlin/io/lavenderhinge/adapters/HttpWeightStore.kt
+++ b/adapters/src/main/kotlin/io/lavenderhinge/adapters/HttpWeightStore.kt
@@ -1,6 +1,7 @@
 package io.lavenderhinge.adapters
 
 import arrow.core.Either
+import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
 import io.lavenderhinge.core.port.WeightStore
@@ -21,14 +22,9 @@
     ): Either<WeightStoreFault, Boolean> {
         val path = "/v1/weights/${urlEncode(model)}/${urlEncode(version)}"
         val response =
-            http
-                .call("GET", path)
-                .fold(
-                    {
-                        return WeightStoreFault(it.message, null).left()
-                    },
-                    { it },
-                )
+            http.call("GET", path).getOrElse {
+                return WeightStoreFault(it.message, null).left()
+            }
         return when (response.status) {
             HttpStatus.OK -> true.right()
             HttpStatus.NOT_FOUND -> false.right()
--- a/core/src/main/kotlin/io/lavenderhinge/core/settings/SettingsParser.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/SettingsParser.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import arrow.core.NonEmptyList
+import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.nonEmptyListOf
 import arrow.core.right
@@ -21,13 +22,9 @@
     ): Either<NonEmptyList<SettingsFault>, TeamSettings> {
         if (text.isBlank()) return TeamSettings(team, revision).right()
         val sections =
-            IniParser.parse(text, file)
-                .fold(
-                    {
-                        return nonEmptyListOf(it).left()
-                    },
-                    { it },
-                )
+            IniParser.parse(text, file).getOrElse {
+                return nonEmptyListOf(it).left()
+            }
         val document = SettingsDocument(file, sections, TeamSchema.sections)
         val settings = TeamReader(document).read(team, revision)
         val faults = document.faults + CrossChecks.faults(settings, document)
--- a/ctl/src/main/kotlin/io/lavenderhinge/ctl/Applier.kt
+++ b/ctl/src/main/kotlin/io/lavenderhinge/ctl/Applier.kt
@@ -1,5 +1,6 @@
 package io.lavenderhinge.ctl
 
+import arrow.core.getOrElse
 import io.lavenderhinge.adapters.StoredSettingsCodec
 import io.lavenderhinge.core.port.KeyValueStore
 import io.lavenderhinge.core.port.StoreFault
@@ -60,14 +61,9 @@
                 is StoreFault.Conflict -> return resolveConflict(team, next, stored, fault.current)
                 is StoreFault.OutcomeUnknown -> {
                     val current =
-                        store
-                            .get(key)
-                            .fold(
-                                {
-                                    return ApplyOutcome.Unknown(team, it.message)
-                                },
-                                { it },
-                            )
+                        store.get(key).getOrElse {
+                            return ApplyOutcome.Unknown(team, it.message)
+                        }
                     // An unchanged version means that the write has not taken effect. Repeating it
                     // is safe, because the expected version lets only one attempt succeed.
                     val unchanged = (current?.version ?: 0) == expected
--- a/ctl/src/main/kotlin/io/lavenderhinge/ctl/ApplyCommand.kt
+++ b/ctl/src/main/kotlin/io/lavenderhinge/ctl/ApplyCommand.kt
@@ -1,5 +1,6 @@
 package io.lavenderhinge.ctl
 
+import arrow.core.getOrElse
 import com.github.ajalt.clikt.parameters.options.multiple
 import com.github.ajalt.clikt.parameters.options.option
 import io.lavenderhinge.core.settings.SettingsFault
@@ -21,14 +22,9 @@
         val settingsDirectory = SettingsDirectory(directory)
         val files = settingsDirectory.readFiles()
         val stored =
-            StoredSettingsReader(store)
-                .readTeams()
-                .fold(
-                    {
-                        return Report.failure(it.message, it.exitCode)
-                    },
-                    { it },
-                )
+            StoredSettingsReader(store).readTeams().getOrElse {
+                return Report.failure(it.message, it.exitCode)
+            }
         val faults = newFaults(files, stored)
         if (faults.isNotEmpty()) return ReportFormat.invalidSettings(faults)
         val texts = files.map { it.team to it.text } + removedTexts(files, stored)
--- a/ctl/src/main/kotlin/io/lavenderhinge/ctl/DiffCommand.kt
+++ b/ctl/src/main/kotlin/io/lavenderhinge/ctl/DiffCommand.kt
@@ -1,5 +1,6 @@
 package io.lavenderhinge.ctl
 
+import arrow.core.getOrElse
 import io.lavenderhinge.core.settings.SettingsDiff
 
 /** `diff DIR`: shows what `apply DIR` would change. */
@@ -10,14 +11,9 @@
     override suspend fun execute(): Report {
         val files = SettingsDirectory(directory).readFiles()
         val stored =
-            StoredSettingsReader(store)
-                .readTeams()
-                .fold(
-                    {
-                        return Report.failure(it.message, it.exitCode)
-                    },
-                    { it },
-                )
+            StoredSettingsReader(store).readTeams().getOrElse {
+                return Report.failure(it.message, it.exitCode)
+            }
         val changed = files.filter { stored[it.team]?.settings?.text.orEmpty() != it.text }
         val lines = changed.flatMap { lines(it, stored[it.team]) } + linesWithoutFile(files, stored)
         val json =
--- a/ctl/src/main/kotlin/io/lavenderhinge/ctl/HistoryCommand.kt
+++ b/ctl/src/main/kotlin/io/lavenderhinge/ctl/HistoryCommand.kt
@@ -1,5 +1,6 @@
 package io.lavenderhinge.ctl
 
+import arrow.core.getOrElse
 import com.github.ajalt.clikt.parameters.arguments.argument
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.types.long
@@ -18,14 +19,9 @@
 
     override suspend fun execute(): Report {
         val entries =
-            StoredSettingsReader(store)
-                .readHistory(team)
-                .fold(
-                    {
-                        return Report.failure(it.message, it.exitCode)
-                    },
-                    { it },
-                )
+            StoredSettingsReader(store).readHistory(team).getOrElse {
+                return Report.failure(it.message, it.exitCode)
+            }
         val requestedRevision =
             revision ?: return Report(lines(entries), mapOf("entries" to entries))
         val entry =
--- a/ctl/src/main/kotlin/io/lavenderhinge/ctl/RevisionHistory.kt
+++ b/ctl/src/main/kotlin/io/lavenderhinge/ctl/RevisionHistory.kt
@@ -1,5 +1,6 @@
 package io.lavenderhinge.ctl
 
+import arrow.core.getOrElse
 import io.lavenderhinge.adapters.StoredSettingsCodec
 import io.lavenderhinge.core.port.KeyValueStore
 import io.lavenderhinge.core.settings.StoredSettings
@@ -13,14 +14,9 @@
     suspend fun add(team: String, applied: StoredSettings, previous: StoredSettings?): Boolean {
         repeat(MAX_ATTEMPTS) {
             val current =
-                store
-                    .get(PREFIX + team)
-                    .fold(
-                        {
-                            return false
-                        },
-                        { it },
-                    )
+                store.get(PREFIX + team).getOrElse {
+                    return false
+                }
             val entries = StoredSettingsCodec.decodeHistory(current?.value ?: "[]")
             val merged =
                 (listOfNotNull(applied, previous) + entries)
--- a/ctl/src/main/kotlin/io/lavenderhinge/ctl/ShowCommand.kt
+++ b/ctl/src/main/kotlin/io/lavenderhinge/ctl/ShowCommand.kt
@@ -1,5 +1,6 @@
 package io.lavenderhinge.ctl
 
+import arrow.core.getOrElse
 import com.github.ajalt.clikt.parameters.arguments.argument
 import com.github.ajalt.clikt.parameters.arguments.optional
 import com.github.ajalt.clikt.parameters.options.option
@@ -20,14 +21,9 @@
 
     override suspend fun execute(): Report {
         val stored =
-            StoredSettingsReader(store)
-                .readTeams()
-                .fold(
-                    {
-                        return Report.failure(it.message, it.exitCode)
-                    },
-                    { it },
-                )
+            StoredSettingsReader(store).readTeams().getOrElse {
+                return Report.failure(it.message, it.exitCode)
+            }
         val teams = stored.values.filter { team == null || it.team == team }
         if (team != null && teams.isEmpty()) {
             val known = stored.keys.joinToString().ifEmpty { "none" }
--- a/ctl/src/main/kotlin/io/lavenderhinge/ctl/StatusCommand.kt
+++ b/ctl/src/main/kotlin/io/lavenderhinge/ctl/StatusCommand.kt
@@ -1,5 +1,6 @@
 package io.lavenderhinge.ctl
 
+import arrow.core.getOrElse
 import com.github.ajalt.clikt.parameters.options.convert
 import com.github.ajalt.clikt.parameters.options.multiple
 import com.github.ajalt.clikt.parameters.options.option
@@ -20,23 +21,15 @@
 
     override suspend fun execute(): Report {
         val stored =
-            StoredSettingsReader(store)
-                .readTeams()
-                .fold(
-                    {
-                        return Report.failure(it.message, it.exitCode)
-                    },
-                    { it },
-                )
+            StoredSettingsReader(store).readTeams().getOrElse {
+                return Report.failure(it.message, it.exitCode)
+            }
         val statusValues =
             store
                 .list(STATUS_PREFIX)
-                .fold(
-                    {
-                        return Report.failure(it.message, ExitCode.UNREACHABLE)
-                    },
-                    { it },
-                )
+                .getOrElse {
+                    return Report.failure(it.message, ExitCode.UNREACHABLE)
+                }
                 .associate { it.key.removePrefix(STATUS_PREFIX) to it.value }
         val formatter = StatusFormatter(stored, environment.nowMillis())
         val lines =
--- a/ctl/src/main/kotlin/io/lavenderhinge/ctl/StoredSettingsReader.kt
+++ b/ctl/src/main/kotlin/io/lavenderhinge/ctl/StoredSettingsReader.kt
@@ -1,6 +1,7 @@
 package io.lavenderhinge.ctl
 
 import arrow.core.Either
+import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
 import io.lavenderhinge.adapters.StoredSettingsCodec
@@ -19,25 +20,16 @@
     /** Returns all teams by name; a removed team has an empty text. */
     suspend fun readTeams(): Either<ReadFault, Map<String, StoredTeam>> {
         val values =
-            store
-                .list(StoredSettings.PREFIX)
-                .fold(
-                    {
-                        return readFailed(it).left()
-                    },
-                    { it },
-                )
+            store.list(StoredSettings.PREFIX).getOrElse {
+                return readFailed(it).left()
+            }
         val teams = sortedMapOf<String, StoredTeam>()
         values.forEach { value ->
             val team = value.key.removePrefix(StoredSettings.PREFIX)
             val settings =
-                StoredSettingsCodec.decode(value.value)
-                    .fold(
-                        {
-                            return invalidValue(value.key, it).left()
-                        },
-                        { it },
-                    )
+                StoredSettingsCodec.decode(value.value).getOrElse {
+                    return invalidValue(value.key, it).left()
+                }
             teams[team] = StoredTeam(team, settings, value.version)
         }
         return teams.right()
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/caller/ModelRequestHandler.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/caller/ModelRequestHandler.kt
@@ -1,5 +1,6 @@
 package io.lavenderhinge.instance.caller
 
+import arrow.core.getOrElse
 import com.fasterxml.jackson.databind.JsonNode
 import com.fasterxml.jackson.databind.node.ObjectNode
 import io.lavenderhinge.adapters.HttpModelEngine
@@ -38,37 +39,34 @@
     suspend fun serve(exchange: HttpExchange, context: RequestContext, body: JsonNode?) {
         val estimate = (body as? ObjectNode)?.let(::estimatePrompt)
         if (body == null || estimate == null)
-            return respondWithProblem(exchange, context, Problem.INVALID_BODY)
+            return services.respondWithProblem(exchange, context, Problem.INVALID_BODY)
         val target = TeamTarget(context.team.team, context.route.target)
         val version =
             services.versionSelector.versionFor(target, context.attemptId)
-                ?: return respondWithProblem(exchange, context, Problem.NO_ROUTE)
+                ?: return services.respondWithProblem(exchange, context, Problem.NO_ROUTE)
         val request = slotRequest(context, version, estimate)
         val writer = CompletionWriter.of(exchange, context, body)
         val checkedRevision = services.promptGuard.revision
         if (isBlocked(request, estimate))
-            return respondWithProblem(exchange, context, Problem.PROMPT_QUARANTINED)
+            return services.respondWithProblem(exchange, context, Problem.PROMPT_QUARANTINED)
         repeat(MAX_DISPATCH_ATTEMPTS) { attempt ->
             val slot =
                 services.slots
                     .acquire(request.copy(requestId = "${context.attemptId}.$attempt"))
-                    .fold(
-                        {
-                            return respondWithProblem(exchange, context, Problem.of(it))
-                        },
-                        { it },
-                    )
+                    .getOrElse {
+                        return services.respondWithProblem(exchange, context, Problem.of(it))
+                    }
             // A part of the prompt may have been quarantined while the request was queued.
             val isUnchanged = services.promptGuard.revision == checkedRevision
             if (!isUnchanged && isBlocked(request, estimate)) {
                 slot.release()
-                return respondWithProblem(exchange, context, Problem.PROMPT_QUARANTINED)
+                return services.respondWithProblem(exchange, context, Problem.PROMPT_QUARANTINED)
             }
             val dispatchAttempt =
                 DispatchAttempt(context, target, slot, writer, upstreamBody(body), estimate)
             if (dispatchAttempt.execute() == AttemptOutcome.RESPONDED) return
         }
-        respondWithProblem(exchange, context, Problem.NO_BACKEND_SERVER)
+        services.respondWithProblem(exchange, context, Problem.NO_BACKEND_SERVER)
     }
 
     private suspend fun isBlocked(request: SlotRequest, estimate: PromptEstimate): Boolean =
@@ -93,15 +91,6 @@
     private fun upstreamBody(body: ObjectNode): ByteArray =
         Json.render(body.deepCopy().put("stream", true))
 
-    private suspend fun respondWithProblem(
-        exchange: HttpExchange,
-        context: RequestContext,
-        problem: Problem,
-    ) {
-        services.metrics.recordProblem(context.route.tier, problem.code, problem.outcome.text)
-        exchange.respond(problem.response(context.requestId))
-    }
-
     private enum class AttemptOutcome {
         RESPONDED,
         NOT_RUN,
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/caller/RequestServices.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/caller/RequestServices.kt
@@ -3,6 +3,7 @@
 import io.lavenderhinge.core.rollout.RequestOutcome
 import io.lavenderhinge.core.rollout.TeamTarget
 import io.lavenderhinge.core.settings.RouteTable
+import io.lavenderhinge.http.HttpExchange
 import io.lavenderhinge.instance.ledger.Ledger
 import io.lavenderhinge.instance.metrics.RequestMetrics
 import io.lavenderhinge.instance.quarantine.PromptGuard
@@ -37,4 +38,14 @@
     val promptGuard: PromptGuard,
     val metrics: RequestMetrics,
     val nowMillis: () -> Long,
-)
+) {
+    /** Answers a validated request with [problem]. */
+    suspend fun respondWithProblem(
+        exchange: HttpExchange,
+        context: RequestContext,
+        problem: Problem,
+    ) {
+        metrics.recordProblem(context.route.tier, problem.code, problem.outcome.text)
+        exchange.respond(problem.response(context.requestId))
+    }
+}
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/caller/ServiceCall.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/caller/ServiceCall.kt
@@ -1,5 +1,6 @@
 package io.lavenderhinge.instance.caller
 
+import arrow.core.getOrElse
 import io.lavenderhinge.adapters.Json
 import io.lavenderhinge.adapters.RequestIdHeader
 import io.lavenderhinge.adapters.RequestLimitHeader
@@ -49,14 +50,9 @@
                 ?: return ServiceCallOutcome.NotSent(Problem.NO_ROUTE)
         repeat(MAX_DISPATCH_ATTEMPTS) { attempt ->
             val slot =
-                services.slots
-                    .acquire(slotRequest(version, attempt))
-                    .fold(
-                        {
-                            return ServiceCallOutcome.NotSent(Problem.of(it))
-                        },
-                        { it },
-                    )
+                services.slots.acquire(slotRequest(version, attempt)).getOrElse {
+                    return ServiceCallOutcome.NotSent(Problem.of(it))
+                }
             val outcome = send(slot)
             if (outcome != null) return outcome
         }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/caller/ServiceRequestHandler.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/caller/ServiceRequestHandler.kt
@@ -1,5 +1,6 @@
 package io.lavenderhinge.instance.caller
 
+import arrow.core.getOrElse
 import io.lavenderhinge.core.ledger.DispatchOutcome
 import io.lavenderhinge.core.ledger.IdempotencyKey
 import io.lavenderhinge.core.ledger.LedgerAnswer
@@ -37,20 +38,18 @@
         val call = ServiceCall(services, client, exchange.request, context)
         when (val outcome = call.dispatch()) {
             is ServiceCallOutcome.Answered -> respond(exchange, context, outcome.response)
-            is ServiceCallOutcome.NotSent -> respondWithProblem(exchange, context, outcome.problem)
-            is ServiceCallOutcome.Lost -> respondWithProblem(exchange, context, outcome.problem)
+            is ServiceCallOutcome.NotSent ->
+                services.respondWithProblem(exchange, context, outcome.problem)
+            is ServiceCallOutcome.Lost ->
+                services.respondWithProblem(exchange, context, outcome.problem)
         }
     }
 
     private suspend fun serveThroughLedger(exchange: HttpExchange, context: RequestContext) {
         val key =
-            parseKey(exchange.request, context)
-                .fold(
-                    {
-                        return respondWithProblem(exchange, context, it)
-                    },
-                    { it },
-                )
+            parseKey(exchange.request, context).getOrElse {
+                return services.respondWithProblem(exchange, context, it)
+            }
         val call = ServiceCall(services, client, exchange.request, context)
         val request =
             LedgerRequest(
@@ -106,12 +105,21 @@
                 )
             }
             is LedgerResult.NotRun ->
-                respondWithProblem(exchange, context, dispatchProblem ?: LedgerProblems.of(result))
+                services.respondWithProblem(
+                    exchange,
+                    context,
+                    dispatchProblem ?: LedgerProblems.of(result),
+                )
             is LedgerResult.Unknown ->
-                respondWithProblem(exchange, context, dispatchProblem ?: LedgerProblems.of(result))
+                services.respondWithProblem(
+                    exchange,
+                    context,
+                    dispatchProblem ?: LedgerProblems.of(result),
+                )
             LedgerResult.Mismatch ->
-                respondWithProblem(exchange, context, LedgerProblems.KEY_REUSED)
-            LedgerResult.TooOld -> respondWithProblem(exchange, context, LedgerProblems.KEY_EXPIRED)
+                services.respondWithProblem(exchange, context, LedgerProblems.KEY_REUSED)
+            LedgerResult.TooOld ->
+                services.respondWithProblem(exchange, context, LedgerProblems.KEY_EXPIRED)
         }
 
     private fun parseKey(request: HttpRequest, context: RequestContext) =
@@ -176,15 +184,6 @@
         )
     }
 
-    private suspend fun respondWithProblem(
-        exchange: HttpExchange,
-        context: RequestContext,
-        problem: Problem,
-    ) {
-        services.metrics.recordProblem(context.route.tier, problem.code, problem.outcome.text)
-        exchange.respond(problem.response(context.requestId))
-    }
-
     private companion object {
         const val HASH_LENGTH = 32
         val READ_ONLY_METHODS = setOf("GET", "HEAD")
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/dispatch/EngineStreamClient.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/dispatch/EngineStreamClient.kt
@@ -89,18 +89,12 @@
     ): StreamOutcome {
         val headers = DefaultHttpHeaders()
         headers.set("Content-Type", "application/json")
-        headers.set(RequestIdHeader.NAME, attemptId)
         headers.set("X-Model-Version", version)
         val request = HttpRequest("POST", "/v1/chat/completions", "", headers, body)
         val progress = StreamProgress(observation, consumer)
         val response =
             try {
-                client.send(
-                    address,
-                    request,
-                    timeouts,
-                    matcher = RequestIdHeader.matcher(attemptId),
-                )
+                send(address, request, attemptId)
             } catch (e: HttpCallException.NotSent) {
                 return StreamOutcome.NotSent(e.message.orEmpty())
             } catch (e: HttpCallException.OutcomeUnknown) {
@@ -115,6 +109,17 @@
         }
     }
 
+    private suspend fun send(
+        address: InetSocketAddress,
+        request: HttpRequest,
+        attemptId: String,
+        reuseConnection: Boolean = true,
+    ): ClientResponse {
+        request.headers.set(RequestIdHeader.NAME, attemptId)
+        val matcher = RequestIdHeader.matcher(attemptId)
+        return client.send(address, request, timeouts, reuseConnection, matcher)
+    }
+
     private suspend fun resume(
         address: InetSocketAddress,
         attemptId: String,
@@ -141,18 +146,11 @@
         progress: StreamProgress,
     ): String? {
         val path = "/v1/streams/$attemptId"
-        val headers = DefaultHttpHeaders().set(RequestIdHeader.NAME, attemptId)
         val query = "from=${progress.nextEventIndex}"
-        val request = HttpRequest("GET", path, query, headers, ByteArray(0))
+        val request = HttpRequest("GET", path, query, DefaultHttpHeaders(), ByteArray(0))
         val response =
             try {
-                client.send(
-                    address,
-                    request,
-                    timeouts,
-                    reuseConnection = false,
-                    matcher = RequestIdHeader.matcher(attemptId),
-                )
+                send(address, request, attemptId, reuseConnection = false)
             } catch (e: HttpCallException) {
                 return e.message.orEmpty()
             }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/rollout/EffectExecutor.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/rollout/EffectExecutor.kt
@@ -1,6 +1,7 @@
 package io.lavenderhinge.instance.rollout
 
 import arrow.core.Either
+import arrow.core.getOrElse
 import io.lavenderhinge.core.port.EngineAction
 import io.lavenderhinge.core.port.EngineFault
 import io.lavenderhinge.core.port.EngineOrder
@@ -86,14 +87,9 @@
     ): ControllerEvent? {
         val key = effect.plan.statusKey
         val current =
-            ports.store
-                .get(key)
-                .fold(
-                    {
-                        return null
-                    },
-                    { it },
-                )
+            ports.store.get(key).getOrElse {
+                return null
+            }
         if (current?.value == effect.statement) return null
         ports.store.compareAndSwap(key, current?.version ?: 0, effect.statement).onLeft {
             log.warn("rollout: {} was not written: {}", key, it.message)
