--- a/e2e/src/test/kotlin/io/lavenderhinge/e2e/GatewayProcessTest.kt
+++ b/e2e/src/test/kotlin/io/lavenderhinge/e2e/GatewayProcessTest.kt
@@ -5,10 +5,10 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import io.lavenderhinge.adapters.Json
+import io.lavenderhinge.e2e.fleet.GatewayPorts
 import io.lavenderhinge.e2e.fleet.TestHttpClient
 import io.lavenderhinge.e2e.fleet.TestProcess
 import io.lavenderhinge.e2e.fleet.awaitCondition
-import io.lavenderhinge.e2e.fleet.freePort
 import io.lavenderhinge.http.HttpCallException
 import io.lavenderhinge.http.HttpExchange
 import io.lavenderhinge.http.HttpField
@@ -40,15 +40,13 @@
         startStandin("127.0.0.1:0", HttpHandler { respond(it, status = 200) })
     private val failingServer =
         startStandin("127.0.0.1:0", HttpHandler { respond(it, status = 500) })
-    private val callerPort = freePort()
-    private val readyPort = freePort()
-    private val operatorPort = freePort()
-    private val callerClient = TestHttpClient(loopback(callerPort))
+    private val ports = GatewayPorts()
+    private val callerClient = TestHttpClient(loopback(ports.caller))
     private val settingsFile = directory.resolve("gateway.ini").createFile()
     val process: TestProcess
 
     init {
-        settingsFile.writeText(renderSettings("8s"))
+        writeSettings("8s")
         process =
             TestProcess(
                 "gateway",
@@ -59,25 +57,8 @@
             )
     }
 
-    fun renderSettings(gracePeriod: String) =
-        """
-        [instance]
-        id = g1
-        failure-domain = d
-        region = r
-        [listen]
-        caller = 127.0.0.1:$callerPort
-        ready = 127.0.0.1:$readyPort
-        peer = 127.0.0.1:${freePort()}
-        operator = 127.0.0.1:$operatorPort
-        [platform]
-        store = 127.0.0.1:${storeServer.port}
-        [bounds]
-        grace-period = $gracePeriod
-        """
-            .trimIndent()
-
-    fun writeSettings(gracePeriod: String) = settingsFile.writeText(renderSettings(gracePeriod))
+    fun writeSettings(gracePeriod: String) =
+        settingsFile.writeText(ports.renderSettings("g1", storeServer.port, gracePeriod))
 
     fun publishConfiguration() {
         store.put(
@@ -119,7 +100,7 @@
         }
 
     suspend fun answersReadinessChecks(): Boolean =
-        statusOrNull(TestHttpClient(loopback(readyPort)), "/readiness") != null
+        statusOrNull(TestHttpClient(loopback(ports.ready)), "/readiness") != null
 
     fun acceptsClients(): Boolean =
         try {
@@ -130,10 +111,10 @@
         }
 
     suspend fun isReady(): Boolean =
-        statusOrNull(TestHttpClient(loopback(readyPort)), "/readiness") == 200
+        statusOrNull(TestHttpClient(loopback(ports.ready)), "/readiness") == 200
 
     suspend fun metrics(): String =
-        String(TestHttpClient(loopback(operatorPort)).call("GET", "/metrics").body)
+        String(TestHttpClient(loopback(ports.operator)).call("GET", "/metrics").body)
 
     suspend fun sendLookup(path: String = "/look/1"): Int =
         callerClient
