Name how responses are attributed, and break off heads in the test of repeated answers

ResponseAttribution says IDENTIFIED, BY_POSITION or OTHER_REQUEST in place of owners; the statement that a request was not executed is read in one place (ServerRefusal). RepeatedAnswerTest draws copies whose heads break off, and its time limit follows the number of seeds.

--- a/e2e/src/test/kotlin/io/lavenderhinge/e2e/GatewayProcessTest.kt
+++ b/e2e/src/test/kotlin/io/lavenderhinge/e2e/GatewayProcessTest.kt
@@ -51,7 +51,7 @@
             TestProcess(
                 "gateway",
                 "io.lavenderhinge.instance.MainKt",
-                listOf("--platform", "--listen", "127.0.0.1:$callerPort") +
+                listOf("--platform", "--listen", "127.0.0.1:${ports.caller}") +
                     listOf("--config", settingsFile.toString()),
                 directory.resolve("gateway.log"),
             )
@@ -104,7 +104,7 @@
 
     fun acceptsClients(): Boolean =
         try {
-            Socket().use { it.connect(loopback(callerPort)) }
+            Socket().use { it.connect(loopback(ports.caller)) }
             true
         } catch (_: ConnectException) {
             false
--- a/e2e/src/test/kotlin/io/lavenderhinge/e2e/RepeatedAnswerTest.kt
+++ b/e2e/src/test/kotlin/io/lavenderhinge/e2e/RepeatedAnswerTest.kt
@@ -18,12 +18,16 @@
 
 private const val MAX_PRINTED_FINDINGS = 5
 
+private const val MAX_SEED_MILLIS = 120_000L
+
 /**
  * Runs gateway processes before servers that answer twice, the second time late. For a long run,
  * raise the system properties `repeats.seeds` and `repeats.requestsPerCaller`.
  */
 class RepeatedAnswerTest :
     FunSpec({
+        timeout = seedCount * MAX_SEED_MILLIS
+
         // Guards against an answer that is passed on to another request, and against a record that
         // runs twice or runs although it was refused.
         context(
--- a/e2e/src/test/kotlin/io/lavenderhinge/e2e/repeating/AnswerPlanner.kt
+++ b/e2e/src/test/kotlin/io/lavenderhinge/e2e/repeating/AnswerPlanner.kt
@@ -3,11 +3,8 @@
 import kotlin.random.Random
 import kotlinx.collections.immutable.toImmutableList
 
-/**
- * Draws the plan of each answer from [seed], the request and the server that answers it. The head
- * of [brokenHeadShare] of the copies breaks off.
- */
-internal class AnswerPlanner(private val seed: Long, private val brokenHeadShare: Double) {
+/** Draws the plan of each answer from [seed], the request and the server that answers it. */
+internal class AnswerPlanner(private val seed: Long) {
     fun plan(requestId: String, serverId: String): AnswerPlan {
         val random = Random(seed * SEED_FACTOR + "$requestId/$serverId".hashCode())
         return AnswerPlan(
@@ -57,7 +54,7 @@
         return when {
             point < BREAK_SHARE -> CopyExtent.BODY_BREAKS_OFF
             point < 2 * BREAK_SHARE -> CopyExtent.BODY_BREAKS_OFF_AND_CLOSES
-            point < 2 * BREAK_SHARE + brokenHeadShare -> CopyExtent.HEAD_BREAKS_OFF
+            point < 3 * BREAK_SHARE -> CopyExtent.HEAD_BREAKS_OFF
             else -> CopyExtent.WHOLE
         }
     }
--- a/e2e/src/test/kotlin/io/lavenderhinge/e2e/repeating/RepeatingFleet.kt
+++ b/e2e/src/test/kotlin/io/lavenderhinge/e2e/repeating/RepeatingFleet.kt
@@ -16,13 +16,9 @@
 internal const val STREAM_PREFIX = "/tail/"
 
 /** Gateway processes before servers that repeat their answers, and the callers of a run. */
-internal class RepeatingFleet(
-    private val seed: Long,
-    directory: Path,
-    brokenHeadShare: Double = 0.0,
-) : AutoCloseable {
+internal class RepeatingFleet(private val seed: Long, directory: Path) : AutoCloseable {
     val log = ServerLog()
-    private val planner = AnswerPlanner(seed, brokenHeadShare)
+    private val planner = AnswerPlanner(seed)
     private val servers = List(SERVER_COUNT) { RepeatingServer("i-${it + 1}", planner, log) }
     private val gateways = GatewayFleet(GATEWAY_COUNT, directory)
 
--- a/http/src/main/kotlin/io/lavenderhinge/http/ClientConnection.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/ClientConnection.kt
@@ -156,13 +156,13 @@
 
     private fun isOwnResponse(response: NettyResponse): Boolean {
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) return false
-        val owner = matcher.ownerOf(headOf(response))
+        val attribution = matcher.attribute(headOf(response))
         hasCarriedResponse = true
-        // A server that has sent a response of another request may do so again.
-        if (owner != ResponseOwner.PRESENT_REQUEST || !HttpUtil.isKeepAlive(response)) {
-            reusable = false
-        }
-        return owner != ResponseOwner.OTHER_REQUEST
+        // After a response of another request, more of them may follow.
+        val allowsReuse =
+            attribution == ResponseAttribution.IDENTIFIED && HttpUtil.isKeepAlive(response)
+        if (!allowsReuse) reusable = false
+        return attribution != ResponseAttribution.OTHER_REQUEST
     }
 
     private fun rejectResponse() {
--- a/http/src/main/kotlin/io/lavenderhinge/http/ResponseMatcher.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/ResponseMatcher.kt
@@ -10,23 +10,23 @@
     val isFirstOnConnection: Boolean,
 )
 
-/** To which request of its connection a response belongs. */
-enum class ResponseOwner {
-    /** The request in progress. A late copy of the response would be recognized. */
-    PRESENT_REQUEST,
+/** How a response is attributed to a request of its connection. */
+enum class ResponseAttribution {
+    /** The response identifies the request in progress, so a late copy of it is recognized. */
+    IDENTIFIED,
     /**
-     * The request in progress. The connection is closed after the response, because a late copy of
-     * it could not be told from the response to the next request.
+     * The response is taken for that of the request in progress because no other one can be meant.
+     * The connection is closed after it: a late copy could not be told from the next response.
      */
-    PRESENT_REQUEST_ONLY,
-    /** An earlier request, or none. The response is skipped. */
+    BY_POSITION,
+    /** The response belongs to an earlier request, or to none. It is skipped. */
     OTHER_REQUEST,
 }
 
 /** Tells by its head to which request a response belongs. */
 fun interface ResponseMatcher {
-    /** Returns the owner of the response with [head]. Called once for each final response. */
-    fun ownerOf(head: ResponseHead): ResponseOwner
+    /** Attributes the response with [head]. Called once for each final response. */
+    fun attribute(head: ResponseHead): ResponseAttribution
 }
 
 /**
@@ -37,14 +37,14 @@
  * id belong to it only if the connection has carried no response before.
  */
 class RepeatedIdMatcher(private val fieldName: String, private val id: String) : ResponseMatcher {
-    override fun ownerOf(head: ResponseHead): ResponseOwner {
+    override fun attribute(head: ResponseHead): ResponseAttribution {
         val statedId = head.headers.get(fieldName)
         return when {
-            statedId != null && statedId != id -> ResponseOwner.OTHER_REQUEST
-            head.status >= HttpStatus.BAD_REQUEST -> ResponseOwner.PRESENT_REQUEST_ONLY
-            statedId != null -> ResponseOwner.PRESENT_REQUEST
-            head.isFirstOnConnection -> ResponseOwner.PRESENT_REQUEST_ONLY
-            else -> ResponseOwner.OTHER_REQUEST
+            statedId != null && statedId != id -> ResponseAttribution.OTHER_REQUEST
+            head.status >= HttpStatus.BAD_REQUEST -> ResponseAttribution.BY_POSITION
+            statedId != null -> ResponseAttribution.IDENTIFIED
+            head.isFirstOnConnection -> ResponseAttribution.BY_POSITION
+            else -> ResponseAttribution.OTHER_REQUEST
         }
     }
 }
@@ -53,7 +53,7 @@
  * Takes each response for the one to the request in progress, and closes its connection. On a new
  * connection, no response of another request can be mistaken for it.
  */
-val onlyResponse = ResponseMatcher { ResponseOwner.PRESENT_REQUEST_ONLY }
+val onlyResponse = ResponseMatcher { ResponseAttribution.BY_POSITION }
 
 /** Takes each response for the one to the request in progress. */
-internal val responsesInOrder = ResponseMatcher { ResponseOwner.PRESENT_REQUEST }
+internal val responsesInOrder = ResponseMatcher { ResponseAttribution.IDENTIFIED }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestIdMatcher.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestIdMatcher.kt
@@ -1,40 +1,38 @@
 package io.lavenderhinge.instance.gateway
 
-import io.lavenderhinge.http.HttpStatus
+import io.lavenderhinge.http.ResponseAttribution
 import io.lavenderhinge.http.ResponseHead
 import io.lavenderhinge.http.ResponseMatcher
-import io.lavenderhinge.http.ResponseOwner
 import io.lavenderhinge.platform.PlatformHeaders
+import io.lavenderhinge.platform.ServerRefusal
 
 /**
  * Recognizes the response to a request by the request id that servers repeat.
  *
- * Refusals may bear no id, and neither may the late copy of any response. A refusal without an id
- * can only belong to the present request, because a connection is closed after each refusal. Other
- * responses without an id belong to it only if the connection has carried no response before.
+ * Refusals may lack an id, and so may late copies. Since the client closes a connection after each
+ * refusal, a refusal without an id can only belong to the present request. Other responses without
+ * an id belong to it only if the connection has carried no response before.
  */
 internal class RequestIdMatcher(
     private val requestId: String?,
     private val observation: ResponseObservation,
 ) : ResponseMatcher {
-    override fun ownerOf(head: ResponseHead): ResponseOwner {
-        val owner = decideOwner(head)
-        if (owner == ResponseOwner.OTHER_REQUEST) observation.onSkipped(head)
+    override fun attribute(head: ResponseHead): ResponseAttribution {
+        val attribution = decide(head)
+        if (attribution == ResponseAttribution.OTHER_REQUEST) observation.onSkipped(head)
         else observation.onAccepted(head, head.headers.contains(PlatformHeaders.REQUEST_ID))
-        return owner
+        return attribution
     }
 
-    private fun decideOwner(head: ResponseHead): ResponseOwner {
+    private fun decide(head: ResponseHead): ResponseAttribution {
         // A request without an id is sent on a new connection.
-        if (requestId.isNullOrEmpty()) return ResponseOwner.PRESENT_REQUEST_ONLY
+        if (requestId.isNullOrEmpty()) return ResponseAttribution.BY_POSITION
         val statedId = head.headers.get(PlatformHeaders.REQUEST_ID)
-        if (statedId != null && statedId != requestId) return ResponseOwner.OTHER_REQUEST
-        if (isRefusal(head)) return ResponseOwner.PRESENT_REQUEST_ONLY
-        if (statedId != null) return ResponseOwner.PRESENT_REQUEST
-        return if (head.isFirstOnConnection) ResponseOwner.PRESENT_REQUEST_ONLY
-        else ResponseOwner.OTHER_REQUEST
+        if (statedId != null && statedId != requestId) return ResponseAttribution.OTHER_REQUEST
+        if (ServerRefusal.isStatedBy(head.status, head.headers))
+            return ResponseAttribution.BY_POSITION
+        if (statedId != null) return ResponseAttribution.IDENTIFIED
+        return if (head.isFirstOnConnection) ResponseAttribution.BY_POSITION
+        else ResponseAttribution.OTHER_REQUEST
     }
-
-    private fun isRefusal(head: ResponseHead) =
-        head.status == HttpStatus.MISDIRECTED || head.headers.contains(PlatformHeaders.NOT_EXECUTED)
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
@@ -16,6 +16,7 @@
 import io.lavenderhinge.http.HttpStatus
 import io.lavenderhinge.http.LossReason
 import io.lavenderhinge.platform.PlatformHeaders
+import io.lavenderhinge.platform.ServerRefusal
 import io.lavenderhinge.platform.ServerStatementDecoder
 import io.netty.handler.codec.http.HttpHeaderNames
 import java.net.InetSocketAddress
@@ -152,7 +153,7 @@
     private suspend fun readResponse(response: ClientResponse, relay: StreamRelay?): AttemptResult {
         val isSigned = response.headers.contains(PlatformHeaders.SIGNATURE)
         recordStatement(response, isSigned)
-        if (response.headers.contains(PlatformHeaders.NOT_EXECUTED) || isMisdirected(response)) {
+        if (ServerRefusal.isStatedBy(response.status, response.headers)) {
             return readNotExecuted(response)
         }
         val isSuccess = response.status in SUCCESS_STATUSES
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/RequestIdMatcherTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/RequestIdMatcherTest.kt
@@ -3,11 +3,11 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.datatest.withData
 import io.kotest.matchers.shouldBe
+import io.lavenderhinge.http.ResponseAttribution
+import io.lavenderhinge.http.ResponseAttribution.BY_POSITION
+import io.lavenderhinge.http.ResponseAttribution.IDENTIFIED
+import io.lavenderhinge.http.ResponseAttribution.OTHER_REQUEST
 import io.lavenderhinge.http.ResponseHead
-import io.lavenderhinge.http.ResponseOwner
-import io.lavenderhinge.http.ResponseOwner.OTHER_REQUEST
-import io.lavenderhinge.http.ResponseOwner.PRESENT_REQUEST
-import io.lavenderhinge.http.ResponseOwner.PRESENT_REQUEST_ONLY
 import io.netty.handler.codec.http.DefaultHttpHeaders
 
 private const val REQUEST_ID_FIELD = "X-Lavenderhinge-Request-Id"
@@ -18,37 +18,37 @@
     FunSpec({
         data class Case(
             val name: String,
-            val owner: ResponseOwner,
+            val expected: ResponseAttribution,
             val statedId: String? = null,
             val status: Int = 200,
             val isRefusal: Boolean = false,
             val isFirst: Boolean = false,
         )
 
-        context("given a response, then its owner is known") {
+        context("given a response, then it is attributed") {
             withData(
                 nameFn = { it.name },
-                Case("own id", PRESENT_REQUEST, statedId = "own"),
-                Case("own id, first", PRESENT_REQUEST, statedId = "own", isFirst = true),
+                Case("own id", IDENTIFIED, statedId = "own"),
+                Case("own id, first", IDENTIFIED, statedId = "own", isFirst = true),
                 Case("other id", OTHER_REQUEST, statedId = "other"),
                 Case("other id, first", OTHER_REQUEST, statedId = "other", isFirst = true),
                 Case("no id", OTHER_REQUEST),
                 Case("no id, failure", OTHER_REQUEST, status = 500),
-                Case("no id, first", PRESENT_REQUEST_ONLY, isFirst = true),
-                Case("refusal", PRESENT_REQUEST_ONLY, status = 503, isRefusal = true),
-                Case("refusal, own id", PRESENT_REQUEST_ONLY, "own", 503, isRefusal = true),
+                Case("no id, first", BY_POSITION, isFirst = true),
+                Case("refusal", BY_POSITION, status = 503, isRefusal = true),
+                Case("refusal, own id", BY_POSITION, "own", 503, isRefusal = true),
                 Case("refusal, other id", OTHER_REQUEST, "other", 503, isRefusal = true),
-                Case("another server", PRESENT_REQUEST_ONLY, status = 421),
+                Case("another server", BY_POSITION, status = 421),
             ) { case ->
                 val headers = DefaultHttpHeaders()
                 case.statedId?.let { headers.set(REQUEST_ID_FIELD, it) }
                 if (case.isRefusal) headers.set(NOT_EXECUTED_FIELD, "1")
 
-                val owner =
+                val attribution =
                     RequestIdMatcher("own", ResponseObservation())
-                        .ownerOf(ResponseHead(case.status, headers, case.isFirst))
+                        .attribute(ResponseHead(case.status, headers, case.isFirst))
 
-                owner shouldBe case.owner
+                attribution shouldBe case.expected
             }
         }
     })
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/RequestLogTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/RequestLogTest.kt
@@ -85,7 +85,7 @@
     })
 
 /** Returns the lines that the request log writes from now on. */
-private fun recordRequestLog(): ListAppender<ILoggingEvent> {
+internal fun recordRequestLog(): ListAppender<ILoggingEvent> {
     val lines = ListAppender<ILoggingEvent>().apply { start() }
     (LoggerFactory.getLogger(RequestLog::class.java) as Logger).addAppender(lines)
     return lines
