--- a/http/src/main/kotlin/io/lavenderhinge/http/ClientConnection.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/ClientConnection.kt
@@ -56,6 +56,7 @@
     suspend fun send(request: HttpRequest, address: InetSocketAddress, matcher: ResponseMatcher) {
         events = Channel(Channel.UNLIMITED)
         this.matcher = matcher
+        skippedCount = 0
         val message =
             DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/StrayBytesTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/StrayBytesTest.kt
@@ -118,6 +118,23 @@
             statuses shouldBe List(6) { 200 }
         }
 
+        // Guards against a limit on skipped responses that counts over all requests of a
+        // connection.
+        test("given an interim response before each response, then the connection is kept") {
+            val server = ScriptedBackendServer {
+                Send("HTTP/1.1 103 Early Hints\r\n\r\n" + rawResponse(it, "200 OK", "ok"))
+            }
+
+            val statuses =
+                GatewayHarness(server).use { gateway ->
+                    List(40) { gateway.call("/book/$it", body = "b", id = "r$it").status }
+                }
+
+            server.close()
+            statuses shouldBe List(40) { 200 }
+            server.connectionCount shouldBe 1
+        }
+
         // Guards against memory, time and log lines that grow with what a faulty server sends.
         context("given responses without end that belong to no request, then the request ends") {
             withData(
