--- a/e2e/src/test/kotlin/io/lavenderhinge/e2e/repeating/AnswerBytes.kt
+++ b/e2e/src/test/kotlin/io/lavenderhinge/e2e/repeating/AnswerBytes.kt
@@ -10,12 +10,12 @@
         get() = bodyPieces.fold(ByteArray(0), ByteArray::plus)
 }
 
-/** Renders [answer] for the wire; [bearsId] tells whether it names its request. */
-internal fun renderAnswer(answer: ServedAnswer, plan: AnswerPlan, bearsId: Boolean): AnswerBytes {
+/** Renders [answer] for the wire; [hasId] tells whether it names its request. */
+internal fun renderAnswer(answer: ServedAnswer, plan: AnswerPlan, hasId: Boolean): AnswerBytes {
     val isStream = answer.events.isNotEmpty()
     val fields = buildList {
         add(if (isStream) "Content-Type: text/event-stream" else "Content-Type: text/plain")
-        if (bearsId) add("X-Lavenderhinge-Request-Id: ${answer.requestId}")
+        if (hasId) add("X-Lavenderhinge-Request-Id: ${answer.requestId}")
         answer.signature?.let { add("X-Lavenderhinge-Server-Signature: $it") }
         if (!answer.hasRun) add("X-Lavenderhinge-Not-Executed: 1")
         when (plan.framing) {
--- a/e2e/src/test/kotlin/io/lavenderhinge/e2e/repeating/AnswerPlan.kt
+++ b/e2e/src/test/kotlin/io/lavenderhinge/e2e/repeating/AnswerPlan.kt
@@ -9,7 +9,7 @@
     FAILURE,
     /** A 503 with the statement that the request has not run. */
     REFUSAL,
-    /** A [REFUSAL] whose original bears no request id. */
+    /** A [REFUSAL] whose original has no request id. */
     REFUSAL_WITHOUT_ID,
 }
 
@@ -47,7 +47,7 @@
 
 /** How a server repeats an answer. */
 internal data class CopyPlan(
-    val bearsId: Boolean,
+    val hasId: Boolean,
     val timing: CopyTiming,
     val extent: CopyExtent,
     /** The share of the head that is sent if the head breaks off. */
@@ -60,7 +60,7 @@
 ) {
     /** Names the kind of copy in reports. */
     fun describe(outcome: AnswerOutcome): String {
-        val id = if (bearsId) "with id" else "without id"
+        val id = if (hasId) "with id" else "without id"
         return "$outcome $id ${timing::class.simpleName} $extent"
     }
 }
--- a/e2e/src/test/kotlin/io/lavenderhinge/e2e/repeating/AnswerPlanner.kt
+++ b/e2e/src/test/kotlin/io/lavenderhinge/e2e/repeating/AnswerPlanner.kt
@@ -32,7 +32,7 @@
 
     private fun copy(random: Random) =
         CopyPlan(
-            bearsId = random.nextBoolean(),
+            hasId = random.nextBoolean(),
             timing = timing(random),
             extent = extent(random),
             headShare = random.nextDouble(),
--- a/e2e/src/test/kotlin/io/lavenderhinge/e2e/repeating/RepeatingConnection.kt
+++ b/e2e/src/test/kotlin/io/lavenderhinge/e2e/repeating/RepeatingConnection.kt
@@ -75,8 +75,8 @@
     }
 
     private fun sendOriginal(answer: ServedAnswer, plan: AnswerPlan) {
-        val bearsId = plan.outcome != AnswerOutcome.REFUSAL_WITHOUT_ID
-        val bytes = renderAnswer(answer, plan, bearsId)
+        val hasId = plan.outcome != AnswerOutcome.REFUSAL_WITHOUT_ID
+        val bytes = renderAnswer(answer, plan, hasId)
         send(bytes.head)
         bytes.bodyPieces.forEach {
             pause(plan.bodyPauseMillis)
@@ -86,7 +86,7 @@
 
     private fun prepareCopies(answer: ServedAnswer, plan: AnswerPlan) {
         plan.copies.forEach { copyPlan ->
-            val bytes = renderAnswer(answer, plan, copyPlan.bearsId)
+            val bytes = renderAnswer(answer, plan, copyPlan.hasId)
             repeat(copyPlan.count) {
                 prepare(PendingCopy(copyPlan, copyPlan.describe(plan.outcome), bytes))
             }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestTrace.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestTrace.kt
@@ -23,7 +23,7 @@
     var skippedResponseCount = 0
         private set
 
-    /** Number of responses that were accepted although they bear no request id. */
+    /** Number of responses that were accepted although they have no request id. */
     var unidentifiedResponseCount = 0
         private set
 
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ResponseObservation.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ResponseObservation.kt
@@ -11,7 +11,7 @@
     val skippedCount: Int
         get() = skippedStatuses.size
 
-    /** True if the accepted response does not bear the request's id. */
+    /** True if the accepted response does not have the request's id. */
     val isUnidentified: Boolean
         get() = unidentified != null
 
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/dispatch/OwnServerResponses.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/dispatch/OwnServerResponses.kt
@@ -12,6 +12,6 @@
     return "HTTP/1.1 $status\r\n${idField}Content-Length: ${body.length}\r\n\r\n$body"
 }
 
-/** Returns the id of [request], or null if it bears none. */
+/** Returns the id of [request], or null if it has none. */
 internal fun requestIdOf(request: String): String? =
     Regex("(?i)X-Request-Id: (\\S+)").find(request)?.groupValues?.get(1)
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/SecondCopyTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/SecondCopyTest.kt
@@ -96,7 +96,7 @@
 
         // Guards against a record that runs although its caller or another server was told it
         // had not.
-        test("given a refusal with its id whose copy bears none, then each record runs once") {
+        test("given a refusal with its id whose copy has none, then each record runs once") {
             val runs = ConcurrentHashMap<String, Int>()
             val servers =
                 List(2) {
