Skip the workspaces when no peer is new, and state the tested bound of a quota once

QuotaLimiter.tick went through all workspaces a second time at each tick, five times a second, though peers are rarely new.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QuotaLimiter.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QuotaLimiter.kt
@@ -81,6 +81,7 @@
             )
         }
         val added = peers.update(members, nowMillis)
+        if (added.isEmpty()) return
         workspaces.forEach { workspace ->
             val quota = workspace.quota ?: return@forEach
             val burstShare = quota.burst * peers.equalShare
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ForwardingFixture.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ForwardingFixture.kt
@@ -104,3 +104,7 @@
     )
 
 internal val noTolerance = QuotaTolerance(windowMillis = 8_000, overageFraction = 0.0, slack = 0.0)
+
+/** The cost of [quota] that all instances together may admit in a window. */
+internal fun QuotaTolerance.allowedCost(quota: WorkspaceQuota): Double =
+    (quota.ratePerSecond * windowMillis / 1_000 + quota.burst) * (1 + overageFraction) + slack
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/QuotaRestartTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/QuotaRestartTest.kt
@@ -15,9 +15,7 @@
         val tolerance = QuotaTolerance(WINDOW_MILLIS, overageFraction = 0.1, slack = 190_000.0)
         val quota = tokenQuota(ratePerSecond = 60_000.0, burst = 60_000.0)
         val workspace = workspace("w", quota = quota)
-        val allowed =
-            (quota.ratePerSecond * WINDOW_MILLIS / 1_000 + quota.burst) *
-                (1 + tolerance.overageFraction) + tolerance.slack
+        val allowed = tolerance.allowedCost(quota)
 
         /**
          * Total cost that the fleet admits in the window after a common restart. [backlog] requests
