Ask a peer for the server list as soon as the store fails a watcher

Cause: a watcher that the store turned away took its peers' list only when the store's last answer had become stale (4.2 s with a drain time of 3 s; 3.05 s with 2 s), and told its followers for as long that it was a sound source. The knowledge was there earlier in two forms: its calls failed, and its peers reported newer revisions.

StoreContact now decides whether the store delivers changes: it is lost after two failed calls in a row, after peers have been ahead for longer than a working watch takes, or when its last answer is stale. It is no longer lost with its next answer. A watcher compares its peers' revisions with the one up to which it has read, not with that of the last change of its list, so that batching the same change differently is no lag. Times come from the monotonic clock, which does not jump.

--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
@@ -8,6 +8,7 @@
 import io.lavenderhinge.core.forwarding.RequestAdmission
 import io.lavenderhinge.core.forwarding.ServerEntry
 import io.lavenderhinge.core.forwarding.ServiceRetryBudget
+import io.lavenderhinge.core.forwarding.StoreContact
 import io.lavenderhinge.core.forwarding.WatchPacing
 import io.lavenderhinge.core.settings.Address
 import io.lavenderhinge.core.settings.GatewaySettings
@@ -53,7 +54,8 @@
             loop,
             drainMillis = settings.bounds.propagation.drainMillis,
         )
-    private val servers = ServerRegistry(control, watchPacing.staleAfterMillis, ::publish)
+    private val servers =
+        ServerRegistry(control, StoreContact(watchPacing.staleAfterMillis), publish = ::publish)
     private val watcherRole = WatcherRole(identity.id)
     private val loadReports =
         LoadReportExchange(
@@ -66,7 +68,7 @@
             KnownVersions(
                 configuration = configuration::version,
                 servers = { servers.revision },
-                isWatchingServers = { watcherRole.isWatchingAll.value && !servers.isStale },
+                isWatchingServers = { watcherRole.isWatchingAll.value && !servers.isStoreLost },
             ),
         )
     private val links =
@@ -74,7 +76,13 @@
             loadReports.address(it)?.let(::socketAddress)
         }
     private val stateSync =
-        PeerStateSync(links, control, configuration, servers, watcherRole::sources)
+        PeerStateSync(
+            links,
+            configuration,
+            servers,
+            watchPacing.pauseMillis,
+            serverSources = watcherRole::sources,
+        )
     private val members =
         MemberRegistry(
             identity.id,
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/GatewayStatus.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/GatewayStatus.kt
@@ -35,7 +35,7 @@
                 mapOf(
                     "revision" to servers.revision,
                     "watched" to !servers.isFollowingPeers,
-                    "stale" to (servers.isStale && !servers.isFollowingPeers),
+                    "stale" to (servers.isStoreLost && !servers.isFollowingPeers),
                     "known" to servers.ids,
                 ),
             "peers" to peerIds().toList(),
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/PeerStateSync.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/PeerStateSync.kt
@@ -3,7 +3,6 @@
 import io.lavenderhinge.core.forwarding.ListSources
 import io.lavenderhinge.core.forwarding.StateLag
 import io.lavenderhinge.core.port.VersionedValue
-import io.lavenderhinge.instance.control.ControlThread
 import io.lavenderhinge.instance.peer.PeerLinks
 import io.lavenderhinge.protocol.v1.Frame
 import io.lavenderhinge.protocol.v1.LoadReport
@@ -18,9 +17,11 @@
  */
 internal class PeerStateSync(
     private val links: PeerLinks,
-    private val control: ControlThread,
     private val configuration: ConfigurationHolder,
     private val servers: ServerRegistry,
+    /** Time between two calls of a watch, by which it delivers changes late. */
+    private val watchPauseMillis: Long,
+    private val nowMillis: () -> Long = ::monotonicMillis,
     /** The peers from which this instance gets the server list if it does not watch it. */
     private val serverSources: () -> ListSources = { ListSources() },
 ) {
@@ -38,14 +39,14 @@
     /** Returns true if [report] concerns this object; can be called from any thread. */
     fun isConcernedBy(report: LoadReport): Boolean =
         report.configurationVersion > configuration.version ||
-            report.serverRevision > servers.revision
+            report.serverRevision > servers.readRevision
 
     /**
      * Requests newer state from the sender of [report] if this instance has been behind for
      * [STORE_GRACE_MILLIS]. Until then the store is expected to deliver the change.
      */
     fun onReport(report: LoadReport) {
-        val nowMillis = control.nowMillis()
+        val nowMillis = nowMillis()
         val needsConfiguration = needsConfigurationOf(report, nowMillis)
         val needsServers = needsServersOf(report, nowMillis)
         if (!isStarted || !(needsConfiguration || needsServers)) return
@@ -54,7 +55,7 @@
         val request =
             StateRequest.newBuilder()
                 .setConfigurationVersion(configuration.version)
-                .setServerRevision(if (needsServers) servers.revision else Long.MAX_VALUE)
+                .setServerRevision(if (needsServers) servers.readRevision else Long.MAX_VALUE)
         links.send(report.instanceId, Frame.newBuilder().setStateRequest(request).build())
     }
 
@@ -66,12 +67,12 @@
 
     private fun needsServersOf(report: LoadReport, nowMillis: Long): Boolean {
         val reported = report.serverRevision
-        val lagMillis = serverLag.onReported(reported, servers.revision, nowMillis)
-        if (reported <= servers.revision) return false
-        if (servers.isFollowingPeers) {
-            return serverSources().allowsCopyFrom(report.instanceId, lagMillis)
-        }
-        return servers.isStale && lagMillis >= STORE_GRACE_MILLIS
+        val lagMillis = serverLag.onReported(reported, servers.readRevision, nowMillis)
+        if (reported <= servers.readRevision) return false
+        val isFromSource = serverSources().allowsCopyFrom(report.instanceId, lagMillis)
+        if (servers.isFollowingPeers) return isFromSource
+        if (lagMillis >= watchPauseMillis + STORE_GRACE_MILLIS) servers.onOvertaken()
+        return servers.isStoreLost && (isFromSource || lagMillis >= STORE_GRACE_MILLIS)
     }
 
     private fun receive(from: String, frame: Frame) {
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ServerRegistry.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ServerRegistry.kt
@@ -2,6 +2,7 @@
 
 import io.lavenderhinge.core.forwarding.ServerDirectory
 import io.lavenderhinge.core.forwarding.ServerEntry
+import io.lavenderhinge.core.forwarding.StoreContact
 import io.lavenderhinge.core.port.Snapshot
 import io.lavenderhinge.core.port.StoreFault
 import io.lavenderhinge.core.port.VersionedValue
@@ -14,17 +15,18 @@
 /** Maintains the list of backend servers and publishes changes. Confined to the control thread. */
 internal class ServerRegistry(
     private val control: ControlThread,
-    /** Time without an answer of the store after which the list may be out of date. */
-    private val staleAfterMillis: Long,
+    private val contact: StoreContact,
+    private val nowMillis: () -> Long = ::monotonicMillis,
     private val publish: (List<ServerEntry>) -> Unit,
 ) : StoreListener {
     private val directory = ServerDirectory()
     private val storedValues = HashMap<String, String>()
     @Volatile private var published: List<ServerEntry> = emptyList()
-    private var lastAnswerMillis: Long? = null
 
-    /** Store revision of the newest answer that was applied. */
-    private var answerRevision = 0L
+    /** Store revision up to which this instance knows all changes of servers. */
+    @Volatile
+    var readRevision = 0L
+        private set
 
     /** Store revision of the last change of a server; 0 if the list has not been read. */
     @Volatile
@@ -48,41 +50,51 @@
             return storedValues.filterKeys { it in keys }
         }
 
-    /** True if the store has not answered within [staleAfterMillis]. */
-    val isStale: Boolean
-        get() = lastAnswerMillis?.let { monotonicMillis() - it > staleAfterMillis } ?: true
+    /** True if changes in the store may not reach this instance; can be read from any thread. */
+    val isStoreLost: Boolean
+        get() = contact.isLost(nowMillis())
 
     /** Starts removing entries that expired and were not written again. */
     fun start() =
         control.every(EXPIRE_INTERVAL_MILLIS) {
-            if (directory.expire(monotonicMillis()) && publishChanges()) revision = answerRevision
+            if (directory.expire(nowMillis()) && publishChanges()) revision = readRevision
         }
 
     override fun onSnapshot(snapshot: Snapshot) {
         onStoreAnswered()
         if (isOutdated(snapshot.revision)) return
         val entries = takeOver(snapshot.values, snapshot.revision)
-        directory.onSnapshot(entries, monotonicMillis())
+        directory.onSnapshot(entries, nowMillis())
         publishChanges()
     }
 
     override fun onChanges(changes: WatchResult) {
         onStoreAnswered()
         if (isOutdated(changes.revision)) return
-        answerRevision = changes.revision
+        readRevision = changes.revision
         changes.changes.forEach(::accept)
         changes.removedKeys.forEach(::remove)
         if (publishChanges()) revision = changes.revision
     }
 
     /** Records that the store answered a call that does not concern the list. */
-    fun onStoreReachable() = directory.onStoreAvailable(monotonicMillis())
+    fun onStoreReachable() = directory.onStoreAvailable(nowMillis())
 
-    override fun onStoreUnavailable(fault: StoreFault) = directory.onStoreUnavailable()
+    override fun onStoreUnavailable(fault: StoreFault) {
+        contact.onFailedCall(nowMillis())
+        directory.onStoreUnavailable()
+    }
+
+    /** Records that peers have known a newer list for longer than a working watch takes. */
+    fun onOvertaken() {
+        if (isStoreLost) return
+        log.warn("servers: peers know changes after revision {}, the store is lost", readRevision)
+        contact.onOvertaken(nowMillis())
+    }
 
-    /** Applies a peer's list of [revision] if it is newer and the store is not watched. */
+    /** Applies a peer's list of [revision] if it is newer and the store does not deliver it. */
     fun onPeerCopy(values: List<VersionedValue>, revision: Long) {
-        if (!(isFollowingPeers || isStale) || revision <= this.revision) return
+        if (!(isFollowingPeers || isStoreLost) || revision <= readRevision) return
         log.info("servers: list of revision {} was taken over from a peer", revision)
         directory.onPeerCopy(takeOver(values, revision))
         publishChanges()
@@ -91,11 +103,11 @@
     // A peer's list may be newer than an answer of the store that was delayed. Applying the answer
     // would bring back servers that have left.
     private fun isOutdated(revision: Long): Boolean {
-        if (revision >= answerRevision) return false
+        if (revision >= readRevision) return false
         log.info(
             "servers: ignoring an answer of revision {}, the list is of revision {}",
             revision,
-            answerRevision,
+            readRevision,
         )
         return true
     }
@@ -103,7 +115,7 @@
     // Raw values of servers that are no longer listed are needed as long as the directory keeps
     // them.
     private fun takeOver(values: List<VersionedValue>, revision: Long): List<ServerEntry> {
-        answerRevision = revision
+        readRevision = revision
         this.revision = revision
         storedValues.keys.retainAll(entries.keys)
         return values.mapNotNull(::decode)
@@ -111,11 +123,11 @@
 
     private fun accept(value: VersionedValue) {
         val entry = decode(value)
-        if (entry == null) directory.onRemoved(serverId(value.key), monotonicMillis())
-        else directory.onWritten(entry, monotonicMillis())
+        if (entry == null) directory.onRemoved(serverId(value.key), nowMillis())
+        else directory.onWritten(entry, nowMillis())
     }
 
-    private fun remove(key: String) = directory.onRemoved(serverId(key), monotonicMillis())
+    private fun remove(key: String) = directory.onRemoved(serverId(key), nowMillis())
 
     private fun decode(value: VersionedValue): ServerEntry? =
         ServerEntryDecoder.decode(value.key, value.value)
@@ -148,8 +160,8 @@
     private fun withoutProgress(entry: ServerEntry) = entry.copy(warmUpRemainingMillis = 0)
 
     private fun onStoreAnswered() {
-        lastAnswerMillis = monotonicMillis()
-        directory.onStoreAvailable(monotonicMillis())
+        contact.onAnswer(nowMillis())
+        directory.onStoreAvailable(nowMillis())
     }
 
     private fun serverId(key: String) = key.removePrefix(PlatformKeys.SERVER_PREFIX)
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ServerRegistryTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ServerRegistryTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
+import io.lavenderhinge.core.forwarding.StoreContact
 import io.lavenderhinge.core.port.Snapshot
 import io.lavenderhinge.core.port.StoreFault
 import io.lavenderhinge.core.port.VersionedValue
@@ -86,7 +87,7 @@
     private val control = ControlThread()
     var published = emptyList<String>()
     val registry =
-        ServerRegistry(control, staleAfterMillis = 3_000) { servers ->
+        ServerRegistry(control, StoreContact(staleAfterMillis = 3_000)) { servers ->
             published = servers.map { it.id }
         }
 
