Count a peer's report no longer than the requests of its pool take

Cause: an instance of a large fleet reports at most every 180 ms, and right after a change, so a report mostly shows a request that has just begun or just been queued. Requests of 50 ms have ended long before the next report, yet still counted as in flight or waiting. No instance saw a free slot, and each expected to wait behind queues that were empty.

A pool now uses only reports that are younger than its requests take on average. Pools whose requests outlast the time between reports see no change. PeerLoads keeps the uses by server instead of sums, so that old ones can be left out.

The load simulation can report on each change with a pause, as instances do, and starts its arrivals at random times.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -191,8 +191,10 @@
         }
         val order = policy.ordered(queue, nowMillis)
         order.owed.forEach { place(it, aheadAtPeers = 0) }
+        val sinceMillis = pool.reportsSinceMillis(nowMillis)
         order.others.forEach {
-            place(it, peers.countAhead(it, policy.isLate(it, nowMillis), nowMillis))
+            val isLate = policy.isLate(it, nowMillis)
+            place(it, peers.countAhead(it, isLate, nowMillis, sinceMillis))
         }
         queue.clear()
         queue.addAll(waiting)
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PeerLoads.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PeerLoads.kt
@@ -3,20 +3,17 @@
 /**
  * Aggregates the load reports of other instances. Reports expire unless they are renewed.
  *
- * The sums over all peers are updated with the difference between the reports of one peer. The cost
- * of a report therefore depends on its size and not on the number of peers, which both grow with
- * the fleet.
+ * A report describes a moment, and what it lists goes on to end. Where requests take less time than
+ * the reports are apart, callers therefore name the time since which reports count for a service.
  */
 internal class PeerLoads {
     private class ReceivedReport(val report: LoadReport, val receivedMillis: Long)
 
-    private class ServerTotal {
-        var inFlight = 0
-        var pendingTokens = 0.0
-    }
+    private class ReceivedUse(val use: ServerUse, val receivedMillis: Long)
 
     private val reports = HashMap<String, ReceivedReport>()
-    private val totals = HashMap<String, ServerTotal>()
+    /** The use of each server by the peers that use it. */
+    private val uses = HashMap<String, HashMap<String, ReceivedUse>>()
     /** Peers with queued requests; most peers have none. */
     private val queueing = HashMap<String, ReceivedReport>()
 
@@ -24,24 +21,37 @@
     val count: Int
         get() = reports.size
 
-    fun inFlight(serverId: String): Int = totals[serverId]?.inFlight ?: 0
+    /** Returns the requests of peers at a server, by the reports since [sinceMillis]. */
+    fun inFlight(serverId: String, sinceMillis: Long): Int =
+        usesOf(serverId, sinceMillis).sumOf { it.inFlight }
+
+    /** Returns the prompt tokens of peers that a server has to read, by the same reports. */
+    fun pendingTokens(serverId: String, sinceMillis: Long): Double =
+        usesOf(serverId, sinceMillis).sumOf { it.pendingTokens }
 
-    fun pendingTokens(serverId: String): Double = totals[serverId]?.pendingTokens ?: 0.0
+    private fun usesOf(serverId: String, sinceMillis: Long): List<ServerUse> =
+        uses[serverId]
+            ?.values
+            .orEmpty()
+            .filter { it.receivedMillis >= sinceMillis }
+            .map { it.use }
 
     /**
      * Returns the number of requests for [service] that are queued at peers with a priority of
      * [maxPriority] or more urgent.
      */
-    fun waiting(service: String, maxPriority: Int): Int =
-        queueing.values.sumOf { received ->
+    fun waiting(service: String, maxPriority: Int, sinceMillis: Long): Int =
+        queueingSince(sinceMillis).sumOf { received ->
             received.report.waiting.entries.sumOf { (key, queue) ->
                 if (key.service == service && key.priority <= maxPriority) queue.count else 0
             }
         }
 
     /** Returns the number of requests for [service] of [priority] that are queued at peers. */
-    fun waitingAt(service: String, priority: Int): Int =
-        queueing.values.sumOf { it.report.waiting[QueueKey(service, priority)]?.count ?: 0 }
+    fun waitingAt(service: String, priority: Int, sinceMillis: Long): Int =
+        queueingSince(sinceMillis).sumOf {
+            it.report.waiting[QueueKey(service, priority)]?.count ?: 0
+        }
 
     /**
      * Returns the number of requests at peers that take precedence over [request]: all that are
@@ -50,13 +60,21 @@
      * instance that holds slots would reuse them for its own requests and starve those of other
      * instances.
      */
-    fun countAhead(request: DispatchRequest, isLate: Boolean, nowMillis: Long): Int =
-        waiting(request.service, request.priority - 1) +
-            queueing.values.count { received ->
+    fun countAhead(
+        request: DispatchRequest,
+        isLate: Boolean,
+        nowMillis: Long,
+        sinceMillis: Long,
+    ): Int =
+        waiting(request.service, request.priority - 1, sinceMillis) +
+            queueingSince(sinceMillis).count { received ->
                 val head = received.report.waiting[QueueKey(request.service, request.priority)]
                 head != null && precedes(head, received.receivedMillis, request, isLate, nowMillis)
             }
 
+    private fun queueingSince(sinceMillis: Long): List<ReceivedReport> =
+        queueing.values.filter { it.receivedMillis >= sinceMillis }
+
     private fun precedes(
         head: QueueState,
         receivedMillis: Long,
@@ -75,9 +93,7 @@
         reports[peer] = received
         if (report.waiting.isNotEmpty()) queueing[peer] = received
         report.servers.forEach { (server, use) ->
-            val total = totals.getOrPut(server, ::ServerTotal)
-            total.inFlight += use.inFlight
-            total.pendingTokens += use.pendingTokens
+            uses.getOrPut(server, ::HashMap)[peer] = ReceivedUse(use, nowMillis)
         }
     }
 
@@ -91,15 +107,13 @@
     private fun remove(peer: String) {
         val removed = reports.remove(peer) ?: return
         queueing.remove(peer)
-        removed.report.servers.forEach { (server, use) -> subtract(server, use) }
+        removed.report.servers.keys.forEach { server -> removeUse(server, peer) }
     }
 
-    private fun subtract(server: String, use: ServerUse) {
-        val total = totals[server] ?: return
-        total.inFlight -= use.inFlight
-        total.pendingTokens -= use.pendingTokens
-        // Removing unused totals also discards the rounding errors of the token sums.
-        if (total.inFlight == 0) totals.remove(server)
+    private fun removeUse(server: String, peer: String) {
+        val usesOfServer = uses[server] ?: return
+        usesOfServer.remove(peer)
+        if (usesOfServer.isEmpty()) uses.remove(server)
     }
 
     private companion object {
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerEstimator.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerEstimator.kt
@@ -21,11 +21,13 @@
         reserved: Map<String, Int>,
         failureDomain: String,
         nowMillis: Long,
+        /** Time since which reports of peers count. */
+        reportsSinceMillis: Long,
     ): ServerEstimate {
         val id = record.entry.id
-        val busy = record.inFlight + peers.inFlight(id) + (reserved[id] ?: 0)
+        val busy = record.inFlight + peers.inFlight(id, reportsSinceMillis) + (reserved[id] ?: 0)
         val slots = capacity.usableSlots(record, nowMillis)
-        val pending = record.pendingTokens + peers.pendingTokens(id)
+        val pending = record.pendingTokens + peers.pendingTokens(id, reportsSinceMillis)
         val unloadedMillis = model.predictMillis(uncachedTokens + pending)
         val loadFactor = 1 + SLOWDOWN_PER_REQUEST * busy
         val limitWaitMillis = capacity.limitWaitMillis(record, peers, nowMillis)
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -172,6 +172,7 @@
         // Clients that share a prompt mostly stay in one failure domain.
         val near = eligible.filter { it.entry.failureDomain == failureDomain }
         val preference = affinity.preference(request.promptParts, near.ifEmpty { eligible })
+        val sinceMillis = reportsSinceMillis(nowMillis)
         val estimates =
             eligible.map {
                 val cachedTokens =
@@ -185,6 +186,7 @@
                     reserved,
                     failureDomain,
                     nowMillis,
+                    sinceMillis,
                 )
             }
         val best =
@@ -228,12 +230,20 @@
     }
 
     /** Returns true if a server can take [request] at once. */
-    fun hasFreeSlot(request: DispatchRequest, peers: PeerLoads, nowMillis: Long): Boolean =
-        eligibleServers(request, nowMillis).any { record ->
-            val busy = record.inFlight + peers.inFlight(record.entry.id)
+    fun hasFreeSlot(request: DispatchRequest, peers: PeerLoads, nowMillis: Long): Boolean {
+        val sinceMillis = reportsSinceMillis(nowMillis)
+        return eligibleServers(request, nowMillis).any { record ->
+            val busy = record.inFlight + peers.inFlight(record.entry.id, sinceMillis)
             busy < capacity.usableSlots(record, nowMillis) &&
                 capacity.limitWaitMillis(record, peers, nowMillis) <= 0
         }
+    }
+
+    /**
+     * Returns the time since which reports of peers describe this pool. Most of the requests that
+     * an older report lists have ended, those that it lists as waiting included.
+     */
+    fun reportsSinceMillis(nowMillis: Long): Long = nowMillis - meanHoldMillis().toLong()
 
     private companion object {
         const val MIN_HOLD_MILLIS = 20.0
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/DispatcherLargeFleetTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/DispatcherLargeFleetTest.kt
@@ -16,7 +16,7 @@
             val servers = List(37) { SimulatedServer("s-$it", slots = 5, slowness = 1.0) }
             val traffic =
                 List(80) { SimulatedTraffic(it, 0, perSecond = 115.0 / 80, 0, 15_000, draft) }
-            return LoadSimulation(80, servers, reportMillis = 300)
+            return LoadSimulation(80, servers, SimulatedReports.Periodic(300))
                 .run(traffic, untilMillis = 30_000, seed)
         }
 
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/LoadSimulation.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/LoadSimulation.kt
@@ -43,6 +43,19 @@
     val work: SimulatedWork = SimulatedWork(),
 )
 
+/** When instances report their load and how late the reports arrive. */
+internal sealed interface SimulatedReports {
+    val delayMillis: Long
+
+    /** All instances report at the same times. */
+    data class Periodic(val periodMillis: Long) : SimulatedReports {
+        override val delayMillis = periodMillis
+    }
+
+    /** An instance reports each change, but not within [pauseMillis] of its last report. */
+    data class OnChange(val pauseMillis: Long, override val delayMillis: Long) : SimulatedReports
+}
+
 /**
  * Simulates traffic in virtual time on dispatchers whose load reports arrive late.
  *
@@ -52,8 +65,7 @@
 internal class LoadSimulation(
     instanceCount: Int,
     private val servers: List<SimulatedServer>,
-    /** Time between two reports of an instance, and until they arrive. */
-    private val reportMillis: Long = 20L,
+    private val reports: SimulatedReports = SimulatedReports.Periodic(20),
 ) {
     private class PendingRequest(val request: DispatchRequest, val traffic: SimulatedTraffic)
 
@@ -65,8 +77,14 @@
         List(instanceCount) { number ->
             Dispatcher("d", random = Random(number)).apply { onServers(entries, nowMillis = 0) }
         }
+    private val reporters = List(instanceCount) { ChangeReporter() }
     private var lastRequestId = 0L
 
+    private class ChangeReporter {
+        var lastSentMillis = 0L
+        var isScheduled = false
+    }
+
     /** Simulates [traffic] until [untilMillis] and returns the result of each request. */
     fun run(traffic: List<SimulatedTraffic>, untilMillis: Long, seed: Int): List<SimulatedResult> {
         val random = Random(seed)
@@ -74,14 +92,42 @@
             val period = kind.fromMillis..kind.untilMillis
             time.arrivals(kind.perSecond, period, random) { arrive(kind, it) }
         }
-        time.every(reportMillis, untilMillis) {
-            time.exchangeReports(dispatchers, reportMillis, it, ::apply)
-        }
+        startReports(untilMillis)
         time.every(TICK_MILLIS, untilMillis, ::advance)
         time.run()
         return results
     }
 
+    private fun startReports(untilMillis: Long) =
+        when (reports) {
+            is SimulatedReports.Periodic ->
+                time.every(reports.periodMillis, untilMillis) { nowMillis ->
+                    dispatchers.indices.forEach { report(it, nowMillis) }
+                }
+            is SimulatedReports.OnChange ->
+                time.every(HEARTBEAT_MILLIS, untilMillis) { nowMillis ->
+                    reporters.indices
+                        .filter { nowMillis - reporters[it].lastSentMillis >= HEARTBEAT_MILLIS }
+                        .forEach { report(it, nowMillis) }
+                }
+        }
+
+    private fun report(instance: Int, nowMillis: Long) {
+        reporters[instance].lastSentMillis = nowMillis
+        time.sendReport(dispatchers, instance, reports.delayMillis, nowMillis, ::apply)
+    }
+
+    private fun onChange(instance: Int, nowMillis: Long) {
+        if (reports !is SimulatedReports.OnChange) return
+        val reporter = reporters[instance]
+        if (reporter.isScheduled) return
+        reporter.isScheduled = true
+        time.at(maxOf(nowMillis + 1, reporter.lastSentMillis + reports.pauseMillis)) {
+            reporter.isScheduled = false
+            report(instance, it)
+        }
+    }
+
     private fun arrive(traffic: SimulatedTraffic, nowMillis: Long) {
         val work = traffic.work
         val request =
@@ -95,6 +141,7 @@
                 .copy(firstEventDeadlineMillis = nowMillis + work.patienceMillis)
         openRequests[request.id] = PendingRequest(request, traffic)
         apply(dispatchers[traffic.instance].submit(request, nowMillis), nowMillis)
+        onChange(traffic.instance, nowMillis)
     }
 
     private fun apply(effects: List<DispatchEffect>, nowMillis: Long) =
@@ -147,6 +194,7 @@
             )
         val effects = dispatchers[pending.traffic.instance].onFinished(attempt, nowMillis)
         apply(effects, nowMillis)
+        onChange(pending.traffic.instance, nowMillis)
     }
 
     private fun advance(nowMillis: Long) =
@@ -154,5 +202,6 @@
 
     companion object {
         const val TICK_MILLIS = 10L
+        const val HEARTBEAT_MILLIS = 250L
     }
 }
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/PeerLoadsTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/PeerLoadsTest.kt
@@ -33,10 +33,23 @@
                 (0..5).forEach { number ->
                     val uses =
                         current.values.mapNotNull { (report, _) -> report.servers["s$number"] }
-                    loads.inFlight("s$number") shouldBe uses.sumOf { it.inFlight }
-                    loads.pendingTokens("s$number") shouldBe
+                    loads.inFlight("s$number", sinceMillis = 0) shouldBe uses.sumOf { it.inFlight }
+                    loads.pendingTokens("s$number", sinceMillis = 0) shouldBe
                         (uses.sumOf { it.pendingTokens } plusOrMinus 0.001)
                 }
             }
         }
+
+        // Guards against short requests that count until the next report of their instance.
+        test("given a report from before a time, then it does not count since that time") {
+            val loads = PeerLoads()
+            val queue = mapOf(QueueKey("s", 0) to QueueState(3, 100, isHeadLate = false))
+            loads.update("p", LoadReport(mapOf("s0" to ServerUse(2, 5.0)), queue), nowMillis = 100)
+
+            loads.inFlight("s0", sinceMillis = 100) shouldBe 2
+            loads.inFlight("s0", sinceMillis = 101) shouldBe 0
+            loads.pendingTokens("s0", sinceMillis = 101) shouldBe 0.0
+            loads.waiting("s", maxPriority = 0, sinceMillis = 100) shouldBe 3
+            loads.waiting("s", maxPriority = 0, sinceMillis = 101) shouldBe 0
+        }
     })
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/VirtualTime.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/VirtualTime.kt
@@ -27,7 +27,7 @@
         random: Random,
         action: (nowMillis: Long) -> Unit,
     ) {
-        var millis = period.first.toDouble()
+        var millis = period.first + random.nextDouble() * 1_000 / perSecond
         while (millis < period.last) {
             at(millis.toLong(), action)
             millis += 2 * random.nextDouble() * 1_000 / perSecond
@@ -40,15 +40,23 @@
         delayMillis: Long,
         nowMillis: Long,
         apply: (effects: List<DispatchEffect>, nowMillis: Long) -> Unit,
-    ) =
-        dispatchers.forEachIndexed { from, dispatcher ->
-            val report = dispatcher.report(nowMillis)
-            at(nowMillis + delayMillis) { millis ->
-                dispatchers.forEachIndexed { to, peer ->
-                    if (to != from) apply(peer.onPeerReport("$from", report, millis), millis)
-                }
+    ) = dispatchers.indices.forEach { sendReport(dispatchers, it, delayMillis, nowMillis, apply) }
+
+    /** Sends the report of the dispatcher with index [from] to the others. */
+    fun sendReport(
+        dispatchers: List<Dispatcher>,
+        from: Int,
+        delayMillis: Long,
+        nowMillis: Long,
+        apply: (effects: List<DispatchEffect>, nowMillis: Long) -> Unit,
+    ) {
+        val report = dispatchers[from].report(nowMillis)
+        at(nowMillis + delayMillis) { millis ->
+            dispatchers.forEachIndexed { to, peer ->
+                if (to != from) apply(peer.onPeerReport("$from", report, millis), millis)
             }
         }
+    }
 
     /** Runs until no action is left. */
     fun run() {
