Reject nothing by prediction before a request of the pool has ended

An instance that had finished none of these requests assumed a second for each, multiplied it by the queues of its peers, and refused.

A pool without a finished request now queues instead, until the first slot. The queue keeps its own limit: a request that cannot be started before its client gives up is answered.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QueuePolicy.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QueuePolicy.kt
@@ -63,13 +63,15 @@
 
     /**
      * Returns the rejection of [request] if it has to wait too long behind [queue], or null if it
-     * is queued. Called once the request can no longer be on time.
+     * is queued. Called once the request can no longer be on time. Nothing is rejected before a
+     * request has ended: an instance that rejects all of them would never learn how long they take.
      */
     fun rejection(
         request: DispatchRequest,
         queue: Collection<DispatchRequest>,
         nowMillis: Long,
     ): DispatchEffect.Refuse? {
+        if (!pool.isHoldKnown) return null
         val waitMillis = expectedWaitMillis(request, queue, nowMillis)
         val firstEventMillis = pool.firstEventMillis(request)
         if (nowMillis + waitMillis + firstEventMillis <= request.targetMillis) return null
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -148,6 +148,10 @@
         return meanFactor * model.predictMillis(request.promptTokens)
     }
 
+    /** True if a request of this instance has ended, so that predictions rest on experience. */
+    val isHoldKnown: Boolean
+        get() = records.values.any { it.holdMillis > 0 }
+
     /** Returns how long a request occupies its slot, on average over the servers. */
     fun meanHoldMillis(): Double {
         val known = records.values.map { it.holdMillis }.filter { it > 0 }
