Order the revisions of a restored store after those from before

A store that comes back from an older copy counts its revisions from there again. The belief that a revision only grows and names one state stood in a dozen places.

Cause and fix are at the boundary: PlatformStore reads the header Store-Era and puts the era into the upper bits of each revision and lease id. Comparisons everywhere, also between peers of which some know the store before the copy, then order the restored state last. On the wire only the store's own number is sent.

--- a/adapters/src/main/kotlin/io/lavenderhinge/adapters/JsonClient.kt
+++ b/adapters/src/main/kotlin/io/lavenderhinge/adapters/JsonClient.kt
@@ -7,6 +7,7 @@
 import io.lavenderhinge.http.CallTimeouts
 import io.lavenderhinge.http.HttpCallException
 import io.lavenderhinge.http.HttpClient
+import io.lavenderhinge.http.HttpField
 import io.lavenderhinge.http.HttpRequest
 import io.lavenderhinge.http.HttpResponse
 import io.lavenderhinge.http.onlyResponse
@@ -16,7 +17,15 @@
 import java.util.UUID
 
 /** A JSON response; [body] is null when the response carried no JSON. */
-data class JsonResponse(val status: Int, val body: JsonNode?)
+data class JsonResponse(
+    val status: Int,
+    val body: JsonNode?,
+    val headers: List<HttpField> = emptyList(),
+) {
+    /** Returns the first value of header [name], or null. */
+    fun header(name: String): String? =
+        headers.firstOrNull { it.name.equals(name, ignoreCase = true) }?.value
+}
 
 /** Why a call returned no response. */
 sealed interface CallFault {
@@ -58,7 +67,7 @@
                     method == "GET" -> client.call(address, request, timeouts)
                     else -> callOnOwnConnection(request, timeouts)
                 }
-            JsonResponse(response.status, Json.parseOrNull(response.body)).right()
+            JsonResponse(response.status, Json.parseOrNull(response.body), response.headers).right()
         } catch (e: HttpCallException.NotSent) {
             CallFault.NotSent(e.message.orEmpty()).left()
         } catch (e: HttpCallException.OutcomeUnknown) {
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ServerRegistryTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ServerRegistryTest.kt
@@ -1,6 +1,7 @@
 package io.lavenderhinge.instance.gateway
 
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldContain
 import io.kotest.matchers.shouldBe
 import io.lavenderhinge.core.forwarding.StoreContact
 import io.lavenderhinge.core.port.Snapshot
@@ -8,6 +9,7 @@
 import io.lavenderhinge.core.port.VersionedValue
 import io.lavenderhinge.core.port.WatchResult
 import io.lavenderhinge.instance.control.ControlThread
+import io.lavenderhinge.platform.StoreRevision
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toImmutableList
 
@@ -72,6 +74,18 @@
             }
         }
 
+        // Guards against ignoring a store that counts its revisions from an older copy again.
+        test("given a store that came back from a copy, then its list is applied") {
+            RegistryFixture().use { fixture ->
+                fixture.registry.onSnapshot(snapshot(StoreRevision.of(3, 35), value("a")))
+
+                fixture.registry.onSnapshot(snapshot(StoreRevision.of(4, 21), value("b")))
+
+                fixture.published shouldContain "b"
+                fixture.registry.revision shouldBe StoreRevision.of(4, 21)
+            }
+        }
+
         test("given an entry that was removed, then peers do not get it") {
             RegistryFixture().use { fixture ->
                 fixture.registry.onSnapshot(snapshot(10, value("a"), value("b")))
