Keep what is known of servers when the store comes back from a copy

The list of a restored store is some seconds old: a server whose leaving was written since looks ready again, one that had left is listed again, and one that registered since is missing until it writes its entry again.

The leaving of a run is final, so ServerDirectory now remembers the runs that have announced it, whatever the store says later. Runs that were removed stay out of the list of a restored store until they write their entry again, for four heartbeats at most, by when the store has dropped those that are gone. Entries that the copy lacks are kept for the same time as after an outage in which entries lapsed.

Tests: four cases of ServerDirectoryTest; the list was applied unchanged before, so that each of the first three failed by design of the old code. Not run against it, as they call a new function.

--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ServerDirectoryTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ServerDirectoryTest.kt
@@ -123,4 +123,51 @@
 
             directory.ids() shouldBe listOf("b")
         }
+
+        // Guards against using a server whose leaving the store has forgotten.
+        test("given a restored store, then a run that was leaving gets no work") {
+            val directory = directoryWithHeartbeats()
+            directory.onWritten(server("a", acceptsWork = false), nowMillis = 12_500)
+
+            directory.onRestoredSnapshot(listOf(server("a"), server("b")), nowMillis = 14_000)
+
+            directory.servers.filter { it.acceptsWork }.map { it.id } shouldBe listOf("b")
+            directory.onWritten(server("a", startedMillis = 1), nowMillis = 14_500)
+            directory.servers.filter { it.acceptsWork }.map { it.id } shouldBe listOf("a", "b")
+        }
+
+        test("given a restored store, then a run that was removed stays out until it is written") {
+            val directory = directoryWithHeartbeats()
+            directory.onRemoved("a", nowMillis = 12_500)
+
+            directory.onRestoredSnapshot(listOf(server("a"), server("b")), nowMillis = 14_000)
+            directory.onSnapshot(listOf(server("a"), server("b")), nowMillis = 14_100)
+            directory.ids() shouldBe listOf("b")
+
+            directory.onWritten(server("a"), nowMillis = 14_500)
+            directory.ids() shouldBe listOf("b", "a")
+        }
+
+        // Guards against losing servers that registered after the copy was made.
+        test("given a restored store, then entries that it lacks are kept until written again") {
+            val directory = directoryWithHeartbeats()
+            directory.onWritten(server("new"), nowMillis = 12_500)
+
+            directory.onRestoredSnapshot(listOf(server("a"), server("b")), nowMillis = 14_000)
+
+            directory.ids() shouldBe listOf("a", "b", "new")
+            directory.expire(nowMillis = 16_200) shouldBe true
+            directory.ids() shouldBe listOf("a", "b")
+        }
+
+        // Guards against a live server that is left out because its write was not seen.
+        test("given a restored store, then what it lists after some heartbeats is used") {
+            val directory = directoryWithHeartbeats()
+            directory.onRemoved("a", nowMillis = 12_500)
+            directory.onRestoredSnapshot(listOf(server("a"), server("b")), nowMillis = 14_000)
+
+            directory.onSnapshot(listOf(server("a"), server("b")), nowMillis = 19_000)
+
+            directory.ids() shouldBe listOf("b", "a")
+        }
     })
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ServerRegistry.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ServerRegistry.kt
@@ -10,6 +10,7 @@
 import io.lavenderhinge.instance.control.ControlThread
 import io.lavenderhinge.platform.PlatformKeys
 import io.lavenderhinge.platform.ServerEntryDecoder
+import io.lavenderhinge.platform.StoreRevision
 import org.slf4j.LoggerFactory
 
 /** Maintains the list of backend servers and publishes changes. Confined to the control thread. */
@@ -63,8 +64,10 @@
     override fun onSnapshot(snapshot: Snapshot) {
         onStoreAnswered()
         if (isOutdated(snapshot.revision)) return
+        val isRestored = StoreRevision.isRestoredBetween(readRevision, snapshot.revision)
         val entries = takeOver(snapshot.values, snapshot.revision)
-        directory.onSnapshot(entries, nowMillis())
+        if (isRestored) directory.onRestoredSnapshot(entries, nowMillis())
+        else directory.onSnapshot(entries, nowMillis())
         publishChanges()
     }
 
