Continue a rollout whose order a restored store lists anew

A restored store lists an order at another revision, or not at all until the operator has written it again. An instance took the first for a new order and the second for one that was taken back and given again.

OperatorStateListener keeps orders that only the restored copy lacks, and passes on an order with the same goal as one to continue. The rollout then takes the new revision, by which the stored status is compared, and keeps its stage and its evidence.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/RolloutOrder.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/RolloutOrder.kt
@@ -12,7 +12,10 @@
     val targetVersion: String,
     val durationMillis: Long,
     val revision: Long,
-)
+) {
+    /** Returns true if [other] asks for the same, whatever its revision. */
+    fun hasSameGoal(other: RolloutOrder): Boolean = copy(revision = other.revision) == other
+}
 
 /**
  * The progress of a rollout on one instance. A fraction of [shareFraction] of the requests may use
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/RolloutTracker.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/RolloutTracker.kt
@@ -20,6 +20,16 @@
         rollouts[order.service] = ServiceRollout(order, nowMillis) { oldInFlight(order) }
     }
 
+    /**
+     * Continues the rollout of [order], which a restored store lists at another revision. It is
+     * started if it is not known.
+     */
+    fun onOrderRestored(order: RolloutOrder, nowMillis: Long) {
+        val known = rollouts[order.service]
+        if (known != null && known.order.hasSameGoal(order)) known.order = order
+        else onOrder(order, nowMillis)
+    }
+
     private fun oldInFlight(order: RolloutOrder): Int =
         inFlight.entries
             .filter { it.key.service == order.service && it.key.version != order.targetVersion }
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServiceRollout.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServiceRollout.kt
@@ -17,13 +17,20 @@
  * from one thread.
  */
 internal class ServiceRollout(
-    val order: RolloutOrder,
+    order: RolloutOrder,
     nowMillis: Long,
     /** Requests in flight at servers of other versions, including those sent before the order. */
     private val oldInFlight: () -> Int,
 ) {
     private class PeerReport(val report: RolloutReport, val receivedMillis: Long)
 
+    /** The order that is carried out; only its revision may change. */
+    var order = order
+        set(value) {
+            require(value.hasSameGoal(field)) { "start a new rollout for another order" }
+            field = value
+        }
+
     private var startedMillis = nowMillis
     private val combinedEvidence =
         CombinedEvidence(TestWindow(startedMillis, startedMillis + order.durationMillis))
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/OperatorStateListener.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/OperatorStateListener.kt
@@ -7,6 +7,7 @@
 import io.lavenderhinge.core.port.WatchResult
 import io.lavenderhinge.platform.PlatformKeys
 import io.lavenderhinge.platform.RolloutCodec
+import io.lavenderhinge.platform.StoreRevision
 import org.slf4j.LoggerFactory
 
 /**
@@ -18,10 +19,15 @@
     private val rollouts: RolloutOrderListener,
 ) : StoreListener {
     private val orders = HashMap<String, RolloutOrder>()
+    private var readRevision = 0L
 
     override fun onSnapshot(snapshot: Snapshot) {
-        val keys = snapshot.values.mapTo(HashSet()) { it.key }
-        orders.keys.filter { it !in keys }.forEach(::remove)
+        // The operator writes again what a restored store has lost.
+        if (!StoreRevision.isRestoredBetween(readRevision, snapshot.revision)) {
+            val keys = snapshot.values.mapTo(HashSet()) { it.key }
+            orders.keys.filter { it !in keys }.forEach(::remove)
+        }
+        readRevision = snapshot.revision
         snapshot.values.forEach(::accept)
         configuration.confirm()
     }
@@ -48,14 +54,26 @@
         RolloutCodec.decodeOrder(value.value, value.version)
             .fold(
                 { log.warn("rollout: ignoring invalid order {}: {}", value.key, it) },
-                { order ->
-                    if (orders.put(value.key, order) == order) return
-                    log.info("rollout: order of {} is in force: {}", value.key, order)
-                    rollouts.onOrder(order)
-                },
+                { order -> acceptOrder(value.key, order) },
             )
     }
 
+    private fun acceptOrder(key: String, order: RolloutOrder) {
+        val known = orders.put(key, order)
+        if (known == order) return
+        if (known != null && isRestored(known, order)) {
+            log.info("rollout: order of {} goes on in the restored store: {}", key, order)
+            rollouts.onOrderRestored(order)
+            return
+        }
+        log.info("rollout: order of {} is in force: {}", key, order)
+        rollouts.onOrder(order)
+    }
+
+    private fun isRestored(known: RolloutOrder, order: RolloutOrder): Boolean =
+        known.hasSameGoal(order) &&
+            StoreRevision.isRestoredBetween(known.revision, order.revision)
+
     private fun remove(key: String) {
         val order = orders.remove(key) ?: return
         log.info("rollout: order of {} was taken back", key)
@@ -72,6 +90,9 @@
     /** Called when [order] takes effect. */
     fun onOrder(order: RolloutOrder)
 
+    /** Called when a store that came back from a copy lists [order] at another revision. */
+    fun onOrderRestored(order: RolloutOrder)
+
     /** Called when the order for [service] was removed. */
     fun onOrderRemoved(service: String)
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RolloutRunner.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RolloutRunner.kt
@@ -34,6 +34,9 @@
     override fun onOrder(order: RolloutOrder) =
         loop.execute { tracker.onOrder(order, loop.nowMillis()) }
 
+    override fun onOrderRestored(order: RolloutOrder) =
+        loop.execute { tracker.onOrderRestored(order, loop.nowMillis()) }
+
     override fun onOrderRemoved(service: String) = loop.execute { tracker.onOrderRemoved(service) }
 
     /** Advances the rollouts and publishes their verdicts; call it on the traffic thread. */
