Count a peer's report again once its sender's pause is over

Leaving out every report that is older than the requests of a pool take is wrong where the sender has nothing new to report: a report without a successor still describes its sender. Only until the end of the sender's pause may changes be unreported. PeerLoads now leaves reports out in that time only. In small fleets, whose pause is shorter than any request, nothing is left out.

ReportPacing holds the pause for sender and receiver. The filters of all queries moved into PeerLoads.Current.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -191,11 +191,8 @@
         }
         val order = policy.ordered(queue, nowMillis)
         order.owed.forEach { place(it, aheadAtPeers = 0) }
-        val sinceMillis = pool.reportsSinceMillis(nowMillis)
-        order.others.forEach {
-            val isLate = policy.isLate(it, nowMillis)
-            place(it, peers.countAhead(it, isLate, nowMillis, sinceMillis))
-        }
+        val loads = pool.currentLoads(peers, nowMillis)
+        order.others.forEach { place(it, loads.countAhead(it, policy.isLate(it, nowMillis))) }
         queue.clear()
         queue.addAll(waiting)
         waiting
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PeerLoads.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PeerLoads.kt
@@ -3,8 +3,10 @@
 /**
  * Aggregates the load reports of other instances. Reports expire unless they are renewed.
  *
- * A report describes a moment, and what it lists goes on to end. Where requests take less time than
- * the reports are apart, callers therefore name the time since which reports count for a service.
+ * A peer reports changes only after a pause since its last report. Where requests take less time
+ * than this pause, those that a report lists have mostly ended, but are not reported as such yet.
+ * Once the pause is over without a new report, nothing has changed. [at] therefore leaves out the
+ * reports in between.
  */
 internal class PeerLoads {
     private class ReceivedReport(val report: LoadReport, val receivedMillis: Long)
@@ -21,59 +23,65 @@
     val count: Int
         get() = reports.size
 
-    /** Returns the requests of peers at a server, by the reports since [sinceMillis]. */
-    fun inFlight(serverId: String, sinceMillis: Long): Int =
-        usesOf(serverId, sinceMillis).sumOf { it.inFlight }
-
-    /** Returns the prompt tokens of peers that a server has to read, by the same reports. */
-    fun pendingTokens(serverId: String, sinceMillis: Long): Double =
-        usesOf(serverId, sinceMillis).sumOf { it.pendingTokens }
-
-    private fun usesOf(serverId: String, sinceMillis: Long): List<ServerUse> =
-        uses[serverId]
-            ?.values
-            .orEmpty()
-            .filter { it.receivedMillis >= sinceMillis }
-            .map { it.use }
-
-    /**
-     * Returns the number of requests for [service] that are queued at peers with a priority of
-     * [maxPriority] or more urgent.
-     */
-    fun waiting(service: String, maxPriority: Int, sinceMillis: Long): Int =
-        queueingSince(sinceMillis).sumOf { received ->
-            received.report.waiting.entries.sumOf { (key, queue) ->
-                if (key.service == service && key.priority <= maxPriority) queue.count else 0
-            }
-        }
+    /** Returns the loads at [nowMillis] of a service whose requests take [holdMillis]. */
+    fun at(nowMillis: Long, holdMillis: Double): Current = Current(nowMillis, holdMillis)
 
-    /** Returns the number of requests for [service] of [priority] that are queued at peers. */
-    fun waitingAt(service: String, priority: Int, sinceMillis: Long): Int =
-        queueingSince(sinceMillis).sumOf {
-            it.report.waiting[QueueKey(service, priority)]?.count ?: 0
-        }
+    /** The loads of one service by the reports that still describe it. */
+    inner class Current(private val nowMillis: Long, private val holdMillis: Double) {
+        private val pauseMillis = ReportPacing.pauseMillis(count) + DELIVERY_MILLIS
 
-    /**
-     * Returns the number of requests at peers that take precedence over [request]: all that are
-     * more urgent, and the head of each peer's queue of the same priority if it has waited clearly
-     * longer. [isLate] is true if [request] can no longer be on time. Without the second part, an
-     * instance that holds slots would reuse them for its own requests and starve those of other
-     * instances.
-     */
-    fun countAhead(
-        request: DispatchRequest,
-        isLate: Boolean,
-        nowMillis: Long,
-        sinceMillis: Long,
-    ): Int =
-        waiting(request.service, request.priority - 1, sinceMillis) +
-            queueingSince(sinceMillis).count { received ->
-                val head = received.report.waiting[QueueKey(request.service, request.priority)]
-                head != null && precedes(head, received.receivedMillis, request, isLate, nowMillis)
+        /** Number of peers, whatever the age of their reports. */
+        val peerCount: Int
+            get() = count
+
+        /** Returns the requests of peers at a server. */
+        fun inFlight(serverId: String): Int = usesOf(serverId).sumOf { it.inFlight }
+
+        /** Returns the prompt tokens of peers that a server has to read. */
+        fun pendingTokens(serverId: String): Double = usesOf(serverId).sumOf { it.pendingTokens }
+
+        private fun usesOf(serverId: String): List<ServerUse> =
+            uses[serverId]?.values.orEmpty().filter { describes(it.receivedMillis) }.map { it.use }
+
+        /**
+         * Returns the number of requests for [service] that are queued at peers with a priority of
+         * [maxPriority] or more urgent.
+         */
+        fun waiting(service: String, maxPriority: Int): Int =
+            queueing().sumOf { received ->
+                received.report.waiting.entries.sumOf { (key, queue) ->
+                    if (key.service == service && key.priority <= maxPriority) queue.count else 0
+                }
             }
 
-    private fun queueingSince(sinceMillis: Long): List<ReceivedReport> =
-        queueing.values.filter { it.receivedMillis >= sinceMillis }
+        /** Returns the number of requests for [service] of [priority] that are queued at peers. */
+        fun waitingAt(service: String, priority: Int): Int =
+            queueing().sumOf { it.report.waiting[QueueKey(service, priority)]?.count ?: 0 }
+
+        /**
+         * Returns the number of requests at peers that take precedence over [request]: all that are
+         * more urgent, and the head of each peer's queue of the same priority if it has waited
+         * clearly longer. [isLate] is true if [request] can no longer be on time. Without the
+         * second part, an instance that holds slots would reuse them for its own requests and
+         * starve those of other instances.
+         */
+        fun countAhead(request: DispatchRequest, isLate: Boolean): Int =
+            waiting(request.service, request.priority - 1) +
+                queueing().count { received ->
+                    val key = QueueKey(request.service, request.priority)
+                    val head = received.report.waiting[key]
+                    head != null &&
+                        precedes(head, received.receivedMillis, request, isLate, nowMillis)
+                }
+
+        private fun queueing(): List<ReceivedReport> =
+            queueing.values.filter { describes(it.receivedMillis) }
+
+        private fun describes(receivedMillis: Long): Boolean {
+            val ageMillis = nowMillis - receivedMillis
+            return ageMillis <= holdMillis || ageMillis > pauseMillis
+        }
+    }
 
     private fun precedes(
         head: QueueState,
@@ -119,6 +127,8 @@
     private companion object {
         /** A slot that moves to another instance is idle for about one reporting interval. */
         const val MIN_EXTRA_WAIT_MILLIS = 80L
+        /** Time for a report to be sent and to arrive. */
+        const val DELIVERY_MILLIS = 20L
         /** Spans several reports; after it, slots of a crashed instance count as free again. */
         const val REPORT_TTL_MILLIS = 1_200L
     }
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QueuePolicy.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QueuePolicy.kt
@@ -54,9 +54,9 @@
         queue: Collection<DispatchRequest>,
         nowMillis: Long,
     ): DispatchEffect.Refuse? {
-        val sinceMillis = pool.reportsSinceMillis(nowMillis)
-        val isNoneWaiting =
-            queue.isEmpty() && peers.waiting(request.service, request.priority, sinceMillis) == 0
+        val waitingAtPeers =
+            pool.currentLoads(peers, nowMillis).waiting(request.service, request.priority)
+        val isNoneWaiting = queue.isEmpty() && waitingAtPeers == 0
         if (isNoneWaiting && pool.hasFreeSlot(request, peers, nowMillis)) return null
         return rejection(request, queue, nowMillis)
     }
@@ -95,15 +95,15 @@
     ): Double {
         val intervalMillis = pool.slotIntervalMillis(request, nowMillis)
         val ahead = queue.count { it.id != request.id && it.priority <= request.priority }
-        val sinceMillis = pool.reportsSinceMillis(nowMillis)
-        val aheadAtPeers = peers.waiting(request.service, request.priority, sinceMillis)
+        val loads = pool.currentLoads(peers, nowMillis)
+        val aheadAtPeers = loads.waiting(request.service, request.priority)
         val waitMillis = (ahead + aheadAtPeers) * intervalMillis
         val share = pool.minimumShare
         if (!share.isOwed(request.priority)) return waitMillis
         // A priority below its share waits only for its own requests, at the pace of that share.
         val ownAhead =
             queue.count { it.id != request.id && it.priority == request.priority } +
-                peers.waitingAt(request.service, request.priority, sinceMillis)
+                loads.waitingAt(request.service, request.priority)
         val relativeHold = share.holdMillis(request.priority) / pool.meanHoldMillis()
         val ownIntervalMillis = intervalMillis * relativeHold / share.fraction
         return minOf(waitMillis, ownAhead * ownIntervalMillis)
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerCapacity.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerCapacity.kt
@@ -38,9 +38,9 @@
         else statements.usableSlots(record.entry.run, record.entry.slots, nowMillis)
 
     /** Returns how long this instance has to wait because of the limit that the server states. */
-    fun limitWaitMillis(record: ServerRecord, peers: PeerLoads, nowMillis: Long): Double =
+    fun limitWaitMillis(record: ServerRecord, peerCount: Int, nowMillis: Long): Double =
         if (rateLimits.isEmpty) 0.0
-        else rateLimits.waitMillis(record.entry.run, peers.count + 1, nowMillis)
+        else rateLimits.waitMillis(record.entry.run, peerCount + 1, nowMillis)
 
     /** Returns how often a slot of the server becomes free if each is used for [holdMillis]. */
     fun slotsPerMillis(record: ServerRecord, holdMillis: Double): Double {
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerDirectory.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerDirectory.kt
@@ -13,7 +13,8 @@
  *
  * The store may also come back from a copy that is some seconds old and list servers as they were
  * then. A run that has announced its leaving stays unavailable, and one that had been removed stays
- * out until its server writes its entry again. Not thread-safe: all calls must come from one thread.
+ * out until its server writes its entry again. Not thread-safe: all calls must come from one
+ * thread.
  */
 class ServerDirectory {
     private val entries = LinkedHashMap<String, ServerEntry>()
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerEstimator.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerEstimator.kt
@@ -17,20 +17,18 @@
         record: ServerRecord,
         request: DispatchRequest,
         uncachedTokens: Double,
-        peers: PeerLoads,
+        peers: PeerLoads.Current,
         reserved: Map<String, Int>,
         failureDomain: String,
         nowMillis: Long,
-        /** Time since which reports of peers count. */
-        reportsSinceMillis: Long,
     ): ServerEstimate {
         val id = record.entry.id
-        val busy = record.inFlight + peers.inFlight(id, reportsSinceMillis) + (reserved[id] ?: 0)
+        val busy = record.inFlight + peers.inFlight(id) + (reserved[id] ?: 0)
         val slots = capacity.usableSlots(record, nowMillis)
-        val pending = record.pendingTokens + peers.pendingTokens(id, reportsSinceMillis)
+        val pending = record.pendingTokens + peers.pendingTokens(id)
         val unloadedMillis = model.predictMillis(uncachedTokens + pending)
         val loadFactor = 1 + SLOWDOWN_PER_REQUEST * busy
-        val limitWaitMillis = capacity.limitWaitMillis(record, peers, nowMillis)
+        val limitWaitMillis = capacity.limitWaitMillis(record, peers.peerCount, nowMillis)
         val freeSlots = if (limitWaitMillis > 0) 0 else slots - busy
         val releaseWaitMillis =
             if (busy < slots) 0.0 else expectedHoldMillis(record) * (busy - slots + 1) / slots
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -176,7 +176,7 @@
         // Clients that share a prompt mostly stay in one failure domain.
         val near = eligible.filter { it.entry.failureDomain == failureDomain }
         val preference = affinity.preference(request.promptParts, near.ifEmpty { eligible })
-        val sinceMillis = reportsSinceMillis(nowMillis)
+        val loads = currentLoads(peers, nowMillis)
         val estimates =
             eligible.map {
                 val cachedTokens =
@@ -186,11 +186,10 @@
                     it,
                     request,
                     uncachedTokens,
-                    peers,
+                    loads,
                     reserved,
                     failureDomain,
                     nowMillis,
-                    sinceMillis,
                 )
             }
         val best =
@@ -235,19 +234,17 @@
 
     /** Returns true if a server can take [request] at once. */
     fun hasFreeSlot(request: DispatchRequest, peers: PeerLoads, nowMillis: Long): Boolean {
-        val sinceMillis = reportsSinceMillis(nowMillis)
+        val loads = currentLoads(peers, nowMillis)
         return eligibleServers(request, nowMillis).any { record ->
-            val busy = record.inFlight + peers.inFlight(record.entry.id, sinceMillis)
+            val busy = record.inFlight + loads.inFlight(record.entry.id)
             busy < capacity.usableSlots(record, nowMillis) &&
-                capacity.limitWaitMillis(record, peers, nowMillis) <= 0
+                capacity.limitWaitMillis(record, peers.count, nowMillis) <= 0
         }
     }
 
-    /**
-     * Returns the time since which reports of peers describe this pool. Most of the requests that
-     * an older report lists have ended, those that it lists as waiting included.
-     */
-    fun reportsSinceMillis(nowMillis: Long): Long = nowMillis - meanHoldMillis().toLong()
+    /** Returns what [peers] have in flight and queued for this pool. */
+    fun currentLoads(peers: PeerLoads, nowMillis: Long): PeerLoads.Current =
+        peers.at(nowMillis, meanHoldMillis())
 
     private companion object {
         const val MIN_HOLD_MILLIS = 20.0
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/PeerLoadsTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/PeerLoadsTest.kt
@@ -33,23 +33,39 @@
                 (0..5).forEach { number ->
                     val uses =
                         current.values.mapNotNull { (report, _) -> report.servers["s$number"] }
-                    loads.inFlight("s$number", sinceMillis = 0) shouldBe uses.sumOf { it.inFlight }
-                    loads.pendingTokens("s$number", sinceMillis = 0) shouldBe
+                    loads.at(20_000, holdMillis = 20_000.0).inFlight("s$number") shouldBe
+                        uses.sumOf { it.inFlight }
+                    loads.at(20_000, holdMillis = 20_000.0).pendingTokens("s$number") shouldBe
                         (uses.sumOf { it.pendingTokens } plusOrMinus 0.001)
                 }
             }
         }
 
-        // Guards against short requests that count until the next report of their instance.
-        test("given a report from before a time, then it does not count since that time") {
+        // Guards against short requests that count until their instance may report again, and
+        // against long ones that do not count although their instance has nothing new to report.
+        test("given requests shorter than the pause, then a report is left out for its rest") {
             val loads = PeerLoads()
             val queue = mapOf(QueueKey("s", 0) to QueueState(3, 100, isHeadLate = false))
-            loads.update("p", LoadReport(mapOf("s0" to ServerUse(2, 5.0)), queue), nowMillis = 100)
+            val report = LoadReport(mapOf("s0" to ServerUse(2, 5.0)), queue)
+            repeat(61) { loads.update("p$it", LoadReport(emptyMap(), emptyMap()), nowMillis = 0) }
+            loads.update("p0", report, nowMillis = 0)
 
-            loads.inFlight("s0", sinceMillis = 100) shouldBe 2
-            loads.inFlight("s0", sinceMillis = 101) shouldBe 0
-            loads.pendingTokens("s0", sinceMillis = 101) shouldBe 0.0
-            loads.waiting("s", maxPriority = 0, sinceMillis = 100) shouldBe 3
-            loads.waiting("s", maxPriority = 0, sinceMillis = 101) shouldBe 0
+            fun inFlightAt(nowMillis: Long, holdMillis: Double) =
+                loads.at(nowMillis, holdMillis).inFlight("s0")
+
+            inFlightAt(50, holdMillis = 50.0) shouldBe 2
+            inFlightAt(51, holdMillis = 50.0) shouldBe 0
+            loads.at(51, holdMillis = 50.0).waiting("s", maxPriority = 0) shouldBe 0
+            inFlightAt(210, holdMillis = 50.0) shouldBe 2
+            inFlightAt(150, holdMillis = 300.0) shouldBe 2
+        }
+
+        test("given few peers, then reports always count") {
+            val loads = PeerLoads()
+            loads.update("p", LoadReport(mapOf("s0" to ServerUse(2, 5.0)), emptyMap()), 0)
+
+            for (nowMillis in 0L..500 step 10) {
+                loads.at(nowMillis, holdMillis = 40.0).inFlight("s0") shouldBe 2
+            }
         }
     })
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ServerEstimatorTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ServerEstimatorTest.kt
@@ -29,7 +29,15 @@
             others: List<ServerRecord> = soundServers,
         ) =
             estimator(others)
-                .estimate(record, request, 1_000.0, PeerLoads(), reserved, failureDomain, 0, 0)
+                .estimate(
+                    record,
+                    request,
+                    1_000.0,
+                    PeerLoads().at(0, holdMillis = 0.0),
+                    reserved,
+                    failureDomain,
+                    0,
+                )
 
         val idle = estimate(record())
 
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportExchange.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportExchange.kt
@@ -3,6 +3,7 @@
 import com.google.protobuf.InvalidProtocolBufferException
 import io.lavenderhinge.core.forwarding.QuotaLimiter
 import io.lavenderhinge.core.forwarding.QuotaReport
+import io.lavenderhinge.core.forwarding.ReportPacing
 import io.lavenderhinge.core.settings.Address
 import io.lavenderhinge.protocol.v1.LoadReport
 import io.netty.bootstrap.Bootstrap
@@ -81,17 +82,8 @@
     /** Sends a report soon, because a peer may be waiting for the state that this instance has. */
     fun onStateChanged() = scheduleSend()
 
-    // Batches changes into one report. The pause grows with the number of peers, so that the rate
-    // of datagrams that an instance handles does not.
-    private fun pauseMillis(): Long {
-        val count = peers.ids.size.toLong()
-        return maxOf(
-                MIN_PAUSE_MILLIS,
-                count * PAUSE_PER_PEER_MILLIS,
-                count * count / LARGE_FLEET_PAUSE_DIVISOR,
-            )
-            .coerceAtMost(MAX_PAUSE_MILLIS)
-    }
+    // Batches changes into one report.
+    private fun pauseMillis(): Long = ReportPacing.pauseMillis(peers.ids.size)
 
     private fun scheduleSend() {
         hasUnsentChanges = true
@@ -170,12 +162,6 @@
         const val HEARTBEAT_MILLIS = 250L
         /** Per-route counts are large, and rollouts progress over seconds. */
         const val ROLLOUT_REPORT_INTERVAL_MILLIS = 150L
-        const val MIN_PAUSE_MILLIS = 15L
-        const val PAUSE_PER_PEER_MILLIS = 3L
-        /** Lowers the rate of datagrams above 60 peers, where placement tolerates older reports. */
-        const val LARGE_FLEET_PAUSE_DIVISOR = 20L
-        /** Reports expire after little more than this. */
-        const val MAX_PAUSE_MILLIS = 500L
         val log = LoggerFactory.getLogger(LoadReportExchange::class.java)
     }
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/OperatorStateListener.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/OperatorStateListener.kt
@@ -71,8 +71,7 @@
     }
 
     private fun isRestored(known: RolloutOrder, order: RolloutOrder): Boolean =
-        known.hasSameGoal(order) &&
-            StoreRevision.isRestoredBetween(known.revision, order.revision)
+        known.hasSameGoal(order) && StoreRevision.isRestoredBetween(known.revision, order.revision)
 
     private fun remove(key: String) {
         val order = orders.remove(key) ?: return
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/OperatorStateListenerTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/OperatorStateListenerTest.kt
@@ -24,7 +24,8 @@
 
         fun listen(vararg snapshots: Snapshot): List<String> {
             val calls = RecordingOrders()
-            val configuration = ConfigurationHolder(ReadinessGate(), confirmationValidMillis = 3_000)
+            val configuration =
+                ConfigurationHolder(ReadinessGate(), confirmationValidMillis = 3_000)
             val listener = OperatorStateListener(configuration, calls)
             snapshots.forEach(listener::onSnapshot)
             return calls.calls
