Move the watches of the store out of the gateway

Gateway built the watch for each role, beside all else it connects. StoreSubscription holds both watches and changes them with the role; header fields are looked up in one place.

--- a/adapters/src/main/kotlin/io/lavenderhinge/adapters/JsonClient.kt
+++ b/adapters/src/main/kotlin/io/lavenderhinge/adapters/JsonClient.kt
@@ -11,6 +11,7 @@
 import io.lavenderhinge.http.HttpRequest
 import io.lavenderhinge.http.HttpResponse
 import io.lavenderhinge.http.onlyResponse
+import io.lavenderhinge.http.valueOrNull
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import java.net.InetSocketAddress
 import java.net.URLEncoder
@@ -23,8 +24,7 @@
     val headers: List<HttpField> = emptyList(),
 ) {
     /** Returns the first value of header [name], or null. */
-    fun header(name: String): String? =
-        headers.firstOrNull { it.name.equals(name, ignoreCase = true) }?.value
+    fun header(name: String): String? = headers.valueOrNull(name)
 }
 
 /** Why a call returned no response. */
--- a/http/src/main/kotlin/io/lavenderhinge/http/HttpMessages.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/HttpMessages.kt
@@ -24,9 +24,12 @@
     val contentType: String? = null,
 ) {
     /** Returns the first value of header [name], or null. */
-    fun header(name: String): String? =
-        headers.firstOrNull { it.name.equals(name, ignoreCase = true) }?.value
+    fun header(name: String): String? = headers.valueOrNull(name)
 }
 
 /** One header field. */
 data class HttpField(val name: String, val value: String)
+
+/** Returns the first value of the field [name], or null. */
+fun List<HttpField>.valueOrNull(name: String): String? =
+    firstOrNull { it.name.equals(name, ignoreCase = true) }?.value
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
@@ -24,12 +24,9 @@
 import io.lavenderhinge.instance.peer.GrpcPeerLinks
 import io.lavenderhinge.instance.peer.PeerIdentity
 import io.lavenderhinge.instance.quarantine.QuarantineLog
-import io.lavenderhinge.platform.PlatformKeys
-import io.lavenderhinge.platform.PlatformKeys.OPERATOR_PREFIX
 import io.lavenderhinge.platform.PlatformStore
 import io.lavenderhinge.protocol.v1.LoadReport
 import java.net.InetSocketAddress
-import kotlinx.coroutines.flow.collectLatest
 import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
 
@@ -102,7 +99,18 @@
             watcherRole,
             loadReports::peerIds,
         )
-    private val operatorListener = OperatorStateListener(configuration, rollouts)
+    private val storeSubscription =
+        StoreSubscription(
+            store,
+            watchPacing,
+            watcherRole,
+            StoreListeners(
+                operator = OperatorStateListener(configuration, rollouts),
+                rolloutStatus = rollouts.statusListener,
+                servers = servers,
+                members = members,
+            ),
+        )
     private val metrics = GatewayMetrics(control)
     private val forwardingContext =
         ForwardingContext(
@@ -151,9 +159,7 @@
         startClientServer(prebound)
         isStarted = true
         operatorServer.start(socketAddress(settings.listen.operator))
-        control.scope.launch {
-            watcherRole.isWatchingAll.collectLatest { storeWatcher(watchesAll = it).run() }
-        }
+        control.scope.launch { storeSubscription.run() }
         servers.start()
         loop.execute { loadReports.onReport = ::onPeerReport }
         loop.execute { quotaStart.onEnd = ::onQuotaStartEnded }
@@ -232,23 +238,6 @@
         Thread.sleep(DRAIN_POLL_MILLIS)
     }
 
-    private fun storeWatcher(watchesAll: Boolean): StoreWatcher {
-        val operator = OPERATOR_PREFIX to operatorListener
-        if (!watchesAll) {
-            val listener = FollowerListener(PrefixRoutingListener(mapOf(operator)), servers)
-            return StoreWatcher(store, OPERATOR_PREFIX, listener, watchPacing)
-        }
-        val listeners =
-            mapOf(
-                operator,
-                PlatformKeys.ROLLOUT_STATUS_PREFIX to rollouts.statusListener,
-                PlatformKeys.SERVER_PREFIX to servers,
-                PlatformKeys.MEMBER_PREFIX to members,
-            )
-        val listener = PrefixRoutingListener(listeners)
-        return StoreWatcher(store, PlatformKeys.ALL_PREFIX, listener, watchPacing)
-    }
-
     private fun onPeerReport(report: LoadReport) {
         watcherRole.onReport(report, loop.nowMillis())
         if (stateSync.isConcernedBy(report)) control.execute { stateSync.onReport(report) }
