Tell a restored store by its own answers only

An instance that has taken a list of the restored store from a peer knows its era already. It then took the store's first own answer for an ordinary one, dropped servers that the copy lacks, and used again what had been removed. Between the first and the last instance to reach the store again lies up to 0.6 s.

ServerRegistry compares with the store's own last answer instead. The new case of ServerRegistryTest fails with the comparison of before (expected [a, new] but was [a]) and passes now.

--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ServerRegistry.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ServerRegistry.kt
@@ -29,6 +29,9 @@
     var readRevision = 0L
         private set
 
+    /** Revision of the last answer of the store itself; a copy of a peer may be newer. */
+    private var storeRevision = 0L
+
     /** Store revision of the last change of a server; 0 if the list has not been read. */
     @Volatile
     var revision = 0L
@@ -64,7 +67,8 @@
     override fun onSnapshot(snapshot: Snapshot) {
         onStoreAnswered()
         if (isOutdated(snapshot.revision)) return
-        val isRestored = StoreRevision.isRestoredBetween(readRevision, snapshot.revision)
+        val isRestored = StoreRevision.isRestoredBetween(storeRevision, snapshot.revision)
+        storeRevision = snapshot.revision
         val entries = takeOver(snapshot.values, snapshot.revision)
         if (isRestored) directory.onRestoredSnapshot(entries, nowMillis())
         else directory.onSnapshot(entries, nowMillis())
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ServerRegistryTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ServerRegistryTest.kt
@@ -86,6 +86,26 @@
             }
         }
 
+        // Guards against taking the first answer of a restored store for an ordinary one.
+        test("given a peer that knew the restored store first, then missing entries are kept") {
+            RegistryFixture().use { fixture ->
+                val registry = fixture.registry
+                registry.onSnapshot(snapshot(StoreRevision.of(3, 1), value("a"), value("new")))
+                for (revision in 2L..12) {
+                    fixture.nowMillis += 1_200
+                    val written = persistentListOf(value("a"), value("new"))
+                    registry.onChanges(WatchResult(written, StoreRevision.of(3, revision)))
+                }
+                registry.onStoreUnavailable(StoreFault.Unavailable("down"))
+                registry.onStoreUnavailable(StoreFault.Unavailable("down"))
+                registry.onPeerCopy(listOf(value("a"), value("new")), StoreRevision.of(4, 5))
+
+                registry.onSnapshot(snapshot(StoreRevision.of(4, 5), value("a")))
+
+                fixture.published shouldBe listOf("a", "new")
+            }
+        }
+
         test("given an entry that was removed, then peers do not get it") {
             RegistryFixture().use { fixture ->
                 fixture.registry.onSnapshot(snapshot(10, value("a"), value("b")))
@@ -100,8 +120,9 @@
 private class RegistryFixture : AutoCloseable {
     private val control = ControlThread()
     var published = emptyList<String>()
+    var nowMillis = 0L
     val registry =
-        ServerRegistry(control, StoreContact(staleAfterMillis = 3_000)) { servers ->
+        ServerRegistry(control, StoreContact(staleAfterMillis = 3_000), { nowMillis }) { servers ->
             published = servers.map { it.id }
         }
 
