Measure how late the traffic thread runs and what it spends time on

A timer of 100 ms now measures its own delay; a delay of 100 ms or more gets a log line, at most two a second, with the time that went into decisions and reports meanwhile.

--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
@@ -129,6 +129,7 @@
         RequestForwarder(forwardingContext, configuration, RequestAdmission(quotas), gate)
     private val quarantineLog = QuarantineLog()
     private val ejectionLog = EjectionLog(metrics)
+    private val loopDelay = LoopDelayMonitor(loop, metrics, forwarder::inFlightCount)
     private val clientServer = HttpServer(loop.group, forwarder, CLIENT_LIMITS)
     private val readinessServer =
         HttpServer(loop.group, HttpHandler { it.respond(readinessResponse()) })
@@ -173,6 +174,7 @@
         }
         loadReports.start()
         loop.every(QUOTA_INTERVAL_MILLIS, ::tickQuotas)
+        loop.execute(loopDelay::start)
         rollouts.start()
         loop.after(FOLLOWER_DELAY_MILLIS) {
             loop.every(WATCHER_INTERVAL_MILLIS, ::updateWatcherRole)
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/GatewayMetrics.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/GatewayMetrics.kt
@@ -36,6 +36,15 @@
     fun requestRejected(reason: Rejection) =
         control.execute { requests.recordGatewayRejection(reason.name.lowercase()) }
 
+    /** Records that timers ran [delayMillis] late and what the traffic thread did meanwhile. */
+    fun loopMeasured(delayMillis: Long, spentMillis: Map<TrafficActivity, Long>) =
+        control.execute {
+            requests.recordLoopDelay(delayMillis)
+            spentMillis.forEach { (activity, millis) ->
+                requests.recordLoopActivity(activity.name.lowercase(), millis)
+            }
+        }
+
     /** Records that a server of [service] was ejected. */
     fun serverEjected(service: String) = control.execute { requests.recordEjection(service) }
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportExchange.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportExchange.kt
@@ -99,6 +99,10 @@
     private fun send() {
         hasUnsentChanges = false
         lastSentMillis = loop.nowMillis()
+        loop.load.measured(TrafficActivity.REPORTS, ::sendToPeers)
+    }
+
+    private fun sendToPeers() {
         val message = reportBuilder().build().toByteArray()
         val addresses = if (peers.ids.isEmpty()) seeds - self.address else peers.addresses
         addresses.forEach {
@@ -150,7 +154,9 @@
 
     private inner class DatagramReceiver : SimpleChannelInboundHandler<DatagramPacket>() {
         override fun channelRead0(ctx: ChannelHandlerContext, packet: DatagramPacket) =
-            receive(ByteBufUtil.getBytes(packet.content()))
+            loop.load.measured(TrafficActivity.REPORTS) {
+                receive(ByteBufUtil.getBytes(packet.content()))
+            }
 
         @Deprecated("Netty's callback for pipeline errors")
         override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
@@ -57,7 +57,7 @@
     suspend fun acquire(request: DispatchRequest): DispatchEffect {
         val waiter = Waiter()
         waiting[request.id] = waiter
-        complete(dispatcher.submit(request, loop.nowMillis()))
+        decide { dispatcher.submit(request, loop.nowMillis()) }
         onChange()
         scheduleTick()
         try {
@@ -101,7 +101,7 @@
 
     /** Releases the slot of [attempt] and reports its outcome to the dispatcher. */
     fun release(attempt: FinishedAttempt) {
-        complete(dispatcher.onFinished(attempt, loop.nowMillis()))
+        decide { dispatcher.onFinished(attempt, loop.nowMillis()) }
         onChange()
     }
 
@@ -122,12 +122,12 @@
     /** Replaces the list of servers. */
     fun onServers(servers: List<ServerEntry>) {
         unidentifiedRuns.retain(servers.mapTo(HashSet()) { it.run })
-        complete(dispatcher.onServers(servers, loop.nowMillis()))
+        decide { dispatcher.onServers(servers, loop.nowMillis()) }
     }
 
     /** Applies the load report of a peer. */
     fun onPeerReport(peer: String, report: LoadReport) =
-        complete(dispatcher.onPeerReport(peer, report, loop.nowMillis()))
+        decide { dispatcher.onPeerReport(peer, report, loop.nowMillis()) }
 
     /** Returns the load report for peers. */
     fun report(): LoadReport = dispatcher.report(loop.nowMillis())
@@ -139,6 +139,9 @@
         if (effect is DispatchEffect.Assign) giveBack(effect, request)
     }
 
+    private fun decide(decision: () -> List<DispatchEffect>) =
+        complete(loop.load.measured(TrafficActivity.DECISIONS, decision))
+
     private fun complete(effects: List<DispatchEffect>) =
         effects.forEach { effect ->
             waiting.remove(effect.requestId)?.let {
@@ -152,7 +155,7 @@
         isTickScheduled = true
         loop.after(TICK_MILLIS) {
             isTickScheduled = false
-            complete(dispatcher.serveQueues(loop.nowMillis()))
+            decide { dispatcher.serveQueues(loop.nowMillis()) }
             scheduleTick()
         }
     }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/TrafficLoop.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/TrafficLoop.kt
@@ -15,6 +15,9 @@
     val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val loop: EventLoop = group.next()
 
+    /** What the traffic thread spends its time on. */
+    val load = TrafficLoad()
+
     /** Monotonic time in milliseconds. */
     fun nowMillis(): Long = monotonicMillis()
 
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/metrics/RequestMetrics.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/metrics/RequestMetrics.kt
@@ -84,6 +84,21 @@
     fun recordEjection(service: String) =
         registry.counter("lavenderhinge.gateway.ejections", "service", service).increment()
 
+    /** Records how late the timers of the traffic thread run. */
+    fun recordLoopDelay(millis: Long) =
+        Timer.builder("lavenderhinge.traffic.delay")
+            .serviceLevelObjectives(*LONG_BUCKETS)
+            .register(registry)
+            .record(millis, TimeUnit.MILLISECONDS)
+
+    /** Counts the time that the traffic thread spent on [activity]. */
+    fun recordLoopActivity(activity: String, millis: Long) {
+        if (millis == 0L) return
+        registry
+            .counter("lavenderhinge.traffic.activity.millis", "activity", activity)
+            .increment(millis.toDouble())
+    }
+
     /** Counts a request that failed with a problem document. */
     fun recordProblem(tier: Tier?, code: String, outcome: String) =
         registry
