Add a failing test of what decisions cost in a large fleet

One instance with 60 peers before 62 servers in a burst, in virtual time. An instance with an eighth of a core has 0.63 s in all; the test allows half of that.

--- /dev/null
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/DecisionCostTest.kt
@@ -0,0 +1,97 @@
+package io.lavenderhinge.core.forwarding
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.longs.shouldBeLessThan
+import java.lang.management.ManagementFactory
+import java.util.concurrent.TimeUnit
+import kotlin.random.Random
+import kotlinx.collections.immutable.toImmutableList
+
+private const val PEERS = 60
+private const val SERVERS = 62
+private const val SLOTS = 5
+private const val REPORT_INTERVAL_MILLIS = 3L
+private const val TICK_MILLIS = 10L
+private const val ARRIVAL_INTERVAL_MILLIS = 50L
+private const val HOLD_MILLIS = 1_500L
+private const val WARM_UP_MILLIS = 10_000L
+private const val MEASURED_MILLIS = 5_000L
+/** Half of the time of an instance that has an eighth of a core; the rest is for connections. */
+private const val MAX_CPU_MILLIS = MEASURED_MILLIS / 16
+
+/** One instance of a large fleet in a burst, with as many reports of peers as such a fleet sends. */
+private class InstanceInBurst(seed: Int) {
+    private val random = Random(seed)
+    private val time = VirtualTime()
+    private val dispatcher = Dispatcher("d", random = random)
+    private val requests = HashMap<Long, DispatchRequest>()
+    private var lastRequestId = 0L
+
+    /** Simulates the burst and returns the processor time from the end of the warm-up on. */
+    fun cpuMillis(): Long {
+        dispatcher.onServers(List(SERVERS) { server("s$it", SLOTS) }, nowMillis = 0)
+        val endMillis = WARM_UP_MILLIS + MEASURED_MILLIS
+        var startNanos = 0L
+        time.at(WARM_UP_MILLIS) { startNanos = threadCpuNanos() }
+        time.every(REPORT_INTERVAL_MILLIS, endMillis, ::receiveReport)
+        time.every(ARRIVAL_INTERVAL_MILLIS, endMillis, ::arrive)
+        time.every(TICK_MILLIS, endMillis) { apply(dispatcher.serveQueues(it), it) }
+        time.run()
+        return TimeUnit.NANOSECONDS.toMillis(threadCpuNanos() - startNanos)
+    }
+
+    private fun threadCpuNanos() = ManagementFactory.getThreadMXBean().currentThreadCpuTime
+
+    private fun receiveReport(nowMillis: Long) {
+        val servers =
+            List(SLOTS) { "s${random.nextInt(SERVERS)}" }.associateWith { ServerUse(1, 500.0) }
+        val queues =
+            (0..2).associate { priority ->
+                QueueKey("s", priority) to
+                    QueueState(2, headWaitMillis = 200, isHeadLate = random.nextBoolean())
+            }
+        val peer = "p${nowMillis / REPORT_INTERVAL_MILLIS % PEERS}"
+        apply(dispatcher.onPeerReport(peer, LoadReport(servers, queues), nowMillis), nowMillis)
+    }
+
+    private fun arrive(nowMillis: Long) {
+        val parts = listOf("route", "session${random.nextInt(100)}", "own$lastRequestId")
+        val request =
+            request(++lastRequestId, priority = random.nextInt(3), arrivedMillis = nowMillis)
+                .copy(promptParts = parts.map { PromptPart(it, tokens = 300) }.toImmutableList())
+        requests[request.id] = request
+        apply(dispatcher.submit(request, nowMillis), nowMillis)
+    }
+
+    private fun apply(effects: List<DispatchEffect>, nowMillis: Long) =
+        effects.forEach { effect ->
+            val request = requests.remove(effect.requestId) ?: return@forEach
+            if (effect !is DispatchEffect.Assign) return@forEach
+            time.at(nowMillis + HOLD_MILLIS) { finish(request, effect, nowMillis, it) }
+        }
+
+    private fun finish(
+        request: DispatchRequest,
+        grant: DispatchEffect.Assign,
+        sentMillis: Long,
+        nowMillis: Long,
+    ) {
+        val outcome =
+            if (random.nextInt(20) == 0) ServerOutcome.Failed
+            else ServerOutcome.Answered(100.0, HOLD_MILLIS.toDouble(), grant.uncachedTokens, 20)
+        val attempt =
+            finished(grant.server, outcome, grant.uncachedTokens, false, request, sentMillis)
+        apply(dispatcher.onFinished(attempt, nowMillis), nowMillis)
+    }
+}
+
+class DecisionCostTest :
+    FunSpec({
+        // Guards against decisions that use up an instance, which then notices late that clients
+        // have left.
+        (1..3).forEach { seed ->
+            test("!given a burst in a large fleet, then decisions are cheap, seed $seed") {
+                InstanceInBurst(seed).cpuMillis() shouldBeLessThan MAX_CPU_MILLIS
+            }
+        }
+    })
