Compute the averages of a pool once between two changes

Each comparison of two queued requests and each estimate of a server without samples listed and averaged all servers of the pool. With 62 servers that is the larger part of a placement. The averages are now kept until a server or its statistics change; the decisions stay the same.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/EjectionComparison.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/EjectionComparison.kt
@@ -10,7 +10,10 @@
  * would be refused although it answers the rest. Servers that are lost or cannot be reached stay
  * ejected in any case.
  */
-internal class EjectionComparison(private val records: Collection<ServerRecord>) {
+internal class EjectionComparison(
+    private val records: Collection<ServerRecord>,
+    private val averages: PoolAverages = PoolAverages(records),
+) {
     private val worstFirst =
         compareByDescending<ServerRecord> { fractionOf(it) }.thenBy { it.entry.id }
 
@@ -20,8 +23,10 @@
         if (!record.isEjectedByFailures) return true
         val fraction = fractionOf(record)
         if (fraction <= TOLERATED_RATIO * othersFraction(record) + TOLERATED_EXCESS) return false
-        val keptOut = records.filter { it.isEjectedByFailures }.sortedWith(worstFirst)
-        return keptOut.indexOf(record) < records.size / 2
+        val maxKeptOut = records.size / 2
+        val keptOut = records.filter { it.isEjectedByFailures }
+        return keptOut.size <= maxKeptOut ||
+            keptOut.sortedWith(worstFirst).indexOf(record) < maxKeptOut
     }
 
     /** Describes the ejection of [record]. */
@@ -37,9 +42,9 @@
 
     /** Returns the share of failures of the servers other than [record]. */
     fun othersFraction(record: ServerRecord): Double {
-        if (records.size < 2) return record.failureRate.fraction(expected = 0.0)
-        val sum = records.sumOf { if (it === record) 0.0 else it.failureRate.fraction(0.0) }
-        return sum / (records.size - 1)
+        val own = record.failureRate.fraction(expected = 0.0)
+        if (records.size < 2) return own
+        return (averages.failureFractionSum - own).coerceAtLeast(0.0) / (records.size - 1)
     }
 
     private fun fractionOf(record: ServerRecord) =
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -28,7 +28,8 @@
     private val records = LinkedHashMap<String, ServerRecord>()
     private val model = FirstEventModel()
     private val affinity = PrefixAffinity()
-    private val ejections = EjectionComparison(records.values)
+    private val averages = PoolAverages(records.values)
+    private val ejections = EjectionComparison(records.values, averages)
     private val capacity = ServerCapacity(rateLimits, statements, ejections)
     private val estimator = ServerEstimator(model, capacity, ejections, ::expectedHoldMillis)
     private val sampler = CandidateSampler(random)
@@ -53,6 +54,7 @@
             if (record.entry.startedMillis != entry.startedMillis) record.reset()
             record.entry = entry
         }
+        averages.onChange()
     }
 
     fun usage(): List<Pair<String, ServerUse>> =
@@ -88,6 +90,7 @@
         record.pendingTokens = (record.pendingTokens - pendingTokens).coerceAtLeast(0.0)
         val wasEjected = record.isHalfOpen
         record.observe(outcome, model, nowMillis)
+        averages.onChange()
         if (record.isHalfOpen && !wasEjected) onEjection(ejections.describe(record))
     }
 
@@ -140,24 +143,18 @@
     }
 
     /** Returns the expected time from the send of [request] to its first event. */
-    fun firstEventMillis(request: DispatchRequest): Double {
-        // The model is fitted to latencies that are divided by these factors, so their mean may
-        // differ from 1.
-        val factors = records.values.filter { it.holdMillis > 0 }.map { it.latencyFactor }
-        val meanFactor = if (factors.isEmpty()) 1.0 else factors.average()
-        return meanFactor * model.predictMillis(request.promptTokens)
-    }
+    // The model is fitted to latencies that are divided by the servers' factors, so their mean may
+    // differ from 1.
+    fun firstEventMillis(request: DispatchRequest): Double =
+        averages.latencyFactor * model.predictMillis(request.promptTokens)
 
     /** True if a request of this instance has ended, so that predictions rest on experience. */
     val isHoldKnown: Boolean
-        get() = records.values.any { it.holdMillis > 0 }
+        get() = averages.knownHoldMillis != null
 
     /** Returns how long a request occupies its slot, on average over the servers. */
-    fun meanHoldMillis(): Double {
-        val known = records.values.map { it.holdMillis }.filter { it > 0 }
-        return if (known.isEmpty()) DEFAULT_HOLD_MILLIS
-        else known.average().coerceAtLeast(MIN_HOLD_MILLIS)
-    }
+    fun meanHoldMillis(): Double =
+        averages.knownHoldMillis?.coerceAtLeast(MIN_HOLD_MILLIS) ?: DEFAULT_HOLD_MILLIS
 
     /**
      * Assigns [request] to a server, or reserves the slot that it waits for in [reserved].
