Read the loads of servers once for all requests of a queue

A placement summed the use of each server over all peers, listed the servers that are eligible and estimated all of them, for each queued request, before it compared a sample of a few. PlacementRound now reads what does not depend on the request once for a pass, and only the sampled servers are estimated. A request for which no slot is free waits without an estimate.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/CandidateSampler.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/CandidateSampler.kt
@@ -5,8 +5,7 @@
 
 /** What a request can expect at one server. */
 internal class ServerEstimate(
-    val record: ServerRecord,
-    val freeSlots: Int,
+    val load: ServerLoad,
     /** Includes penalties, so it may exceed the time until the first event. */
     val expectedMillis: Double,
     /** Prompt tokens that are not expected in the cache of the server. */
@@ -22,27 +21,27 @@
  * Servers of its own failure domain are sampled apart, as traffic between domains is charged.
  */
 internal class CandidateSampler(private val random: Random) {
-    /** Returns those of [estimates] to compare. The [preferred] ids are included if free. */
+    /** Returns those of [servers] to compare. The [preferred] ids are included if free. */
     fun candidates(
-        estimates: List<ServerEstimate>,
+        servers: List<ServerLoad>,
         preferred: List<String>,
         failureDomain: String,
         peerCount: Int,
-    ): List<ServerEstimate> {
-        val free = estimates.filter { it.freeSlots > 0 }
+    ): List<ServerLoad> {
+        val free = servers.filter { it.freeSlots > 0 }
         val fraction = (COMPARING_FLEET / (peerCount + 1)).pow(2)
-        if (free.isEmpty() || fraction >= 1) return estimates
+        if (free.isEmpty() || fraction >= 1) return servers
         val (near, far) = free.partition { it.record.entry.failureDomain == failureDomain }
         val sampled = sample(near, fraction) + sample(far, fraction)
         // If there is little choice, a server whose slot becomes free soon may be the better one.
-        if (sampled.size == free.size) return estimates
+        if (sampled.size == free.size) return servers
         return sampled + free.filter { it.record.entry.id in preferred }
     }
 
-    private fun sample(estimates: List<ServerEstimate>, fraction: Double): List<ServerEstimate> =
-        estimates
+    private fun sample(servers: List<ServerLoad>, fraction: Double): List<ServerLoad> =
+        servers
             .shuffled(random)
-            .take((estimates.size * fraction).toInt().coerceAtLeast(MIN_SAMPLE))
+            .take((servers.size * fraction).toInt().coerceAtLeast(MIN_SAMPLE))
 
     private companion object {
         /** Up to this number of instances, each compares all servers. */
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -187,18 +187,16 @@
         if (queue.isEmpty()) return emptyList()
         val policy = policies.getValue(queue.first().service)
         val effects = mutableListOf<DispatchEffect>()
-        val reserved = HashMap<String, Int>()
+        val round = pool.startRound(peers, nowMillis)
         val waiting = mutableListOf<DispatchRequest>()
         fun place(request: DispatchRequest, aheadAtPeers: Int) {
-            val placement =
-                pool.place(request, peers, aheadAtPeers, reserved, failureDomain, nowMillis)
+            val placement = pool.place(request, aheadAtPeers, failureDomain, round)
             val effect = effectOf(placement, request, pool, nowMillis)
             if (effect == null) waiting += request else effects += effect
         }
         val order = policy.ordered(queue, nowMillis)
         order.owed.forEach { place(it, aheadAtPeers = 0) }
-        val loads = pool.currentLoads(peers, nowMillis)
-        order.others.forEach { place(it, loads.countAhead(it, policy.isLate(it, nowMillis))) }
+        order.others.forEach { place(it, round.peers.countAhead(it, policy.isLate(it, nowMillis))) }
         queue.clear()
         queue.addAll(waiting)
         waiting
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PeerLoads.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PeerLoads.kt
@@ -17,7 +17,7 @@
     /** The use of each server by the peers that use it. */
     private val uses = HashMap<String, HashMap<String, ReceivedUse>>()
     /** Peers with queued requests; most peers have none. */
-    private val queueing = HashMap<String, ReceivedReport>()
+    private val queueingPeers = HashMap<String, ReceivedReport>()
 
     /** Number of peers whose reports have not expired. */
     val count: Int
@@ -29,26 +29,36 @@
     /** The loads of one service by the reports that still describe it. */
     inner class Current(private val nowMillis: Long, private val holdMillis: Double) {
         private val pauseMillis = ReportPacing.pauseMillis(count) + DELIVERY_MILLIS
+        private val queueing by lazy {
+            queueingPeers.values.filter { describes(it.receivedMillis) }
+        }
 
         /** Number of peers, whatever the age of their reports. */
         val peerCount: Int
             get() = count
 
-        /** Returns the requests of peers at a server. */
-        fun inFlight(serverId: String): Int = usesOf(serverId).sumOf { it.inFlight }
-
-        /** Returns the prompt tokens of peers that a server has to read. */
-        fun pendingTokens(serverId: String): Double = usesOf(serverId).sumOf { it.pendingTokens }
+        /** Returns what all peers together have in flight at a server. */
+        fun useOf(serverId: String): ServerUse {
+            var inFlight = 0
+            var pendingTokens = 0.0
+            uses[serverId]?.values?.forEach { received ->
+                if (describes(received.receivedMillis)) {
+                    inFlight += received.use.inFlight
+                    pendingTokens += received.use.pendingTokens
+                }
+            }
+            return ServerUse(inFlight, pendingTokens)
+        }
 
-        private fun usesOf(serverId: String): List<ServerUse> =
-            uses[serverId]?.values.orEmpty().filter { describes(it.receivedMillis) }.map { it.use }
+        /** Returns the requests of peers at a server. */
+        fun inFlight(serverId: String): Int = useOf(serverId).inFlight
 
         /**
          * Returns the number of requests for [service] that are queued at peers with a priority of
          * [maxPriority] or more urgent.
          */
         fun waiting(service: String, maxPriority: Int): Int =
-            queueing().sumOf { received ->
+            queueing.sumOf { received ->
                 received.report.waiting.entries.sumOf { (key, queue) ->
                     if (key.service == service && key.priority <= maxPriority) queue.count else 0
                 }
@@ -56,7 +66,7 @@
 
         /** Returns the number of requests for [service] of [priority] that are queued at peers. */
         fun waitingAt(service: String, priority: Int): Int =
-            queueing().sumOf { it.report.waiting[QueueKey(service, priority)]?.count ?: 0 }
+            queueing.sumOf { it.report.waiting[QueueKey(service, priority)]?.count ?: 0 }
 
         /**
          * Returns the number of requests at peers that take precedence over [request]: all that are
@@ -67,15 +77,13 @@
          */
         fun countAhead(request: DispatchRequest, isLate: Boolean): Int =
             waiting(request.service, request.priority - 1) +
-                queueing().count { received ->
+                queueing.count { received ->
                     val key = QueueKey(request.service, request.priority)
                     val head = received.report.waiting[key]
                     head != null &&
                         precedes(head, received.receivedMillis, request, isLate, nowMillis)
                 }
 
-        private fun queueing(): List<ReceivedReport> =
-            queueing.values.filter { describes(it.receivedMillis) }
 
         private fun describes(receivedMillis: Long): Boolean {
             val ageMillis = nowMillis - receivedMillis
@@ -99,7 +107,7 @@
         remove(peer)
         val received = ReceivedReport(report, nowMillis)
         reports[peer] = received
-        if (report.waiting.isNotEmpty()) queueing[peer] = received
+        if (report.waiting.isNotEmpty()) queueingPeers[peer] = received
         report.servers.forEach { (server, use) ->
             uses.getOrPut(server, ::HashMap)[peer] = ReceivedUse(use, nowMillis)
         }
@@ -114,7 +122,7 @@
 
     private fun remove(peer: String) {
         val removed = reports.remove(peer) ?: return
-        queueing.remove(peer)
+        queueingPeers.remove(peer)
         removed.report.servers.keys.forEach { server -> removeUse(server, peer) }
     }
 
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerEstimator.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerEstimator.kt
@@ -7,32 +7,26 @@
  */
 internal class ServerEstimator(
     private val model: FirstEventModel,
-    private val capacity: ServerCapacity,
     private val ejections: EjectionComparison,
     /** Expected time that a request occupies a slot of the server. */
     private val expectedHoldMillis: (ServerRecord) -> Double,
 ) {
     /** Returns the estimate for [request], of which [uncachedTokens] have to be read. */
     fun estimate(
-        record: ServerRecord,
+        load: ServerLoad,
         request: DispatchRequest,
         uncachedTokens: Double,
-        peers: PeerLoads.Current,
-        reserved: Map<String, Int>,
         failureDomain: String,
         nowMillis: Long,
     ): ServerEstimate {
-        val id = record.entry.id
-        val busy = record.inFlight + peers.inFlight(id) + (reserved[id] ?: 0)
-        val slots = capacity.usableSlots(record, nowMillis)
-        val pending = record.pendingTokens + peers.pendingTokens(id)
-        val unloadedMillis = model.predictMillis(uncachedTokens + pending)
+        val record = load.record
+        val busy = load.busy
+        val slots = load.slots
+        val unloadedMillis = model.predictMillis(uncachedTokens + load.pendingTokens)
         val loadFactor = 1 + SLOWDOWN_PER_REQUEST * busy
-        val limitWaitMillis = capacity.limitWaitMillis(record, peers.peerCount, nowMillis)
-        val freeSlots = if (limitWaitMillis > 0) 0 else slots - busy
         val releaseWaitMillis =
             if (busy < slots) 0.0 else expectedHoldMillis(record) * (busy - slots + 1) / slots
-        val slotWaitMillis = maxOf(releaseWaitMillis, limitWaitMillis)
+        val slotWaitMillis = maxOf(releaseWaitMillis, load.limitWaitMillis)
         val expectedAttempts = expectedAttempts(record)
         val domainPenaltyMillis =
             if (record.entry.failureDomain == failureDomain) 0.0 else CROSS_DOMAIN_PENALTY_MILLIS
@@ -50,7 +44,7 @@
                 domainPenaltyMillis +
                 delayOfOthersMillis +
                 overrunMillis.coerceAtLeast(0.0)
-        return ServerEstimate(record, freeSlots, expectedMillis, uncachedTokens)
+        return ServerEstimate(load, expectedMillis, uncachedTokens)
     }
 
     // Failures that the other servers have as well are no reason to prefer these.
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -31,7 +31,7 @@
     private val averages = PoolAverages(records.values)
     private val ejections = EjectionComparison(records.values, averages)
     private val capacity = ServerCapacity(rateLimits, statements, ejections)
-    private val estimator = ServerEstimator(model, capacity, ejections, ::expectedHoldMillis)
+    private val estimator = ServerEstimator(model, ejections, ::expectedHoldMillis)
     private val sampler = CandidateSampler(random)
 
     /** Called when a server that was in use is ejected. */
@@ -157,57 +157,79 @@
     fun meanHoldMillis(): Double =
         averages.knownHoldMillis?.coerceAtLeast(MIN_HOLD_MILLIS) ?: DEFAULT_HOLD_MILLIS
 
+    /** Begins a pass over the queue of the pool. */
+    fun startRound(peers: PeerLoads, nowMillis: Long): PlacementRound {
+        val loads = currentLoads(peers, nowMillis)
+        return PlacementRound(loads, nowMillis, { eligibleServers(it, nowMillis) }) { record ->
+            ServerLoad(
+                record,
+                loads.useOf(record.entry.id),
+                capacity.usableSlots(record, nowMillis),
+                limitWait = { capacity.limitWaitMillis(record, loads.peerCount, nowMillis) },
+            )
+        }
+    }
+
     /**
-     * Assigns [request] to a server, or reserves the slot that it waits for in [reserved].
+     * Assigns [request] to a server, or reserves the slot that it waits for in [round].
      * [aheadAtPeers] requests of other instances take precedence over it.
      */
     fun place(
         request: DispatchRequest,
-        peers: PeerLoads,
         aheadAtPeers: Int,
-        reserved: MutableMap<String, Int>,
         failureDomain: String,
-        nowMillis: Long,
+        round: PlacementRound,
     ): Placement {
-        val eligible = eligibleServers(request, nowMillis)
+        val eligible = round.eligible(request)
         if (eligible.isEmpty()) return Placement.NoServer
-        // Clients that share a prompt mostly stay in one failure domain.
-        val near = eligible.filter { it.entry.failureDomain == failureDomain }
-        val preference = affinity.preference(request.promptParts, near.ifEmpty { eligible })
-        val loads = currentLoads(peers, nowMillis)
-        val estimates =
-            eligible.map {
-                val cachedTokens =
-                    affinity.cachedTokens(request.promptParts, it, preference, nowMillis)
-                val uncachedTokens = (request.promptTokens - cachedTokens).coerceAtLeast(0.0)
-                estimator.estimate(
-                    it,
-                    request,
-                    uncachedTokens,
-                    loads,
-                    reserved,
-                    failureDomain,
-                    nowMillis,
-                )
-            }
-        val best =
-            sampler
-                .candidates(estimates, preference?.serverIds.orEmpty(), failureDomain, peers.count)
-                .minBy { it.expectedMillis }
-        val freeSlots = estimates.sumOf { it.freeSlots.coerceAtLeast(0) }
-        if (best.freeSlots > 0 && freeSlots > aheadAtPeers) {
+        val freeSlots = eligible.sumOf { it.freeSlots.coerceAtLeast(0) }
+        // Nothing can be sent or reserved.
+        if (freeSlots == 0) return Placement.Wait
+        val best = bestOf(eligible, request, failureDomain, round)
+        if (best.load.freeSlots > 0 && freeSlots > aheadAtPeers) {
             return send(
                 best,
                 eligible.size,
-                capacity.inaccessibleCount(records.values, nowMillis),
-                peers.count,
+                capacity.inaccessibleCount(records.values, round.nowMillis),
+                round.peers.peerCount,
             )
         }
         // Reserves a slot, so that less urgent requests do not take the one this request waits for.
-        reserved.merge(best.record.entry.id, 1, Int::plus)
+        best.load.reservedSlots++
         return Placement.Wait
     }
 
+    private fun bestOf(
+        eligible: List<ServerLoad>,
+        request: DispatchRequest,
+        failureDomain: String,
+        round: PlacementRound,
+    ): ServerEstimate {
+        val records = eligible.map { it.record }
+        // Clients that share a prompt mostly stay in one failure domain.
+        val near = records.filter { it.entry.failureDomain == failureDomain }
+        val preference = affinity.preference(request.promptParts, near.ifEmpty { records })
+        return sampler
+            .candidates(
+                eligible,
+                preference?.serverIds.orEmpty(),
+                failureDomain,
+                round.peers.peerCount,
+            )
+            .map { load ->
+                val cachedTokens =
+                    affinity.cachedTokens(
+                        request.promptParts,
+                        load.record,
+                        preference,
+                        round.nowMillis,
+                    )
+                val uncachedTokens = (request.promptTokens - cachedTokens).coerceAtLeast(0.0)
+                estimator.estimate(load, request, uncachedTokens, failureDomain, round.nowMillis)
+            }
+            .minBy { it.expectedMillis }
+    }
+
     private fun send(
         best: ServerEstimate,
         eligibleCount: Int,
@@ -215,10 +237,10 @@
         peerCount: Int,
     ) =
         Placement.Send(
-            best.record.entry,
+            best.load.record.entry,
             best.expectedMillis,
             best.uncachedTokens,
-            "expected ${best.expectedMillis.toInt()} ms, ${best.freeSlots} slots free, " +
+            "expected ${best.expectedMillis.toInt()} ms, ${best.load.freeSlots} slots free, " +
                 "$eligibleCount servers, $peerCount peers" +
                 if (inaccessibleCount == 0) "" else ", $inaccessibleCount leaving or pausing",
         )
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/CandidateSamplerTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/CandidateSamplerTest.kt
@@ -12,25 +12,26 @@
     FunSpec({
         val seed = 7L
 
-        fun estimate(id: String, freeSlots: Int = 1, failureDomain: String = "d") =
-            ServerEstimate(
+        fun load(id: String, freeSlots: Int = 1, failureDomain: String = "d") =
+            ServerLoad(
                 ServerRecord(server(id).copy(failureDomain = failureDomain)),
-                freeSlots,
-                expectedMillis = 10.0,
-                uncachedTokens = 0.0,
-            )
+                ServerUse(0, 0.0),
+                slots = freeSlots,
+            ) {
+                0.0
+            }
 
-        val busy = estimate("busy", freeSlots = 0)
-        val near = List(60) { estimate("near-$it") }
-        val far = List(60) { estimate("far-$it", failureDomain = "e") }
+        val busy = load("busy", freeSlots = 0)
+        val near = List(60) { load("near-$it") }
+        val far = List(60) { load("far-$it", failureDomain = "e") }
 
         fun ids(
-            estimates: List<ServerEstimate>,
+            servers: List<ServerLoad>,
             peerCount: Int,
             preferred: List<String> = emptyList(),
         ) =
             CandidateSampler(Random(seed))
-                .candidates(estimates, preferred, failureDomain = "d", peerCount)
+                .candidates(servers, preferred, failureDomain = "d", peerCount)
                 .map { it.record.entry.id }
 
         test("given a small fleet, then all servers are compared") {
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/PeerLoadsTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/PeerLoadsTest.kt
@@ -35,7 +35,7 @@
                         current.values.mapNotNull { (report, _) -> report.servers["s$number"] }
                     loads.at(20_000, holdMillis = 20_000.0).inFlight("s$number") shouldBe
                         uses.sumOf { it.inFlight }
-                    loads.at(20_000, holdMillis = 20_000.0).pendingTokens("s$number") shouldBe
+                    loads.at(20_000, holdMillis = 20_000.0).useOf("s$number").pendingTokens shouldBe
                         (uses.sumOf { it.pendingTokens } plusOrMinus 0.001)
                 }
             }
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ServerEstimatorTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ServerEstimatorTest.kt
@@ -12,41 +12,36 @@
 
         fun record(id: String = "a") = ServerRecord(server(id, slots = 2))
 
-        fun estimator(others: List<ServerRecord>): ServerEstimator {
-            val ejections = EjectionComparison(others)
-            val statements = ServerStatements(drainMillis = 2_000)
-            val capacity = ServerCapacity(rateLimits, statements, ejections)
-            return ServerEstimator(FirstEventModel(), capacity, ejections) { 400.0 }
-        }
-
         val soundServers = listOf(record("b"), record("c"))
 
         fun estimate(
             record: ServerRecord,
-            reserved: Map<String, Int> = emptyMap(),
+            reservedSlots: Int = 0,
             failureDomain: String = "d",
             request: DispatchRequest = request(1),
             others: List<ServerRecord> = soundServers,
-        ) =
-            estimator(others)
-                .estimate(
-                    record,
-                    request,
-                    1_000.0,
-                    PeerLoads().at(0, holdMillis = 0.0),
-                    reserved,
-                    failureDomain,
-                    0,
-                )
+        ): ServerEstimate {
+            val ejections = EjectionComparison(others)
+            val statements = ServerStatements(drainMillis = 2_000)
+            val capacity = ServerCapacity(rateLimits, statements, ejections)
+            val slots = capacity.usableSlots(record, nowMillis = 0)
+            val load =
+                ServerLoad(record, ServerUse(0, 0.0), slots) {
+                    capacity.limitWaitMillis(record, peerCount = 0, nowMillis = 0)
+                }
+            load.reservedSlots = reservedSlots
+            return ServerEstimator(FirstEventModel(), ejections) { 400.0 }
+                .estimate(load, request, 1_000.0, failureDomain, 0)
+        }
 
         val idle = estimate(record())
 
         test("given requests in flight and reserved slots, then neither counts as free") {
             val busy = record().apply { inFlight = 1 }
 
-            idle.freeSlots shouldBe 2
-            estimate(busy).freeSlots shouldBe 1
-            estimate(busy, reserved = mapOf("a" to 1)).freeSlots shouldBe 0
+            idle.load.freeSlots shouldBe 2
+            estimate(busy).load.freeSlots shouldBe 1
+            estimate(busy, reservedSlots = 1).load.freeSlots shouldBe 0
         }
 
         test("given a full server, then the time until a slot is free is added") {
@@ -85,6 +80,6 @@
             rateLimits.onStated(limited.entry.run, perSecond = 1.0, nowMillis = 0)
             repeat(10) { rateLimits.onSent(limited.entry.run) }
 
-            estimate(limited).freeSlots shouldBe 0
+            estimate(limited).load.freeSlots shouldBe 0
         }
     })
