Count the queues of peers once for all requests of a queue

For each queued request, the queues of all peers were counted again, and for each late one the time between two free slots was computed from all servers. Both are now read once in a pass.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -53,7 +53,7 @@
         pools.getOrPut(service) {
             ServerPool(rollouts, rateLimits, statements, random).also {
                 it.onEjection = { ejection -> onEjection(ejection) }
-                policies[service] = QueuePolicy(it, peers)
+                policies[service] = QueuePolicy(it)
             }
         }
 
@@ -65,17 +65,18 @@
         val pool = pools[request.service]
         if (pool == null) return listOf(refuseWithoutServer(request))
         val queue = queues.getOrPut(request.service, ::mutableListOf)
-        if (pool.eligibleServers(request, nowMillis).isEmpty()) {
+        val round = pool.startRound(peers, nowMillis)
+        if (round.eligible(request).isEmpty()) {
             val refusal = onNoServer(request, pool, nowMillis)
             if (refusal == null) queue.add(request)
             return listOfNotNull(refusal)
         }
         val policy = policies.getValue(request.service)
-        policy.rejectionOnArrival(request, queue, nowMillis)?.let {
+        policy.rejectionOnArrival(request, queue, round)?.let {
             return listOf(it)
         }
         queue.add(request)
-        return serve(pool, queue, nowMillis)
+        return serve(pool, queue, round)
     }
 
     /** Removes a queued request. */
@@ -127,7 +128,7 @@
         pool.onFinished(attempt, nowMillis)
         val refusals = quarantineGate.refuseQueued(queues.values)
         val queue = queues[service] ?: return refusals
-        return refusals + serve(pool, queue, nowMillis)
+        return refusals + serve(pool, queue, pool.startRound(peers, nowMillis))
     }
 
     /**
@@ -149,7 +150,7 @@
         return quarantineGate.refuseQueued(queues.values) +
             queues.flatMap { (service, queue) ->
                 val pool = pools[service]
-                if (queue.isEmpty() || pool == null) emptyList() else serve(pool, queue, nowMillis)
+                if (queue.isEmpty() || pool == null) emptyList() else serve(pool, queue, pool.startRound(peers, nowMillis))
             }
     }
 
@@ -182,12 +183,12 @@
     private fun serve(
         pool: ServerPool,
         queue: MutableList<DispatchRequest>,
-        nowMillis: Long,
+        round: PlacementRound,
     ): List<DispatchEffect> {
         if (queue.isEmpty()) return emptyList()
+        val nowMillis = round.nowMillis
         val policy = policies.getValue(queue.first().service)
         val effects = mutableListOf<DispatchEffect>()
-        val round = pool.startRound(peers, nowMillis)
         val waiting = mutableListOf<DispatchRequest>()
         fun place(request: DispatchRequest, aheadAtPeers: Int) {
             val placement = pool.place(request, aheadAtPeers, failureDomain, round)
@@ -202,7 +203,7 @@
         waiting
             .filter { policy.isLate(it, nowMillis) }
             .forEach { request ->
-                val refusal = policy.rejection(request, queue, nowMillis) ?: return@forEach
+                val refusal = policy.rejection(request, queue, round) ?: return@forEach
                 queue.remove(request)
                 effects += refusal
             }
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PeerLoads.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PeerLoads.kt
@@ -13,6 +13,20 @@
 
     private class ReceivedUse(val use: ServerUse, val receivedMillis: Long)
 
+    private class ReceivedQueue(val state: QueueState, val receivedMillis: Long)
+
+    /** The queues of one service and priority at all peers. */
+    private class PeerQueues {
+        val heads = mutableListOf<ReceivedQueue>()
+        var waiting = 0
+            private set
+
+        fun add(state: QueueState, receivedMillis: Long) {
+            heads += ReceivedQueue(state, receivedMillis)
+            waiting += state.count
+        }
+    }
+
     private val reports = HashMap<String, ReceivedReport>()
     /** The use of each server by the peers that use it. */
     private val uses = HashMap<String, HashMap<String, ReceivedUse>>()
@@ -29,9 +43,7 @@
     /** The loads of one service by the reports that still describe it. */
     inner class Current(private val nowMillis: Long, private val holdMillis: Double) {
         private val pauseMillis = ReportPacing.pauseMillis(count) + DELIVERY_MILLIS
-        private val queueing by lazy {
-            queueingPeers.values.filter { describes(it.receivedMillis) }
-        }
+        private val queues by lazy(LazyThreadSafetyMode.NONE) { currentQueues() }
 
         /** Number of peers, whatever the age of their reports. */
         val peerCount: Int
@@ -58,15 +70,13 @@
          * [maxPriority] or more urgent.
          */
         fun waiting(service: String, maxPriority: Int): Int =
-            queueing.sumOf { received ->
-                received.report.waiting.entries.sumOf { (key, queue) ->
-                    if (key.service == service && key.priority <= maxPriority) queue.count else 0
-                }
+            queues.entries.sumOf { (key, queue) ->
+                if (key.service == service && key.priority <= maxPriority) queue.waiting else 0
             }
 
         /** Returns the number of requests for [service] of [priority] that are queued at peers. */
         fun waitingAt(service: String, priority: Int): Int =
-            queueing.sumOf { it.report.waiting[QueueKey(service, priority)]?.count ?: 0 }
+            queues[QueueKey(service, priority)]?.waiting ?: 0
 
         /**
          * Returns the number of requests at peers that take precedence over [request]: all that are
@@ -77,13 +87,25 @@
          */
         fun countAhead(request: DispatchRequest, isLate: Boolean): Int =
             waiting(request.service, request.priority - 1) +
-                queueing.count { received ->
-                    val key = QueueKey(request.service, request.priority)
-                    val head = received.report.waiting[key]
-                    head != null &&
-                        precedes(head, received.receivedMillis, request, isLate, nowMillis)
+                headsOf(request).count { head ->
+                    precedes(head.state, head.receivedMillis, request, isLate, nowMillis)
                 }
 
+        private fun headsOf(request: DispatchRequest): List<ReceivedQueue> =
+            queues[QueueKey(request.service, request.priority)]?.heads.orEmpty()
+
+
+        private fun currentQueues(): Map<QueueKey, PeerQueues> {
+            val byKey = HashMap<QueueKey, PeerQueues>()
+            queueingPeers.values
+                .filter { describes(it.receivedMillis) }
+                .forEach { received ->
+                    received.report.waiting.forEach { (key, state) ->
+                        byKey.getOrPut(key, ::PeerQueues).add(state, received.receivedMillis)
+                    }
+                }
+            return byKey
+        }
 
         private fun describes(receivedMillis: Long): Boolean {
             val ageMillis = nowMillis - receivedMillis
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QueuePolicy.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QueuePolicy.kt
@@ -16,7 +16,7 @@
  * compared to the time for which their client waits. The others are rejected at once, so that the
  * client can return after the burst instead of waiting for a response that does not come.
  */
-internal class QueuePolicy(private val pool: ServerPool, private val peers: PeerLoads) {
+internal class QueuePolicy(private val pool: ServerPool) {
     /**
      * Returns true if the first event of [request] will probably come after its target. During the
      * first half of its target time, no request is late; a long prompt would otherwise be late on
@@ -52,13 +52,12 @@
     fun rejectionOnArrival(
         request: DispatchRequest,
         queue: Collection<DispatchRequest>,
-        nowMillis: Long,
+        round: PlacementRound,
     ): DispatchEffect.Refuse? {
-        val waitingAtPeers =
-            pool.currentLoads(peers, nowMillis).waiting(request.service, request.priority)
+        val waitingAtPeers = round.peers.waiting(request.service, request.priority)
         val isNoneWaiting = queue.isEmpty() && waitingAtPeers == 0
-        if (isNoneWaiting && pool.hasFreeSlot(request, peers, nowMillis)) return null
-        return rejection(request, queue, nowMillis)
+        if (isNoneWaiting && round.hasFreeSlot(request)) return null
+        return rejection(request, queue, round)
     }
 
     /**
@@ -69,10 +68,11 @@
     fun rejection(
         request: DispatchRequest,
         queue: Collection<DispatchRequest>,
-        nowMillis: Long,
+        round: PlacementRound,
     ): DispatchEffect.Refuse? {
         if (!pool.isHoldKnown) return null
-        val waitMillis = expectedWaitMillis(request, queue, nowMillis)
+        val nowMillis = round.nowMillis
+        val waitMillis = expectedWaitMillis(request, queue, round)
         val firstEventMillis = pool.firstEventMillis(request)
         if (nowMillis + waitMillis + firstEventMillis <= request.targetMillis) return null
         val patienceMillis = request.firstEventDeadlineMillis - nowMillis - firstEventMillis
@@ -91,19 +91,18 @@
     private fun expectedWaitMillis(
         request: DispatchRequest,
         queue: Collection<DispatchRequest>,
-        nowMillis: Long,
+        round: PlacementRound,
     ): Double {
-        val intervalMillis = pool.slotIntervalMillis(request, nowMillis)
+        val intervalMillis = round.slotIntervalMillis(request)
         val ahead = queue.count { it.id != request.id && it.priority <= request.priority }
-        val loads = pool.currentLoads(peers, nowMillis)
-        val aheadAtPeers = loads.waiting(request.service, request.priority)
+        val aheadAtPeers = round.peers.waiting(request.service, request.priority)
         val waitMillis = (ahead + aheadAtPeers) * intervalMillis
         val share = pool.minimumShare
         if (!share.isOwed(request.priority)) return waitMillis
         // A priority below its share waits only for its own requests, at the pace of that share.
         val ownAhead =
             queue.count { it.id != request.id && it.priority == request.priority } +
-                loads.waitingAt(request.service, request.priority)
+                round.peers.waitingAt(request.service, request.priority)
         val relativeHold = share.holdMillis(request.priority) / pool.meanHoldMillis()
         val ownIntervalMillis = intervalMillis * relativeHold / share.fraction
         return minOf(waitMillis, ownAhead * ownIntervalMillis)
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -98,7 +98,7 @@
      * Returns the servers that may get [request]. If all of them are ejected or silent, they are
      * used anyway, because it is unlikely that every server of a pool has failed.
      */
-    fun eligibleServers(request: DispatchRequest, nowMillis: Long): List<ServerRecord> {
+    private fun eligibleServers(request: DispatchRequest, nowMillis: Long): List<ServerRecord> {
         val listed =
             records.values.filter {
                 it.entry.acceptsWork && it.entry.id !in request.excludedServers
@@ -130,7 +130,7 @@
     }
 
     /** Returns the mean time between two slots becoming free in the pool. */
-    fun slotIntervalMillis(request: DispatchRequest, nowMillis: Long): Double {
+    private fun slotIntervalMillis(request: DispatchRequest, nowMillis: Long): Double {
         val slotsPerMillis =
             rollouts
                 .select(
@@ -160,16 +160,23 @@
     /** Begins a pass over the queue of the pool. */
     fun startRound(peers: PeerLoads, nowMillis: Long): PlacementRound {
         val loads = currentLoads(peers, nowMillis)
-        return PlacementRound(loads, nowMillis, { eligibleServers(it, nowMillis) }) { record ->
-            ServerLoad(
-                record,
-                loads.useOf(record.entry.id),
-                capacity.usableSlots(record, nowMillis),
-                limitWait = { capacity.limitWaitMillis(record, loads.peerCount, nowMillis) },
-            )
-        }
+        return PlacementRound(
+            loads,
+            nowMillis,
+            eligibleServers = { eligibleServers(it, nowMillis) },
+            loadOf = { loadOf(it, loads, nowMillis) },
+            slotInterval = { slotIntervalMillis(it, nowMillis) },
+        )
     }
 
+    private fun loadOf(record: ServerRecord, loads: PeerLoads.Current, nowMillis: Long) =
+        ServerLoad(
+            record,
+            loads.useOf(record.entry.id),
+            capacity.usableSlots(record, nowMillis),
+            limitWait = { capacity.limitWaitMillis(record, loads.peerCount, nowMillis) },
+        )
+
     /**
      * Assigns [request] to a server, or reserves the slot that it waits for in [round].
      * [aheadAtPeers] requests of other instances take precedence over it.
@@ -252,18 +259,7 @@
         return meanHoldMillis()
     }
 
-    /** Returns true if a server can take [request] at once. */
-    fun hasFreeSlot(request: DispatchRequest, peers: PeerLoads, nowMillis: Long): Boolean {
-        val loads = currentLoads(peers, nowMillis)
-        return eligibleServers(request, nowMillis).any { record ->
-            val busy = record.inFlight + loads.inFlight(record.entry.id)
-            busy < capacity.usableSlots(record, nowMillis) &&
-                capacity.limitWaitMillis(record, peers.count, nowMillis) <= 0
-        }
-    }
-
-    /** Returns what [peers] have in flight and queued for this pool. */
-    fun currentLoads(peers: PeerLoads, nowMillis: Long): PeerLoads.Current =
+    private fun currentLoads(peers: PeerLoads, nowMillis: Long): PeerLoads.Current =
         peers.at(nowMillis, meanHoldMillis())
 
     private companion object {
