Choose preferred and sampled servers without sorting all of them

Decisions alone took more than a core in a model of such a burst: work for each queued request x each server x each peer, done anew with each report.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/CandidateSampler.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/CandidateSampler.kt
@@ -38,10 +38,17 @@
         return sampled + free.filter { it.record.entry.id in preferred }
     }
 
-    private fun sample(servers: List<ServerLoad>, fraction: Double): List<ServerLoad> =
-        servers
-            .shuffled(random)
-            .take((servers.size * fraction).toInt().coerceAtLeast(MIN_SAMPLE))
+    // Draws only as many servers as are needed, since a shuffle of all costs more than the rest of
+    // a placement.
+    private fun sample(servers: List<ServerLoad>, fraction: Double): List<ServerLoad> {
+        val count = (servers.size * fraction).toInt().coerceAtLeast(MIN_SAMPLE)
+        if (count >= servers.size) return servers
+        val remaining = servers.toMutableList()
+        return List(count) { drawn ->
+            val index = random.nextInt(drawn, remaining.size)
+            remaining[index].also { remaining[index] = remaining[drawn] }
+        }
+    }
 
     private companion object {
         /** Up to this number of instances, each compares all servers. */
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -65,8 +65,8 @@
         val pool = pools[request.service]
         if (pool == null) return listOf(refuseWithoutServer(request))
         val queue = queues.getOrPut(request.service, ::mutableListOf)
-        val round = pool.startRound(peers, nowMillis)
-        if (round.eligible(request).isEmpty()) {
+        val round = pool.startRound(peers, failureDomain, nowMillis)
+        if (round.eligible(request).loads.isEmpty()) {
             val refusal = onNoServer(request, pool, nowMillis)
             if (refusal == null) queue.add(request)
             return listOfNotNull(refusal)
@@ -128,7 +128,7 @@
         pool.onFinished(attempt, nowMillis)
         val refusals = quarantineGate.refuseQueued(queues.values)
         val queue = queues[service] ?: return refusals
-        return refusals + serve(pool, queue, pool.startRound(peers, nowMillis))
+        return refusals + serve(pool, queue, pool.startRound(peers, failureDomain, nowMillis))
     }
 
     /**
@@ -150,7 +150,7 @@
         return quarantineGate.refuseQueued(queues.values) +
             queues.flatMap { (service, queue) ->
                 val pool = pools[service]
-                if (queue.isEmpty() || pool == null) emptyList() else serve(pool, queue, pool.startRound(peers, nowMillis))
+                if (queue.isEmpty() || pool == null) emptyList() else serve(pool, queue, pool.startRound(peers, failureDomain, nowMillis))
             }
     }
 
@@ -191,7 +191,7 @@
         val effects = mutableListOf<DispatchEffect>()
         val waiting = mutableListOf<DispatchRequest>()
         fun place(request: DispatchRequest, aheadAtPeers: Int) {
-            val placement = pool.place(request, aheadAtPeers, failureDomain, round)
+            val placement = pool.place(request, aheadAtPeers, round)
             val effect = effectOf(placement, request, pool, nowMillis)
             if (effect == null) waiting += request else effects += effect
         }
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PlacementRound.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PlacementRound.kt
@@ -2,6 +2,17 @@
 
 import kotlinx.collections.immutable.PersistentSet
 
+/** The servers that may get a request. */
+internal class EligibleServers(val loads: List<ServerLoad>, failureDomain: String) {
+    /** Those in the own failure domain, or all if there are none. */
+    val near: List<ServerRecord> =
+        loads
+            .map { it.record }
+            .let { records ->
+                records.filter { it.entry.failureDomain == failureDomain }.ifEmpty { records }
+            }
+}
+
 /**
  * One pass over the queue of a pool at [nowMillis]. Whatever does not depend on the request is read
  * once for all requests of the queue: with tens of servers and peers, reading it for each of them
@@ -9,6 +20,7 @@
  */
 internal class PlacementRound(
     val peers: PeerLoads.Current,
+    val failureDomain: String,
     val nowMillis: Long,
     private val eligibleServers: (DispatchRequest) -> List<ServerRecord>,
     private val loadOf: (ServerRecord) -> ServerLoad,
@@ -21,17 +33,19 @@
     )
 
     private val loads = HashMap<ServerRecord, ServerLoad>()
-    private val eligible = HashMap<Eligibility, List<ServerLoad>>()
+    private val eligible = HashMap<Eligibility, EligibleServers>()
     private val slotIntervals = HashMap<Boolean, Double>()
 
     /** Returns the servers that may get [request]. */
-    fun eligible(request: DispatchRequest): List<ServerLoad> =
+    fun eligible(request: DispatchRequest): EligibleServers =
         eligible.getOrPut(Eligibility(request.excludedServers, request.usesTargetVersion)) {
-            eligibleServers(request).map { record -> loads.getOrPut(record) { loadOf(record) } }
+            val records = eligibleServers(request)
+            EligibleServers(records.map { loads.getOrPut(it) { loadOf(it) } }, failureDomain)
         }
 
     /** Returns true if a server can take [request] at once. */
-    fun hasFreeSlot(request: DispatchRequest): Boolean = eligible(request).any { it.freeSlots > 0 }
+    fun hasFreeSlot(request: DispatchRequest): Boolean =
+        eligible(request).loads.any { it.freeSlots > 0 }
 
     /** Returns the mean time between two slots becoming free for requests like [request]. */
     fun slotIntervalMillis(request: DispatchRequest): Double =
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PrefixAffinity.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PrefixAffinity.kt
@@ -50,11 +50,28 @@
         val shared = if (last.id in seenParts) parts else parts.dropLast(1)
         val key = shared.lastOrNull() ?: return null
         val keyHash = RendezvousHash.hash64(key.id)
-        val servers =
-            records
-                .sortedByDescending { RendezvousHash.weight(keyHash, it.idHash) }
-                .take(PREFERRED_SERVERS)
-        return Preference(servers.map { it.entry.id }, shared.sumOf { it.tokens })
+        val first = heaviest(records, keyHash, except = null)
+        val second = heaviest(records, keyHash, except = first)
+        val serverIds = listOfNotNull(first, second).map { it.entry.id }
+        return Preference(serverIds, shared.sumOf { it.tokens })
+    }
+
+    // Two passes are cheaper than sorting the servers for each request.
+    private fun heaviest(
+        records: Collection<ServerRecord>,
+        keyHash: ULong,
+        except: ServerRecord?,
+    ): ServerRecord? {
+        var heaviest: ServerRecord? = null
+        var maxWeight = ULong.MIN_VALUE
+        records.forEach { record ->
+            val weight = RendezvousHash.weight(keyHash, record.idHash)
+            if (record !== except && (heaviest == null || weight > maxWeight)) {
+                heaviest = record
+                maxWeight = weight
+            }
+        }
+        return heaviest
     }
 
     /** Returns the expected number of cached tokens of [parts] at [record]. */
@@ -82,7 +99,6 @@
         const val MAX_SEEN_PARTS = 4_096
         /** Time after which other prompts have probably replaced a part in the cache. */
         const val CACHE_MILLIS = 30_000L
-        const val PREFERRED_SERVERS = 2
         /** Some parts are new, and some requests go elsewhere when the server is full. */
         const val FIRST_SERVER_PROBABILITY = 0.8
         const val SECOND_SERVER_PROBABILITY = 0.4
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -158,10 +158,11 @@
         averages.knownHoldMillis?.coerceAtLeast(MIN_HOLD_MILLIS) ?: DEFAULT_HOLD_MILLIS
 
     /** Begins a pass over the queue of the pool. */
-    fun startRound(peers: PeerLoads, nowMillis: Long): PlacementRound {
+    fun startRound(peers: PeerLoads, failureDomain: String, nowMillis: Long): PlacementRound {
         val loads = currentLoads(peers, nowMillis)
         return PlacementRound(
             loads,
+            failureDomain,
             nowMillis,
             eligibleServers = { eligibleServers(it, nowMillis) },
             loadOf = { loadOf(it, loads, nowMillis) },
@@ -184,19 +185,18 @@
     fun place(
         request: DispatchRequest,
         aheadAtPeers: Int,
-        failureDomain: String,
         round: PlacementRound,
     ): Placement {
         val eligible = round.eligible(request)
-        if (eligible.isEmpty()) return Placement.NoServer
-        val freeSlots = eligible.sumOf { it.freeSlots.coerceAtLeast(0) }
+        if (eligible.loads.isEmpty()) return Placement.NoServer
+        val freeSlots = eligible.loads.sumOf { it.freeSlots.coerceAtLeast(0) }
         // Nothing can be sent or reserved.
         if (freeSlots == 0) return Placement.Wait
-        val best = bestOf(eligible, request, failureDomain, round)
+        val best = bestOf(eligible, request, round)
         if (best.load.freeSlots > 0 && freeSlots > aheadAtPeers) {
             return send(
                 best,
-                eligible.size,
+                eligible.loads.size,
                 capacity.inaccessibleCount(records.values, round.nowMillis),
                 round.peers.peerCount,
             )
@@ -207,18 +207,16 @@
     }
 
     private fun bestOf(
-        eligible: List<ServerLoad>,
+        eligible: EligibleServers,
         request: DispatchRequest,
-        failureDomain: String,
         round: PlacementRound,
     ): ServerEstimate {
-        val records = eligible.map { it.record }
         // Clients that share a prompt mostly stay in one failure domain.
-        val near = records.filter { it.entry.failureDomain == failureDomain }
-        val preference = affinity.preference(request.promptParts, near.ifEmpty { records })
+        val preference = affinity.preference(request.promptParts, eligible.near)
+        val failureDomain = round.failureDomain
         return sampler
             .candidates(
-                eligible,
+                eligible.loads,
                 preference?.serverIds.orEmpty(),
                 failureDomain,
                 round.peers.peerCount,
