Look for the cause of crashes only among repeated suspects

Each decision looked through everything that was ever suspected of a crash. What is suspected of one crash only cannot be a cause and is left out now. CrashingRequestTest, CrashingPromptPartTest and PromptQuarantineTest hold.

--- a/core/src/main/kotlin/io/lavenderhinge/core/quarantine/CrashEvidence.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/quarantine/CrashEvidence.kt
@@ -21,6 +21,8 @@
 internal class CrashEvidence(private val retentionMillis: Long) {
     private val byRun = LinkedHashMap<ServerRun, ServerCrash>()
     private val byPart = HashMap<SuspectKey, LinkedHashSet<ServerCrash>>()
+    /** Those suspected of several crashes; most are suspected of one, which they only took part in. */
+    private val repeatedSuspects = LinkedHashSet<SuspectKey>()
 
     /** All crashes, oldest first. */
     val crashes: Collection<ServerCrash>
@@ -44,7 +46,9 @@
     fun suspect(crash: ServerCrash, part: SuspectKey, position: Int) {
         if (crash.suspects.size == MAX_SUSPECTS && part !in crash.suspects) return
         crash.suspects.merge(part, position, ::maxOf)
-        byPart.getOrPut(part, ::LinkedHashSet).add(crash)
+        val crashes = byPart.getOrPut(part, ::LinkedHashSet)
+        crashes.add(crash)
+        if (crashes.size > 1) repeatedSuspects += part
     }
 
     /**
@@ -74,9 +78,7 @@
      * prompts: these are shared by fewer requests.
      */
     fun strongestSuspect(minCrashes: Int, beforeMillis: Long): SuspectKey? =
-        byPart
-            .filterValues { it.size >= minCrashes }
-            .keys
+        repeatedSuspects
             .map { it to unexplained(it) }
             .filter { (_, crashes) ->
                 crashes.count { it.crashedMillis <= beforeMillis } >= minCrashes &&
@@ -99,20 +101,25 @@
             if (crash.suspects.isEmpty()) byRun.remove(crash.run)
         }
         crashes.removeAll(cleared.toSet())
-        if (crashes.isEmpty()) byPart.remove(part)
+        onCrashesRemoved(part, crashes)
     }
 
     /** Removes the crash of [run], which did not happen or no longer counts. */
     fun remove(run: ServerRun) {
         val crash = byRun.remove(run) ?: return
         crash.suspects.keys.forEach { part ->
-            byPart.computeIfPresent(part) { _, crashes ->
+            byPart[part]?.let { crashes ->
                 crashes.remove(crash)
-                crashes.takeIf { it.isNotEmpty() }
+                onCrashesRemoved(part, crashes)
             }
         }
     }
 
+    private fun onCrashesRemoved(part: SuspectKey, remaining: Set<ServerCrash>) {
+        if (remaining.isEmpty()) byPart.remove(part)
+        if (remaining.size <= 1) repeatedSuspects -= part
+    }
+
     /** Removes the crashes that are too old to count. */
     fun expire(nowMillis: Long) =
         byRun.values
