--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -150,7 +150,8 @@
         return quarantineGate.refuseQueued(queues.values) +
             queues.flatMap { (service, queue) ->
                 val pool = pools[service]
-                if (queue.isEmpty() || pool == null) emptyList() else serve(pool, queue, pool.startRound(peers, failureDomain, nowMillis))
+                if (queue.isEmpty() || pool == null) emptyList()
+                else serve(pool, queue, pool.startRound(peers, failureDomain, nowMillis))
             }
     }
 
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PeerLoads.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PeerLoads.kt
@@ -94,7 +94,6 @@
         private fun headsOf(request: DispatchRequest): List<ReceivedQueue> =
             queues[QueueKey(request.service, request.priority)]?.heads.orEmpty()
 
-
         private fun currentQueues(): Map<QueueKey, PeerQueues> {
             val byKey = HashMap<QueueKey, PeerQueues>()
             queueingPeers.values
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerLoad.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerLoad.kt
@@ -1,6 +1,8 @@
 package io.lavenderhinge.core.forwarding
 
-/** What one server has to do, and how much of it is left for requests, during a pass over a queue. */
+/**
+ * What one server has to do, and how much of it is left for requests, during a pass over a queue.
+ */
 internal class ServerLoad(
     val record: ServerRecord,
     /** What peers have in flight at the server. */
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -182,11 +182,7 @@
      * Assigns [request] to a server, or reserves the slot that it waits for in [round].
      * [aheadAtPeers] requests of other instances take precedence over it.
      */
-    fun place(
-        request: DispatchRequest,
-        aheadAtPeers: Int,
-        round: PlacementRound,
-    ): Placement {
+    fun place(request: DispatchRequest, aheadAtPeers: Int, round: PlacementRound): Placement {
         val eligible = round.eligible(request)
         if (eligible.loads.isEmpty()) return Placement.NoServer
         val freeSlots = eligible.loads.sumOf { it.freeSlots.coerceAtLeast(0) }
--- a/core/src/main/kotlin/io/lavenderhinge/core/quarantine/CrashEvidence.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/quarantine/CrashEvidence.kt
@@ -21,7 +21,9 @@
 internal class CrashEvidence(private val retentionMillis: Long) {
     private val byRun = LinkedHashMap<ServerRun, ServerCrash>()
     private val byPart = HashMap<SuspectKey, LinkedHashSet<ServerCrash>>()
-    /** Those suspected of several crashes; most are suspected of one, which they only took part in. */
+    /**
+     * Those suspected of several crashes; most are suspected of one, which they only took part in.
+     */
     private val repeatedSuspects = LinkedHashSet<SuspectKey>()
 
     /** All crashes, oldest first. */
@@ -52,8 +54,8 @@
     }
 
     /**
-     * Returns the crashes that [part] is suspected of and that no other quarantined part explains. A
-     * request explains no crash against the parts that it consists of.
+     * Returns the crashes that [part] is suspected of and that no other quarantined part explains.
+     * A request explains no crash against the parts that it consists of.
      */
     fun unexplained(part: SuspectKey): List<ServerCrash> =
         byPart[part].orEmpty().filter { crash ->
@@ -62,8 +64,7 @@
         }
 
     /** Returns the number of crashes that [part] is suspected of and that have no cause at all. */
-    fun countWithoutCause(part: SuspectKey): Int =
-        byPart[part].orEmpty().count { it.cause == null }
+    fun countWithoutCause(part: SuspectKey): Int = byPart[part].orEmpty().count { it.cause == null }
 
     /** Attributes the unexplained crashes that [part] is suspected of to it. */
     fun explain(part: SuspectKey) = unexplained(part).forEach { it.cause = part }
@@ -74,8 +75,8 @@
 
     /**
      * Returns the part that is suspected of the most unexplained crashes, if at least [minCrashes]
-     * of these happened before [beforeMillis] and one has no cause at all. Among equals it is the one that comes later in its
-     * prompts: these are shared by fewer requests.
+     * of these happened before [beforeMillis] and one has no cause at all. Among equals it is the
+     * one that comes later in its prompts: these are shared by fewer requests.
      */
     fun strongestSuspect(minCrashes: Int, beforeMillis: Long): SuspectKey? =
         repeatedSuspects
--- a/core/src/main/kotlin/io/lavenderhinge/core/quarantine/PromptQuarantine.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/quarantine/PromptQuarantine.kt
@@ -13,9 +13,9 @@
  * only when [MIN_CRASHES] runs of servers have ended with it in flight, no server has answered it
  * meanwhile or within [CONFIRMATION_MILLIS] after that, and other prompts are answered. Every
  * complete answer clears the parts of its prompt. A crash that a quarantined part explains does not
- * count against other parts. A request as a whole is treated like a part that comes after the others
- * of its prompt. Since it consists of parts, the crashes that it explains still count against them
- * once there is a crash without it.
+ * count against other parts. A request as a whole is treated like a part that comes after the
+ * others of its prompt. Since it consists of parts, the crashes that it explains still count
+ * against them once there is a crash without it.
  *
  * Each instance sees few of the crashes, so all exchange what they have observed with
  * [QuarantineReport]s. Not thread-safe. Times are milliseconds on the monotonic clock.
@@ -46,8 +46,9 @@
         get() = quarantined.isEmpty() && quarantinedAtPeers.isEmpty() && evidence.crashes.isEmpty()
 
     /**
-     * Decides on a request to [service] with [content]. [hasLostServer] is true if a server was lost under the request already. Of all [peerCount] + 1 instances, one admits a
-     * request with a quarantined part now and then, to learn whether servers answer it by now.
+     * Decides on a request to [service] with [content]. [hasLostServer] is true if a server was
+     * lost under the request already. Of all [peerCount] + 1 instances, one admits a request with a
+     * quarantined part now and then, to learn whether servers answer it by now.
      */
     fun decide(
         service: String,
--- a/core/src/main/kotlin/io/lavenderhinge/core/quarantine/RequestContent.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/quarantine/RequestContent.kt
@@ -31,8 +31,8 @@
         partIds.map(CrashSuspect::Part) + listOfNotNull(digest?.let(CrashSuspect::Request))
 
     /**
-     * The content that is suspected of a crash, most shared first. The last part of a prompt belongs
-     * to its request alone, for which the digest stands.
+     * The content that is suspected of a crash, most shared first. The last part of a prompt
+     * belongs to its request alone, for which the digest stands.
      */
     val suspects: List<CrashSuspect> = if (partIds.isEmpty()) all else all - all[partIds.size - 1]
 }
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/CandidateSamplerTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/CandidateSamplerTest.kt
@@ -25,11 +25,7 @@
         val near = List(60) { load("near-$it") }
         val far = List(60) { load("far-$it", failureDomain = "e") }
 
-        fun ids(
-            servers: List<ServerLoad>,
-            peerCount: Int,
-            preferred: List<String> = emptyList(),
-        ) =
+        fun ids(servers: List<ServerLoad>, peerCount: Int, preferred: List<String> = emptyList()) =
             CandidateSampler(Random(seed))
                 .candidates(servers, preferred, failureDomain = "d", peerCount)
                 .map { it.record.entry.id }
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/CrashingRequestTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/CrashingRequestTest.kt
@@ -19,13 +19,7 @@
         val large = Fleet(instances = 95, servers = 58, reportMillis = 450)
 
         fun simulate(fleet: Fleet, cause: CrashCause, seed: Int): CrashResults =
-            CrashSimulation(
-                    fleet.instances,
-                    fleet.servers,
-                    fleet.reportMillis,
-                    Random(seed),
-                    cause,
-                )
+            CrashSimulation(fleet.instances, fleet.servers, fleet.reportMillis, Random(seed), cause)
                 .run(
                     CrashTraffic(
                         soundPerSecond = 5.0 * fleet.servers,
@@ -47,8 +41,9 @@
                         val boundMillis =
                             results.crashedMillis.take(CRASHES).last() + CONTACT_TIMEOUT_MILLIS
 
-                        results.crashingSentMillis.count { it > boundMillis } shouldBeLessThanOrEqual
-                            MAX_FURTHER_SENDS
+                        results.crashingSentMillis.count {
+                            it > boundMillis
+                        } shouldBeLessThanOrEqual MAX_FURTHER_SENDS
                     }
 
                     // Guards against sound requests that are taken for the cause of a crash.
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/DecisionCostTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/DecisionCostTest.kt
@@ -20,7 +20,9 @@
 /** Half of the time of an instance that has an eighth of a core; the rest is for connections. */
 private const val MAX_CPU_MILLIS = WINDOW_MILLIS / 16
 
-/** One instance of a large fleet in a burst, with as many reports of peers as such a fleet sends. */
+/**
+ * One instance of a large fleet in a burst, with as many reports of peers as such a fleet sends.
+ */
 private class InstanceInBurst(seed: Int) {
     private val random = Random(seed)
     private val time = VirtualTime()
--- a/core/src/test/kotlin/io/lavenderhinge/core/quarantine/PromptQuarantineTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/quarantine/PromptQuarantineTest.kt
@@ -90,7 +90,12 @@
             quarantine.answer("app", "sound", "own", nowMillis = 900)
 
             repeat(5) {
-                quarantine.onCrash(run(it), "model", repeated("bad", "app", "session", "own"), 1_000)
+                quarantine.onCrash(
+                    run(it),
+                    "model",
+                    repeated("bad", "app", "session", "own"),
+                    1_000,
+                )
             }
 
             quarantine.isAdmitted(repeated("bad", "app", "session", "own")) shouldBe false
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
@@ -126,8 +126,9 @@
     }
 
     /** Applies the load report of a peer. */
-    fun onPeerReport(peer: String, report: LoadReport) =
-        decide { dispatcher.onPeerReport(peer, report, loop.nowMillis()) }
+    fun onPeerReport(peer: String, report: LoadReport) = decide {
+        dispatcher.onPeerReport(peer, report, loop.nowMillis())
+    }
 
     /** Returns the load report for peers. */
     fun report(): LoadReport = dispatcher.report(loop.nowMillis())
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/quarantine/QuarantineLog.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/quarantine/QuarantineLog.kt
@@ -1,7 +1,7 @@
 package io.lavenderhinge.instance.quarantine
 
-import io.lavenderhinge.core.quarantine.SuspectKey
 import io.lavenderhinge.core.quarantine.QuarantineChange
+import io.lavenderhinge.core.quarantine.SuspectKey
 import java.util.concurrent.CopyOnWriteArrayList
 import org.slf4j.LoggerFactory
 
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/quarantine/QuarantineProtoConverters.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/quarantine/QuarantineProtoConverters.kt
@@ -2,9 +2,9 @@
 
 import io.lavenderhinge.core.ServerRun
 import io.lavenderhinge.core.quarantine.CrashReport
-import io.lavenderhinge.core.quarantine.SuspectKey
 import io.lavenderhinge.core.quarantine.PartReport
 import io.lavenderhinge.core.quarantine.QuarantineReport
+import io.lavenderhinge.core.quarantine.SuspectKey
 import io.lavenderhinge.protocol.v1.CrashObservations
 import io.lavenderhinge.protocol.v1.ObservedCrash
 import io.lavenderhinge.protocol.v1.PartObservation
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/quarantine/QuarantineService.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/quarantine/QuarantineService.kt
@@ -1,8 +1,8 @@
 package io.lavenderhinge.instance.quarantine
 
+import io.lavenderhinge.core.quarantine.CrashSuspect
 import io.lavenderhinge.core.quarantine.CrashedRuns
 import io.lavenderhinge.core.quarantine.PromptQuarantine
-import io.lavenderhinge.core.quarantine.CrashSuspect
 import io.lavenderhinge.core.quarantine.QuarantineDecision
 import io.lavenderhinge.core.quarantine.RequestContent
 import io.lavenderhinge.instance.control.ControlThread
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/LoadReportProtoConvertersTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/LoadReportProtoConvertersTest.kt
@@ -9,9 +9,9 @@
 import io.lavenderhinge.core.forwarding.RateLimitReport
 import io.lavenderhinge.core.forwarding.ServerUse
 import io.lavenderhinge.core.quarantine.CrashReport
-import io.lavenderhinge.core.quarantine.SuspectKey
 import io.lavenderhinge.core.quarantine.PartReport
 import io.lavenderhinge.core.quarantine.QuarantineReport
+import io.lavenderhinge.core.quarantine.SuspectKey
 import io.lavenderhinge.protocol.v1.LoadReport as LoadReportMessage
 
 class LoadReportProtoConvertersTest :
