Name the quarantine after requests, not prompts

The memory of answers is doubled, since each request adds itself to its parts there and a proof counts for 30 s. The quarantine's tests hold.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -1,6 +1,6 @@
 package io.lavenderhinge.core.forwarding
 
-import io.lavenderhinge.core.quarantine.PromptQuarantine
+import io.lavenderhinge.core.quarantine.RequestQuarantine
 import kotlin.random.Random
 
 /**
@@ -35,7 +35,7 @@
     var onEjection: (ServerEjection) -> Unit = {}
 
     /** Prompt parts that are kept away from the servers. */
-    val quarantine = PromptQuarantine(random)
+    val quarantine = RequestQuarantine(random)
     private val quarantineGate = QuarantineGate(quarantine)
 
     /** Replaces the set of known servers. Servers that remain keep their statistics. */
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QuarantineGate.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QuarantineGate.kt
@@ -1,12 +1,12 @@
 package io.lavenderhinge.core.forwarding
 
 import io.lavenderhinge.core.quarantine.CrashSuspect
-import io.lavenderhinge.core.quarantine.PromptQuarantine
 import io.lavenderhinge.core.quarantine.QuarantineDecision
 import io.lavenderhinge.core.quarantine.RequestContent
+import io.lavenderhinge.core.quarantine.RequestQuarantine
 
 /** Applies the [quarantine] to the requests of a [Dispatcher]. */
-internal class QuarantineGate(private val quarantine: PromptQuarantine) {
+internal class QuarantineGate(private val quarantine: RequestQuarantine) {
     private var checkedRevision = 0
 
     /** Returns the refusal of a request that arrives or that is repeated, or null. */
--- a/core/src/main/kotlin/io/lavenderhinge/core/quarantine/QuarantineDecision.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/quarantine/QuarantineDecision.kt
@@ -16,12 +16,12 @@
 
 /** A change of the quarantine on this instance, for the log. */
 sealed interface QuarantineChange {
-    val part: SuspectKey
+    val key: SuspectKey
 
-    /** [runs] ended with [part] in flight. */
-    data class Quarantined(override val part: SuspectKey, val runs: List<ServerRun>) :
+    /** [runs] ended with [key] in flight. */
+    data class Quarantined(override val key: SuspectKey, val runs: List<ServerRun>) :
         QuarantineChange
 
-    /** A server has answered [part], or too few of the crashes remain. */
-    data class Released(override val part: SuspectKey) : QuarantineChange
+    /** A server has answered [key], or too few of the crashes remain. */
+    data class Released(override val key: SuspectKey) : QuarantineChange
 }
--- a/core/src/main/kotlin/io/lavenderhinge/core/quarantine/QuarantineReport.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/quarantine/QuarantineReport.kt
@@ -11,8 +11,8 @@
     val suspects: List<SuspectKey>,
 )
 
-/** An event that concerns one prompt part, [ageMillis] ago. */
-data class PartReport(val part: SuspectKey, val ageMillis: Long)
+/** An event that concerns one suspect, [ageMillis] ago. */
+data class SuspectReport(val key: SuspectKey, val ageMillis: Long)
 
 /**
  * What an instance reports to its peers about crashes of servers. All lists are bounded, whatever
@@ -20,10 +20,10 @@
  */
 data class QuarantineReport(
     val crashes: List<CrashReport> = emptyList(),
-    /** Suspected parts that a server has answered completely. */
-    val answered: List<PartReport> = emptyList(),
+    /** Suspects that a server has answered completely. */
+    val answered: List<SuspectReport> = emptyList(),
     /** Parts that this instance has quarantined. */
-    val quarantined: List<PartReport> = emptyList(),
+    val quarantined: List<SuspectReport> = emptyList(),
     /** Runs that peers consider crashed and that still respond. */
     val alive: List<ServerRun> = emptyList(),
 )
--- a/core/src/main/kotlin/io/lavenderhinge/core/quarantine/QuarantineReporter.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/quarantine/QuarantineReporter.kt
@@ -18,9 +18,9 @@
         hasNews = true
     }
 
-    /** Records that a server answered the suspected [part] at [answeredMillis]. */
-    fun onCleared(part: SuspectKey, answeredMillis: Long) {
-        if (cleared.put(part, answeredMillis) == null) hasNews = true
+    /** Records that a server answered the suspected [key] at [answeredMillis]. */
+    fun onCleared(key: SuspectKey, answeredMillis: Long) {
+        if (cleared.put(key, answeredMillis) == null) hasNews = true
     }
 
     /** Records that [run] responds although it is considered crashed. */
@@ -33,7 +33,7 @@
     fun isAlive(run: ServerRun): Boolean = run in alive
 
     /** Returns the report, or null if nothing has to be reported now. */
-    fun report(quarantined: List<PartReport>, nowMillis: Long): QuarantineReport? {
+    fun report(quarantined: List<SuspectReport>, nowMillis: Long): QuarantineReport? {
         val pauseMillis = if (hasNews) NEWS_PAUSE_MILLIS else REPEAT_PAUSE_MILLIS
         val lastMillis = reportedMillis
         if (lastMillis != null && nowMillis - lastMillis < pauseMillis) return null
@@ -44,7 +44,7 @@
         val report =
             QuarantineReport(
                 crashes(nowMillis),
-                cleared.map { PartReport(it.key, nowMillis - it.value) },
+                cleared.map { SuspectReport(it.key, nowMillis - it.value) },
                 quarantined.takeLast(MAX_REPORTED),
                 alive.keys.toList(),
             )
--- a/core/src/main/kotlin/io/lavenderhinge/core/quarantine/RequestContent.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/quarantine/RequestContent.kt
@@ -34,5 +34,5 @@
      * The content that is suspected of a crash, most shared first. The last part of a prompt
      * belongs to its request alone, for which the digest stands.
      */
-    val suspects: List<CrashSuspect> = if (partIds.isEmpty()) all else all - all[partIds.size - 1]
+    val suspects: List<CrashSuspect> = all.filterIndexed { index, _ -> index != partIds.lastIndex }
 }
--- a/core/src/main/kotlin/io/lavenderhinge/core/quarantine/PromptQuarantine.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/quarantine/RequestQuarantine.kt
@@ -20,7 +20,7 @@
  * Each instance sees few of the crashes, so all exchange what they have observed with
  * [QuarantineReport]s. Not thread-safe. Times are milliseconds on the monotonic clock.
  */
-class PromptQuarantine(private val random: Random = Random.Default) {
+class RequestQuarantine(private val random: Random = Random.Default) {
     private class Quarantine(val sinceMillis: Long) {
         var trialPauseMillis = FIRST_TRIAL_MILLIS
         var trialMillis = sinceMillis + FIRST_TRIAL_MILLIS
@@ -34,21 +34,21 @@
     private val quarantinedAtPeers = LruMap<SuspectKey, Long>(MAX_QUARANTINED)
     private val reporter = QuarantineReporter(evidence)
 
-    /** Increases with each part that is quarantined, so that queued requests are checked again. */
+    /** Increases with each quarantine, so that queued requests are checked again. */
     var revision = 0
         private set
 
     /** Called with each change of the quarantine by this instance, for the log. */
     var onChange: (QuarantineChange) -> Unit = {}
 
-    /** True if there is neither a quarantined nor a suspected part, as nearly always. */
+    /** True if nothing is quarantined or suspected, as nearly always. */
     val isIdle: Boolean
         get() = quarantined.isEmpty() && quarantinedAtPeers.isEmpty() && evidence.crashes.isEmpty()
 
     /**
      * Decides on a request to [service] with [content]. [hasLostServer] is true if a server was
      * lost under the request already. Of all [peerCount] + 1 instances, one admits a request with a
-     * quarantined part now and then, to learn whether servers answer it by now.
+     * quarantined content now and then, to learn whether servers answer it by now.
      */
     fun decide(
         service: String,
@@ -77,8 +77,8 @@
             key in quarantined || key in quarantinedAtPeers
         }
 
-    private fun takeTrial(part: SuspectKey, peerCount: Int, nowMillis: Long): Boolean {
-        val quarantine = quarantined[part] ?: return false
+    private fun takeTrial(key: SuspectKey, peerCount: Int, nowMillis: Long): Boolean {
+        val quarantine = quarantined[key] ?: return false
         if (nowMillis < quarantine.trialMillis) return false
         quarantine.trialPauseMillis *= TRIAL_PAUSE_FACTOR
         quarantine.trialMillis = nowMillis + quarantine.trialPauseMillis
@@ -91,12 +91,12 @@
         val suspects =
             content.suspects
                 .mapIndexed { position, suspect -> suspect.key(service) to position }
-                .filterNot { (part, _) -> isProven(part, crashedMillis) }
+                .filterNot { (key, _) -> isProven(key, crashedMillis) }
         if (suspects.isEmpty()) return
         val crash = evidence.crashOf(run, service, nowMillis)
-        suspects.forEach { (part, position) ->
-            evidence.suspect(crash, part, position)
-            crash.ownSuspects += part
+        suspects.forEach { (key, position) ->
+            evidence.suspect(crash, key, position)
+            crash.ownSuspects += key
         }
         reporter.onNews()
         evaluate(nowMillis)
@@ -106,11 +106,11 @@
     fun onAnswered(service: String, content: RequestContent, nowMillis: Long) {
         serviceAnsweredMillis[service] = nowMillis
         content.all.forEach { answeredContent ->
-            val part = answeredContent.key(service)
-            answered[part] = nowMillis
-            if (evidence.isSuspected(part) || part in quarantined || part in quarantinedAtPeers) {
-                reporter.onCleared(part, nowMillis)
-                clear(part, nowMillis, nowMillis)
+            val key = answeredContent.key(service)
+            answered[key] = nowMillis
+            if (evidence.isSuspected(key) || key in quarantined || key in quarantinedAtPeers) {
+                reporter.onCleared(key, nowMillis)
+                clear(key, nowMillis, nowMillis)
             }
         }
     }
@@ -130,17 +130,17 @@
 
     /** Applies the [report] of a peer. */
     fun onPeerReport(report: QuarantineReport, nowMillis: Long) {
-        report.answered.forEach { (part, ageMillis) ->
+        report.answered.forEach { (key, ageMillis) ->
             val answeredMillis = nowMillis - ageMillis
-            answered.merge(part, answeredMillis, ::maxOf)
-            clear(part, answeredMillis, nowMillis)
+            answered.merge(key, answeredMillis, ::maxOf)
+            clear(key, answeredMillis, nowMillis)
         }
         report.alive.forEach { remove(it, nowMillis) }
         report.crashes.forEach { onPeerCrash(it, nowMillis) }
-        report.quarantined.forEach { (part, ageMillis) ->
-            if (isProven(part, nowMillis - ageMillis)) {
-                reporter.onCleared(part, answered.getValue(part))
-            } else if (quarantinedAtPeers.put(part, nowMillis) == null) {
+        report.quarantined.forEach { (key, ageMillis) ->
+            if (isProven(key, nowMillis - ageMillis)) {
+                reporter.onCleared(key, answered.getValue(key))
+            } else if (quarantinedAtPeers.put(key, nowMillis) == null) {
                 revision++
             }
         }
@@ -161,16 +161,16 @@
     fun report(nowMillis: Long): QuarantineReport? {
         expire(nowMillis)
         evaluate(nowMillis)
-        val own = quarantined.map { (part, it) -> PartReport(part, nowMillis - it.sinceMillis) }
+        val own = quarantined.map { (key, it) -> SuspectReport(key, nowMillis - it.sinceMillis) }
         return reporter.report(own, nowMillis)
     }
 
     private fun expire(nowMillis: Long) {
         evidence.expire(nowMillis)
         val expired = quarantinedAtPeers.filterValues { nowMillis - it > PEER_QUARANTINE_MILLIS }
-        expired.keys.forEach { part ->
-            quarantinedAtPeers.remove(part)
-            if (part !in quarantined) evidence.withdraw(part)
+        expired.keys.forEach { key ->
+            quarantinedAtPeers.remove(key)
+            if (key !in quarantined) evidence.withdraw(key)
         }
     }
 
@@ -179,20 +179,20 @@
         quarantinedAtPeers.keys.forEach(evidence::explain)
         while (true) {
             val confirmedMillis = nowMillis - CONFIRMATION_MILLIS
-            val part = evidence.strongestSuspect(MIN_CRASHES, confirmedMillis) ?: return
-            val crashes = evidence.unexplained(part)
+            val key = evidence.strongestSuspect(MIN_CRASHES, confirmedMillis) ?: return
+            val crashes = evidence.unexplained(key)
             if (!areOthersAnswered(crashes)) return
-            quarantine(part, crashes, nowMillis)
+            quarantine(key, crashes, nowMillis)
         }
     }
 
-    private fun quarantine(part: SuspectKey, crashes: List<ServerCrash>, nowMillis: Long) {
+    private fun quarantine(key: SuspectKey, crashes: List<ServerCrash>, nowMillis: Long) {
         if (quarantined.size == MAX_QUARANTINED) release(quarantined.keys.first())
-        quarantined[part] = Quarantine(nowMillis)
-        evidence.explain(part)
+        quarantined[key] = Quarantine(nowMillis)
+        evidence.explain(key)
         revision++
         reporter.onNews()
-        onChange(QuarantineChange.Quarantined(part, crashes.map { it.run }))
+        onChange(QuarantineChange.Quarantined(key, crashes.map { it.run }))
     }
 
     // If no prompt is answered, the service itself is at fault and not a part.
@@ -201,16 +201,16 @@
         return answeredMillis >= crashes.minOf { it.crashedMillis } - SERVICE_PROOF_MILLIS
     }
 
-    private fun isProven(part: SuspectKey, crashedMillis: Long): Boolean {
-        val answeredMillis = answered[part] ?: return false
+    private fun isProven(key: SuspectKey, crashedMillis: Long): Boolean {
+        val answeredMillis = answered[key] ?: return false
         return crashedMillis < answeredMillis + PROOF_MILLIS
     }
 
-    private fun clear(part: SuspectKey, answeredMillis: Long, nowMillis: Long) {
-        evidence.clear(part, answeredMillis + PROOF_MILLIS)
-        quarantinedAtPeers.remove(part)
-        val quarantine = quarantined[part]
-        if (quarantine != null && isProven(part, quarantine.sinceMillis)) release(part)
+    private fun clear(key: SuspectKey, answeredMillis: Long, nowMillis: Long) {
+        evidence.clear(key, answeredMillis + PROOF_MILLIS)
+        quarantinedAtPeers.remove(key)
+        val quarantine = quarantined[key]
+        if (quarantine != null && isProven(key, quarantine.sinceMillis)) release(key)
         evaluate(nowMillis)
     }
 
@@ -223,11 +223,11 @@
         evaluate(nowMillis)
     }
 
-    private fun release(part: SuspectKey) {
-        quarantined.remove(part)
-        evidence.withdraw(part)
+    private fun release(key: SuspectKey) {
+        quarantined.remove(key)
+        evidence.withdraw(key)
         reporter.onNews()
-        onChange(QuarantineChange.Released(part))
+        onChange(QuarantineChange.Released(key))
     }
 
     private companion object {
@@ -253,6 +253,7 @@
         const val FIRST_TRIAL_MILLIS = 600_000L
         const val TRIAL_PAUSE_FACTOR = 4
         const val MAX_QUARANTINED = 64
-        const val MAX_ANSWERED = 4_096
+        /** Holds what is answered within [PROOF_MILLIS], each request and its parts. */
+        const val MAX_ANSWERED = 8_192
     }
 }
--- a/core/src/test/kotlin/io/lavenderhinge/core/quarantine/PromptQuarantineTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/quarantine/RequestQuarantineTest.kt
@@ -12,21 +12,21 @@
 private const val TEN_MINUTES_MILLIS = 600_000L
 private const val MAX_LIST = 16
 
-class PromptQuarantineTest :
+class RequestQuarantineTest :
     FunSpec({
         fun run(number: Int) = ServerRun("s$number", startedMillis = 1)
 
-        fun quarantine() = PromptQuarantine(Random(1))
+        fun quarantine() = RequestQuarantine(Random(1))
 
         fun content(vararg partIds: String) = RequestContent(partIds.toList())
 
-        fun PromptQuarantine.crash(number: Int, vararg partIds: String, nowMillis: Long = 1_000) =
+        fun RequestQuarantine.crash(number: Int, vararg partIds: String, nowMillis: Long = 1_000) =
             onCrash(run(number), "model", RequestContent(partIds.toList()), nowMillis)
 
-        fun PromptQuarantine.answer(vararg partIds: String, nowMillis: Long = 1_000) =
+        fun RequestQuarantine.answer(vararg partIds: String, nowMillis: Long = 1_000) =
             onAnswered("model", RequestContent(partIds.toList()), nowMillis)
 
-        fun PromptQuarantine.blocks(vararg partIds: String, nowMillis: Long = 2_000): Boolean {
+        fun RequestQuarantine.blocks(vararg partIds: String, nowMillis: Long = 2_000): Boolean {
             val decision =
                 decide(
                     "model",
@@ -39,7 +39,7 @@
         }
 
         /** Lets three servers end with [partId] in flight while other prompts are answered. */
-        fun PromptQuarantine.crashThree(partId: String) {
+        fun RequestQuarantine.crashThree(partId: String) {
             answer("app", "sound", "own", nowMillis = 900)
             repeat(3) { crash(it, "app", partId, "own$it") }
         }
@@ -69,7 +69,7 @@
                 RequestDigest("caller", "POST", "/path", name.encodeToByteArray()),
             )
 
-        fun PromptQuarantine.isAdmitted(content: RequestContent) =
+        fun RequestQuarantine.isAdmitted(content: RequestContent) =
             decide("model", content, hasLostServer = false, peerCount = 0, nowMillis = 2_000) is
                 QuarantineDecision.Admit
 
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
@@ -13,7 +13,7 @@
 import io.lavenderhinge.core.forwarding.ServerStatement
 import io.lavenderhinge.core.forwarding.ServerStatementChange
 import io.lavenderhinge.core.forwarding.UnidentifiedRuns
-import io.lavenderhinge.core.quarantine.PromptQuarantine
+import io.lavenderhinge.core.quarantine.RequestQuarantine
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 
@@ -32,7 +32,7 @@
     private val dispatcher = Dispatcher(failureDomain, rollouts, drainMillis = drainMillis)
 
     /** Prompt parts that are kept away from the servers. */
-    val quarantine: PromptQuarantine
+    val quarantine: RequestQuarantine
         get() = dispatcher.quarantine
 
     /** Runs of servers whose responses do not identify their request. */
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/quarantine/QuarantineLog.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/quarantine/QuarantineLog.kt
@@ -14,22 +14,22 @@
         get() = quarantined
 
     fun onChange(change: QuarantineChange) {
-        val part = text(change.part)
+        val key = text(change.key)
         when (change) {
             is QuarantineChange.Quarantined -> {
-                quarantined += part
+                quarantined += key
                 val servers = change.runs.joinToString(",") { it.serverId }
-                log.warn("quarantine: {} crashed the servers {}", part, servers)
+                log.warn("quarantine: {} crashed the servers {}", key, servers)
             }
             is QuarantineChange.Released -> {
-                quarantined -= part
-                log.info("quarantine: {} is released", part)
+                quarantined -= key
+                log.info("quarantine: {} is released", key)
             }
         }
     }
 
     private fun text(key: SuspectKey): String {
-        val kind = if (key.isRequest) "request" else "prompt part"
+        val kind = if (key.isRequest) "request" else "prompt key"
         return "$kind ${key.hash.toULong().toString(HEXADECIMAL)}"
     }
 
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/quarantine/QuarantineProtoConverters.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/quarantine/QuarantineProtoConverters.kt
@@ -2,9 +2,9 @@
 
 import io.lavenderhinge.core.ServerRun
 import io.lavenderhinge.core.quarantine.CrashReport
-import io.lavenderhinge.core.quarantine.PartReport
 import io.lavenderhinge.core.quarantine.QuarantineReport
 import io.lavenderhinge.core.quarantine.SuspectKey
+import io.lavenderhinge.core.quarantine.SuspectReport
 import io.lavenderhinge.protocol.v1.CrashObservations
 import io.lavenderhinge.protocol.v1.ObservedCrash
 import io.lavenderhinge.protocol.v1.PartObservation
@@ -39,10 +39,10 @@
 private fun ObservedCrash.toReport() =
     CrashReport(run.toRun(), service, ageMillis, suspectsList.map(::SuspectKey))
 
-private fun PartReport.toMessage(): PartObservation =
-    PartObservation.newBuilder().setPart(part.hash).setAgeMillis(ageMillis).build()
+private fun SuspectReport.toMessage(): PartObservation =
+    PartObservation.newBuilder().setPart(key.hash).setAgeMillis(ageMillis).build()
 
-private fun PartObservation.toReport() = PartReport(SuspectKey(part), ageMillis)
+private fun PartObservation.toReport() = SuspectReport(SuspectKey(part), ageMillis)
 
 /** Converts this run to its protobuf message. */
 internal fun ServerRun.toMessage(): ServerRunMessage =
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/quarantine/QuarantineService.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/quarantine/QuarantineService.kt
@@ -2,9 +2,9 @@
 
 import io.lavenderhinge.core.quarantine.CrashSuspect
 import io.lavenderhinge.core.quarantine.CrashedRuns
-import io.lavenderhinge.core.quarantine.PromptQuarantine
 import io.lavenderhinge.core.quarantine.QuarantineDecision
 import io.lavenderhinge.core.quarantine.RequestContent
+import io.lavenderhinge.core.quarantine.RequestQuarantine
 import io.lavenderhinge.instance.control.ControlThread
 import io.lavenderhinge.instance.peer.PeerLinks
 import io.lavenderhinge.protocol.v1.Frame
@@ -19,7 +19,7 @@
     private val control: ControlThread,
     private val liveInstances: () -> List<String>,
 ) : PromptGuard {
-    private val quarantine = PromptQuarantine(control.random)
+    private val quarantine = RequestQuarantine(control.random)
     private val quarantineLog = QuarantineLog()
     private val runs = CrashedRuns()
 
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/LoadReportProtoConvertersTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/LoadReportProtoConvertersTest.kt
@@ -9,9 +9,9 @@
 import io.lavenderhinge.core.forwarding.RateLimitReport
 import io.lavenderhinge.core.forwarding.ServerUse
 import io.lavenderhinge.core.quarantine.CrashReport
-import io.lavenderhinge.core.quarantine.PartReport
 import io.lavenderhinge.core.quarantine.QuarantineReport
 import io.lavenderhinge.core.quarantine.SuspectKey
+import io.lavenderhinge.core.quarantine.SuspectReport
 import io.lavenderhinge.protocol.v1.LoadReport as LoadReportMessage
 
 class LoadReportProtoConvertersTest :
@@ -30,8 +30,8 @@
                     mapOf(QueueKey("s", 1) to QueueState(3, headWaitMillis = 4, isHeadLate = true)),
                     QuarantineReport(
                         listOf(CrashReport(run, "s", 5, listOf(SuspectKey(-6), SuspectKey(8)))),
-                        answered = listOf(PartReport(SuspectKey(9), 10)),
-                        quarantined = listOf(PartReport(SuspectKey(11), 12)),
+                        answered = listOf(SuspectReport(SuspectKey(9), 10)),
+                        quarantined = listOf(SuspectReport(SuspectKey(11), 12)),
                         alive = listOf(ServerRun("i-2", 13)),
                     ),
                     listOf(
