Move the choice of a server out of the pool

ServerPool held the statistics of servers, the passes over a queue and the comparison of servers for one request. The last is now ServerChooser. No change of logic; DecisionCostTest and the tests of the dispatcher hold.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -31,8 +31,12 @@
     private val averages = PoolAverages(records.values)
     private val ejections = EjectionComparison(records.values, averages)
     private val capacity = ServerCapacity(rateLimits, statements, ejections)
-    private val estimator = ServerEstimator(model, ejections, ::expectedHoldMillis)
-    private val sampler = CandidateSampler(random)
+    private val chooser =
+        ServerChooser(
+            affinity,
+            CandidateSampler(random),
+            ServerEstimator(model, ejections, ::expectedHoldMillis),
+        )
 
     /** Called when a server that was in use is ejected. */
     var onEjection: (ServerEjection) -> Unit = {}
@@ -188,7 +192,7 @@
         val freeSlots = eligible.loads.sumOf { it.freeSlots.coerceAtLeast(0) }
         // Nothing can be sent or reserved.
         if (freeSlots == 0) return Placement.Wait
-        val best = bestOf(eligible, request, round)
+        val best = chooser.best(eligible, request, round)
         if (best.load.freeSlots > 0 && freeSlots > aheadAtPeers) {
             return send(
                 best,
@@ -202,35 +206,6 @@
         return Placement.Wait
     }
 
-    private fun bestOf(
-        eligible: EligibleServers,
-        request: DispatchRequest,
-        round: PlacementRound,
-    ): ServerEstimate {
-        // Clients that share a prompt mostly stay in one failure domain.
-        val preference = affinity.preference(request.promptParts, eligible.near)
-        val failureDomain = round.failureDomain
-        return sampler
-            .candidates(
-                eligible.loads,
-                preference?.serverIds.orEmpty(),
-                failureDomain,
-                round.peers.peerCount,
-            )
-            .map { load ->
-                val cachedTokens =
-                    affinity.cachedTokens(
-                        request.promptParts,
-                        load.record,
-                        preference,
-                        round.nowMillis,
-                    )
-                val uncachedTokens = (request.promptTokens - cachedTokens).coerceAtLeast(0.0)
-                estimator.estimate(load, request, uncachedTokens, failureDomain, round.nowMillis)
-            }
-            .minBy { it.expectedMillis }
-    }
-
     private fun send(
         best: ServerEstimate,
         eligibleCount: Int,
