Serve queues of short requests with each report again

- Reports within 10 ms of the last pass were not served: that is long where requests take 50 ms.
The pause now holds only for pools whose requests are known to take 500 ms or more.
- A request without a free slot reserved nothing any more.
That is right only if no other request of the queue can be sent either, such as a repeat that must avoid its first server.

All tests of core hold, DecisionCostTest among them.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -29,7 +29,6 @@
     private val peers = PeerLoads()
     private val rateLimits = ServerRateLimits(random)
     private val statements = ServerStatements(drainMillis)
-    private var servedMillis = 0L
 
     /** Called when a server that was in use is ejected. */
     var onEjection: (ServerEjection) -> Unit = {}
@@ -132,25 +131,25 @@
     }
 
     /**
-     * Updates the usage and queue state of a peer. The queues are served with it unless that was
-     * done just before: in a large fleet, reports arrive more often than the queues need it.
+     * Updates the usage and queue state of a peer. A queue is served with it unless that was done
+     * just before: in a large fleet, reports arrive more often than most queues need it.
      */
     fun onPeerReport(peer: String, report: LoadReport, nowMillis: Long): List<DispatchEffect> {
         peers.update(peer, report, nowMillis)
         rateLimits.onPeerReport(peer, report.rateLimits, nowMillis)
         report.quarantine?.let { quarantine.onPeerReport(it, nowMillis) }
-        if (nowMillis - servedMillis < MIN_SERVE_INTERVAL_MILLIS) return emptyList()
-        return serveQueues(nowMillis)
+        return serveQueues(nowMillis) { !it.wasJustServed(nowMillis) }
     }
 
     /** Reassigns free slots; must be called every few milliseconds while requests are queued. */
-    fun serveQueues(nowMillis: Long): List<DispatchEffect> {
-        servedMillis = nowMillis
+    fun serveQueues(nowMillis: Long): List<DispatchEffect> = serveQueues(nowMillis) { true }
+
+    private fun serveQueues(nowMillis: Long, isDue: (ServerPool) -> Boolean): List<DispatchEffect> {
         peers.expire(nowMillis)
         return quarantineGate.refuseQueued(queues.values) +
             queues.flatMap { (service, queue) ->
                 val pool = pools[service]
-                if (queue.isEmpty() || pool == null) emptyList()
+                if (queue.isEmpty() || pool == null || !isDue(pool)) emptyList()
                 else serve(pool, queue, pool.startRound(peers, failureDomain, nowMillis))
             }
     }
@@ -188,6 +187,7 @@
     ): List<DispatchEffect> {
         if (queue.isEmpty()) return emptyList()
         val nowMillis = round.nowMillis
+        pool.onServed(nowMillis)
         val policy = policies.getValue(queue.first().service)
         val effects = mutableListOf<DispatchEffect>()
         val waiting = mutableListOf<DispatchRequest>()
@@ -263,7 +263,5 @@
         /** Drain time of a deployment that sets none. */
         const val DEFAULT_DRAIN_MILLIS = 2_000L
         private const val NO_SERVER_RETRY_MILLIS = 300L
-        /** Short compared to the age of a report. */
-        private const val MIN_SERVE_INTERVAL_MILLIS = 10L
     }
 }
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PlacementRound.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PlacementRound.kt
@@ -1,6 +1,7 @@
 package io.lavenderhinge.core.forwarding
 
 import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentSetOf
 
 /** The servers that may get a request. */
 internal class EligibleServers(val loads: List<ServerLoad>, failureDomain: String) {
@@ -47,6 +48,15 @@
     fun hasFreeSlot(request: DispatchRequest): Boolean =
         eligible(request).loads.any { it.freeSlots > 0 }
 
+    /**
+     * Returns true if neither [request] nor one that was not sent before can be sent at once. A
+     * request that was sent before must not go to the same servers again.
+     */
+    fun isFull(request: DispatchRequest): Boolean =
+        !hasFreeSlot(request) &&
+            (request.excludedServers.isEmpty() ||
+                !hasFreeSlot(request.copy(excludedServers = persistentSetOf())))
+
     /** Returns the mean time between two slots becoming free for requests like [request]. */
     fun slotIntervalMillis(request: DispatchRequest): Double =
         slotIntervals.getOrPut(request.usesTargetVersion) { slotInterval(request) }
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -26,6 +26,7 @@
     random: Random,
 ) {
     private val records = LinkedHashMap<String, ServerRecord>()
+    private var servedMillis = Long.MIN_VALUE / 2
     private val model = FirstEventModel()
     private val affinity = PrefixAffinity()
     private val averages = PoolAverages(records.values)
@@ -161,6 +162,20 @@
     fun meanHoldMillis(): Double =
         averages.knownHoldMillis?.coerceAtLeast(MIN_HOLD_MILLIS) ?: DEFAULT_HOLD_MILLIS
 
+    /** Records a pass over the queue of the pool. */
+    fun onServed(nowMillis: Long) {
+        servedMillis = nowMillis
+    }
+
+    /**
+     * Returns true if another pass may wait, since the last one was just before and a slot that has
+     * become free since then is idle for a small part of the time that requests use it.
+     */
+    fun wasJustServed(nowMillis: Long): Boolean {
+        val holdMillis = averages.knownHoldMillis ?: return false
+        return holdMillis >= MIN_HOLD_TO_PAUSE_MILLIS && nowMillis - servedMillis < PAUSE_MILLIS
+    }
+
     /** Begins a pass over the queue of the pool. */
     fun startRound(peers: PeerLoads, failureDomain: String, nowMillis: Long): PlacementRound {
         val loads = currentLoads(peers, nowMillis)
@@ -189,9 +204,9 @@
     fun place(request: DispatchRequest, aheadAtPeers: Int, round: PlacementRound): Placement {
         val eligible = round.eligible(request)
         if (eligible.loads.isEmpty()) return Placement.NoServer
+        // No request of the queue can be sent, so nothing has to be reserved.
+        if (round.isFull(request)) return Placement.Wait
         val freeSlots = eligible.loads.sumOf { it.freeSlots.coerceAtLeast(0) }
-        // Nothing can be sent or reserved.
-        if (freeSlots == 0) return Placement.Wait
         val best = chooser.best(eligible, request, round)
         if (best.load.freeSlots > 0 && freeSlots > aheadAtPeers) {
             return send(
@@ -232,6 +247,11 @@
         peers.at(nowMillis, meanHoldMillis())
 
     private companion object {
+        /**
+         * Pause between passes of a pool whose requests take [MIN_HOLD_TO_PAUSE_MILLIS] or more.
+         */
+        const val PAUSE_MILLIS = 10L
+        const val MIN_HOLD_TO_PAUSE_MILLIS = 500.0
         const val MIN_HOLD_MILLIS = 20.0
         /**
          * Long enough that a free server is preferred to a busy one before any request has ended.
