--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
@@ -142,6 +142,7 @@
             loadReports::peerIds,
             forwarder::inFlightCount,
             quarantineLog::parts,
+            quarantineLog::requests,
         )
     private val operatorServer =
         HttpServer(
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/GatewayStatus.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/GatewayStatus.kt
@@ -11,6 +11,7 @@
     private val peerIds: () -> Set<String>,
     private val inFlight: () -> Int,
     private val quarantinedParts: () -> List<String>,
+    private val quarantinedRequests: () -> List<String>,
 ) {
     /** Returns the view for the operator handler. */
     fun view() =
@@ -40,6 +41,7 @@
                 ),
             "peers" to peerIds().toList(),
             "quarantinedPromptParts" to quarantinedParts(),
+            "quarantinedRequests" to quarantinedRequests(),
             "inFlight" to inFlight(),
         )
 
