--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -64,7 +64,7 @@
         val pool = pools[request.service]
         if (pool == null) return listOf(refuseWithoutServer(request))
         val queue = queues.getOrPut(request.service, ::mutableListOf)
-        val round = pool.startRound(peers, failureDomain, nowMillis)
+        val round = startRound(pool, nowMillis)
         if (round.eligible(request).loads.isEmpty()) {
             val refusal = onNoServer(request, pool, nowMillis)
             if (refusal == null) queue.add(request)
@@ -127,7 +127,7 @@
         pool.onFinished(attempt, nowMillis)
         val refusals = quarantineGate.refuseQueued(queues.values)
         val queue = queues[service] ?: return refusals
-        return refusals + serve(pool, queue, pool.startRound(peers, failureDomain, nowMillis))
+        return refusals + serve(pool, queue, startRound(pool, nowMillis))
     }
 
     /**
@@ -150,7 +150,7 @@
             queues.flatMap { (service, queue) ->
                 val pool = pools[service]
                 if (queue.isEmpty() || pool == null || !isDue(pool)) emptyList()
-                else serve(pool, queue, pool.startRound(peers, failureDomain, nowMillis))
+                else serve(pool, queue, startRound(pool, nowMillis))
             }
     }
 
@@ -180,6 +180,9 @@
         )
     }
 
+    private fun startRound(pool: ServerPool, nowMillis: Long): PlacementRound =
+        pool.startRound(peers, failureDomain, nowMillis)
+
     private fun serve(
         pool: ServerPool,
         queue: MutableList<DispatchRequest>,
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PeerLoads.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PeerLoads.kt
@@ -62,9 +62,6 @@
             return ServerUse(inFlight, pendingTokens)
         }
 
-        /** Returns the requests of peers at a server. */
-        fun inFlight(serverId: String): Int = useOf(serverId).inFlight
-
         /**
          * Returns the number of requests for [service] that are queued at peers with a priority of
          * [maxPriority] or more urgent.
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PlacementRound.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PlacementRound.kt
@@ -6,12 +6,11 @@
 /** The servers that may get a request. */
 internal class EligibleServers(val loads: List<ServerLoad>, failureDomain: String) {
     /** Those in the own failure domain, or all if there are none. */
-    val near: List<ServerRecord> =
-        loads
-            .map { it.record }
-            .let { records ->
-                records.filter { it.entry.failureDomain == failureDomain }.ifEmpty { records }
-            }
+    val near: List<ServerRecord> by
+        lazy(LazyThreadSafetyMode.NONE) {
+            val records = loads.map { it.record }
+            records.filter { it.entry.failureDomain == failureDomain }.ifEmpty { records }
+        }
 }
 
 /**
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/PeerLoadsTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/PeerLoadsTest.kt
@@ -33,7 +33,7 @@
                 (0..5).forEach { number ->
                     val uses =
                         current.values.mapNotNull { (report, _) -> report.servers["s$number"] }
-                    loads.at(20_000, holdMillis = 20_000.0).inFlight("s$number") shouldBe
+                    loads.at(20_000, holdMillis = 20_000.0).useOf("s$number").inFlight shouldBe
                         uses.sumOf { it.inFlight }
                     loads.at(20_000, holdMillis = 20_000.0).useOf("s$number").pendingTokens shouldBe
                         (uses.sumOf { it.pendingTokens } plusOrMinus 0.001)
@@ -51,7 +51,7 @@
             loads.update("p0", report, nowMillis = 0)
 
             fun inFlightAt(nowMillis: Long, holdMillis: Double) =
-                loads.at(nowMillis, holdMillis).inFlight("s0")
+                loads.at(nowMillis, holdMillis).useOf("s0").inFlight
 
             inFlightAt(50, holdMillis = 50.0) shouldBe 2
             inFlightAt(51, holdMillis = 50.0) shouldBe 0
@@ -65,7 +65,7 @@
             loads.update("p", LoadReport(mapOf("s0" to ServerUse(2, 5.0)), emptyMap()), 0)
 
             for (nowMillis in 0L..500 step 10) {
-                loads.at(nowMillis, holdMillis = 40.0).inFlight("s0") shouldBe 2
+                loads.at(nowMillis, holdMillis = 40.0).useOf("s0").inFlight shouldBe 2
             }
         }
     })
