--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
@@ -32,6 +32,8 @@
     val hasLostServer: Boolean = false,
     /** Identifies the request if it is repeated; null if that is not of interest. */
     val digest: RequestDigest? = null,
+    /** Name of the workspace; null if the request needs no credential. */
+    val workspace: String? = null,
 )
 
 /** The end of an attempt that the [Dispatcher] assigned to [server]. */
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -22,6 +22,7 @@
     private val random: Random = Random.Default,
     /** Time until a server that says that it is leaving must not get requests any more. */
     drainMillis: Long = DEFAULT_DRAIN_MILLIS,
+    private val features: SchedulingFeatures = SchedulingFeatures(),
 ) {
     private val pools = HashMap<String, ServerPool>()
     private val policies = HashMap<String, QueuePolicy>()
@@ -50,7 +51,7 @@
 
     private fun poolOf(service: String): ServerPool =
         pools.getOrPut(service) {
-            ServerPool(rollouts, rateLimits, statements, random).also {
+            ServerPool(rollouts, rateLimits, statements, PoolFeatures(features), random).also {
                 it.onEjection = { ejection -> onEjection(ejection) }
                 policies[service] = QueuePolicy(it)
             }
@@ -97,8 +98,10 @@
         rateLimits.onStated(server.run, limitPerSecond, nowMillis)
 
     /** Records what a response of [server] states about it, except for its limit. */
-    fun onStatement(server: ServerEntry, statement: ServerStatement, nowMillis: Long) =
+    fun onStatement(server: ServerEntry, statement: ServerStatement, nowMillis: Long) {
         statements.onStated(server.run, statement, nowMillis)
+        statement.load?.let { pools[server.service]?.features?.onStated(it) }
+    }
 
     /** Calls [listener] with each change of what servers state about themselves. */
     fun onStatementChange(listener: (ServerStatementChange) -> Unit) {
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -23,6 +23,8 @@
     private val rollouts: RolloutTracker,
     private val rateLimits: ServerRateLimits,
     statements: ServerStatements,
+    /** The optional decisions that are in force in this pool. */
+    val features: PoolFeatures,
     random: Random,
 ) {
     private val records = LinkedHashMap<String, ServerRecord>()
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerStatement.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerStatement.kt
@@ -10,6 +10,8 @@
     val pauseMillis: Long? = null,
     /** Requests per second that the server takes of all instances; null if it states no limit. */
     val limitPerSecond: Double? = null,
+    /** Null if the response states no load. */
+    val load: StatedLoad? = null,
 )
 
 /** A change of what is known from the statements of a server, for the log. */
--- a/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySchema.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySchema.kt
@@ -1,5 +1,7 @@
 package io.lavenderhinge.core.settings
 
+import io.lavenderhinge.core.forwarding.FeatureMode
+
 /** Sections and keys of the settings file of a gateway, an instance on the platform. */
 internal object GatewaySchema {
     // The platform assigns these names, so the rules of NameType do not apply to them.
@@ -83,6 +85,22 @@
             "",
         )
 
+    private val featureMode =
+        ChoiceType(
+            mapOf("auto" to FeatureMode.AUTO, "on" to FeatureMode.ON, "off" to FeatureMode.OFF)
+        )
+
+    val fairShares =
+        SettingKey("fair-shares", featureMode, "shares of slot time for workspaces", "auto")
+    val promptMatching =
+        SettingKey("prompt-matching", featureMode, "freed slots prefer prompts they hold", "auto")
+    val domainSpillover =
+        SettingKey("domain-spillover", featureMode, "share sent to other failure domains", "auto")
+    val quotaRefunds =
+        SettingKey("quota-refunds", featureMode, "quota is charged for what runs", "auto")
+    val pacedReturns =
+        SettingKey("paced-returns", featureMode, "order in which callers return", "auto")
+
     private val bounds =
         listOf(
             gracePeriod,
@@ -107,6 +125,12 @@
             ),
             SectionSchema("platform", named = false, required = true, listOf(store)),
             SectionSchema("bounds", named = false, required = false, bounds),
+            SectionSchema(
+                "scheduling",
+                named = false,
+                required = false,
+                listOf(fairShares, promptMatching, domainSpillover, quotaRefunds, pacedReturns),
+            ),
             SectionSchema("seeds", named = false, required = false, listOf(seeds)),
         )
 }
--- a/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySettings.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySettings.kt
@@ -2,6 +2,7 @@
 
 import io.lavenderhinge.core.forwarding.PropagationBounds
 import io.lavenderhinge.core.forwarding.QuotaTolerance
+import io.lavenderhinge.core.forwarding.SchedulingFeatures
 import kotlinx.collections.immutable.ImmutableList
 
 /** Listener addresses of a gateway. */
@@ -34,6 +35,8 @@
     /** The platform's metadata store. */
     val store: Address,
     val bounds: GatewayBounds,
+    /** Optional scheduling decisions and where they are in force. */
+    val scheduling: SchedulingFeatures,
     /** Addresses of some instances; they may be stale. */
     val seeds: ImmutableList<Address>,
 )
--- a/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySettingsParser.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySettingsParser.kt
@@ -2,8 +2,10 @@
 
 import arrow.core.Either
 import arrow.core.NonEmptyList
+import io.lavenderhinge.core.forwarding.FeatureMode
 import io.lavenderhinge.core.forwarding.PropagationBounds
 import io.lavenderhinge.core.forwarding.QuotaTolerance
+import io.lavenderhinge.core.forwarding.SchedulingFeatures
 import kotlinx.collections.immutable.persistentListOf
 
 /** Parses the settings file of a gateway. */
@@ -19,6 +21,7 @@
                 listen(document.single("listen")),
                 document.single("platform").value(GatewaySchema.store) ?: unsetAddress,
                 bounds(document.single("bounds")),
+                scheduling(document.single("scheduling")),
                 document.single("seeds").value(GatewaySchema.seeds) ?: persistentListOf(),
             )
         }
@@ -54,4 +57,15 @@
                 section.value(GatewaySchema.quotaSlack) ?: 0.0,
             ),
         )
+
+    private fun scheduling(section: SectionReader): SchedulingFeatures {
+        fun mode(key: SettingKey<FeatureMode>) = section.value(key) ?: FeatureMode.AUTO
+        return SchedulingFeatures(
+            fairShares = mode(GatewaySchema.fairShares),
+            promptMatching = mode(GatewaySchema.promptMatching),
+            domainSpillover = mode(GatewaySchema.domainSpillover),
+            quotaRefunds = mode(GatewaySchema.quotaRefunds),
+            pacedReturns = mode(GatewaySchema.pacedReturns),
+        )
+    }
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
@@ -299,6 +299,7 @@
             usesTargetVersion = usesTargetVersion,
             hasLostServer = history.hasLostServer,
             digest = digest,
+            workspace = admitted.workspace?.name,
         )
 
     private fun expectedEvents(service: String): Double {
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
@@ -50,6 +50,7 @@
             identity.failureDomain,
             loop,
             drainMillis = settings.bounds.propagation.drainMillis,
+            features = settings.scheduling,
         )
     private val servers =
         ServerRegistry(control, StoreContact(watchPacing.staleAfterMillis), publish = ::publish)
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
@@ -7,6 +7,7 @@
 import io.lavenderhinge.core.forwarding.LoadReport
 import io.lavenderhinge.core.forwarding.RateLimitChange
 import io.lavenderhinge.core.forwarding.RolloutTracker
+import io.lavenderhinge.core.forwarding.SchedulingFeatures
 import io.lavenderhinge.core.forwarding.ServerEjection
 import io.lavenderhinge.core.forwarding.ServerEntry
 import io.lavenderhinge.core.forwarding.ServerOutcome
@@ -28,8 +29,10 @@
     val rollouts: RolloutTracker = RolloutTracker(),
     /** Time until a server that says that it is leaving must not get requests any more. */
     drainMillis: Long = Dispatcher.DEFAULT_DRAIN_MILLIS,
+    features: SchedulingFeatures = SchedulingFeatures(),
 ) {
-    private val dispatcher = Dispatcher(failureDomain, rollouts, drainMillis = drainMillis)
+    private val dispatcher =
+        Dispatcher(failureDomain, rollouts, drainMillis = drainMillis, features = features)
 
     /** Prompt parts that are kept away from the servers. */
     val quarantine: RequestQuarantine
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/LoadReport.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/LoadReport.java
@@ -40,6 +40,12 @@
     workspaces_ = java.util.Collections.emptyList();
     rollouts_ = java.util.Collections.emptyList();
     rateLimits_ = java.util.Collections.emptyList();
+    workspaceUses_ = java.util.Collections.emptyList();
+    statedLoads_ = java.util.Collections.emptyList();
+    promptHolders_ = java.util.Collections.emptyList();
+    failureDomain_ = "";
+    domainLoads_ = java.util.Collections.emptyList();
+    coldLimits_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -475,6 +481,265 @@
     return rateLimits_.get(index);
   }
 
+  public static final int WORKSPACE_USES_FIELD_NUMBER = 15;
+  @SuppressWarnings("serial")
+  private java.util.List<io.lavenderhinge.protocol.v1.WorkspaceUse> workspaceUses_;
+  /**
+   * <code>repeated .lavenderhinge.v1.WorkspaceUse workspace_uses = 15;</code>
+   */
+  @java.lang.Override
+  public java.util.List<io.lavenderhinge.protocol.v1.WorkspaceUse> getWorkspaceUsesList() {
+    return workspaceUses_;
+  }
+  /**
+   * <code>repeated .lavenderhinge.v1.WorkspaceUse workspace_uses = 15;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends io.lavenderhinge.protocol.v1.WorkspaceUseOrBuilder> 
+      getWorkspaceUsesOrBuilderList() {
+    return workspaceUses_;
+  }
+  /**
+   * <code>repeated .lavenderhinge.v1.WorkspaceUse workspace_uses = 15;</code>
+   */
+  @java.lang.Override
+  public int getWorkspaceUsesCount() {
+    return workspaceUses_.size();
+  }
+  /**
+   * <code>repeated .lavenderhinge.v1.WorkspaceUse workspace_uses = 15;</code>
+   */
+  @java.lang.Override
+  public io.lavenderhinge.protocol.v1.WorkspaceUse getWorkspaceUses(int index) {
+    return workspaceUses_.get(index);
+  }
+  /**
+   * <code>repeated .lavenderhinge.v1.WorkspaceUse workspace_uses = 15;</code>
+   */
+  @java.lang.Override
+  public io.lavenderhinge.protocol.v1.WorkspaceUseOrBuilder getWorkspaceUsesOrBuilder(
+      int index) {
+    return workspaceUses_.get(index);
+  }
+
+  public static final int STATED_LOADS_FIELD_NUMBER = 16;
+  @SuppressWarnings("serial")
+  private java.util.List<io.lavenderhinge.protocol.v1.StatedLoad> statedLoads_;
+  /**
+   * <code>repeated .lavenderhinge.v1.StatedLoad stated_loads = 16;</code>
+   */
+  @java.lang.Override
+  public java.util.List<io.lavenderhinge.protocol.v1.StatedLoad> getStatedLoadsList() {
+    return statedLoads_;
+  }
+  /**
+   * <code>repeated .lavenderhinge.v1.StatedLoad stated_loads = 16;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends io.lavenderhinge.protocol.v1.StatedLoadOrBuilder> 
+      getStatedLoadsOrBuilderList() {
+    return statedLoads_;
+  }
+  /**
+   * <code>repeated .lavenderhinge.v1.StatedLoad stated_loads = 16;</code>
+   */
+  @java.lang.Override
+  public int getStatedLoadsCount() {
+    return statedLoads_.size();
+  }
+  /**
+   * <code>repeated .lavenderhinge.v1.StatedLoad stated_loads = 16;</code>
+   */
+  @java.lang.Override
+  public io.lavenderhinge.protocol.v1.StatedLoad getStatedLoads(int index) {
+    return statedLoads_.get(index);
+  }
+  /**
+   * <code>repeated .lavenderhinge.v1.StatedLoad stated_loads = 16;</code>
+   */
+  @java.lang.Override
+  public io.lavenderhinge.protocol.v1.StatedLoadOrBuilder getStatedLoadsOrBuilder(
+      int index) {
+    return statedLoads_.get(index);
+  }
+
+  public static final int PROMPT_HOLDERS_FIELD_NUMBER = 17;
+  @SuppressWarnings("serial")
+  private java.util.List<io.lavenderhinge.protocol.v1.PromptHolder> promptHolders_;
+  /**
+   * <code>repeated .lavenderhinge.v1.PromptHolder prompt_holders = 17;</code>
+   */
+  @java.lang.Override
+  public java.util.List<io.lavenderhinge.protocol.v1.PromptHolder> getPromptHoldersList() {
+    return promptHolders_;
+  }
+  /**
+   * <code>repeated .lavenderhinge.v1.PromptHolder prompt_holders = 17;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends io.lavenderhinge.protocol.v1.PromptHolderOrBuilder> 
+      getPromptHoldersOrBuilderList() {
+    return promptHolders_;
+  }
+  /**
+   * <code>repeated .lavenderhinge.v1.PromptHolder prompt_holders = 17;</code>
+   */
+  @java.lang.Override
+  public int getPromptHoldersCount() {
+    return promptHolders_.size();
+  }
+  /**
+   * <code>repeated .lavenderhinge.v1.PromptHolder prompt_holders = 17;</code>
+   */
+  @java.lang.Override
+  public io.lavenderhinge.protocol.v1.PromptHolder getPromptHolders(int index) {
+    return promptHolders_.get(index);
+  }
+  /**
+   * <code>repeated .lavenderhinge.v1.PromptHolder prompt_holders = 17;</code>
+   */
+  @java.lang.Override
+  public io.lavenderhinge.protocol.v1.PromptHolderOrBuilder getPromptHoldersOrBuilder(
+      int index) {
+    return promptHolders_.get(index);
+  }
+
+  public static final int FAILURE_DOMAIN_FIELD_NUMBER = 18;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object failureDomain_ = "";
+  /**
+   * <code>string failure_domain = 18;</code>
+   * @return The failureDomain.
+   */
+  @java.lang.Override
+  public java.lang.String getFailureDomain() {
+    java.lang.Object ref = failureDomain_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      failureDomain_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string failure_domain = 18;</code>
+   * @return The bytes for failureDomain.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getFailureDomainBytes() {
+    java.lang.Object ref = failureDomain_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      failureDomain_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int DOMAIN_LOADS_FIELD_NUMBER = 19;
+  @SuppressWarnings("serial")
+  private java.util.List<io.lavenderhinge.protocol.v1.DomainLoad> domainLoads_;
+  /**
+   * <code>repeated .lavenderhinge.v1.DomainLoad domain_loads = 19;</code>
+   */
+  @java.lang.Override
+  public java.util.List<io.lavenderhinge.protocol.v1.DomainLoad> getDomainLoadsList() {
+    return domainLoads_;
+  }
+  /**
+   * <code>repeated .lavenderhinge.v1.DomainLoad domain_loads = 19;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends io.lavenderhinge.protocol.v1.DomainLoadOrBuilder> 
+      getDomainLoadsOrBuilderList() {
+    return domainLoads_;
+  }
+  /**
+   * <code>repeated .lavenderhinge.v1.DomainLoad domain_loads = 19;</code>
+   */
+  @java.lang.Override
+  public int getDomainLoadsCount() {
+    return domainLoads_.size();
+  }
+  /**
+   * <code>repeated .lavenderhinge.v1.DomainLoad domain_loads = 19;</code>
+   */
+  @java.lang.Override
+  public io.lavenderhinge.protocol.v1.DomainLoad getDomainLoads(int index) {
+    return domainLoads_.get(index);
+  }
+  /**
+   * <code>repeated .lavenderhinge.v1.DomainLoad domain_loads = 19;</code>
+   */
+  @java.lang.Override
+  public io.lavenderhinge.protocol.v1.DomainLoadOrBuilder getDomainLoadsOrBuilder(
+      int index) {
+    return domainLoads_.get(index);
+  }
+
+  public static final int EVACUATION_REVISION_FIELD_NUMBER = 20;
+  private long evacuationRevision_ = 0L;
+  /**
+   * <pre>
+   * Revision of the last change of the operator's evacuations that the sender knows.
+   * </pre>
+   *
+   * <code>int64 evacuation_revision = 20;</code>
+   * @return The evacuationRevision.
+   */
+  @java.lang.Override
+  public long getEvacuationRevision() {
+    return evacuationRevision_;
+  }
+
+  public static final int COLD_LIMITS_FIELD_NUMBER = 21;
+  @SuppressWarnings("serial")
+  private java.util.List<io.lavenderhinge.protocol.v1.ServerRateLimit> coldLimits_;
+  /**
+   * <code>repeated .lavenderhinge.v1.ServerRateLimit cold_limits = 21;</code>
+   */
+  @java.lang.Override
+  public java.util.List<io.lavenderhinge.protocol.v1.ServerRateLimit> getColdLimitsList() {
+    return coldLimits_;
+  }
+  /**
+   * <code>repeated .lavenderhinge.v1.ServerRateLimit cold_limits = 21;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends io.lavenderhinge.protocol.v1.ServerRateLimitOrBuilder> 
+      getColdLimitsOrBuilderList() {
+    return coldLimits_;
+  }
+  /**
+   * <code>repeated .lavenderhinge.v1.ServerRateLimit cold_limits = 21;</code>
+   */
+  @java.lang.Override
+  public int getColdLimitsCount() {
+    return coldLimits_.size();
+  }
+  /**
+   * <code>repeated .lavenderhinge.v1.ServerRateLimit cold_limits = 21;</code>
+   */
+  @java.lang.Override
+  public io.lavenderhinge.protocol.v1.ServerRateLimit getColdLimits(int index) {
+    return coldLimits_.get(index);
+  }
+  /**
+   * <code>repeated .lavenderhinge.v1.ServerRateLimit cold_limits = 21;</code>
+   */
+  @java.lang.Override
+  public io.lavenderhinge.protocol.v1.ServerRateLimitOrBuilder getColdLimitsOrBuilder(
+      int index) {
+    return coldLimits_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -531,6 +796,27 @@
     for (int i = 0; i < rateLimits_.size(); i++) {
       output.writeMessage(14, rateLimits_.get(i));
     }
+    for (int i = 0; i < workspaceUses_.size(); i++) {
+      output.writeMessage(15, workspaceUses_.get(i));
+    }
+    for (int i = 0; i < statedLoads_.size(); i++) {
+      output.writeMessage(16, statedLoads_.get(i));
+    }
+    for (int i = 0; i < promptHolders_.size(); i++) {
+      output.writeMessage(17, promptHolders_.get(i));
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(failureDomain_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 18, failureDomain_);
+    }
+    for (int i = 0; i < domainLoads_.size(); i++) {
+      output.writeMessage(19, domainLoads_.get(i));
+    }
+    if (evacuationRevision_ != 0L) {
+      output.writeInt64(20, evacuationRevision_);
+    }
+    for (int i = 0; i < coldLimits_.size(); i++) {
+      output.writeMessage(21, coldLimits_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -594,6 +880,33 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(14, rateLimits_.get(i));
     }
+    for (int i = 0; i < workspaceUses_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(15, workspaceUses_.get(i));
+    }
+    for (int i = 0; i < statedLoads_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(16, statedLoads_.get(i));
+    }
+    for (int i = 0; i < promptHolders_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(17, promptHolders_.get(i));
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(failureDomain_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(18, failureDomain_);
+    }
+    for (int i = 0; i < domainLoads_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(19, domainLoads_.get(i));
+    }
+    if (evacuationRevision_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(20, evacuationRevision_);
+    }
+    for (int i = 0; i < coldLimits_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(21, coldLimits_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -640,6 +953,20 @@
     }
     if (!getRateLimitsList()
         .equals(other.getRateLimitsList())) return false;
+    if (!getWorkspaceUsesList()
+        .equals(other.getWorkspaceUsesList())) return false;
+    if (!getStatedLoadsList()
+        .equals(other.getStatedLoadsList())) return false;
+    if (!getPromptHoldersList()
+        .equals(other.getPromptHoldersList())) return false;
+    if (!getFailureDomain()
+        .equals(other.getFailureDomain())) return false;
+    if (!getDomainLoadsList()
+        .equals(other.getDomainLoadsList())) return false;
+    if (getEvacuationRevision()
+        != other.getEvacuationRevision()) return false;
+    if (!getColdLimitsList()
+        .equals(other.getColdLimitsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -696,6 +1023,31 @@
       hash = (37 * hash) + RATE_LIMITS_FIELD_NUMBER;
       hash = (53 * hash) + getRateLimitsList().hashCode();
     }
+    if (getWorkspaceUsesCount() > 0) {
+      hash = (37 * hash) + WORKSPACE_USES_FIELD_NUMBER;
+      hash = (53 * hash) + getWorkspaceUsesList().hashCode();
+    }
+    if (getStatedLoadsCount() > 0) {
+      hash = (37 * hash) + STATED_LOADS_FIELD_NUMBER;
+      hash = (53 * hash) + getStatedLoadsList().hashCode();
+    }
+    if (getPromptHoldersCount() > 0) {
+      hash = (37 * hash) + PROMPT_HOLDERS_FIELD_NUMBER;
+      hash = (53 * hash) + getPromptHoldersList().hashCode();
+    }
+    hash = (37 * hash) + FAILURE_DOMAIN_FIELD_NUMBER;
+    hash = (53 * hash) + getFailureDomain().hashCode();
+    if (getDomainLoadsCount() > 0) {
+      hash = (37 * hash) + DOMAIN_LOADS_FIELD_NUMBER;
+      hash = (53 * hash) + getDomainLoadsList().hashCode();
+    }
+    hash = (37 * hash) + EVACUATION_REVISION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEvacuationRevision());
+    if (getColdLimitsCount() > 0) {
+      hash = (37 * hash) + COLD_LIMITS_FIELD_NUMBER;
+      hash = (53 * hash) + getColdLimitsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -837,6 +1189,11 @@
         internalGetRolloutsFieldBuilder();
         internalGetCrashObservationsFieldBuilder();
         internalGetRateLimitsFieldBuilder();
+        internalGetWorkspaceUsesFieldBuilder();
+        internalGetStatedLoadsFieldBuilder();
+        internalGetPromptHoldersFieldBuilder();
+        internalGetDomainLoadsFieldBuilder();
+        internalGetColdLimitsFieldBuilder();
       }
     }
     @java.lang.Override
@@ -891,6 +1248,43 @@
         rateLimitsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00002000);
+      if (workspaceUsesBuilder_ == null) {
+        workspaceUses_ = java.util.Collections.emptyList();
+      } else {
+        workspaceUses_ = null;
+        workspaceUsesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00004000);
+      if (statedLoadsBuilder_ == null) {
+        statedLoads_ = java.util.Collections.emptyList();
+      } else {
+        statedLoads_ = null;
+        statedLoadsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00008000);
+      if (promptHoldersBuilder_ == null) {
+        promptHolders_ = java.util.Collections.emptyList();
+      } else {
+        promptHolders_ = null;
+        promptHoldersBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00010000);
+      failureDomain_ = "";
+      if (domainLoadsBuilder_ == null) {
+        domainLoads_ = java.util.Collections.emptyList();
+      } else {
+        domainLoads_ = null;
+        domainLoadsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00040000);
+      evacuationRevision_ = 0L;
+      if (coldLimitsBuilder_ == null) {
+        coldLimits_ = java.util.Collections.emptyList();
+      } else {
+        coldLimits_ = null;
+        coldLimitsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00100000);
       return this;
     }
 
@@ -969,6 +1363,51 @@
       } else {
         result.rateLimits_ = rateLimitsBuilder_.build();
       }
+      if (workspaceUsesBuilder_ == null) {
+        if (((bitField0_ & 0x00004000) != 0)) {
+          workspaceUses_ = java.util.Collections.unmodifiableList(workspaceUses_);
+          bitField0_ = (bitField0_ & ~0x00004000);
+        }
+        result.workspaceUses_ = workspaceUses_;
+      } else {
+        result.workspaceUses_ = workspaceUsesBuilder_.build();
+      }
+      if (statedLoadsBuilder_ == null) {
+        if (((bitField0_ & 0x00008000) != 0)) {
+          statedLoads_ = java.util.Collections.unmodifiableList(statedLoads_);
+          bitField0_ = (bitField0_ & ~0x00008000);
+        }
+        result.statedLoads_ = statedLoads_;
+      } else {
+        result.statedLoads_ = statedLoadsBuilder_.build();
+      }
+      if (promptHoldersBuilder_ == null) {
+        if (((bitField0_ & 0x00010000) != 0)) {
+          promptHolders_ = java.util.Collections.unmodifiableList(promptHolders_);
+          bitField0_ = (bitField0_ & ~0x00010000);
+        }
+        result.promptHolders_ = promptHolders_;
+      } else {
+        result.promptHolders_ = promptHoldersBuilder_.build();
+      }
+      if (domainLoadsBuilder_ == null) {
+        if (((bitField0_ & 0x00040000) != 0)) {
+          domainLoads_ = java.util.Collections.unmodifiableList(domainLoads_);
+          bitField0_ = (bitField0_ & ~0x00040000);
+        }
+        result.domainLoads_ = domainLoads_;
+      } else {
+        result.domainLoads_ = domainLoadsBuilder_.build();
+      }
+      if (coldLimitsBuilder_ == null) {
+        if (((bitField0_ & 0x00100000) != 0)) {
+          coldLimits_ = java.util.Collections.unmodifiableList(coldLimits_);
+          bitField0_ = (bitField0_ & ~0x00100000);
+        }
+        result.coldLimits_ = coldLimits_;
+      } else {
+        result.coldLimits_ = coldLimitsBuilder_.build();
+      }
     }
 
     private void buildPartial0(io.lavenderhinge.protocol.v1.LoadReport result) {
@@ -1004,6 +1443,12 @@
             : crashObservationsBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00020000) != 0)) {
+        result.failureDomain_ = failureDomain_;
+      }
+      if (((from_bitField0_ & 0x00080000) != 0)) {
+        result.evacuationRevision_ = evacuationRevision_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -1180,50 +1625,188 @@
           }
         }
       }
-      this.mergeUnknownFields(other.getUnknownFields());
-      onChanged();
-      return this;
-    }
-
-    @java.lang.Override
-    public final boolean isInitialized() {
-      return true;
-    }
-
-    @java.lang.Override
-    public Builder mergeFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      if (extensionRegistry == null) {
-        throw new java.lang.NullPointerException();
+      if (workspaceUsesBuilder_ == null) {
+        if (!other.workspaceUses_.isEmpty()) {
+          if (workspaceUses_.isEmpty()) {
+            workspaceUses_ = other.workspaceUses_;
+            bitField0_ = (bitField0_ & ~0x00004000);
+          } else {
+            ensureWorkspaceUsesIsMutable();
+            workspaceUses_.addAll(other.workspaceUses_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.workspaceUses_.isEmpty()) {
+          if (workspaceUsesBuilder_.isEmpty()) {
+            workspaceUsesBuilder_.dispose();
+            workspaceUsesBuilder_ = null;
+            workspaceUses_ = other.workspaceUses_;
+            bitField0_ = (bitField0_ & ~0x00004000);
+            workspaceUsesBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetWorkspaceUsesFieldBuilder() : null;
+          } else {
+            workspaceUsesBuilder_.addAllMessages(other.workspaceUses_);
+          }
+        }
       }
-      try {
-        boolean done = false;
-        while (!done) {
-          int tag = input.readTag();
-          switch (tag) {
-            case 0:
-              done = true;
-              break;
-            case 10: {
-              instanceId_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 10
-            case 17: {
-              incarnation_ = input.readFixed64();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 17
-            case 24: {
-              sequence_ = input.readUInt64();
-              bitField0_ |= 0x00000004;
-              break;
-            } // case 24
-            case 34: {
-              ip_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000008;
+      if (statedLoadsBuilder_ == null) {
+        if (!other.statedLoads_.isEmpty()) {
+          if (statedLoads_.isEmpty()) {
+            statedLoads_ = other.statedLoads_;
+            bitField0_ = (bitField0_ & ~0x00008000);
+          } else {
+            ensureStatedLoadsIsMutable();
+            statedLoads_.addAll(other.statedLoads_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.statedLoads_.isEmpty()) {
+          if (statedLoadsBuilder_.isEmpty()) {
+            statedLoadsBuilder_.dispose();
+            statedLoadsBuilder_ = null;
+            statedLoads_ = other.statedLoads_;
+            bitField0_ = (bitField0_ & ~0x00008000);
+            statedLoadsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetStatedLoadsFieldBuilder() : null;
+          } else {
+            statedLoadsBuilder_.addAllMessages(other.statedLoads_);
+          }
+        }
+      }
+      if (promptHoldersBuilder_ == null) {
+        if (!other.promptHolders_.isEmpty()) {
+          if (promptHolders_.isEmpty()) {
+            promptHolders_ = other.promptHolders_;
+            bitField0_ = (bitField0_ & ~0x00010000);
+          } else {
+            ensurePromptHoldersIsMutable();
+            promptHolders_.addAll(other.promptHolders_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.promptHolders_.isEmpty()) {
+          if (promptHoldersBuilder_.isEmpty()) {
+            promptHoldersBuilder_.dispose();
+            promptHoldersBuilder_ = null;
+            promptHolders_ = other.promptHolders_;
+            bitField0_ = (bitField0_ & ~0x00010000);
+            promptHoldersBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetPromptHoldersFieldBuilder() : null;
+          } else {
+            promptHoldersBuilder_.addAllMessages(other.promptHolders_);
+          }
+        }
+      }
+      if (!other.getFailureDomain().isEmpty()) {
+        failureDomain_ = other.failureDomain_;
+        bitField0_ |= 0x00020000;
+        onChanged();
+      }
+      if (domainLoadsBuilder_ == null) {
+        if (!other.domainLoads_.isEmpty()) {
+          if (domainLoads_.isEmpty()) {
+            domainLoads_ = other.domainLoads_;
+            bitField0_ = (bitField0_ & ~0x00040000);
+          } else {
+            ensureDomainLoadsIsMutable();
+            domainLoads_.addAll(other.domainLoads_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.domainLoads_.isEmpty()) {
+          if (domainLoadsBuilder_.isEmpty()) {
+            domainLoadsBuilder_.dispose();
+            domainLoadsBuilder_ = null;
+            domainLoads_ = other.domainLoads_;
+            bitField0_ = (bitField0_ & ~0x00040000);
+            domainLoadsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetDomainLoadsFieldBuilder() : null;
+          } else {
+            domainLoadsBuilder_.addAllMessages(other.domainLoads_);
+          }
+        }
+      }
+      if (other.getEvacuationRevision() != 0L) {
+        setEvacuationRevision(other.getEvacuationRevision());
+      }
+      if (coldLimitsBuilder_ == null) {
+        if (!other.coldLimits_.isEmpty()) {
+          if (coldLimits_.isEmpty()) {
+            coldLimits_ = other.coldLimits_;
+            bitField0_ = (bitField0_ & ~0x00100000);
+          } else {
+            ensureColdLimitsIsMutable();
+            coldLimits_.addAll(other.coldLimits_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.coldLimits_.isEmpty()) {
+          if (coldLimitsBuilder_.isEmpty()) {
+            coldLimitsBuilder_.dispose();
+            coldLimitsBuilder_ = null;
+            coldLimits_ = other.coldLimits_;
+            bitField0_ = (bitField0_ & ~0x00100000);
+            coldLimitsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetColdLimitsFieldBuilder() : null;
+          } else {
+            coldLimitsBuilder_.addAllMessages(other.coldLimits_);
+          }
+        }
+      }
+      this.mergeUnknownFields(other.getUnknownFields());
+      onChanged();
+      return this;
+    }
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+      return true;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      if (extensionRegistry == null) {
+        throw new java.lang.NullPointerException();
+      }
+      try {
+        boolean done = false;
+        while (!done) {
+          int tag = input.readTag();
+          switch (tag) {
+            case 0:
+              done = true;
+              break;
+            case 10: {
+              instanceId_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000001;
+              break;
+            } // case 10
+            case 17: {
+              incarnation_ = input.readFixed64();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 17
+            case 24: {
+              sequence_ = input.readUInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
+            case 34: {
+              ip_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000008;
               break;
             } // case 34
             case 40: {
@@ -1318,6 +1901,81 @@
               }
               break;
             } // case 114
+            case 122: {
+              io.lavenderhinge.protocol.v1.WorkspaceUse m =
+                  input.readMessage(
+                      io.lavenderhinge.protocol.v1.WorkspaceUse.parser(),
+                      extensionRegistry);
+              if (workspaceUsesBuilder_ == null) {
+                ensureWorkspaceUsesIsMutable();
+                workspaceUses_.add(m);
+              } else {
+                workspaceUsesBuilder_.addMessage(m);
+              }
+              break;
+            } // case 122
+            case 130: {
+              io.lavenderhinge.protocol.v1.StatedLoad m =
+                  input.readMessage(
+                      io.lavenderhinge.protocol.v1.StatedLoad.parser(),
+                      extensionRegistry);
+              if (statedLoadsBuilder_ == null) {
+                ensureStatedLoadsIsMutable();
+                statedLoads_.add(m);
+              } else {
+                statedLoadsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 130
+            case 138: {
+              io.lavenderhinge.protocol.v1.PromptHolder m =
+                  input.readMessage(
+                      io.lavenderhinge.protocol.v1.PromptHolder.parser(),
+                      extensionRegistry);
+              if (promptHoldersBuilder_ == null) {
+                ensurePromptHoldersIsMutable();
+                promptHolders_.add(m);
+              } else {
+                promptHoldersBuilder_.addMessage(m);
+              }
+              break;
+            } // case 138
+            case 146: {
+              failureDomain_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00020000;
+              break;
+            } // case 146
+            case 154: {
+              io.lavenderhinge.protocol.v1.DomainLoad m =
+                  input.readMessage(
+                      io.lavenderhinge.protocol.v1.DomainLoad.parser(),
+                      extensionRegistry);
+              if (domainLoadsBuilder_ == null) {
+                ensureDomainLoadsIsMutable();
+                domainLoads_.add(m);
+              } else {
+                domainLoadsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 154
+            case 160: {
+              evacuationRevision_ = input.readInt64();
+              bitField0_ |= 0x00080000;
+              break;
+            } // case 160
+            case 170: {
+              io.lavenderhinge.protocol.v1.ServerRateLimit m =
+                  input.readMessage(
+                      io.lavenderhinge.protocol.v1.ServerRateLimit.parser(),
+                      extensionRegistry);
+              if (coldLimitsBuilder_ == null) {
+                ensureColdLimitsIsMutable();
+                coldLimits_.add(m);
+              } else {
+                coldLimitsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 170
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3136,6 +3794,1322 @@
       return rateLimitsBuilder_;
     }
 
+    private java.util.List<io.lavenderhinge.protocol.v1.WorkspaceUse> workspaceUses_ =
+      java.util.Collections.emptyList();
+    private void ensureWorkspaceUsesIsMutable() {
+      if (!((bitField0_ & 0x00004000) != 0)) {
+        workspaceUses_ = new java.util.ArrayList<io.lavenderhinge.protocol.v1.WorkspaceUse>(workspaceUses_);
+        bitField0_ |= 0x00004000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.lavenderhinge.protocol.v1.WorkspaceUse, io.lavenderhinge.protocol.v1.WorkspaceUse.Builder, io.lavenderhinge.protocol.v1.WorkspaceUseOrBuilder> workspaceUsesBuilder_;
+
+    /**
+     * <code>repeated .lavenderhinge.v1.WorkspaceUse workspace_uses = 15;</code>
+     */
+    public java.util.List<io.lavenderhinge.protocol.v1.WorkspaceUse> getWorkspaceUsesList() {
+      if (workspaceUsesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(workspaceUses_);
+      } else {
+        return workspaceUsesBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.WorkspaceUse workspace_uses = 15;</code>
+     */
+    public int getWorkspaceUsesCount() {
+      if (workspaceUsesBuilder_ == null) {
+        return workspaceUses_.size();
+      } else {
+        return workspaceUsesBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.WorkspaceUse workspace_uses = 15;</code>
+     */
+    public io.lavenderhinge.protocol.v1.WorkspaceUse getWorkspaceUses(int index) {
+      if (workspaceUsesBuilder_ == null) {
+        return workspaceUses_.get(index);
+      } else {
+        return workspaceUsesBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.WorkspaceUse workspace_uses = 15;</code>
+     */
+    public Builder setWorkspaceUses(
+        int index, io.lavenderhinge.protocol.v1.WorkspaceUse value) {
+      if (workspaceUsesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureWorkspaceUsesIsMutable();
+        workspaceUses_.set(index, value);
+        onChanged();
+      } else {
+        workspaceUsesBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.WorkspaceUse workspace_uses = 15;</code>
+     */
+    public Builder setWorkspaceUses(
+        int index, io.lavenderhinge.protocol.v1.WorkspaceUse.Builder builderForValue) {
+      if (workspaceUsesBuilder_ == null) {
+        ensureWorkspaceUsesIsMutable();
+        workspaceUses_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        workspaceUsesBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.WorkspaceUse workspace_uses = 15;</code>
+     */
+    public Builder addWorkspaceUses(io.lavenderhinge.protocol.v1.WorkspaceUse value) {
+      if (workspaceUsesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureWorkspaceUsesIsMutable();
+        workspaceUses_.add(value);
+        onChanged();
+      } else {
+        workspaceUsesBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.WorkspaceUse workspace_uses = 15;</code>
+     */
+    public Builder addWorkspaceUses(
+        int index, io.lavenderhinge.protocol.v1.WorkspaceUse value) {
+      if (workspaceUsesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureWorkspaceUsesIsMutable();
+        workspaceUses_.add(index, value);
+        onChanged();
+      } else {
+        workspaceUsesBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.WorkspaceUse workspace_uses = 15;</code>
+     */
+    public Builder addWorkspaceUses(
+        io.lavenderhinge.protocol.v1.WorkspaceUse.Builder builderForValue) {
+      if (workspaceUsesBuilder_ == null) {
+        ensureWorkspaceUsesIsMutable();
+        workspaceUses_.add(builderForValue.build());
+        onChanged();
+      } else {
+        workspaceUsesBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.WorkspaceUse workspace_uses = 15;</code>
+     */
+    public Builder addWorkspaceUses(
+        int index, io.lavenderhinge.protocol.v1.WorkspaceUse.Builder builderForValue) {
+      if (workspaceUsesBuilder_ == null) {
+        ensureWorkspaceUsesIsMutable();
+        workspaceUses_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        workspaceUsesBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.WorkspaceUse workspace_uses = 15;</code>
+     */
+    public Builder addAllWorkspaceUses(
+        java.lang.Iterable<? extends io.lavenderhinge.protocol.v1.WorkspaceUse> values) {
+      if (workspaceUsesBuilder_ == null) {
+        ensureWorkspaceUsesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, workspaceUses_);
+        onChanged();
+      } else {
+        workspaceUsesBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.WorkspaceUse workspace_uses = 15;</code>
+     */
+    public Builder clearWorkspaceUses() {
+      if (workspaceUsesBuilder_ == null) {
+        workspaceUses_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00004000);
+        onChanged();
+      } else {
+        workspaceUsesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.WorkspaceUse workspace_uses = 15;</code>
+     */
+    public Builder removeWorkspaceUses(int index) {
+      if (workspaceUsesBuilder_ == null) {
+        ensureWorkspaceUsesIsMutable();
+        workspaceUses_.remove(index);
+        onChanged();
+      } else {
+        workspaceUsesBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.WorkspaceUse workspace_uses = 15;</code>
+     */
+    public io.lavenderhinge.protocol.v1.WorkspaceUse.Builder getWorkspaceUsesBuilder(
+        int index) {
+      return internalGetWorkspaceUsesFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.WorkspaceUse workspace_uses = 15;</code>
+     */
+    public io.lavenderhinge.protocol.v1.WorkspaceUseOrBuilder getWorkspaceUsesOrBuilder(
+        int index) {
+      if (workspaceUsesBuilder_ == null) {
+        return workspaceUses_.get(index);  } else {
+        return workspaceUsesBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.WorkspaceUse workspace_uses = 15;</code>
+     */
+    public java.util.List<? extends io.lavenderhinge.protocol.v1.WorkspaceUseOrBuilder> 
+         getWorkspaceUsesOrBuilderList() {
+      if (workspaceUsesBuilder_ != null) {
+        return workspaceUsesBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(workspaceUses_);
+      }
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.WorkspaceUse workspace_uses = 15;</code>
+     */
+    public io.lavenderhinge.protocol.v1.WorkspaceUse.Builder addWorkspaceUsesBuilder() {
+      return internalGetWorkspaceUsesFieldBuilder().addBuilder(
+          io.lavenderhinge.protocol.v1.WorkspaceUse.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.WorkspaceUse workspace_uses = 15;</code>
+     */
+    public io.lavenderhinge.protocol.v1.WorkspaceUse.Builder addWorkspaceUsesBuilder(
+        int index) {
+      return internalGetWorkspaceUsesFieldBuilder().addBuilder(
+          index, io.lavenderhinge.protocol.v1.WorkspaceUse.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.WorkspaceUse workspace_uses = 15;</code>
+     */
+    public java.util.List<io.lavenderhinge.protocol.v1.WorkspaceUse.Builder> 
+         getWorkspaceUsesBuilderList() {
+      return internalGetWorkspaceUsesFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.lavenderhinge.protocol.v1.WorkspaceUse, io.lavenderhinge.protocol.v1.WorkspaceUse.Builder, io.lavenderhinge.protocol.v1.WorkspaceUseOrBuilder> 
+        internalGetWorkspaceUsesFieldBuilder() {
+      if (workspaceUsesBuilder_ == null) {
+        workspaceUsesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            io.lavenderhinge.protocol.v1.WorkspaceUse, io.lavenderhinge.protocol.v1.WorkspaceUse.Builder, io.lavenderhinge.protocol.v1.WorkspaceUseOrBuilder>(
+                workspaceUses_,
+                ((bitField0_ & 0x00004000) != 0),
+                getParentForChildren(),
+                isClean());
+        workspaceUses_ = null;
+      }
+      return workspaceUsesBuilder_;
+    }
+
+    private java.util.List<io.lavenderhinge.protocol.v1.StatedLoad> statedLoads_ =
+      java.util.Collections.emptyList();
+    private void ensureStatedLoadsIsMutable() {
+      if (!((bitField0_ & 0x00008000) != 0)) {
+        statedLoads_ = new java.util.ArrayList<io.lavenderhinge.protocol.v1.StatedLoad>(statedLoads_);
+        bitField0_ |= 0x00008000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.lavenderhinge.protocol.v1.StatedLoad, io.lavenderhinge.protocol.v1.StatedLoad.Builder, io.lavenderhinge.protocol.v1.StatedLoadOrBuilder> statedLoadsBuilder_;
+
+    /**
+     * <code>repeated .lavenderhinge.v1.StatedLoad stated_loads = 16;</code>
+     */
+    public java.util.List<io.lavenderhinge.protocol.v1.StatedLoad> getStatedLoadsList() {
+      if (statedLoadsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(statedLoads_);
+      } else {
+        return statedLoadsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.StatedLoad stated_loads = 16;</code>
+     */
+    public int getStatedLoadsCount() {
+      if (statedLoadsBuilder_ == null) {
+        return statedLoads_.size();
+      } else {
+        return statedLoadsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.StatedLoad stated_loads = 16;</code>
+     */
+    public io.lavenderhinge.protocol.v1.StatedLoad getStatedLoads(int index) {
+      if (statedLoadsBuilder_ == null) {
+        return statedLoads_.get(index);
+      } else {
+        return statedLoadsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.StatedLoad stated_loads = 16;</code>
+     */
+    public Builder setStatedLoads(
+        int index, io.lavenderhinge.protocol.v1.StatedLoad value) {
+      if (statedLoadsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureStatedLoadsIsMutable();
+        statedLoads_.set(index, value);
+        onChanged();
+      } else {
+        statedLoadsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.StatedLoad stated_loads = 16;</code>
+     */
+    public Builder setStatedLoads(
+        int index, io.lavenderhinge.protocol.v1.StatedLoad.Builder builderForValue) {
+      if (statedLoadsBuilder_ == null) {
+        ensureStatedLoadsIsMutable();
+        statedLoads_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        statedLoadsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.StatedLoad stated_loads = 16;</code>
+     */
+    public Builder addStatedLoads(io.lavenderhinge.protocol.v1.StatedLoad value) {
+      if (statedLoadsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureStatedLoadsIsMutable();
+        statedLoads_.add(value);
+        onChanged();
+      } else {
+        statedLoadsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.StatedLoad stated_loads = 16;</code>
+     */
+    public Builder addStatedLoads(
+        int index, io.lavenderhinge.protocol.v1.StatedLoad value) {
+      if (statedLoadsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureStatedLoadsIsMutable();
+        statedLoads_.add(index, value);
+        onChanged();
+      } else {
+        statedLoadsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.StatedLoad stated_loads = 16;</code>
+     */
+    public Builder addStatedLoads(
+        io.lavenderhinge.protocol.v1.StatedLoad.Builder builderForValue) {
+      if (statedLoadsBuilder_ == null) {
+        ensureStatedLoadsIsMutable();
+        statedLoads_.add(builderForValue.build());
+        onChanged();
+      } else {
+        statedLoadsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.StatedLoad stated_loads = 16;</code>
+     */
+    public Builder addStatedLoads(
+        int index, io.lavenderhinge.protocol.v1.StatedLoad.Builder builderForValue) {
+      if (statedLoadsBuilder_ == null) {
+        ensureStatedLoadsIsMutable();
+        statedLoads_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        statedLoadsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.StatedLoad stated_loads = 16;</code>
+     */
+    public Builder addAllStatedLoads(
+        java.lang.Iterable<? extends io.lavenderhinge.protocol.v1.StatedLoad> values) {
+      if (statedLoadsBuilder_ == null) {
+        ensureStatedLoadsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, statedLoads_);
+        onChanged();
+      } else {
+        statedLoadsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.StatedLoad stated_loads = 16;</code>
+     */
+    public Builder clearStatedLoads() {
+      if (statedLoadsBuilder_ == null) {
+        statedLoads_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00008000);
+        onChanged();
+      } else {
+        statedLoadsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.StatedLoad stated_loads = 16;</code>
+     */
+    public Builder removeStatedLoads(int index) {
+      if (statedLoadsBuilder_ == null) {
+        ensureStatedLoadsIsMutable();
+        statedLoads_.remove(index);
+        onChanged();
+      } else {
+        statedLoadsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.StatedLoad stated_loads = 16;</code>
+     */
+    public io.lavenderhinge.protocol.v1.StatedLoad.Builder getStatedLoadsBuilder(
+        int index) {
+      return internalGetStatedLoadsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.StatedLoad stated_loads = 16;</code>
+     */
+    public io.lavenderhinge.protocol.v1.StatedLoadOrBuilder getStatedLoadsOrBuilder(
+        int index) {
+      if (statedLoadsBuilder_ == null) {
+        return statedLoads_.get(index);  } else {
+        return statedLoadsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.StatedLoad stated_loads = 16;</code>
+     */
+    public java.util.List<? extends io.lavenderhinge.protocol.v1.StatedLoadOrBuilder> 
+         getStatedLoadsOrBuilderList() {
+      if (statedLoadsBuilder_ != null) {
+        return statedLoadsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(statedLoads_);
+      }
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.StatedLoad stated_loads = 16;</code>
+     */
+    public io.lavenderhinge.protocol.v1.StatedLoad.Builder addStatedLoadsBuilder() {
+      return internalGetStatedLoadsFieldBuilder().addBuilder(
+          io.lavenderhinge.protocol.v1.StatedLoad.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.StatedLoad stated_loads = 16;</code>
+     */
+    public io.lavenderhinge.protocol.v1.StatedLoad.Builder addStatedLoadsBuilder(
+        int index) {
+      return internalGetStatedLoadsFieldBuilder().addBuilder(
+          index, io.lavenderhinge.protocol.v1.StatedLoad.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.StatedLoad stated_loads = 16;</code>
+     */
+    public java.util.List<io.lavenderhinge.protocol.v1.StatedLoad.Builder> 
+         getStatedLoadsBuilderList() {
+      return internalGetStatedLoadsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.lavenderhinge.protocol.v1.StatedLoad, io.lavenderhinge.protocol.v1.StatedLoad.Builder, io.lavenderhinge.protocol.v1.StatedLoadOrBuilder> 
+        internalGetStatedLoadsFieldBuilder() {
+      if (statedLoadsBuilder_ == null) {
+        statedLoadsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            io.lavenderhinge.protocol.v1.StatedLoad, io.lavenderhinge.protocol.v1.StatedLoad.Builder, io.lavenderhinge.protocol.v1.StatedLoadOrBuilder>(
+                statedLoads_,
+                ((bitField0_ & 0x00008000) != 0),
+                getParentForChildren(),
+                isClean());
+        statedLoads_ = null;
+      }
+      return statedLoadsBuilder_;
+    }
+
+    private java.util.List<io.lavenderhinge.protocol.v1.PromptHolder> promptHolders_ =
+      java.util.Collections.emptyList();
+    private void ensurePromptHoldersIsMutable() {
+      if (!((bitField0_ & 0x00010000) != 0)) {
+        promptHolders_ = new java.util.ArrayList<io.lavenderhinge.protocol.v1.PromptHolder>(promptHolders_);
+        bitField0_ |= 0x00010000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.lavenderhinge.protocol.v1.PromptHolder, io.lavenderhinge.protocol.v1.PromptHolder.Builder, io.lavenderhinge.protocol.v1.PromptHolderOrBuilder> promptHoldersBuilder_;
+
+    /**
+     * <code>repeated .lavenderhinge.v1.PromptHolder prompt_holders = 17;</code>
+     */
+    public java.util.List<io.lavenderhinge.protocol.v1.PromptHolder> getPromptHoldersList() {
+      if (promptHoldersBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(promptHolders_);
+      } else {
+        return promptHoldersBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.PromptHolder prompt_holders = 17;</code>
+     */
+    public int getPromptHoldersCount() {
+      if (promptHoldersBuilder_ == null) {
+        return promptHolders_.size();
+      } else {
+        return promptHoldersBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.PromptHolder prompt_holders = 17;</code>
+     */
+    public io.lavenderhinge.protocol.v1.PromptHolder getPromptHolders(int index) {
+      if (promptHoldersBuilder_ == null) {
+        return promptHolders_.get(index);
+      } else {
+        return promptHoldersBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.PromptHolder prompt_holders = 17;</code>
+     */
+    public Builder setPromptHolders(
+        int index, io.lavenderhinge.protocol.v1.PromptHolder value) {
+      if (promptHoldersBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensurePromptHoldersIsMutable();
+        promptHolders_.set(index, value);
+        onChanged();
+      } else {
+        promptHoldersBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.PromptHolder prompt_holders = 17;</code>
+     */
+    public Builder setPromptHolders(
+        int index, io.lavenderhinge.protocol.v1.PromptHolder.Builder builderForValue) {
+      if (promptHoldersBuilder_ == null) {
+        ensurePromptHoldersIsMutable();
+        promptHolders_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        promptHoldersBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.PromptHolder prompt_holders = 17;</code>
+     */
+    public Builder addPromptHolders(io.lavenderhinge.protocol.v1.PromptHolder value) {
+      if (promptHoldersBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensurePromptHoldersIsMutable();
+        promptHolders_.add(value);
+        onChanged();
+      } else {
+        promptHoldersBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.PromptHolder prompt_holders = 17;</code>
+     */
+    public Builder addPromptHolders(
+        int index, io.lavenderhinge.protocol.v1.PromptHolder value) {
+      if (promptHoldersBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensurePromptHoldersIsMutable();
+        promptHolders_.add(index, value);
+        onChanged();
+      } else {
+        promptHoldersBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.PromptHolder prompt_holders = 17;</code>
+     */
+    public Builder addPromptHolders(
+        io.lavenderhinge.protocol.v1.PromptHolder.Builder builderForValue) {
+      if (promptHoldersBuilder_ == null) {
+        ensurePromptHoldersIsMutable();
+        promptHolders_.add(builderForValue.build());
+        onChanged();
+      } else {
+        promptHoldersBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.PromptHolder prompt_holders = 17;</code>
+     */
+    public Builder addPromptHolders(
+        int index, io.lavenderhinge.protocol.v1.PromptHolder.Builder builderForValue) {
+      if (promptHoldersBuilder_ == null) {
+        ensurePromptHoldersIsMutable();
+        promptHolders_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        promptHoldersBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.PromptHolder prompt_holders = 17;</code>
+     */
+    public Builder addAllPromptHolders(
+        java.lang.Iterable<? extends io.lavenderhinge.protocol.v1.PromptHolder> values) {
+      if (promptHoldersBuilder_ == null) {
+        ensurePromptHoldersIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, promptHolders_);
+        onChanged();
+      } else {
+        promptHoldersBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.PromptHolder prompt_holders = 17;</code>
+     */
+    public Builder clearPromptHolders() {
+      if (promptHoldersBuilder_ == null) {
+        promptHolders_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00010000);
+        onChanged();
+      } else {
+        promptHoldersBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.PromptHolder prompt_holders = 17;</code>
+     */
+    public Builder removePromptHolders(int index) {
+      if (promptHoldersBuilder_ == null) {
+        ensurePromptHoldersIsMutable();
+        promptHolders_.remove(index);
+        onChanged();
+      } else {
+        promptHoldersBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.PromptHolder prompt_holders = 17;</code>
+     */
+    public io.lavenderhinge.protocol.v1.PromptHolder.Builder getPromptHoldersBuilder(
+        int index) {
+      return internalGetPromptHoldersFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.PromptHolder prompt_holders = 17;</code>
+     */
+    public io.lavenderhinge.protocol.v1.PromptHolderOrBuilder getPromptHoldersOrBuilder(
+        int index) {
+      if (promptHoldersBuilder_ == null) {
+        return promptHolders_.get(index);  } else {
+        return promptHoldersBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.PromptHolder prompt_holders = 17;</code>
+     */
+    public java.util.List<? extends io.lavenderhinge.protocol.v1.PromptHolderOrBuilder> 
+         getPromptHoldersOrBuilderList() {
+      if (promptHoldersBuilder_ != null) {
+        return promptHoldersBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(promptHolders_);
+      }
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.PromptHolder prompt_holders = 17;</code>
+     */
+    public io.lavenderhinge.protocol.v1.PromptHolder.Builder addPromptHoldersBuilder() {
+      return internalGetPromptHoldersFieldBuilder().addBuilder(
+          io.lavenderhinge.protocol.v1.PromptHolder.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.PromptHolder prompt_holders = 17;</code>
+     */
+    public io.lavenderhinge.protocol.v1.PromptHolder.Builder addPromptHoldersBuilder(
+        int index) {
+      return internalGetPromptHoldersFieldBuilder().addBuilder(
+          index, io.lavenderhinge.protocol.v1.PromptHolder.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.PromptHolder prompt_holders = 17;</code>
+     */
+    public java.util.List<io.lavenderhinge.protocol.v1.PromptHolder.Builder> 
+         getPromptHoldersBuilderList() {
+      return internalGetPromptHoldersFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.lavenderhinge.protocol.v1.PromptHolder, io.lavenderhinge.protocol.v1.PromptHolder.Builder, io.lavenderhinge.protocol.v1.PromptHolderOrBuilder> 
+        internalGetPromptHoldersFieldBuilder() {
+      if (promptHoldersBuilder_ == null) {
+        promptHoldersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            io.lavenderhinge.protocol.v1.PromptHolder, io.lavenderhinge.protocol.v1.PromptHolder.Builder, io.lavenderhinge.protocol.v1.PromptHolderOrBuilder>(
+                promptHolders_,
+                ((bitField0_ & 0x00010000) != 0),
+                getParentForChildren(),
+                isClean());
+        promptHolders_ = null;
+      }
+      return promptHoldersBuilder_;
+    }
+
+    private java.lang.Object failureDomain_ = "";
+    /**
+     * <code>string failure_domain = 18;</code>
+     * @return The failureDomain.
+     */
+    public java.lang.String getFailureDomain() {
+      java.lang.Object ref = failureDomain_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        failureDomain_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string failure_domain = 18;</code>
+     * @return The bytes for failureDomain.
+     */
+    public com.google.protobuf.ByteString
+        getFailureDomainBytes() {
+      java.lang.Object ref = failureDomain_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        failureDomain_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string failure_domain = 18;</code>
+     * @param value The failureDomain to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFailureDomain(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      failureDomain_ = value;
+      bitField0_ |= 0x00020000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string failure_domain = 18;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFailureDomain() {
+      failureDomain_ = getDefaultInstance().getFailureDomain();
+      bitField0_ = (bitField0_ & ~0x00020000);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string failure_domain = 18;</code>
+     * @param value The bytes for failureDomain to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFailureDomainBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      failureDomain_ = value;
+      bitField0_ |= 0x00020000;
+      onChanged();
+      return this;
+    }
+
+    private java.util.List<io.lavenderhinge.protocol.v1.DomainLoad> domainLoads_ =
+      java.util.Collections.emptyList();
+    private void ensureDomainLoadsIsMutable() {
+      if (!((bitField0_ & 0x00040000) != 0)) {
+        domainLoads_ = new java.util.ArrayList<io.lavenderhinge.protocol.v1.DomainLoad>(domainLoads_);
+        bitField0_ |= 0x00040000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.lavenderhinge.protocol.v1.DomainLoad, io.lavenderhinge.protocol.v1.DomainLoad.Builder, io.lavenderhinge.protocol.v1.DomainLoadOrBuilder> domainLoadsBuilder_;
+
+    /**
+     * <code>repeated .lavenderhinge.v1.DomainLoad domain_loads = 19;</code>
+     */
+    public java.util.List<io.lavenderhinge.protocol.v1.DomainLoad> getDomainLoadsList() {
+      if (domainLoadsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(domainLoads_);
+      } else {
+        return domainLoadsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.DomainLoad domain_loads = 19;</code>
+     */
+    public int getDomainLoadsCount() {
+      if (domainLoadsBuilder_ == null) {
+        return domainLoads_.size();
+      } else {
+        return domainLoadsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.DomainLoad domain_loads = 19;</code>
+     */
+    public io.lavenderhinge.protocol.v1.DomainLoad getDomainLoads(int index) {
+      if (domainLoadsBuilder_ == null) {
+        return domainLoads_.get(index);
+      } else {
+        return domainLoadsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.DomainLoad domain_loads = 19;</code>
+     */
+    public Builder setDomainLoads(
+        int index, io.lavenderhinge.protocol.v1.DomainLoad value) {
+      if (domainLoadsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureDomainLoadsIsMutable();
+        domainLoads_.set(index, value);
+        onChanged();
+      } else {
+        domainLoadsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.DomainLoad domain_loads = 19;</code>
+     */
+    public Builder setDomainLoads(
+        int index, io.lavenderhinge.protocol.v1.DomainLoad.Builder builderForValue) {
+      if (domainLoadsBuilder_ == null) {
+        ensureDomainLoadsIsMutable();
+        domainLoads_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        domainLoadsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.DomainLoad domain_loads = 19;</code>
+     */
+    public Builder addDomainLoads(io.lavenderhinge.protocol.v1.DomainLoad value) {
+      if (domainLoadsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureDomainLoadsIsMutable();
+        domainLoads_.add(value);
+        onChanged();
+      } else {
+        domainLoadsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.DomainLoad domain_loads = 19;</code>
+     */
+    public Builder addDomainLoads(
+        int index, io.lavenderhinge.protocol.v1.DomainLoad value) {
+      if (domainLoadsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureDomainLoadsIsMutable();
+        domainLoads_.add(index, value);
+        onChanged();
+      } else {
+        domainLoadsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.DomainLoad domain_loads = 19;</code>
+     */
+    public Builder addDomainLoads(
+        io.lavenderhinge.protocol.v1.DomainLoad.Builder builderForValue) {
+      if (domainLoadsBuilder_ == null) {
+        ensureDomainLoadsIsMutable();
+        domainLoads_.add(builderForValue.build());
+        onChanged();
+      } else {
+        domainLoadsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.DomainLoad domain_loads = 19;</code>
+     */
+    public Builder addDomainLoads(
+        int index, io.lavenderhinge.protocol.v1.DomainLoad.Builder builderForValue) {
+      if (domainLoadsBuilder_ == null) {
+        ensureDomainLoadsIsMutable();
+        domainLoads_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        domainLoadsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.DomainLoad domain_loads = 19;</code>
+     */
+    public Builder addAllDomainLoads(
+        java.lang.Iterable<? extends io.lavenderhinge.protocol.v1.DomainLoad> values) {
+      if (domainLoadsBuilder_ == null) {
+        ensureDomainLoadsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, domainLoads_);
+        onChanged();
+      } else {
+        domainLoadsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.DomainLoad domain_loads = 19;</code>
+     */
+    public Builder clearDomainLoads() {
+      if (domainLoadsBuilder_ == null) {
+        domainLoads_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00040000);
+        onChanged();
+      } else {
+        domainLoadsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.DomainLoad domain_loads = 19;</code>
+     */
+    public Builder removeDomainLoads(int index) {
+      if (domainLoadsBuilder_ == null) {
+        ensureDomainLoadsIsMutable();
+        domainLoads_.remove(index);
+        onChanged();
+      } else {
+        domainLoadsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.DomainLoad domain_loads = 19;</code>
+     */
+    public io.lavenderhinge.protocol.v1.DomainLoad.Builder getDomainLoadsBuilder(
+        int index) {
+      return internalGetDomainLoadsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.DomainLoad domain_loads = 19;</code>
+     */
+    public io.lavenderhinge.protocol.v1.DomainLoadOrBuilder getDomainLoadsOrBuilder(
+        int index) {
+      if (domainLoadsBuilder_ == null) {
+        return domainLoads_.get(index);  } else {
+        return domainLoadsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.DomainLoad domain_loads = 19;</code>
+     */
+    public java.util.List<? extends io.lavenderhinge.protocol.v1.DomainLoadOrBuilder> 
+         getDomainLoadsOrBuilderList() {
+      if (domainLoadsBuilder_ != null) {
+        return domainLoadsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(domainLoads_);
+      }
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.DomainLoad domain_loads = 19;</code>
+     */
+    public io.lavenderhinge.protocol.v1.DomainLoad.Builder addDomainLoadsBuilder() {
+      return internalGetDomainLoadsFieldBuilder().addBuilder(
+          io.lavenderhinge.protocol.v1.DomainLoad.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.DomainLoad domain_loads = 19;</code>
+     */
+    public io.lavenderhinge.protocol.v1.DomainLoad.Builder addDomainLoadsBuilder(
+        int index) {
+      return internalGetDomainLoadsFieldBuilder().addBuilder(
+          index, io.lavenderhinge.protocol.v1.DomainLoad.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.DomainLoad domain_loads = 19;</code>
+     */
+    public java.util.List<io.lavenderhinge.protocol.v1.DomainLoad.Builder> 
+         getDomainLoadsBuilderList() {
+      return internalGetDomainLoadsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.lavenderhinge.protocol.v1.DomainLoad, io.lavenderhinge.protocol.v1.DomainLoad.Builder, io.lavenderhinge.protocol.v1.DomainLoadOrBuilder> 
+        internalGetDomainLoadsFieldBuilder() {
+      if (domainLoadsBuilder_ == null) {
+        domainLoadsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            io.lavenderhinge.protocol.v1.DomainLoad, io.lavenderhinge.protocol.v1.DomainLoad.Builder, io.lavenderhinge.protocol.v1.DomainLoadOrBuilder>(
+                domainLoads_,
+                ((bitField0_ & 0x00040000) != 0),
+                getParentForChildren(),
+                isClean());
+        domainLoads_ = null;
+      }
+      return domainLoadsBuilder_;
+    }
+
+    private long evacuationRevision_ ;
+    /**
+     * <pre>
+     * Revision of the last change of the operator's evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>int64 evacuation_revision = 20;</code>
+     * @return The evacuationRevision.
+     */
+    @java.lang.Override
+    public long getEvacuationRevision() {
+      return evacuationRevision_;
+    }
+    /**
+     * <pre>
+     * Revision of the last change of the operator's evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>int64 evacuation_revision = 20;</code>
+     * @param value The evacuationRevision to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEvacuationRevision(long value) {
+
+      evacuationRevision_ = value;
+      bitField0_ |= 0x00080000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Revision of the last change of the operator's evacuations that the sender knows.
+     * </pre>
+     *
+     * <code>int64 evacuation_revision = 20;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEvacuationRevision() {
+      bitField0_ = (bitField0_ & ~0x00080000);
+      evacuationRevision_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private java.util.List<io.lavenderhinge.protocol.v1.ServerRateLimit> coldLimits_ =
+      java.util.Collections.emptyList();
+    private void ensureColdLimitsIsMutable() {
+      if (!((bitField0_ & 0x00100000) != 0)) {
+        coldLimits_ = new java.util.ArrayList<io.lavenderhinge.protocol.v1.ServerRateLimit>(coldLimits_);
+        bitField0_ |= 0x00100000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.lavenderhinge.protocol.v1.ServerRateLimit, io.lavenderhinge.protocol.v1.ServerRateLimit.Builder, io.lavenderhinge.protocol.v1.ServerRateLimitOrBuilder> coldLimitsBuilder_;
+
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit cold_limits = 21;</code>
+     */
+    public java.util.List<io.lavenderhinge.protocol.v1.ServerRateLimit> getColdLimitsList() {
+      if (coldLimitsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(coldLimits_);
+      } else {
+        return coldLimitsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit cold_limits = 21;</code>
+     */
+    public int getColdLimitsCount() {
+      if (coldLimitsBuilder_ == null) {
+        return coldLimits_.size();
+      } else {
+        return coldLimitsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit cold_limits = 21;</code>
+     */
+    public io.lavenderhinge.protocol.v1.ServerRateLimit getColdLimits(int index) {
+      if (coldLimitsBuilder_ == null) {
+        return coldLimits_.get(index);
+      } else {
+        return coldLimitsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit cold_limits = 21;</code>
+     */
+    public Builder setColdLimits(
+        int index, io.lavenderhinge.protocol.v1.ServerRateLimit value) {
+      if (coldLimitsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureColdLimitsIsMutable();
+        coldLimits_.set(index, value);
+        onChanged();
+      } else {
+        coldLimitsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit cold_limits = 21;</code>
+     */
+    public Builder setColdLimits(
+        int index, io.lavenderhinge.protocol.v1.ServerRateLimit.Builder builderForValue) {
+      if (coldLimitsBuilder_ == null) {
+        ensureColdLimitsIsMutable();
+        coldLimits_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        coldLimitsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit cold_limits = 21;</code>
+     */
+    public Builder addColdLimits(io.lavenderhinge.protocol.v1.ServerRateLimit value) {
+      if (coldLimitsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureColdLimitsIsMutable();
+        coldLimits_.add(value);
+        onChanged();
+      } else {
+        coldLimitsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit cold_limits = 21;</code>
+     */
+    public Builder addColdLimits(
+        int index, io.lavenderhinge.protocol.v1.ServerRateLimit value) {
+      if (coldLimitsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureColdLimitsIsMutable();
+        coldLimits_.add(index, value);
+        onChanged();
+      } else {
+        coldLimitsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit cold_limits = 21;</code>
+     */
+    public Builder addColdLimits(
+        io.lavenderhinge.protocol.v1.ServerRateLimit.Builder builderForValue) {
+      if (coldLimitsBuilder_ == null) {
+        ensureColdLimitsIsMutable();
+        coldLimits_.add(builderForValue.build());
+        onChanged();
+      } else {
+        coldLimitsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit cold_limits = 21;</code>
+     */
+    public Builder addColdLimits(
+        int index, io.lavenderhinge.protocol.v1.ServerRateLimit.Builder builderForValue) {
+      if (coldLimitsBuilder_ == null) {
+        ensureColdLimitsIsMutable();
+        coldLimits_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        coldLimitsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit cold_limits = 21;</code>
+     */
+    public Builder addAllColdLimits(
+        java.lang.Iterable<? extends io.lavenderhinge.protocol.v1.ServerRateLimit> values) {
+      if (coldLimitsBuilder_ == null) {
+        ensureColdLimitsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, coldLimits_);
+        onChanged();
+      } else {
+        coldLimitsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit cold_limits = 21;</code>
+     */
+    public Builder clearColdLimits() {
+      if (coldLimitsBuilder_ == null) {
+        coldLimits_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00100000);
+        onChanged();
+      } else {
+        coldLimitsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit cold_limits = 21;</code>
+     */
+    public Builder removeColdLimits(int index) {
+      if (coldLimitsBuilder_ == null) {
+        ensureColdLimitsIsMutable();
+        coldLimits_.remove(index);
+        onChanged();
+      } else {
+        coldLimitsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit cold_limits = 21;</code>
+     */
+    public io.lavenderhinge.protocol.v1.ServerRateLimit.Builder getColdLimitsBuilder(
+        int index) {
+      return internalGetColdLimitsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit cold_limits = 21;</code>
+     */
+    public io.lavenderhinge.protocol.v1.ServerRateLimitOrBuilder getColdLimitsOrBuilder(
+        int index) {
+      if (coldLimitsBuilder_ == null) {
+        return coldLimits_.get(index);  } else {
+        return coldLimitsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit cold_limits = 21;</code>
+     */
+    public java.util.List<? extends io.lavenderhinge.protocol.v1.ServerRateLimitOrBuilder> 
+         getColdLimitsOrBuilderList() {
+      if (coldLimitsBuilder_ != null) {
+        return coldLimitsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(coldLimits_);
+      }
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit cold_limits = 21;</code>
+     */
+    public io.lavenderhinge.protocol.v1.ServerRateLimit.Builder addColdLimitsBuilder() {
+      return internalGetColdLimitsFieldBuilder().addBuilder(
+          io.lavenderhinge.protocol.v1.ServerRateLimit.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit cold_limits = 21;</code>
+     */
+    public io.lavenderhinge.protocol.v1.ServerRateLimit.Builder addColdLimitsBuilder(
+        int index) {
+      return internalGetColdLimitsFieldBuilder().addBuilder(
+          index, io.lavenderhinge.protocol.v1.ServerRateLimit.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .lavenderhinge.v1.ServerRateLimit cold_limits = 21;</code>
+     */
+    public java.util.List<io.lavenderhinge.protocol.v1.ServerRateLimit.Builder> 
+         getColdLimitsBuilderList() {
+      return internalGetColdLimitsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.lavenderhinge.protocol.v1.ServerRateLimit, io.lavenderhinge.protocol.v1.ServerRateLimit.Builder, io.lavenderhinge.protocol.v1.ServerRateLimitOrBuilder> 
+        internalGetColdLimitsFieldBuilder() {
+      if (coldLimitsBuilder_ == null) {
+        coldLimitsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            io.lavenderhinge.protocol.v1.ServerRateLimit, io.lavenderhinge.protocol.v1.ServerRateLimit.Builder, io.lavenderhinge.protocol.v1.ServerRateLimitOrBuilder>(
+                coldLimits_,
+                ((bitField0_ & 0x00100000) != 0),
+                getParentForChildren(),
+                isClean());
+        coldLimits_ = null;
+      }
+      return coldLimitsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:lavenderhinge.v1.LoadReport)
   }
 
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/LoadReportOrBuilder.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/LoadReportOrBuilder.java
@@ -248,4 +248,146 @@
    */
   io.lavenderhinge.protocol.v1.ServerRateLimitOrBuilder getRateLimitsOrBuilder(
       int index);
+
+  /**
+   * <code>repeated .lavenderhinge.v1.WorkspaceUse workspace_uses = 15;</code>
+   */
+  java.util.List<io.lavenderhinge.protocol.v1.WorkspaceUse> 
+      getWorkspaceUsesList();
+  /**
+   * <code>repeated .lavenderhinge.v1.WorkspaceUse workspace_uses = 15;</code>
+   */
+  io.lavenderhinge.protocol.v1.WorkspaceUse getWorkspaceUses(int index);
+  /**
+   * <code>repeated .lavenderhinge.v1.WorkspaceUse workspace_uses = 15;</code>
+   */
+  int getWorkspaceUsesCount();
+  /**
+   * <code>repeated .lavenderhinge.v1.WorkspaceUse workspace_uses = 15;</code>
+   */
+  java.util.List<? extends io.lavenderhinge.protocol.v1.WorkspaceUseOrBuilder> 
+      getWorkspaceUsesOrBuilderList();
+  /**
+   * <code>repeated .lavenderhinge.v1.WorkspaceUse workspace_uses = 15;</code>
+   */
+  io.lavenderhinge.protocol.v1.WorkspaceUseOrBuilder getWorkspaceUsesOrBuilder(
+      int index);
+
+  /**
+   * <code>repeated .lavenderhinge.v1.StatedLoad stated_loads = 16;</code>
+   */
+  java.util.List<io.lavenderhinge.protocol.v1.StatedLoad> 
+      getStatedLoadsList();
+  /**
+   * <code>repeated .lavenderhinge.v1.StatedLoad stated_loads = 16;</code>
+   */
+  io.lavenderhinge.protocol.v1.StatedLoad getStatedLoads(int index);
+  /**
+   * <code>repeated .lavenderhinge.v1.StatedLoad stated_loads = 16;</code>
+   */
+  int getStatedLoadsCount();
+  /**
+   * <code>repeated .lavenderhinge.v1.StatedLoad stated_loads = 16;</code>
+   */
+  java.util.List<? extends io.lavenderhinge.protocol.v1.StatedLoadOrBuilder> 
+      getStatedLoadsOrBuilderList();
+  /**
+   * <code>repeated .lavenderhinge.v1.StatedLoad stated_loads = 16;</code>
+   */
+  io.lavenderhinge.protocol.v1.StatedLoadOrBuilder getStatedLoadsOrBuilder(
+      int index);
+
+  /**
+   * <code>repeated .lavenderhinge.v1.PromptHolder prompt_holders = 17;</code>
+   */
+  java.util.List<io.lavenderhinge.protocol.v1.PromptHolder> 
+      getPromptHoldersList();
+  /**
+   * <code>repeated .lavenderhinge.v1.PromptHolder prompt_holders = 17;</code>
+   */
+  io.lavenderhinge.protocol.v1.PromptHolder getPromptHolders(int index);
+  /**
+   * <code>repeated .lavenderhinge.v1.PromptHolder prompt_holders = 17;</code>
+   */
+  int getPromptHoldersCount();
+  /**
+   * <code>repeated .lavenderhinge.v1.PromptHolder prompt_holders = 17;</code>
+   */
+  java.util.List<? extends io.lavenderhinge.protocol.v1.PromptHolderOrBuilder> 
+      getPromptHoldersOrBuilderList();
+  /**
+   * <code>repeated .lavenderhinge.v1.PromptHolder prompt_holders = 17;</code>
+   */
+  io.lavenderhinge.protocol.v1.PromptHolderOrBuilder getPromptHoldersOrBuilder(
+      int index);
+
+  /**
+   * <code>string failure_domain = 18;</code>
+   * @return The failureDomain.
+   */
+  java.lang.String getFailureDomain();
+  /**
+   * <code>string failure_domain = 18;</code>
+   * @return The bytes for failureDomain.
+   */
+  com.google.protobuf.ByteString
+      getFailureDomainBytes();
+
+  /**
+   * <code>repeated .lavenderhinge.v1.DomainLoad domain_loads = 19;</code>
+   */
+  java.util.List<io.lavenderhinge.protocol.v1.DomainLoad> 
+      getDomainLoadsList();
+  /**
+   * <code>repeated .lavenderhinge.v1.DomainLoad domain_loads = 19;</code>
+   */
+  io.lavenderhinge.protocol.v1.DomainLoad getDomainLoads(int index);
+  /**
+   * <code>repeated .lavenderhinge.v1.DomainLoad domain_loads = 19;</code>
+   */
+  int getDomainLoadsCount();
+  /**
+   * <code>repeated .lavenderhinge.v1.DomainLoad domain_loads = 19;</code>
+   */
+  java.util.List<? extends io.lavenderhinge.protocol.v1.DomainLoadOrBuilder> 
+      getDomainLoadsOrBuilderList();
+  /**
+   * <code>repeated .lavenderhinge.v1.DomainLoad domain_loads = 19;</code>
+   */
+  io.lavenderhinge.protocol.v1.DomainLoadOrBuilder getDomainLoadsOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * Revision of the last change of the operator's evacuations that the sender knows.
+   * </pre>
+   *
+   * <code>int64 evacuation_revision = 20;</code>
+   * @return The evacuationRevision.
+   */
+  long getEvacuationRevision();
+
+  /**
+   * <code>repeated .lavenderhinge.v1.ServerRateLimit cold_limits = 21;</code>
+   */
+  java.util.List<io.lavenderhinge.protocol.v1.ServerRateLimit> 
+      getColdLimitsList();
+  /**
+   * <code>repeated .lavenderhinge.v1.ServerRateLimit cold_limits = 21;</code>
+   */
+  io.lavenderhinge.protocol.v1.ServerRateLimit getColdLimits(int index);
+  /**
+   * <code>repeated .lavenderhinge.v1.ServerRateLimit cold_limits = 21;</code>
+   */
+  int getColdLimitsCount();
+  /**
+   * <code>repeated .lavenderhinge.v1.ServerRateLimit cold_limits = 21;</code>
+   */
+  java.util.List<? extends io.lavenderhinge.protocol.v1.ServerRateLimitOrBuilder> 
+      getColdLimitsOrBuilderList();
+  /**
+   * <code>repeated .lavenderhinge.v1.ServerRateLimit cold_limits = 21;</code>
+   */
+  io.lavenderhinge.protocol.v1.ServerRateLimitOrBuilder getColdLimitsOrBuilder(
+      int index);
 }
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/ObservedCrash.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/ObservedCrash.java
@@ -132,7 +132,7 @@
       emptyLongList();
   /**
    * <pre>
-   * Hashes of prompt parts in flight, most shared first.
+   * Keys of the prompt parts and requests in flight, most shared first. The lowest bit is set for requests.
    * </pre>
    *
    * <code>repeated fixed64 suspects = 4;</code>
@@ -145,7 +145,7 @@
   }
   /**
    * <pre>
-   * Hashes of prompt parts in flight, most shared first.
+   * Keys of the prompt parts and requests in flight, most shared first. The lowest bit is set for requests.
    * </pre>
    *
    * <code>repeated fixed64 suspects = 4;</code>
@@ -156,7 +156,7 @@
   }
   /**
    * <pre>
-   * Hashes of prompt parts in flight, most shared first.
+   * Keys of the prompt parts and requests in flight, most shared first. The lowest bit is set for requests.
    * </pre>
    *
    * <code>repeated fixed64 suspects = 4;</code>
@@ -833,7 +833,7 @@
     }
     /**
      * <pre>
-     * Hashes of prompt parts in flight, most shared first.
+     * Keys of the prompt parts and requests in flight, most shared first. The lowest bit is set for requests.
      * </pre>
      *
      * <code>repeated fixed64 suspects = 4;</code>
@@ -846,7 +846,7 @@
     }
     /**
      * <pre>
-     * Hashes of prompt parts in flight, most shared first.
+     * Keys of the prompt parts and requests in flight, most shared first. The lowest bit is set for requests.
      * </pre>
      *
      * <code>repeated fixed64 suspects = 4;</code>
@@ -857,7 +857,7 @@
     }
     /**
      * <pre>
-     * Hashes of prompt parts in flight, most shared first.
+     * Keys of the prompt parts and requests in flight, most shared first. The lowest bit is set for requests.
      * </pre>
      *
      * <code>repeated fixed64 suspects = 4;</code>
@@ -869,7 +869,7 @@
     }
     /**
      * <pre>
-     * Hashes of prompt parts in flight, most shared first.
+     * Keys of the prompt parts and requests in flight, most shared first. The lowest bit is set for requests.
      * </pre>
      *
      * <code>repeated fixed64 suspects = 4;</code>
@@ -888,7 +888,7 @@
     }
     /**
      * <pre>
-     * Hashes of prompt parts in flight, most shared first.
+     * Keys of the prompt parts and requests in flight, most shared first. The lowest bit is set for requests.
      * </pre>
      *
      * <code>repeated fixed64 suspects = 4;</code>
@@ -905,7 +905,7 @@
     }
     /**
      * <pre>
-     * Hashes of prompt parts in flight, most shared first.
+     * Keys of the prompt parts and requests in flight, most shared first. The lowest bit is set for requests.
      * </pre>
      *
      * <code>repeated fixed64 suspects = 4;</code>
@@ -923,7 +923,7 @@
     }
     /**
      * <pre>
-     * Hashes of prompt parts in flight, most shared first.
+     * Keys of the prompt parts and requests in flight, most shared first. The lowest bit is set for requests.
      * </pre>
      *
      * <code>repeated fixed64 suspects = 4;</code>
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/ObservedCrashOrBuilder.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/ObservedCrashOrBuilder.java
@@ -45,7 +45,7 @@
 
   /**
    * <pre>
-   * Hashes of prompt parts in flight, most shared first.
+   * Keys of the prompt parts and requests in flight, most shared first. The lowest bit is set for requests.
    * </pre>
    *
    * <code>repeated fixed64 suspects = 4;</code>
@@ -54,7 +54,7 @@
   java.util.List<java.lang.Long> getSuspectsList();
   /**
    * <pre>
-   * Hashes of prompt parts in flight, most shared first.
+   * Keys of the prompt parts and requests in flight, most shared first. The lowest bit is set for requests.
    * </pre>
    *
    * <code>repeated fixed64 suspects = 4;</code>
@@ -63,7 +63,7 @@
   int getSuspectsCount();
   /**
    * <pre>
-   * Hashes of prompt parts in flight, most shared first.
+   * Keys of the prompt parts and requests in flight, most shared first. The lowest bit is set for requests.
    * </pre>
    *
    * <code>repeated fixed64 suspects = 4;</code>
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/PeerOuterClass.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/PeerOuterClass.java
@@ -161,6 +161,26 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_lavenderhinge_v1_WorkspaceSpending_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_lavenderhinge_v1_WorkspaceUse_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_lavenderhinge_v1_WorkspaceUse_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_lavenderhinge_v1_StatedLoad_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_lavenderhinge_v1_StatedLoad_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_lavenderhinge_v1_PromptHolder_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_lavenderhinge_v1_PromptHolder_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_lavenderhinge_v1_DomainLoad_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_lavenderhinge_v1_DomainLoad_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_lavenderhinge_v1_LoadReport_descriptor;
   static final 
@@ -332,91 +352,112 @@
       "\t\022\021\n\tin_flight\030\002 \001(\r\022\026\n\016pending_tokens\030\003" +
       " \001(\001\"n\n\013QueueLength\022\017\n\007service\030\001 \001(\t\022\020\n\010" +
       "priority\030\002 \001(\005\022\017\n\007waiting\030\003 \001(\r\022\030\n\020head_" +
-      "wait_millis\030\004 \001(\003\022\021\n\thead_late\030\005 \001(\010\":\n\021" +
+      "wait_millis\030\004 \001(\003\022\021\n\thead_late\030\005 \001(\010\"Q\n\021" +
       "WorkspaceSpending\022\021\n\tworkspace\030\001 \001(\t\022\022\n\n" +
-      "total_cost\030\002 \001(\001\"\374\003\n\nLoadReport\022\023\n\013insta" +
-      "nce_id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\020\n\010seq" +
-      "uence\030\003 \001(\004\022\n\n\002ip\030\004 \001(\t\022\021\n\tpeer_port\030\005 \001" +
-      "(\r\022,\n\007servers\030\006 \003(\0132\033.lavenderhinge.v1.S" +
-      "erverUse\022-\n\006queues\030\007 \003(\0132\035.lavenderhinge" +
-      ".v1.QueueLength\0227\n\nworkspaces\030\010 \003(\0132#.la" +
-      "venderhinge.v1.WorkspaceSpending\022\035\n\025conf" +
-      "iguration_version\030\t \001(\003\022\027\n\017server_revisi" +
-      "on\030\n \001(\003\0223\n\010rollouts\030\013 \003(\0132!.lavenderhin" +
-      "ge.v1.RolloutProgress\022\027\n\017watches_servers" +
-      "\030\014 \001(\010\022?\n\022crash_observations\030\r \001(\0132#.lav" +
-      "enderhinge.v1.CrashObservations\0226\n\013rate_" +
-      "limits\030\016 \003(\0132!.lavenderhinge.v1.ServerRa" +
-      "teLimit\"\227\001\n\017ServerRateLimit\022(\n\003run\030\001 \001(\013" +
-      "2\033.lavenderhinge.v1.ServerRun\022\035\n\020limit_p" +
-      "er_second\030\002 \001(\001H\000\210\001\001\022\022\n\nage_millis\030\003 \001(\003" +
-      "\022\022\n\nsent_count\030\004 \001(\003B\023\n\021_limit_per_secon" +
-      "d\"6\n\tServerRun\022\021\n\tserver_id\030\001 \001(\t\022\026\n\016sta" +
-      "rted_millis\030\002 \001(\003\"p\n\rObservedCrash\022(\n\003ru" +
-      "n\030\001 \001(\0132\033.lavenderhinge.v1.ServerRun\022\017\n\007" +
-      "service\030\002 \001(\t\022\022\n\nage_millis\030\003 \001(\003\022\020\n\010sus" +
-      "pects\030\004 \003(\006\"3\n\017PartObservation\022\014\n\004part\030\001" +
-      " \001(\006\022\022\n\nage_millis\030\002 \001(\003\"\336\001\n\021CrashObserv" +
-      "ations\0220\n\007crashes\030\001 \003(\0132\037.lavenderhinge." +
-      "v1.ObservedCrash\0223\n\010answered\030\002 \003(\0132!.lav" +
-      "enderhinge.v1.PartObservation\0226\n\013quarant" +
-      "ined\030\003 \003(\0132!.lavenderhinge.v1.PartObserv" +
-      "ation\022*\n\005alive\030\004 \003(\0132\033.lavenderhinge.v1." +
-      "ServerRun\"\306\001\n\017RolloutProgress\022\017\n\007service" +
-      "\030\001 \001(\t\022\026\n\016order_revision\030\002 \001(\003\022-\n\005stage\030" +
-      "\003 \001(\0162\036.lavenderhinge.v1.RolloutStage\022\026\n" +
-      "\016elapsed_millis\030\004 \001(\003\022\025\n\rold_in_flight\030\005" +
-      " \001(\005\022,\n\006routes\030\006 \003(\0132\034.lavenderhinge.v1." +
-      "RouteTally\"\205\001\n\nRouteTally\022\r\n\005route\030\001 \001(\t" +
-      "\0223\n\013old_version\030\002 \001(\0132\036.lavenderhinge.v1" +
-      ".VersionTally\0223\n\013new_version\030\003 \001(\0132\036.lav" +
-      "enderhinge.v1.VersionTally\">\n\014VersionTal" +
-      "ly\022\020\n\010requests\030\001 \001(\003\022\016\n\006errors\030\002 \001(\003\022\014\n\004" +
-      "slow\030\003 \001(\003\"F\n\014StateRequest\022\035\n\025configurat" +
-      "ion_version\030\001 \001(\003\022\027\n\017server_revision\030\002 \001" +
-      "(\003\")\n\013StoredValue\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030" +
-      "\002 \001(\t\"k\n\tStateCopy\022\025\n\rconfiguration\030\001 \001(" +
-      "\t\022\027\n\017server_revision\030\002 \001(\003\022.\n\007servers\030\003 " +
-      "\003(\0132\035.lavenderhinge.v1.StoredValue*U\n\004Ti" +
-      "er\022\024\n\020TIER_UNSPECIFIED\020\000\022\024\n\020TIER_INTERAC" +
-      "TIVE\020\001\022\021\n\rTIER_STANDARD\020\002\022\016\n\nTIER_BATCH\020" +
-      "\003*\234\002\n\014RefuseReason\022\035\n\031REFUSE_REASON_UNSP" +
-      "ECIFIED\020\000\022\032\n\026REFUSE_REASON_NOT_HOME\020\001\022\034\n" +
-      "\030REFUSE_REASON_QUEUE_FULL\020\002\022\032\n\026REFUSE_RE" +
-      "ASON_DEADLINE\020\003\022\033\n\027REFUSE_REASON_DISPLAC" +
-      "ED\020\004\022\035\n\031REFUSE_REASON_TIER_CLOSED\020\005\022 \n\034R" +
-      "EFUSE_REASON_SERVER_LEAVING\020\006\022\035\n\031REFUSE_" +
-      "REASON_SERVER_DOWN\020\007\022\032\n\026REFUSE_REASON_SH" +
-      "UTDOWN\020\010*\324\001\n\013ResultClass\022\034\n\030RESULT_CLASS" +
-      "_UNSPECIFIED\020\000\022\023\n\017RESULT_CLASS_OK\020\001\022\035\n\031R" +
-      "ESULT_CLASS_SERVER_ERROR\020\002\022\"\n\036RESULT_CLA" +
-      "SS_CONNECTION_FAILED\020\003\022\030\n\024RESULT_CLASS_T" +
-      "IMEOUT\020\004\022\032\n\026RESULT_CLASS_CANCELLED\020\005\022\031\n\025" +
-      "RESULT_CLASS_DRAINING\020\006*\255\001\n\017LedgerOperat" +
-      "ion\022 \n\034LEDGER_OPERATION_UNSPECIFIED\020\000\022\034\n" +
-      "\030LEDGER_OPERATION_RESERVE\020\001\022\035\n\031LEDGER_OP" +
-      "ERATION_COMPLETE\020\002\022\031\n\025LEDGER_OPERATION_V" +
-      "OID\020\003\022 \n\034LEDGER_OPERATION_OWNER_QUERY\020\004*" +
-      "\217\003\n\rLedgerOutcome\022\036\n\032LEDGER_OUTCOME_UNSP" +
-      "ECIFIED\020\000\022\033\n\027LEDGER_OUTCOME_RECORDED\020\001\022\034" +
-      "\n\030LEDGER_OUTCOME_COMPLETED\020\002\022\034\n\030LEDGER_O" +
-      "UTCOME_IN_FLIGHT\020\003\022\033\n\027LEDGER_OUTCOME_IN_" +
-      "DOUBT\020\004\022\033\n\027LEDGER_OUTCOME_MISMATCH\020\005\022\032\n\026" +
-      "LEDGER_OUTCOME_TOO_OLD\020\006\022\035\n\031LEDGER_OUTCO" +
-      "ME_NOT_WRITER\020\007\022\036\n\032LEDGER_OUTCOME_UNAVAI" +
-      "LABLE\020\010\022#\n\037LEDGER_OUTCOME_OWNER_DISPATCH" +
-      "ED\020\t\022)\n%LEDGER_OUTCOME_OWNER_NEVER_DISPA" +
-      "TCHED\020\n\022 \n\034LEDGER_OUTCOME_OWNER_UNKNOWN\020" +
-      "\013*\200\001\n\nMemberKind\022\033\n\027MEMBER_KIND_UNSPECIF" +
-      "IED\020\000\022\030\n\024MEMBER_KIND_INSTANCE\020\001\022\034\n\030MEMBE" +
-      "R_KIND_MODEL_ENGINE\020\002\022\035\n\031MEMBER_KIND_PLA" +
-      "IN_SERVICE\020\003*w\n\014RolloutStage\022\027\n\023ROLLOUT_" +
-      "STAGE_TRIAL\020\000\022\026\n\022ROLLOUT_STAGE_RAMP\020\001\022\031\n" +
-      "\025ROLLOUT_STAGE_SHIFTED\020\002\022\033\n\027ROLLOUT_STAG" +
-      "E_WITHDRAWN\020\0032D\n\004Peer\022<\n\004Link\022\027.lavender" +
-      "hinge.v1.Frame\032\027.lavenderhinge.v1.Frame(" +
-      "\0010\001B \n\034io.lavenderhinge.protocol.v1P\001b\006p" +
-      "roto3"
+      "total_cost\030\002 \001(\001\022\025\n\rreturned_cost\030\003 \001(\001\"" +
+      "j\n\014WorkspaceUse\022\017\n\007service\030\001 \001(\t\022\020\n\010prio" +
+      "rity\030\002 \001(\005\022\021\n\tworkspace\030\003 \001(\t\022\023\n\013slot_mi" +
+      "llis\030\004 \001(\001\022\017\n\007waiting\030\005 \001(\r\"\226\001\n\nStatedLo" +
+      "ad\022(\n\003run\030\001 \001(\0132\033.lavenderhinge.v1.Serve" +
+      "rRun\022\017\n\007running\030\002 \001(\r\022\017\n\007waiting\030\003 \001(\r\022\r" +
+      "\n\005slots\030\004 \001(\r\022\031\n\021work_time_percent\030\005 \001(\r" +
+      "\022\022\n\nage_millis\030\006 \001(\003\"C\n\014PromptHolder\022\014\n\004" +
+      "part\030\001 \001(\006\022\021\n\tserver_id\030\002 \001(\t\022\022\n\nage_mil" +
+      "lis\030\003 \001(\003\"I\n\nDomainLoad\022\017\n\007service\030\001 \001(\t" +
+      "\022\023\n\013wait_millis\030\002 \001(\001\022\025\n\rspilled_share\030\003" +
+      " \001(\001\"\301\006\n\nLoadReport\022\023\n\013instance_id\030\001 \001(\t" +
+      "\022\023\n\013incarnation\030\002 \001(\006\022\020\n\010sequence\030\003 \001(\004\022" +
+      "\n\n\002ip\030\004 \001(\t\022\021\n\tpeer_port\030\005 \001(\r\022,\n\007server" +
+      "s\030\006 \003(\0132\033.lavenderhinge.v1.ServerUse\022-\n\006" +
+      "queues\030\007 \003(\0132\035.lavenderhinge.v1.QueueLen" +
+      "gth\0227\n\nworkspaces\030\010 \003(\0132#.lavenderhinge." +
+      "v1.WorkspaceSpending\022\035\n\025configuration_ve" +
+      "rsion\030\t \001(\003\022\027\n\017server_revision\030\n \001(\003\0223\n\010" +
+      "rollouts\030\013 \003(\0132!.lavenderhinge.v1.Rollou" +
+      "tProgress\022\027\n\017watches_servers\030\014 \001(\010\022?\n\022cr" +
+      "ash_observations\030\r \001(\0132#.lavenderhinge.v" +
+      "1.CrashObservations\0226\n\013rate_limits\030\016 \003(\013" +
+      "2!.lavenderhinge.v1.ServerRateLimit\0226\n\016w" +
+      "orkspace_uses\030\017 \003(\0132\036.lavenderhinge.v1.W" +
+      "orkspaceUse\0222\n\014stated_loads\030\020 \003(\0132\034.lave" +
+      "nderhinge.v1.StatedLoad\0226\n\016prompt_holder" +
+      "s\030\021 \003(\0132\036.lavenderhinge.v1.PromptHolder\022" +
+      "\026\n\016failure_domain\030\022 \001(\t\0222\n\014domain_loads\030" +
+      "\023 \003(\0132\034.lavenderhinge.v1.DomainLoad\022\033\n\023e" +
+      "vacuation_revision\030\024 \001(\003\0226\n\013cold_limits\030" +
+      "\025 \003(\0132!.lavenderhinge.v1.ServerRateLimit" +
+      "\"\227\001\n\017ServerRateLimit\022(\n\003run\030\001 \001(\0132\033.lave" +
+      "nderhinge.v1.ServerRun\022\035\n\020limit_per_seco" +
+      "nd\030\002 \001(\001H\000\210\001\001\022\022\n\nage_millis\030\003 \001(\003\022\022\n\nsen" +
+      "t_count\030\004 \001(\003B\023\n\021_limit_per_second\"6\n\tSe" +
+      "rverRun\022\021\n\tserver_id\030\001 \001(\t\022\026\n\016started_mi" +
+      "llis\030\002 \001(\003\"p\n\rObservedCrash\022(\n\003run\030\001 \001(\013" +
+      "2\033.lavenderhinge.v1.ServerRun\022\017\n\007service" +
+      "\030\002 \001(\t\022\022\n\nage_millis\030\003 \001(\003\022\020\n\010suspects\030\004" +
+      " \003(\006\"3\n\017PartObservation\022\014\n\004part\030\001 \001(\006\022\022\n" +
+      "\nage_millis\030\002 \001(\003\"\336\001\n\021CrashObservations\022" +
+      "0\n\007crashes\030\001 \003(\0132\037.lavenderhinge.v1.Obse" +
+      "rvedCrash\0223\n\010answered\030\002 \003(\0132!.lavenderhi" +
+      "nge.v1.PartObservation\0226\n\013quarantined\030\003 " +
+      "\003(\0132!.lavenderhinge.v1.PartObservation\022*" +
+      "\n\005alive\030\004 \003(\0132\033.lavenderhinge.v1.ServerR" +
+      "un\"\306\001\n\017RolloutProgress\022\017\n\007service\030\001 \001(\t\022" +
+      "\026\n\016order_revision\030\002 \001(\003\022-\n\005stage\030\003 \001(\0162\036" +
+      ".lavenderhinge.v1.RolloutStage\022\026\n\016elapse" +
+      "d_millis\030\004 \001(\003\022\025\n\rold_in_flight\030\005 \001(\005\022,\n" +
+      "\006routes\030\006 \003(\0132\034.lavenderhinge.v1.RouteTa" +
+      "lly\"\205\001\n\nRouteTally\022\r\n\005route\030\001 \001(\t\0223\n\013old" +
+      "_version\030\002 \001(\0132\036.lavenderhinge.v1.Versio" +
+      "nTally\0223\n\013new_version\030\003 \001(\0132\036.lavenderhi" +
+      "nge.v1.VersionTally\">\n\014VersionTally\022\020\n\010r" +
+      "equests\030\001 \001(\003\022\016\n\006errors\030\002 \001(\003\022\014\n\004slow\030\003 " +
+      "\001(\003\"c\n\014StateRequest\022\035\n\025configuration_ver" +
+      "sion\030\001 \001(\003\022\027\n\017server_revision\030\002 \001(\003\022\033\n\023e" +
+      "vacuation_revision\030\003 \001(\003\")\n\013StoredValue\022" +
+      "\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\243\001\n\tStateCop" +
+      "y\022\025\n\rconfiguration\030\001 \001(\t\022\027\n\017server_revis" +
+      "ion\030\002 \001(\003\022.\n\007servers\030\003 \003(\0132\035.lavenderhin" +
+      "ge.v1.StoredValue\022\033\n\023evacuation_revision" +
+      "\030\004 \001(\003\022\031\n\021evacuated_domains\030\005 \003(\t*U\n\004Tie" +
+      "r\022\024\n\020TIER_UNSPECIFIED\020\000\022\024\n\020TIER_INTERACT" +
+      "IVE\020\001\022\021\n\rTIER_STANDARD\020\002\022\016\n\nTIER_BATCH\020\003" +
+      "*\234\002\n\014RefuseReason\022\035\n\031REFUSE_REASON_UNSPE" +
+      "CIFIED\020\000\022\032\n\026REFUSE_REASON_NOT_HOME\020\001\022\034\n\030" +
+      "REFUSE_REASON_QUEUE_FULL\020\002\022\032\n\026REFUSE_REA" +
+      "SON_DEADLINE\020\003\022\033\n\027REFUSE_REASON_DISPLACE" +
+      "D\020\004\022\035\n\031REFUSE_REASON_TIER_CLOSED\020\005\022 \n\034RE" +
+      "FUSE_REASON_SERVER_LEAVING\020\006\022\035\n\031REFUSE_R" +
+      "EASON_SERVER_DOWN\020\007\022\032\n\026REFUSE_REASON_SHU" +
+      "TDOWN\020\010*\324\001\n\013ResultClass\022\034\n\030RESULT_CLASS_" +
+      "UNSPECIFIED\020\000\022\023\n\017RESULT_CLASS_OK\020\001\022\035\n\031RE" +
+      "SULT_CLASS_SERVER_ERROR\020\002\022\"\n\036RESULT_CLAS" +
+      "S_CONNECTION_FAILED\020\003\022\030\n\024RESULT_CLASS_TI" +
+      "MEOUT\020\004\022\032\n\026RESULT_CLASS_CANCELLED\020\005\022\031\n\025R" +
+      "ESULT_CLASS_DRAINING\020\006*\255\001\n\017LedgerOperati" +
+      "on\022 \n\034LEDGER_OPERATION_UNSPECIFIED\020\000\022\034\n\030" +
+      "LEDGER_OPERATION_RESERVE\020\001\022\035\n\031LEDGER_OPE" +
+      "RATION_COMPLETE\020\002\022\031\n\025LEDGER_OPERATION_VO" +
+      "ID\020\003\022 \n\034LEDGER_OPERATION_OWNER_QUERY\020\004*\217" +
+      "\003\n\rLedgerOutcome\022\036\n\032LEDGER_OUTCOME_UNSPE" +
+      "CIFIED\020\000\022\033\n\027LEDGER_OUTCOME_RECORDED\020\001\022\034\n" +
+      "\030LEDGER_OUTCOME_COMPLETED\020\002\022\034\n\030LEDGER_OU" +
+      "TCOME_IN_FLIGHT\020\003\022\033\n\027LEDGER_OUTCOME_IN_D" +
+      "OUBT\020\004\022\033\n\027LEDGER_OUTCOME_MISMATCH\020\005\022\032\n\026L" +
+      "EDGER_OUTCOME_TOO_OLD\020\006\022\035\n\031LEDGER_OUTCOM" +
+      "E_NOT_WRITER\020\007\022\036\n\032LEDGER_OUTCOME_UNAVAIL" +
+      "ABLE\020\010\022#\n\037LEDGER_OUTCOME_OWNER_DISPATCHE" +
+      "D\020\t\022)\n%LEDGER_OUTCOME_OWNER_NEVER_DISPAT" +
+      "CHED\020\n\022 \n\034LEDGER_OUTCOME_OWNER_UNKNOWN\020\013" +
+      "*\200\001\n\nMemberKind\022\033\n\027MEMBER_KIND_UNSPECIFI" +
+      "ED\020\000\022\030\n\024MEMBER_KIND_INSTANCE\020\001\022\034\n\030MEMBER" +
+      "_KIND_MODEL_ENGINE\020\002\022\035\n\031MEMBER_KIND_PLAI" +
+      "N_SERVICE\020\003*w\n\014RolloutStage\022\027\n\023ROLLOUT_S" +
+      "TAGE_TRIAL\020\000\022\026\n\022ROLLOUT_STAGE_RAMP\020\001\022\031\n\025" +
+      "ROLLOUT_STAGE_SHIFTED\020\002\022\033\n\027ROLLOUT_STAGE" +
+      "_WITHDRAWN\020\0032D\n\004Peer\022<\n\004Link\022\027.lavenderh" +
+      "inge.v1.Frame\032\027.lavenderhinge.v1.Frame(\001" +
+      "0\001B \n\034io.lavenderhinge.protocol.v1P\001b\006pr" +
+      "oto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -583,79 +624,103 @@
     internal_static_lavenderhinge_v1_WorkspaceSpending_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_WorkspaceSpending_descriptor,
-        new java.lang.String[] { "Workspace", "TotalCost", });
-    internal_static_lavenderhinge_v1_LoadReport_descriptor =
+        new java.lang.String[] { "Workspace", "TotalCost", "ReturnedCost", });
+    internal_static_lavenderhinge_v1_WorkspaceUse_descriptor =
       getDescriptor().getMessageType(27);
+    internal_static_lavenderhinge_v1_WorkspaceUse_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_lavenderhinge_v1_WorkspaceUse_descriptor,
+        new java.lang.String[] { "Service", "Priority", "Workspace", "SlotMillis", "Waiting", });
+    internal_static_lavenderhinge_v1_StatedLoad_descriptor =
+      getDescriptor().getMessageType(28);
+    internal_static_lavenderhinge_v1_StatedLoad_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_lavenderhinge_v1_StatedLoad_descriptor,
+        new java.lang.String[] { "Run", "Running", "Waiting", "Slots", "WorkTimePercent", "AgeMillis", });
+    internal_static_lavenderhinge_v1_PromptHolder_descriptor =
+      getDescriptor().getMessageType(29);
+    internal_static_lavenderhinge_v1_PromptHolder_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_lavenderhinge_v1_PromptHolder_descriptor,
+        new java.lang.String[] { "Part", "ServerId", "AgeMillis", });
+    internal_static_lavenderhinge_v1_DomainLoad_descriptor =
+      getDescriptor().getMessageType(30);
+    internal_static_lavenderhinge_v1_DomainLoad_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_lavenderhinge_v1_DomainLoad_descriptor,
+        new java.lang.String[] { "Service", "WaitMillis", "SpilledShare", });
+    internal_static_lavenderhinge_v1_LoadReport_descriptor =
+      getDescriptor().getMessageType(31);
     internal_static_lavenderhinge_v1_LoadReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_LoadReport_descriptor,
-        new java.lang.String[] { "InstanceId", "Incarnation", "Sequence", "Ip", "PeerPort", "Servers", "Queues", "Workspaces", "ConfigurationVersion", "ServerRevision", "Rollouts", "WatchesServers", "CrashObservations", "RateLimits", });
+        new java.lang.String[] { "InstanceId", "Incarnation", "Sequence", "Ip", "PeerPort", "Servers", "Queues", "Workspaces", "ConfigurationVersion", "ServerRevision", "Rollouts", "WatchesServers", "CrashObservations", "RateLimits", "WorkspaceUses", "StatedLoads", "PromptHolders", "FailureDomain", "DomainLoads", "EvacuationRevision", "ColdLimits", });
     internal_static_lavenderhinge_v1_ServerRateLimit_descriptor =
-      getDescriptor().getMessageType(28);
+      getDescriptor().getMessageType(32);
     internal_static_lavenderhinge_v1_ServerRateLimit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_ServerRateLimit_descriptor,
         new java.lang.String[] { "Run", "LimitPerSecond", "AgeMillis", "SentCount", });
     internal_static_lavenderhinge_v1_ServerRun_descriptor =
-      getDescriptor().getMessageType(29);
+      getDescriptor().getMessageType(33);
     internal_static_lavenderhinge_v1_ServerRun_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_ServerRun_descriptor,
         new java.lang.String[] { "ServerId", "StartedMillis", });
     internal_static_lavenderhinge_v1_ObservedCrash_descriptor =
-      getDescriptor().getMessageType(30);
+      getDescriptor().getMessageType(34);
     internal_static_lavenderhinge_v1_ObservedCrash_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_ObservedCrash_descriptor,
         new java.lang.String[] { "Run", "Service", "AgeMillis", "Suspects", });
     internal_static_lavenderhinge_v1_PartObservation_descriptor =
-      getDescriptor().getMessageType(31);
+      getDescriptor().getMessageType(35);
     internal_static_lavenderhinge_v1_PartObservation_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_PartObservation_descriptor,
         new java.lang.String[] { "Part", "AgeMillis", });
     internal_static_lavenderhinge_v1_CrashObservations_descriptor =
-      getDescriptor().getMessageType(32);
+      getDescriptor().getMessageType(36);
     internal_static_lavenderhinge_v1_CrashObservations_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_CrashObservations_descriptor,
         new java.lang.String[] { "Crashes", "Answered", "Quarantined", "Alive", });
     internal_static_lavenderhinge_v1_RolloutProgress_descriptor =
-      getDescriptor().getMessageType(33);
+      getDescriptor().getMessageType(37);
     internal_static_lavenderhinge_v1_RolloutProgress_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_RolloutProgress_descriptor,
         new java.lang.String[] { "Service", "OrderRevision", "Stage", "ElapsedMillis", "OldInFlight", "Routes", });
     internal_static_lavenderhinge_v1_RouteTally_descriptor =
-      getDescriptor().getMessageType(34);
+      getDescriptor().getMessageType(38);
     internal_static_lavenderhinge_v1_RouteTally_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_RouteTally_descriptor,
         new java.lang.String[] { "Route", "OldVersion", "NewVersion", });
     internal_static_lavenderhinge_v1_VersionTally_descriptor =
-      getDescriptor().getMessageType(35);
+      getDescriptor().getMessageType(39);
     internal_static_lavenderhinge_v1_VersionTally_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_VersionTally_descriptor,
         new java.lang.String[] { "Requests", "Errors", "Slow", });
     internal_static_lavenderhinge_v1_StateRequest_descriptor =
-      getDescriptor().getMessageType(36);
+      getDescriptor().getMessageType(40);
     internal_static_lavenderhinge_v1_StateRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_StateRequest_descriptor,
-        new java.lang.String[] { "ConfigurationVersion", "ServerRevision", });
+        new java.lang.String[] { "ConfigurationVersion", "ServerRevision", "EvacuationRevision", });
     internal_static_lavenderhinge_v1_StoredValue_descriptor =
-      getDescriptor().getMessageType(37);
+      getDescriptor().getMessageType(41);
     internal_static_lavenderhinge_v1_StoredValue_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_StoredValue_descriptor,
         new java.lang.String[] { "Key", "Value", });
     internal_static_lavenderhinge_v1_StateCopy_descriptor =
-      getDescriptor().getMessageType(38);
+      getDescriptor().getMessageType(42);
     internal_static_lavenderhinge_v1_StateCopy_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_StateCopy_descriptor,
-        new java.lang.String[] { "Configuration", "ServerRevision", "Servers", });
+        new java.lang.String[] { "Configuration", "ServerRevision", "Servers", "EvacuationRevision", "EvacuatedDomains", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/StateCopy.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/StateCopy.java
@@ -34,6 +34,8 @@
   private StateCopy() {
     configuration_ = "";
     servers_ = java.util.Collections.emptyList();
+    evacuatedDomains_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -140,6 +142,70 @@
     return servers_.get(index);
   }
 
+  public static final int EVACUATION_REVISION_FIELD_NUMBER = 4;
+  private long evacuationRevision_ = 0L;
+  /**
+   * <code>int64 evacuation_revision = 4;</code>
+   * @return The evacuationRevision.
+   */
+  @java.lang.Override
+  public long getEvacuationRevision() {
+    return evacuationRevision_;
+  }
+
+  public static final int EVACUATED_DOMAINS_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList evacuatedDomains_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * Failure domains whose evacuation the operator has requested.
+   * </pre>
+   *
+   * <code>repeated string evacuated_domains = 5;</code>
+   * @return A list containing the evacuatedDomains.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getEvacuatedDomainsList() {
+    return evacuatedDomains_;
+  }
+  /**
+   * <pre>
+   * Failure domains whose evacuation the operator has requested.
+   * </pre>
+   *
+   * <code>repeated string evacuated_domains = 5;</code>
+   * @return The count of evacuatedDomains.
+   */
+  public int getEvacuatedDomainsCount() {
+    return evacuatedDomains_.size();
+  }
+  /**
+   * <pre>
+   * Failure domains whose evacuation the operator has requested.
+   * </pre>
+   *
+   * <code>repeated string evacuated_domains = 5;</code>
+   * @param index The index of the element to return.
+   * @return The evacuatedDomains at the given index.
+   */
+  public java.lang.String getEvacuatedDomains(int index) {
+    return evacuatedDomains_.get(index);
+  }
+  /**
+   * <pre>
+   * Failure domains whose evacuation the operator has requested.
+   * </pre>
+   *
+   * <code>repeated string evacuated_domains = 5;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the evacuatedDomains at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getEvacuatedDomainsBytes(int index) {
+    return evacuatedDomains_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -163,6 +229,12 @@
     for (int i = 0; i < servers_.size(); i++) {
       output.writeMessage(3, servers_.get(i));
     }
+    if (evacuationRevision_ != 0L) {
+      output.writeInt64(4, evacuationRevision_);
+    }
+    for (int i = 0; i < evacuatedDomains_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 5, evacuatedDomains_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -183,6 +255,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(3, servers_.get(i));
     }
+    if (evacuationRevision_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(4, evacuationRevision_);
+    }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < evacuatedDomains_.size(); i++) {
+        dataSize += computeStringSizeNoTag(evacuatedDomains_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getEvacuatedDomainsList().size();
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -204,6 +288,10 @@
         != other.getServerRevision()) return false;
     if (!getServersList()
         .equals(other.getServersList())) return false;
+    if (getEvacuationRevision()
+        != other.getEvacuationRevision()) return false;
+    if (!getEvacuatedDomainsList()
+        .equals(other.getEvacuatedDomainsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -224,6 +312,13 @@
       hash = (37 * hash) + SERVERS_FIELD_NUMBER;
       hash = (53 * hash) + getServersList().hashCode();
     }
+    hash = (37 * hash) + EVACUATION_REVISION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEvacuationRevision());
+    if (getEvacuatedDomainsCount() > 0) {
+      hash = (37 * hash) + EVACUATED_DOMAINS_FIELD_NUMBER;
+      hash = (53 * hash) + getEvacuatedDomainsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -368,6 +463,9 @@
         serversBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000004);
+      evacuationRevision_ = 0L;
+      evacuatedDomains_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -420,6 +518,13 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.serverRevision_ = serverRevision_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.evacuationRevision_ = evacuationRevision_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        evacuatedDomains_.makeImmutable();
+        result.evacuatedDomains_ = evacuatedDomains_;
+      }
     }
 
     @java.lang.Override
@@ -468,6 +573,19 @@
           }
         }
       }
+      if (other.getEvacuationRevision() != 0L) {
+        setEvacuationRevision(other.getEvacuationRevision());
+      }
+      if (!other.evacuatedDomains_.isEmpty()) {
+        if (evacuatedDomains_.isEmpty()) {
+          evacuatedDomains_ = other.evacuatedDomains_;
+          bitField0_ |= 0x00000010;
+        } else {
+          ensureEvacuatedDomainsIsMutable();
+          evacuatedDomains_.addAll(other.evacuatedDomains_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -517,6 +635,17 @@
               }
               break;
             } // case 26
+            case 32: {
+              evacuationRevision_ = input.readInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
+            case 42: {
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureEvacuatedDomainsIsMutable();
+              evacuatedDomains_.add(s);
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -878,6 +1007,185 @@
       return serversBuilder_;
     }
 
+    private long evacuationRevision_ ;
+    /**
+     * <code>int64 evacuation_revision = 4;</code>
+     * @return The evacuationRevision.
+     */
+    @java.lang.Override
+    public long getEvacuationRevision() {
+      return evacuationRevision_;
+    }
+    /**
+     * <code>int64 evacuation_revision = 4;</code>
+     * @param value The evacuationRevision to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEvacuationRevision(long value) {
+
+      evacuationRevision_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 evacuation_revision = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEvacuationRevision() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      evacuationRevision_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.LazyStringArrayList evacuatedDomains_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureEvacuatedDomainsIsMutable() {
+      if (!evacuatedDomains_.isModifiable()) {
+        evacuatedDomains_ = new com.google.protobuf.LazyStringArrayList(evacuatedDomains_);
+      }
+      bitField0_ |= 0x00000010;
+    }
+    /**
+     * <pre>
+     * Failure domains whose evacuation the operator has requested.
+     * </pre>
+     *
+     * <code>repeated string evacuated_domains = 5;</code>
+     * @return A list containing the evacuatedDomains.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getEvacuatedDomainsList() {
+      evacuatedDomains_.makeImmutable();
+      return evacuatedDomains_;
+    }
+    /**
+     * <pre>
+     * Failure domains whose evacuation the operator has requested.
+     * </pre>
+     *
+     * <code>repeated string evacuated_domains = 5;</code>
+     * @return The count of evacuatedDomains.
+     */
+    public int getEvacuatedDomainsCount() {
+      return evacuatedDomains_.size();
+    }
+    /**
+     * <pre>
+     * Failure domains whose evacuation the operator has requested.
+     * </pre>
+     *
+     * <code>repeated string evacuated_domains = 5;</code>
+     * @param index The index of the element to return.
+     * @return The evacuatedDomains at the given index.
+     */
+    public java.lang.String getEvacuatedDomains(int index) {
+      return evacuatedDomains_.get(index);
+    }
+    /**
+     * <pre>
+     * Failure domains whose evacuation the operator has requested.
+     * </pre>
+     *
+     * <code>repeated string evacuated_domains = 5;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the evacuatedDomains at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getEvacuatedDomainsBytes(int index) {
+      return evacuatedDomains_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * Failure domains whose evacuation the operator has requested.
+     * </pre>
+     *
+     * <code>repeated string evacuated_domains = 5;</code>
+     * @param index The index to set the value at.
+     * @param value The evacuatedDomains to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEvacuatedDomains(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureEvacuatedDomainsIsMutable();
+      evacuatedDomains_.set(index, value);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Failure domains whose evacuation the operator has requested.
+     * </pre>
+     *
+     * <code>repeated string evacuated_domains = 5;</code>
+     * @param value The evacuatedDomains to add.
+     * @return This builder for chaining.
+     */
+    public Builder addEvacuatedDomains(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureEvacuatedDomainsIsMutable();
+      evacuatedDomains_.add(value);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Failure domains whose evacuation the operator has requested.
+     * </pre>
+     *
+     * <code>repeated string evacuated_domains = 5;</code>
+     * @param values The evacuatedDomains to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllEvacuatedDomains(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureEvacuatedDomainsIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, evacuatedDomains_);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Failure domains whose evacuation the operator has requested.
+     * </pre>
+     *
+     * <code>repeated string evacuated_domains = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEvacuatedDomains() {
+      evacuatedDomains_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000010);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Failure domains whose evacuation the operator has requested.
+     * </pre>
+     *
+     * <code>repeated string evacuated_domains = 5;</code>
+     * @param value The bytes of the evacuatedDomains to add.
+     * @return This builder for chaining.
+     */
+    public Builder addEvacuatedDomainsBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureEvacuatedDomainsIsMutable();
+      evacuatedDomains_.add(value);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:lavenderhinge.v1.StateCopy)
   }
 
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/StateCopyOrBuilder.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/StateCopyOrBuilder.java
@@ -51,4 +51,51 @@
    */
   io.lavenderhinge.protocol.v1.StoredValueOrBuilder getServersOrBuilder(
       int index);
+
+  /**
+   * <code>int64 evacuation_revision = 4;</code>
+   * @return The evacuationRevision.
+   */
+  long getEvacuationRevision();
+
+  /**
+   * <pre>
+   * Failure domains whose evacuation the operator has requested.
+   * </pre>
+   *
+   * <code>repeated string evacuated_domains = 5;</code>
+   * @return A list containing the evacuatedDomains.
+   */
+  java.util.List<java.lang.String>
+      getEvacuatedDomainsList();
+  /**
+   * <pre>
+   * Failure domains whose evacuation the operator has requested.
+   * </pre>
+   *
+   * <code>repeated string evacuated_domains = 5;</code>
+   * @return The count of evacuatedDomains.
+   */
+  int getEvacuatedDomainsCount();
+  /**
+   * <pre>
+   * Failure domains whose evacuation the operator has requested.
+   * </pre>
+   *
+   * <code>repeated string evacuated_domains = 5;</code>
+   * @param index The index of the element to return.
+   * @return The evacuatedDomains at the given index.
+   */
+  java.lang.String getEvacuatedDomains(int index);
+  /**
+   * <pre>
+   * Failure domains whose evacuation the operator has requested.
+   * </pre>
+   *
+   * <code>repeated string evacuated_domains = 5;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the evacuatedDomains at the given index.
+   */
+  com.google.protobuf.ByteString
+      getEvacuatedDomainsBytes(int index);
 }
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/StateRequest.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/StateRequest.java
@@ -69,6 +69,17 @@
     return serverRevision_;
   }
 
+  public static final int EVACUATION_REVISION_FIELD_NUMBER = 3;
+  private long evacuationRevision_ = 0L;
+  /**
+   * <code>int64 evacuation_revision = 3;</code>
+   * @return The evacuationRevision.
+   */
+  @java.lang.Override
+  public long getEvacuationRevision() {
+    return evacuationRevision_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -89,6 +100,9 @@
     if (serverRevision_ != 0L) {
       output.writeInt64(2, serverRevision_);
     }
+    if (evacuationRevision_ != 0L) {
+      output.writeInt64(3, evacuationRevision_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -106,6 +120,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(2, serverRevision_);
     }
+    if (evacuationRevision_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(3, evacuationRevision_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -125,6 +143,8 @@
         != other.getConfigurationVersion()) return false;
     if (getServerRevision()
         != other.getServerRevision()) return false;
+    if (getEvacuationRevision()
+        != other.getEvacuationRevision()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -142,6 +162,9 @@
     hash = (37 * hash) + SERVER_REVISION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getServerRevision());
+    hash = (37 * hash) + EVACUATION_REVISION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEvacuationRevision());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -279,6 +302,7 @@
       bitField0_ = 0;
       configurationVersion_ = 0L;
       serverRevision_ = 0L;
+      evacuationRevision_ = 0L;
       return this;
     }
 
@@ -318,6 +342,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.serverRevision_ = serverRevision_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.evacuationRevision_ = evacuationRevision_;
+      }
     }
 
     @java.lang.Override
@@ -338,6 +365,9 @@
       if (other.getServerRevision() != 0L) {
         setServerRevision(other.getServerRevision());
       }
+      if (other.getEvacuationRevision() != 0L) {
+        setEvacuationRevision(other.getEvacuationRevision());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -374,6 +404,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
+            case 24: {
+              evacuationRevision_ = input.readInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -455,6 +490,38 @@
       return this;
     }
 
+    private long evacuationRevision_ ;
+    /**
+     * <code>int64 evacuation_revision = 3;</code>
+     * @return The evacuationRevision.
+     */
+    @java.lang.Override
+    public long getEvacuationRevision() {
+      return evacuationRevision_;
+    }
+    /**
+     * <code>int64 evacuation_revision = 3;</code>
+     * @param value The evacuationRevision to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEvacuationRevision(long value) {
+
+      evacuationRevision_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 evacuation_revision = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEvacuationRevision() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      evacuationRevision_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:lavenderhinge.v1.StateRequest)
   }
 
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/StateRequestOrBuilder.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/StateRequestOrBuilder.java
@@ -21,4 +21,10 @@
    * @return The serverRevision.
    */
   long getServerRevision();
+
+  /**
+   * <code>int64 evacuation_revision = 3;</code>
+   * @return The evacuationRevision.
+   */
+  long getEvacuationRevision();
 }
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/WorkspaceSpending.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/WorkspaceSpending.java
@@ -98,6 +98,21 @@
     return totalCost_;
   }
 
+  public static final int RETURNED_COST_FIELD_NUMBER = 3;
+  private double returnedCost_ = 0D;
+  /**
+   * <pre>
+   * Part of the total that was admitted but not run.
+   * </pre>
+   *
+   * <code>double returned_cost = 3;</code>
+   * @return The returnedCost.
+   */
+  @java.lang.Override
+  public double getReturnedCost() {
+    return returnedCost_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -118,6 +133,9 @@
     if (java.lang.Double.doubleToRawLongBits(totalCost_) != 0) {
       output.writeDouble(2, totalCost_);
     }
+    if (java.lang.Double.doubleToRawLongBits(returnedCost_) != 0) {
+      output.writeDouble(3, returnedCost_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -134,6 +152,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeDoubleSize(2, totalCost_);
     }
+    if (java.lang.Double.doubleToRawLongBits(returnedCost_) != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeDoubleSize(3, returnedCost_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -154,6 +176,9 @@
     if (java.lang.Double.doubleToLongBits(getTotalCost())
         != java.lang.Double.doubleToLongBits(
             other.getTotalCost())) return false;
+    if (java.lang.Double.doubleToLongBits(getReturnedCost())
+        != java.lang.Double.doubleToLongBits(
+            other.getReturnedCost())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -170,6 +195,9 @@
     hash = (37 * hash) + TOTAL_COST_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         java.lang.Double.doubleToLongBits(getTotalCost()));
+    hash = (37 * hash) + RETURNED_COST_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        java.lang.Double.doubleToLongBits(getReturnedCost()));
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -307,6 +335,7 @@
       bitField0_ = 0;
       workspace_ = "";
       totalCost_ = 0D;
+      returnedCost_ = 0D;
       return this;
     }
 
@@ -346,6 +375,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.totalCost_ = totalCost_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.returnedCost_ = returnedCost_;
+      }
     }
 
     @java.lang.Override
@@ -368,6 +400,9 @@
       if (java.lang.Double.doubleToRawLongBits(other.getTotalCost()) != 0) {
         setTotalCost(other.getTotalCost());
       }
+      if (java.lang.Double.doubleToRawLongBits(other.getReturnedCost()) != 0) {
+        setReturnedCost(other.getReturnedCost());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -404,6 +439,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 17
+            case 25: {
+              returnedCost_ = input.readDouble();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 25
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -525,6 +565,50 @@
       return this;
     }
 
+    private double returnedCost_ ;
+    /**
+     * <pre>
+     * Part of the total that was admitted but not run.
+     * </pre>
+     *
+     * <code>double returned_cost = 3;</code>
+     * @return The returnedCost.
+     */
+    @java.lang.Override
+    public double getReturnedCost() {
+      return returnedCost_;
+    }
+    /**
+     * <pre>
+     * Part of the total that was admitted but not run.
+     * </pre>
+     *
+     * <code>double returned_cost = 3;</code>
+     * @param value The returnedCost to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReturnedCost(double value) {
+
+      returnedCost_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Part of the total that was admitted but not run.
+     * </pre>
+     *
+     * <code>double returned_cost = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearReturnedCost() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      returnedCost_ = 0D;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:lavenderhinge.v1.WorkspaceSpending)
   }
 
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/WorkspaceSpendingOrBuilder.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/WorkspaceSpendingOrBuilder.java
@@ -27,4 +27,14 @@
    * @return The totalCost.
    */
   double getTotalCost();
+
+  /**
+   * <pre>
+   * Part of the total that was admitted but not run.
+   * </pre>
+   *
+   * <code>double returned_cost = 3;</code>
+   * @return The returnedCost.
+   */
+  double getReturnedCost();
 }
