Agree on the servers that hold prompts, and report what was sent

An instance counted a prompt part as shared only if it had sent it itself. With 17 to 79 instances, one rarely has, although another instance sent the part a few seconds ago, so that most subjects were read on one server after the other.

Instances now rank servers for a prompt by rendezvous hashing of its parts, from the first request on, and report which server got which part. Each chooses between the holders, the ranked servers and those it compared before, by the tokens that a server still has to read. Only pools with prompt-matching do so.

Reports are not sent over the network yet.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
@@ -34,7 +34,11 @@
     val digest: RequestDigest? = null,
     /** Name of the workspace; null if the request needs no credential. */
     val workspace: String? = null,
-)
+) {
+    /** [promptParts] with the hashes by which instances know them. */
+    internal val promptChain: PromptChain by
+        lazy(LazyThreadSafetyMode.NONE) { PromptChain(promptParts) }
+}
 
 /** The end of an attempt that the [Dispatcher] assigned to [server]. */
 data class FinishedAttempt(
@@ -115,4 +119,6 @@
     /** Null if nothing about crashes of servers has to be reported now. */
     val quarantine: QuarantineReport? = null,
     val rateLimits: List<RateLimitReport> = emptyList(),
+    /** The servers to which prompt parts were sent lately. */
+    val promptHolders: List<PromptHolderReport> = emptyList(),
 )
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -23,6 +23,8 @@
     /** Time until a server that says that it is leaving must not get requests any more. */
     drainMillis: Long = DEFAULT_DRAIN_MILLIS,
     private val features: SchedulingFeatures = SchedulingFeatures(),
+    /** Returns the size in tokens of the cache of each server of a service, if known. */
+    private val cacheTokens: (service: String) -> Long? = { null },
 ) {
     private val pools = HashMap<String, ServerPool>()
     private val policies = HashMap<String, QueuePolicy>()
@@ -51,10 +53,13 @@
 
     private fun poolOf(service: String): ServerPool =
         pools.getOrPut(service) {
-            ServerPool(rollouts, rateLimits, statements, PoolFeatures(features), random).also {
-                it.onEjection = { ejection -> onEjection(ejection) }
-                policies[service] = QueuePolicy(it)
-            }
+            ServerPool(rollouts, rateLimits, statements, PoolFeatures(features), random) {
+                    cacheTokens(service)
+                }
+                .also {
+                    it.onEjection = { ejection -> onEjection(ejection) }
+                    policies[service] = QueuePolicy(it)
+                }
         }
 
     /** Requests a slot. The effect for [request] is returned here or by a later call. */
@@ -141,6 +146,7 @@
         peers.update(peer, report, nowMillis)
         rateLimits.onPeerReport(peer, report.rateLimits, nowMillis)
         report.quarantine?.let { quarantine.onPeerReport(it, nowMillis) }
+        pools.values.forEach { it.onHoldersReported(report.promptHolders, nowMillis) }
         return serveQueues(nowMillis) { !it.wasJustServed(nowMillis) }
     }
 
@@ -171,6 +177,7 @@
                 .mapValues { (_, requests) -> queueState(requests, nowMillis) },
             quarantine.report(nowMillis),
             rateLimits.reports(nowMillis),
+            pools.values.flatMap { it.holderReports(nowMillis) },
         )
 
     private fun queueState(requests: List<DispatchRequest>, nowMillis: Long): QueueState {
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PlacementRound.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PlacementRound.kt
@@ -11,6 +11,17 @@
             val records = loads.map { it.record }
             records.filter { it.entry.failureDomain == failureDomain }.ifEmpty { records }
         }
+
+    /** Identifies the set of [near] servers, whatever their order. */
+    val nearHash: ULong by
+        lazy(LazyThreadSafetyMode.NONE) {
+            near.fold(0uL) { hash, record -> hash xor record.idHash }
+        }
+
+    private val loadsByRecord by lazy(LazyThreadSafetyMode.NONE) { loads.associateBy { it.record } }
+
+    /** Returns the load of [record], or null if it must not get the request. */
+    fun loadOf(record: ServerRecord): ServerLoad? = loadsByRecord[record]
 }
 
 /**
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -26,6 +26,8 @@
     /** The optional decisions that are in force in this pool. */
     val features: PoolFeatures,
     random: Random,
+    /** Size in tokens of the cache of each server, if known. */
+    private val cacheTokens: () -> Long? = { null },
 ) {
     private val records = LinkedHashMap<String, ServerRecord>()
     private var servedMillis = Long.MIN_VALUE / 2
@@ -34,12 +36,12 @@
     private val averages = PoolAverages(records.values)
     private val ejections = EjectionComparison(records.values, averages)
     private val capacity = ServerCapacity(rateLimits, statements, ejections)
-    private val chooser =
-        ServerChooser(
-            affinity,
-            CandidateSampler(random),
-            ServerEstimator(model, ejections, ::expectedHoldMillis),
-        )
+    private val sampler = CandidateSampler(random)
+    private val estimator = ServerEstimator(model, ejections, ::expectedHoldMillis)
+    private val chooser = ServerChooser(affinity, sampler, estimator)
+
+    /** Which servers hold which prompts, and the choice by it. */
+    val promptMatching = PromptMatching(sampler, estimator, model)
 
     /** Called when a server that was in use is ejected. */
     var onEjection: (ServerEjection) -> Unit = {}
@@ -78,6 +80,7 @@
         val record = records[serverId] ?: return
         record.sentParts.add(request.promptParts, nowMillis)
         affinity.onSent(request.promptParts)
+        if (features.hasPromptMatching) promptMatching.onSent(request, record, nowMillis)
         if (record.inFlight == 0) record.onActivity(nowMillis)
         rateLimits.onSent(record.entry.run)
         record.inFlight++
@@ -85,6 +88,18 @@
         minimumShare.onStarted(request.priority)
     }
 
+    /** Records which servers of this pool hold prompt parts, as a peer reports it. */
+    fun onHoldersReported(reports: List<PromptHolderReport>, nowMillis: Long) {
+        if (!features.hasPromptMatching) return
+        reports.forEach { report ->
+            records[report.serverId]?.let { promptMatching.onReported(report, it, nowMillis) }
+        }
+    }
+
+    /** Returns which servers hold the prompt parts that were sent lately. */
+    fun holderReports(nowMillis: Long): List<PromptHolderReport> =
+        if (features.hasPromptMatching) promptMatching.reports(nowMillis) else emptyList()
+
     fun onFinished(attempt: FinishedAttempt, nowMillis: Long) {
         val outcome = attempt.outcome
         if (outcome is ServerOutcome.Answered) {
@@ -209,7 +224,7 @@
         // No request of the queue can be sent, so nothing has to be reserved.
         if (round.isFull(request)) return Placement.Wait
         val freeSlots = eligible.loads.sumOf { it.freeSlots.coerceAtLeast(0) }
-        val best = chooser.best(eligible, request, round)
+        val best = best(eligible, request, round)
         if (best.load.freeSlots > 0 && freeSlots > aheadAtPeers) {
             return send(
                 best,
@@ -223,6 +238,17 @@
         return Placement.Wait
     }
 
+    private fun best(
+        eligible: EligibleServers,
+        request: DispatchRequest,
+        round: PlacementRound,
+    ): ServerEstimate {
+        val isMatched = features.hasPromptMatching && request.promptParts.isNotEmpty()
+        if (!isMatched) return chooser.best(eligible, request, round)
+        promptMatching.refresh(records.values, cacheTokens(), round.nowMillis)
+        return promptMatching.best(eligible, request, round)
+    }
+
     private fun send(
         best: ServerEstimate,
         eligibleCount: Int,
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerRecord.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerRecord.kt
@@ -47,6 +47,9 @@
     /** Prompt parts that this instance sent to the server. */
     val sentParts = PrefixAffinity.SentParts()
 
+    /** Prompt parts that any instance sent to the server. */
+    val promptCache = PromptCache()
+
     /** Latency relative to the average of the pool for the same work. */
     var latencyFactor = 1.0
         private set
@@ -122,6 +125,7 @@
     /** Clears the statistics after a restart of the server. */
     fun reset() {
         sentParts.clear()
+        promptCache.clear()
         latencyFactor = 1.0
         holdMillis = 0.0
         eventIntervalMillis = 0.0
