Send prompt holders between instances, and decode the cache size

Holder reports were built but not sent, what was remembered of a server was not bounded by its cache, and an operator could not see how much of the prompts was expected in caches.

Load reports carry the holders, engine.kv_cache_tokens of a service bounds what is remembered of each server, the log line of a request names the tokens that were expected in the cache, and lavenderhinge_gateway_prompt_tokens_total counts them.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
@@ -70,6 +70,8 @@
         val uncachedTokens: Double,
         /** The values that led to the decision, for the log. */
         val inputs: String = "",
+        /** Prompt tokens that are expected in the cache of the server. */
+        val heldTokens: Double = 0.0,
     ) : DispatchEffect
 
     /** Reject the request as not executed; the client may retry after [retryAfterMillis]. */
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -239,6 +239,7 @@
                     placement.expectedMillis,
                     placement.uncachedTokens,
                     placement.inputs,
+                    heldTokens = request.promptTokens - placement.uncachedTokens,
                 )
             }
             is Placement.Wait ->
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ForwardingConfig.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ForwardingConfig.kt
@@ -76,6 +76,8 @@
     val name: String,
     /** Number of output tokens in one event of a stream. */
     val tokensPerEvent: Int,
+    /** Prompt tokens that each server keeps in its cache; null if not configured. */
+    val cacheTokens: Long? = null,
 )
 
 /**
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -228,6 +228,7 @@
         if (best.load.freeSlots > 0 && freeSlots > aheadAtPeers) {
             return send(
                 best,
+                request.promptTokens,
                 eligible.loads.size,
                 capacity.inaccessibleCount(records.values, round.nowMillis),
                 round.peers.peerCount,
@@ -251,6 +252,7 @@
 
     private fun send(
         best: ServerEstimate,
+        promptTokens: Double,
         eligibleCount: Int,
         inaccessibleCount: Int,
         peerCount: Int,
@@ -261,9 +263,14 @@
             best.uncachedTokens,
             "expected ${best.expectedMillis.toInt()} ms, ${best.load.freeSlots} slots free, " +
                 "$eligibleCount servers, $peerCount peers" +
+                describePrompt(promptTokens, best.uncachedTokens) +
                 if (inaccessibleCount == 0) "" else ", $inaccessibleCount leaving or pausing",
         )
 
+    private fun describePrompt(promptTokens: Double, uncachedTokens: Double): String =
+        if (promptTokens <= 0) ""
+        else ", ${(promptTokens - uncachedTokens).toInt()} of ${promptTokens.toInt()} tokens cached"
+
     // A server without samples is assumed to be average. With a shorter default, requests would
     // wait for it while other servers are free.
     private fun expectedHoldMillis(record: ServerRecord): Double {
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
@@ -51,6 +51,7 @@
             loop,
             drainMillis = settings.bounds.propagation.drainMillis,
             features = settings.scheduling,
+            cacheTokens = { configuration.table?.service(it)?.cacheTokens },
         )
     private val servers =
         ServerRegistry(control, StoreContact(watchPacing.staleAfterMillis), publish = ::publish)
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/GatewayMetrics.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/GatewayMetrics.kt
@@ -25,10 +25,14 @@
         val millis = nowMillis - trace.arrivedMillis
         val skippedCount = trace.skippedResponseCount
         val unidentifiedCount = trace.unidentifiedResponseCount
+        val readTokens = trace.readTokens
+        val heldTokens = trace.heldTokens
         control.execute {
             requests.recordGatewayRequest(priority, workspace, result, millis)
             requests.recordUnusualResponses("skipped", skippedCount)
             requests.recordUnusualResponses("unidentified", unidentifiedCount)
+            requests.recordPromptTokens("read", readTokens)
+            requests.recordPromptTokens("cached", heldTokens)
         }
     }
 
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportProtoConverters.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportProtoConverters.kt
@@ -1,6 +1,7 @@
 package io.lavenderhinge.instance.gateway
 
 import io.lavenderhinge.core.forwarding.LoadReport
+import io.lavenderhinge.core.forwarding.PromptHolderReport
 import io.lavenderhinge.core.forwarding.QueueKey
 import io.lavenderhinge.core.forwarding.QueueState
 import io.lavenderhinge.core.forwarding.RateLimitReport
@@ -9,6 +10,7 @@
 import io.lavenderhinge.instance.quarantine.toReport
 import io.lavenderhinge.instance.quarantine.toRun
 import io.lavenderhinge.protocol.v1.LoadReport as LoadReportMessage
+import io.lavenderhinge.protocol.v1.PromptHolder
 import io.lavenderhinge.protocol.v1.QueueLength
 import io.lavenderhinge.protocol.v1.ServerRateLimit
 import io.lavenderhinge.protocol.v1.ServerUse as ServerUseMessage
@@ -39,6 +41,7 @@
     }
     report.quarantine?.let { setCrashObservations(it.toMessage()) }
     report.rateLimits.forEach { addRateLimits(it.toMessage()) }
+    report.promptHolders.forEach { addPromptHolders(it.toMessage()) }
     spending.forEach { (workspace, cost) ->
         addWorkspaces(WorkspaceSpending.newBuilder().setWorkspace(workspace).setTotalCost(cost))
     }
@@ -55,12 +58,16 @@
         },
         if (hasCrashObservations()) crashObservations.toReport() else null,
         rateLimitsList.map { it.toReport() },
+        promptHoldersList.map { PromptHolderReport(it.part, it.serverId, it.ageMillis) },
     )
 
 /** Reads the total cost per workspace that the sender admitted. */
 internal fun LoadReportMessage.toSpending(): Map<String, Double> =
     workspacesList.associate { it.workspace to it.totalCost }
 
+private fun PromptHolderReport.toMessage(): PromptHolder =
+    PromptHolder.newBuilder().setPart(part).setServerId(serverId).setAgeMillis(ageMillis).build()
+
 private fun RateLimitReport.toMessage(): ServerRateLimit {
     val message =
         ServerRateLimit.newBuilder()
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestTrace.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestTrace.kt
@@ -29,6 +29,14 @@
     var unidentifiedResponseCount = 0
         private set
 
+    /** Prompt tokens of all attempts that had to be read. */
+    var readTokens = 0.0
+        private set
+
+    /** Prompt tokens of all attempts that were expected in the caches of the servers. */
+    var heldTokens = 0.0
+        private set
+
     /** The selected service. */
     var service: String? = null
 
@@ -79,6 +87,8 @@
     /** Records that the request was assigned to a server. */
     fun attemptStarted(grant: DispatchEffect.Assign, nowMillis: Long) {
         startedCount++
+        readTokens += grant.uncachedTokens
+        heldTokens += grant.heldTokens
         val waitMillis = nowMillis - arrivedMillis
         events += "sent to ${grant.server.id} after $waitMillis ms (${grant.inputs})"
     }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
@@ -30,9 +30,17 @@
     /** Time until a server that says that it is leaving must not get requests any more. */
     drainMillis: Long = Dispatcher.DEFAULT_DRAIN_MILLIS,
     features: SchedulingFeatures = SchedulingFeatures(),
+    /** Returns the size in tokens of the cache of each server of a service, if known. */
+    cacheTokens: (service: String) -> Long? = { null },
 ) {
     private val dispatcher =
-        Dispatcher(failureDomain, rollouts, drainMillis = drainMillis, features = features)
+        Dispatcher(
+            failureDomain,
+            rollouts,
+            drainMillis = drainMillis,
+            features = features,
+            cacheTokens = cacheTokens,
+        )
 
     /** Prompt parts that are kept away from the servers. */
     val quarantine: RequestQuarantine
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/metrics/RequestMetrics.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/metrics/RequestMetrics.kt
@@ -76,6 +76,17 @@
             .increment(count.toDouble())
     }
 
+    /**
+     * Counts prompt tokens that were sent to backend servers: those that a server had to `read`, or
+     * that were expected to be `cached` there.
+     */
+    fun recordPromptTokens(expected: String, tokens: Double) {
+        if (tokens <= 0) return
+        registry
+            .counter("lavenderhinge.gateway.prompt.tokens", "expected", expected)
+            .increment(tokens)
+    }
+
     /** Counts a request of the users' platform that was rejected at admission. */
     fun recordGatewayRejection(reason: String) =
         registry.counter("lavenderhinge.gateway.rejections", "reason", reason).increment()
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/LoadReportProtoConvertersTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/LoadReportProtoConvertersTest.kt
@@ -4,6 +4,7 @@
 import io.kotest.matchers.shouldBe
 import io.lavenderhinge.core.ServerRun
 import io.lavenderhinge.core.forwarding.LoadReport
+import io.lavenderhinge.core.forwarding.PromptHolderReport
 import io.lavenderhinge.core.forwarding.QueueKey
 import io.lavenderhinge.core.forwarding.QueueState
 import io.lavenderhinge.core.forwarding.RateLimitReport
@@ -38,6 +39,7 @@
                         RateLimitReport(run, limitPerSecond = 2.5, ageMillis = 14, sentCount = 15),
                         RateLimitReport(run, limitPerSecond = null, ageMillis = 16, sentCount = 17),
                     ),
+                    listOf(PromptHolderReport(part = -18, "i-2", ageMillis = 19)),
                 )
 
             roundTrip(report) shouldBe report
