--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/GatewayHarness.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/GatewayHarness.kt
@@ -6,6 +6,7 @@
 import io.lavenderhinge.core.forwarding.ServerEntry
 import io.lavenderhinge.core.forwarding.ServiceRetryBudget
 import io.lavenderhinge.http.HttpClient
+import io.lavenderhinge.http.HttpLimits
 import io.lavenderhinge.http.HttpRequest
 import io.lavenderhinge.http.HttpResponse
 import io.lavenderhinge.http.HttpServer
@@ -34,6 +35,10 @@
     private val allocator = SlotAllocator("d", loop)
     private val server: HttpServer
 
+    /** Port of the listener for clients. */
+    val port: Int
+        get() = server.port
+
     init {
         val text = CONFIGURATION.replace("\"api_keys\":[\"k\"]", "\"api_keys\":[\"k\"]$quota")
         configuration.applyIfNewer(text, "the test")
@@ -50,7 +55,8 @@
             )
         val admission = RequestAdmission(quotas)
         val forwarder = RequestForwarder(context, configuration, admission, gate)
-        server = HttpServer(loop.group, forwarder).start(InetSocketAddress("127.0.0.1", 0))
+        val limits = HttpLimits(maxBodyBytes = MAX_BODY_BYTES)
+        server = HttpServer(loop.group, forwarder, limits).start(InetSocketAddress("127.0.0.1", 0))
         val entries = servers.mapIndexed { index, backend -> entry("i-$index", backend.port) }
         loop.execute {
             allocator.onServers(entries)
@@ -115,6 +121,7 @@
         )
 
     private companion object {
+        const val MAX_BODY_BYTES = 16_777_216
         val CONFIGURATION =
             """
             {"version":3,"services":[{"name":"s"}],"tenants":[{"name":"w","api_keys":["k"]}],
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ScriptedBackendServer.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ScriptedBackendServer.kt
@@ -50,10 +50,17 @@
  */
 internal class ScriptedBackendServer(private val script: (request: String) -> ServerAction) :
     AutoCloseable {
-    private val listener = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
+    private val listener =
+        ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1")).apply {
+            // The system would take in several megabytes of a request that is not read.
+            receiveBufferSize = RECEIVE_BUFFER_BYTES
+        }
     private val sockets = CopyOnWriteArrayList<Socket>()
 
-    /** Raw requests with head and body. */
+    /** Returns the action for a request whose body is not read, or null to read the body. */
+    @Volatile var onHead: (head: String) -> ServerAction? = { null }
+
+    /** Raw requests with head and body, as far as they were read. */
     val requests = CopyOnWriteArrayList<String>()
 
     /** Released when the peer closes a connection during [ServerAction.AwaitClose]. */
@@ -84,11 +91,13 @@
     private fun serve(socket: Socket) {
         var secondCopy = ""
         while (true) {
-            val request = read(socket.getInputStream()) ?: return
+            val head = readHead(socket.getInputStream()) ?: return
+            val earlyAction = onHead(head)
+            val request = if (earlyAction == null) head + readBody(socket, head) else head
             requests += request
             send(socket, secondCopy)
             secondCopy = ""
-            val action = script(request)
+            val action = earlyAction ?: script(request)
             when (action) {
                 is ServerAction.Send -> send(socket, action.text)
                 is ServerAction.SendTwice -> {
@@ -140,20 +149,25 @@
         socket.getOutputStream().flush()
     }
 
-    private fun read(input: InputStream): String? {
+    private fun readHead(input: InputStream): String? {
         val head = StringBuilder()
         while (!head.endsWith("\r\n\r\n")) {
             val byte = input.read()
             if (byte < 0) return null
             head.append(byte.toChar())
         }
+        return head.toString()
+    }
+
+    private fun readBody(socket: Socket, head: String): String {
         val length =
             Regex("(?i)content-length: (\\d+)").find(head)?.groupValues?.get(1)?.toInt() ?: 0
-        return head.toString() + String(input.readNBytes(length))
+        return String(socket.getInputStream().readNBytes(length))
     }
 
     companion object {
         private const val BACKLOG = 16
+        private const val RECEIVE_BUFFER_BYTES = 65_536
         private const val RESET_PAUSE_MILLIS = 50L
 
         /** A complete server response to [request]. */
