Reject answers with a status outside 100..599

Clients got the status 0, 99, 600 or 999 as it was sent, on plain routes and on streams. Such an answer with the field of a refusal made the gateway send a request that must not run twice to a second server. JSON calls of the own interface took the answer for one, service calls passed it on, and generations ended as failed in place of being resumed.

The client connection now closes on such a head as on any invalid one. The request counts as lost: retried elsewhere if its route allows that, 502 otherwise.

--- a/http/src/main/kotlin/io/lavenderhinge/http/ClientConnection.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/ClientConnection.kt
@@ -163,7 +163,7 @@
     }
 
     private fun startResponse(response: NettyResponse) {
-        if (response.isMixedHead()) return rejectResponse()
+        if (response.isMixedHead() || !response.hasValidStatus()) return rejectResponse()
         skipping = !isOwnResponse(response)
         if (!skipping) {
             events.trySend(ClientEvent.Head(response))
