Send no requests to failure domains that the operator evacuates

EvacuationState holds the requested domains by store revision and the ramp after their end; the pools leave their servers out, and a request is checked again immediately before it is written. The keys are read from the watch of the operator's keys and, while the store does not answer, from peers. An instance is ready once it knows them. Bound: [bounds] evacuation, 5 s.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
@@ -90,6 +90,8 @@
     PAUSED,
     /** A part of the prompt, or the request as a whole, crashes the servers that answer it. */
     QUARANTINED,
+    /** All servers that are left are in failure domains that the operator evacuates. */
+    EVACUATED,
     /** The request, or a part of its prompt, may have crashed the server that it lost. */
     SUSPECTED,
 }
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -31,6 +31,10 @@
     private val rateLimits = ServerRateLimits(random)
     private val statements = ServerStatements(drainMillis)
 
+    /** Returns the newest evacuations of failure domains; call [serveQueues] after a change. */
+    var evacuations: () -> EvacuationState = { EvacuationState() }
+    private val domainEvacuations = DomainEvacuations { evacuations() }
+
     /** Called when a server that was in use is ejected. */
     var onEjection: (ServerEjection) -> Unit = {}
 
@@ -51,10 +55,18 @@
 
     private fun poolOf(service: String): ServerPool =
         pools.getOrPut(service) {
-            ServerPool(rollouts, rateLimits, statements, PoolFeatures(features), random).also {
-                it.onEjection = { ejection -> onEjection(ejection) }
-                policies[service] = QueuePolicy(it)
-            }
+            ServerPool(
+                    rollouts,
+                    rateLimits,
+                    statements,
+                    PoolFeatures(features),
+                    random,
+                    domainEvacuations,
+                )
+                .also {
+                    it.onEjection = { ejection -> onEjection(ejection) }
+                    policies[service] = QueuePolicy(it)
+                }
         }
 
     /** Requests a slot. The effect for [request] is returned here or by a later call. */
@@ -161,6 +173,9 @@
     val hasWaiting: Boolean
         get() = queues.values.any { it.isNotEmpty() }
 
+    /** Returns how many requests of this instance are in flight in [failureDomain]. */
+    fun inFlightIn(failureDomain: String): Int = pools.values.sumOf { it.inFlightIn(failureDomain) }
+
     /** Returns the load report for the peers. */
     fun report(nowMillis: Long): LoadReport =
         LoadReport(
@@ -251,7 +266,8 @@
         pool: ServerPool,
         nowMillis: Long,
     ): DispatchEffect.Refuse? {
-        val reopenMillis = pool.reopenMillis(nowMillis) ?: return refuseWithoutServer(request)
+        val reopenMillis =
+            pool.reopenMillis(nowMillis) ?: return refuseWithoutServer(request, pool, nowMillis)
         if (reopenMillis + pool.firstEventMillis(request) <= request.targetMillis) return null
         return DispatchEffect.Refuse(
             request.id,
@@ -261,6 +277,20 @@
         )
     }
 
+    private fun refuseWithoutServer(
+        request: DispatchRequest,
+        pool: ServerPool,
+        nowMillis: Long,
+    ): DispatchEffect.Refuse =
+        if (!pool.isEvacuatedFor(request, nowMillis)) refuseWithoutServer(request)
+        else
+            DispatchEffect.Refuse(
+                request.id,
+                DispatchRefusal.EVACUATED,
+                EVACUATED_RETRY_MILLIS,
+                "all servers left are in evacuated failure domains",
+            )
+
     private fun refuseWithoutServer(request: DispatchRequest) =
         DispatchEffect.Refuse(request.id, DispatchRefusal.NO_SERVER, NO_SERVER_RETRY_MILLIS)
 
@@ -269,5 +299,7 @@
         /** Drain time of a deployment that sets none. */
         const val DEFAULT_DRAIN_MILLIS = 2_000L
         private const val NO_SERVER_RETRY_MILLIS = 300L
+        /** Evacuations last for seconds, and a client that returns at once is refused again. */
+        private const val EVACUATED_RETRY_MILLIS = 1_000L
     }
 }
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerCapacity.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerCapacity.kt
@@ -5,13 +5,16 @@
     private val rateLimits: ServerRateLimits,
     private val statements: ServerStatements,
     private val ejections: EjectionComparison,
+    private val evacuations: DomainEvacuations = DomainEvacuations { EvacuationState() },
 ) {
     /**
      * Returns the [servers] that take requests; those that are leaving only if there is no other.
+     * Servers in evacuated domains take none.
      */
     fun accessible(servers: List<ServerRecord>, nowMillis: Long): List<ServerRecord> {
-        if (statements.isEmpty) return servers
-        val byAccess = servers.groupBy { statements.access(it.entry.run, nowMillis) }
+        val reachable = evacuations.reachable(servers, nowMillis)
+        if (statements.isEmpty) return reachable
+        val byAccess = reachable.groupBy { statements.access(it.entry.run, nowMillis) }
         return byAccess[ServerAccess.Open] ?: byAccess[ServerAccess.LastResort].orEmpty()
     }
 
@@ -26,16 +29,25 @@
      */
     fun reopenMillis(servers: List<ServerRecord>, nowMillis: Long): Long? {
         if (accessible(servers, nowMillis).isNotEmpty()) return null
-        return servers
+        return evacuations
+            .reachable(servers, nowMillis)
             .mapNotNull { statements.access(it.entry.run, nowMillis) as? ServerAccess.Closed }
             .mapNotNull { it.endMillis }
             .minOrNull()
     }
 
+    /** Returns true if any of [servers] is in an evacuated domain. */
+    fun hasEvacuated(servers: List<ServerRecord>, nowMillis: Long): Boolean =
+        evacuations.hasEvacuated(servers, nowMillis)
+
     /** Returns how many requests the server takes at a time. */
     fun usableSlots(record: ServerRecord, nowMillis: Long): Int =
         if (ejections.isInForce(record)) 1
-        else statements.usableSlots(record.entry.run, record.entry.slots, nowMillis)
+        else
+            minOf(
+                statements.usableSlots(record.entry.run, record.entry.slots, nowMillis),
+                evacuations.usableSlots(record, record.entry.slots, nowMillis),
+            )
 
     /** Returns how long this instance has to wait because of the limit that the server states. */
     fun limitWaitMillis(record: ServerRecord, peerCount: Int, nowMillis: Long): Double =
@@ -43,8 +55,9 @@
         else rateLimits.waitMillis(record.entry.run, peerCount + 1, nowMillis)
 
     /** Returns how often a slot of the server becomes free if each is used for [holdMillis]. */
-    fun slotsPerMillis(record: ServerRecord, holdMillis: Double): Double {
-        val byDuration = record.entry.slots / holdMillis
+    fun slotsPerMillis(record: ServerRecord, holdMillis: Double, nowMillis: Long): Double {
+        val slots = evacuations.usableSlots(record, record.entry.slots, nowMillis)
+        val byDuration = slots / holdMillis
         val statedPerSecond = rateLimits.perSecond(record.entry.run) ?: return byDuration
         return minOf(byDuration, statedPerSecond / MILLIS_PER_SECOND)
     }
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -26,6 +26,7 @@
     /** The optional decisions that are in force in this pool. */
     val features: PoolFeatures,
     random: Random,
+    evacuations: DomainEvacuations,
 ) {
     private val records = LinkedHashMap<String, ServerRecord>()
     private var servedMillis = Long.MIN_VALUE / 2
@@ -33,7 +34,7 @@
     private val affinity = PrefixAffinity()
     private val averages = PoolAverages(records.values)
     private val ejections = EjectionComparison(records.values, averages)
-    private val capacity = ServerCapacity(rateLimits, statements, ejections)
+    private val capacity = ServerCapacity(rateLimits, statements, ejections, evacuations)
     private val chooser =
         ServerChooser(
             affinity,
@@ -64,6 +65,9 @@
         averages.onChange()
     }
 
+    fun inFlightIn(failureDomain: String): Int =
+        records.values.sumOf { if (it.entry.failureDomain == failureDomain) it.inFlight else 0 }
+
     fun usage(): List<Pair<String, ServerUse>> =
         records.values
             .filter { it.inFlight > 0 }
@@ -106,11 +110,8 @@
      * used anyway, because it is unlikely that every server of a pool has failed.
      */
     private fun eligibleServers(request: DispatchRequest, nowMillis: Long): List<ServerRecord> {
-        val listed =
-            records.values.filter {
-                it.entry.acceptsWork && it.entry.id !in request.excludedServers
-            }
-        val accepting = rollouts.select(capacity.accessible(listed, nowMillis), request)
+        val accessible = capacity.accessible(listed(request), nowMillis)
+        val accepting = rollouts.select(accessible, request)
         return accepting
             .filterNot { isClosed(it, nowMillis) || isSilent(it, nowMillis) }
             .ifEmpty { accepting }
@@ -125,6 +126,15 @@
         return capacity.reopenMillis(listed, nowMillis)
     }
 
+    /** Returns true if a server could take [request] if its domain were not evacuated. */
+    fun isEvacuatedFor(request: DispatchRequest, nowMillis: Long): Boolean =
+        capacity.hasEvacuated(listed(request), nowMillis)
+
+    private fun listed(request: DispatchRequest): List<ServerRecord> =
+        records.values.filter {
+            it.entry.acceptsWork && it.entry.id !in request.excludedServers
+        }
+
     private fun isClosed(record: ServerRecord, nowMillis: Long): Boolean =
         record.isFull(nowMillis) || record.isBackingOff(nowMillis) && ejections.isInForce(record)
 
@@ -145,7 +155,7 @@
                     request,
                 )
                 .filterNot { isClosed(it, nowMillis) }
-                .sumOf { capacity.slotsPerMillis(it, expectedHoldMillis(it)) }
+                .sumOf { capacity.slotsPerMillis(it, expectedHoldMillis(it), nowMillis) }
         return if (slotsPerMillis <= 0) MIN_HOLD_MILLIS else 1 / slotsPerMillis
     }
 
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/WatchPacing.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/WatchPacing.kt
@@ -8,7 +8,15 @@
     val contactTimeoutMillis: Long,
     /** From the announcement of a leaving backend server until it gets no more requests. */
     val drainMillis: Long,
-)
+    /** From the request to evacuate a failure domain until its servers get no more requests. */
+    val evacuationMillis: Long = DEFAULT_EVACUATION_MILLIS,
+) {
+    /** Default values. */
+    companion object {
+        /** Bound of a deployment that sets none. */
+        const val DEFAULT_EVACUATION_MILLIS = 5_000L
+    }
+}
 
 /**
  * Paces the calls by which an instance watches the store.
@@ -41,8 +49,11 @@
 
         /** Returns the pace for [bounds]. */
         fun of(bounds: PropagationBounds): WatchPacing {
-            val waitMillis = bounds.contactTimeoutMillis - RESPONSE_MILLIS - RECONNECT_MILLIS
-            val changeMillis = minOf(bounds.configurationApplyMillis, bounds.drainMillis)
+            // A request to evacuate that a lost connection delays has to arrive in time as well.
+            val contactMillis = minOf(bounds.contactTimeoutMillis, bounds.evacuationMillis)
+            val waitMillis = contactMillis - RESPONSE_MILLIS - RECONNECT_MILLIS
+            val changeMillis =
+                minOf(bounds.configurationApplyMillis, bounds.drainMillis, bounds.evacuationMillis)
             return WatchPacing(
                 waitMillis.coerceIn(MIN_WAIT_MILLIS, MAX_WAIT_MILLIS),
                 (changeMillis / PAUSE_DIVISOR).coerceIn(MIN_PAUSE_MILLIS, MAX_PAUSE_MILLIS),
--- a/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySchema.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySchema.kt
@@ -41,6 +41,13 @@
             "time until a leaving backend server gets no more requests",
             "2s",
         )
+    val evacuation =
+        SettingKey(
+            "evacuation",
+            DurationType("100ms", "10m"),
+            "time until an evacuated failure domain gets no more requests",
+            "5s",
+        )
     val repeatRatio =
         SettingKey(
             "repeat-ratio",
@@ -107,6 +114,7 @@
             configurationApply,
             contactTimeout,
             drain,
+            evacuation,
             repeatRatio,
             repeatSlack,
             quotaWindow,
--- a/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySettingsParser.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySettingsParser.kt
@@ -48,6 +48,7 @@
                 section.value(GatewaySchema.configurationApply) ?: 0,
                 section.value(GatewaySchema.contactTimeout) ?: 0,
                 section.value(GatewaySchema.drain) ?: 0,
+                section.value(GatewaySchema.evacuation) ?: 0,
             ),
             section.value(GatewaySchema.repeatRatio) ?: 0.0,
             section.value(GatewaySchema.repeatSlack) ?: 0.0,
--- a/http/src/main/kotlin/io/lavenderhinge/http/ClientConnection.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/ClientConnection.kt
@@ -53,9 +53,14 @@
 
     /**
      * Sends [request]. Responses that belong to another request according to [matcher] are skipped,
-     * as are interim (1xx) responses.
+     * as are interim (1xx) responses. Nothing is sent if [isAllowed] returns false.
      */
-    suspend fun send(request: HttpRequest, address: InetSocketAddress, matcher: ResponseMatcher) {
+    suspend fun send(
+        request: HttpRequest,
+        address: InetSocketAddress,
+        matcher: ResponseMatcher,
+        isAllowed: () -> Boolean,
+    ) {
         events = Channel(Channel.UNLIMITED)
         this.matcher = matcher
         skippedCount = 0
@@ -73,7 +78,7 @@
         message.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, request.body.size)
         decoder.onRequest(message.method())
         try {
-            write(message).awaitDone()
+            write(message, isAllowed).awaitDone()
         } catch (e: java.io.IOException) {
             throw HttpCallException.OutcomeUnknown(
                 "the connection failed while the request was being sent",
@@ -84,15 +89,16 @@
     }
 
     // Only the event loop can tell whether the connection was closed before anything was written.
-    private fun write(message: FullHttpRequest): ChannelFuture {
+    private fun write(message: FullHttpRequest, isAllowed: () -> Boolean): ChannelFuture {
         val sent = context.newPromise()
+        fun fail(reason: String) {
+            message.release()
+            sent.setFailure(HttpCallException.NotSent(reason))
+        }
         val write = Runnable {
-            if (context.channel().isActive) {
-                context.writeAndFlush(message, sent)
-            } else {
-                message.release()
-                sent.setFailure(HttpCallException.NotSent("the server closed the connection"))
-            }
+            if (!context.channel().isActive) fail("the server closed the connection")
+            else if (!isAllowed()) fail("the request was withheld")
+            else context.writeAndFlush(message, sent)
         }
         if (context.executor().inEventLoop()) write.run() else context.executor().execute(write)
         return sent
--- a/http/src/main/kotlin/io/lavenderhinge/http/HttpClient.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/HttpClient.kt
@@ -64,7 +64,9 @@
      *
      * Pass `reuseConnection = false` to open a new connection, because a pooled connection that is
      * no longer reachable would leave the outcome unknown. Pass a [matcher] if servers may send
-     * late responses to earlier requests. [onSent] is called once the request has been sent.
+     * late responses to earlier requests. [isAllowed] is called immediately before the request is
+     * written, on the thread of the connection; if it returns false, nothing is written.
+     * [onSent] is called once the request has been sent.
      */
     suspend fun send(
         address: InetSocketAddress,
@@ -72,6 +74,7 @@
         timeouts: CallTimeouts = CallTimeouts(),
         reuseConnection: Boolean = true,
         matcher: ResponseMatcher = responsesInOrder,
+        isAllowed: () -> Boolean = { true },
         onSent: () -> Unit = {},
     ): ClientResponse {
         val reused = if (reuseConnection) takeIdle(address) else null
@@ -83,7 +86,7 @@
         val response =
             ClientResponse(handler, timeouts) { headers -> release(address, channel, headers) }
         try {
-            handler.send(request, address, matcher)
+            handler.send(request, address, matcher, isAllowed)
             onSent()
             response.awaitHead()
             return response
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
@@ -191,6 +191,7 @@
                 replacement,
                 turn,
                 context.ignoredStatements,
+                maySend = { context.maySendTo(slot.grant.server) },
             )
         try {
             return attempt.run(upstreamRequest(exchange.request, fields), relay)
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
@@ -43,6 +43,7 @@
     private val gate = ReadinessGate()
     private val watchPacing = WatchPacing.of(settings.bounds.propagation)
     private val configuration = ConfigurationHolder(gate, watchPacing.staleAfterMillis)
+    private val evacuations = EvacuationRegistry()
     private val quotaStart = QuotaStart(QUOTA_START_MILLIS)
     private val quotas = QuotaLimiter(settings.bounds.quotaTolerance, quotaStart)
     private val allocator =
@@ -66,6 +67,7 @@
             KnownVersions(
                 configuration = configuration::version,
                 servers = { servers.revision },
+                evacuations = { evacuations.state.revision },
                 isWatchingServers = { watcherRole.isWatchingAll.value && !servers.isStoreLost },
             ),
         )
@@ -78,6 +80,7 @@
             links,
             configuration,
             servers,
+            evacuations,
             watchPacing.pauseMillis,
             serverSources = watcherRole::sources,
         )
@@ -106,13 +109,14 @@
             watchPacing,
             watcherRole,
             StoreListeners(
+                evacuations = evacuations,
                 operator = OperatorStateListener(configuration, rollouts),
                 rolloutStatus = rollouts.statusListener,
                 servers = servers,
                 members = members,
             ),
         )
-    private val metrics = GatewayMetrics(control)
+    private val metrics = GatewayMetrics(control, evacuations::state)
     private val forwardingContext =
         ForwardingContext(
             loop,
@@ -125,6 +129,7 @@
             RequestLog(configuration::version, metrics),
             instanceCount = { loadReports.peerIds.size + 1 },
             tokensPerEvent = { configuration.table?.service(it)?.tokensPerEvent ?: 1 },
+            maySendTo = evacuations::allows,
         )
     private val forwarder =
         RequestForwarder(forwardingContext, configuration, RequestAdmission(quotas), gate)
@@ -140,6 +145,7 @@
             configuration,
             servers,
             gate,
+            EvacuationStatus(evacuations, allocator),
             loadReports::peerIds,
             forwarder::inFlightCount,
             quarantineLog::parts,
@@ -150,6 +156,8 @@
             loop.group,
             HttpHandler { OperatorHandler(status.view(), metrics.registry).handle(it) },
         )
+    /** The newest list of servers until it is in use. Confined to the traffic thread. */
+    private var listedServers: List<ServerEntry>? = null
     @Volatile private var isStarted = false
     @Volatile private var isShuttingDown = false
 
@@ -162,6 +170,8 @@
         startClientServer(prebound)
         isStarted = true
         operatorServer.start(socketAddress(settings.listen.operator))
+        allocator.setEvacuations(evacuations::state)
+        evacuations.onChange = ::onEvacuationsChanged
         control.scope.launch { storeSubscription.run() }
         servers.start()
         loop.execute { loadReports.onReport = ::onPeerReport }
@@ -259,13 +269,30 @@
     }
 
     private fun publish(entries: List<ServerEntry>) {
+        evacuations.onServers(entries)
         loop.execute {
-            allocator.onServers(entries)
+            listedServers = entries
+            useListedServers()
             gate.onServersAvailable()
             loadReports.onStateChanged()
         }
     }
 
+    private fun onEvacuationsChanged() =
+        loop.execute {
+            useListedServers()
+            gate.onEvacuationsKnown()
+            allocator.onEvacuationsChanged()
+            loadReports.onStateChanged()
+        }
+
+    // Peers may pass on a list of servers before it is known which of them are evacuated.
+    private fun useListedServers() {
+        if (!evacuations.state.isKnown) return
+        listedServers?.let(allocator::onServers)
+        listedServers = null
+    }
+
     private fun onSelfListed() {
         quotas.onListed()
         tickQuotas()
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/GatewayMetrics.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/GatewayMetrics.kt
@@ -1,8 +1,10 @@
 package io.lavenderhinge.instance.gateway
 
+import io.lavenderhinge.core.forwarding.EvacuationState
 import io.lavenderhinge.core.forwarding.Rejection
 import io.lavenderhinge.instance.control.ControlThread
 import io.lavenderhinge.instance.metrics.RequestMetrics
+import io.micrometer.core.instrument.Gauge
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 
@@ -10,10 +12,13 @@
  * Counters and histograms of the gateway, updated on the control thread. The metrics library is
  * loaded on first use so that it does not delay startup.
  */
-internal class GatewayMetrics(private val control: ControlThread) {
+internal class GatewayMetrics(
+    private val control: ControlThread,
+    private val evacuations: () -> EvacuationState = { EvacuationState() },
+) {
     /** Registry that the metrics endpoint exports. */
     val registry: PrometheusMeterRegistry by lazy {
-        PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+        PrometheusMeterRegistry(PrometheusConfig.DEFAULT).also(::registerEvacuations)
     }
     private val requests by lazy { RequestMetrics(registry) }
 
@@ -45,6 +50,13 @@
             }
         }
 
+    private fun registerEvacuations(registry: PrometheusMeterRegistry) {
+        Gauge.builder("lavenderhinge.gateway.evacuated.domains") { evacuations().domains.size }
+            .register(registry)
+        Gauge.builder("lavenderhinge.gateway.evacuation.revision") { evacuations().revision }
+            .register(registry)
+    }
+
     /** Records that a server of [service] was ejected. */
     fun serverEjected(service: String) = control.execute { requests.recordEjection(service) }
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/GatewayStatus.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/GatewayStatus.kt
@@ -8,6 +8,7 @@
     private val configuration: ConfigurationHolder,
     private val servers: ServerRegistry,
     private val gate: ReadinessGate,
+    private val evacuations: EvacuationStatus,
     private val peerIds: () -> Set<String>,
     private val inFlight: () -> Int,
     private val quarantinedParts: () -> List<String>,
@@ -22,7 +23,7 @@
         )
 
     private fun notReadyReason(): String? =
-        if (gate.isOpen) null else "no configuration or no list of backend servers is known yet"
+        if (gate.isOpen) null else "no configuration, list of backend servers or evacuation is known yet"
 
     private fun status(): Map<String, Any?> =
         mapOf(
@@ -39,6 +40,7 @@
                     "stale" to (servers.isStoreLost && !servers.isFollowingPeers),
                     "known" to servers.ids,
                 ),
+            "evacuations" to evacuations.fields(),
             "peers" to peerIds().toList(),
             "quarantinedPromptParts" to quarantinedParts(),
             "quarantinedRequests" to quarantinedRequests(),
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportExchange.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportExchange.kt
@@ -24,6 +24,7 @@
 internal class KnownVersions(
     val configuration: () -> Long,
     val servers: () -> Long,
+    val evacuations: () -> Long,
     /** True if the server list is watched in the store and the store answers. */
     val isWatchingServers: () -> Boolean,
 )
@@ -122,6 +123,7 @@
                 .setPeerPort(self.address.port)
                 .setConfigurationVersion(versions.configuration())
                 .setServerRevision(versions.servers())
+                .setEvacuationRevision(versions.evacuations())
                 .setWatchesServers(versions.isWatchingServers())
                 .addLoad(allocator.report(), quotas.totals)
         if (lastSentMillis - rolloutsLastSentMillis >= ROLLOUT_REPORT_INTERVAL_MILLIS) {
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/PeerStateSync.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/PeerStateSync.kt
@@ -12,13 +12,14 @@
 import org.slf4j.LoggerFactory
 
 /**
- * Requests from a peer what the store does not provide: the newest configuration, and the list of
- * backend servers while the store is unavailable. Confined to the control thread.
+ * Requests from a peer what the store does not provide: the newest configuration and evacuations,
+ * and the list of backend servers while the store is unavailable. Confined to the control thread.
  */
 internal class PeerStateSync(
     private val links: PeerLinks,
     private val configuration: ConfigurationHolder,
     private val servers: ServerRegistry,
+    private val evacuations: EvacuationRegistry,
     /** Time between two calls of a watch, by which it delivers changes late. */
     private val watchPauseMillis: Long,
     private val nowMillis: () -> Long = ::monotonicMillis,
@@ -29,6 +30,8 @@
     private var lastRequestMillis = 0L
     private val configurationLag = StateLag()
     private val serverLag = StateLag()
+    private val evacuationLag = StateLag()
+    private var lastEvacuationCheckMillis: Long? = null
 
     /** Starts requesting state from peers and answering their requests. */
     fun start() {
@@ -39,7 +42,9 @@
     /** Returns true if [report] concerns this object; can be called from any thread. */
     fun isConcernedBy(report: LoadReport): Boolean =
         report.configurationVersion > configuration.version ||
-            report.serverRevision > servers.readRevision
+            report.serverRevision > servers.readRevision ||
+            report.evacuationRevision > evacuations.state.readRevision ||
+            isCheckUseful(report)
 
     /**
      * Requests newer state from the sender of [report] if this instance has been behind for
@@ -49,13 +54,16 @@
         val nowMillis = nowMillis()
         val needsConfiguration = needsConfigurationOf(report, nowMillis)
         val needsServers = needsServersOf(report, nowMillis)
-        if (!isStarted || !(needsConfiguration || needsServers)) return
+        val needsEvacuations = needsEvacuationsOf(report, nowMillis)
+        if (!isStarted || !(needsConfiguration || needsServers || needsEvacuations)) return
         if (nowMillis - lastRequestMillis < REQUEST_INTERVAL_MILLIS) return
         lastRequestMillis = nowMillis
+        lastEvacuationCheckMillis = nowMillis
         val request =
             StateRequest.newBuilder()
                 .setConfigurationVersion(configuration.version)
                 .setServerRevision(if (needsServers) servers.readRevision else Long.MAX_VALUE)
+                .setEvacuationRevision(evacuations.state.readRevision)
         links.send(report.instanceId, Frame.newBuilder().setStateRequest(request).build())
     }
 
@@ -75,6 +83,23 @@
         return servers.isStoreLost && (isFromSource || lagMillis >= STORE_GRACE_MILLIS)
     }
 
+    // Nothing else tells of a change if the store is lost, so that it is not waited for.
+    private fun needsEvacuationsOf(report: LoadReport, nowMillis: Long): Boolean {
+        val reported = report.evacuationRevision
+        val own = evacuations.state.readRevision
+        val lagMillis = evacuationLag.onReported(reported, own, nowMillis)
+        if (reported > own) return evacuations.isStoreLost || lagMillis >= STORE_GRACE_MILLIS
+        val checkedMillis = lastEvacuationCheckMillis ?: return isCheckUseful(report)
+        return isCheckUseful(report) && nowMillis - checkedMillis >= CHECK_INTERVAL_MILLIS
+    }
+
+    // A peer that has started after the end of an evacuation does not report that change, since the
+    // store keeps no trace of it.
+    private fun isCheckUseful(report: LoadReport): Boolean =
+        evacuations.isStoreLost &&
+            evacuations.state.domains.isNotEmpty() &&
+            report.evacuationRevision > 0
+
     private fun receive(from: String, frame: Frame) {
         when (frame.bodyCase) {
             Frame.BodyCase.STATE_REQUEST -> answer(from, frame.stateRequest)
@@ -94,11 +119,25 @@
                 copy.addServers(StoredValue.newBuilder().setKey(key).setValue(value))
             }
         }
+        addEvacuations(copy, request.evacuationRevision)
         links.send(to, Frame.newBuilder().setStateCopy(copy).build())
     }
 
+    private fun addEvacuations(copy: StateCopy.Builder, knownRevision: Long) {
+        val state = evacuations.state
+        if (knownRevision >= state.readRevision) return
+        copy.evacuationRevision =
+            if (knownRevision < state.revision) state.revision else state.readRevision
+        copy.addAllEvacuatedDomains(state.domains)
+    }
+
     private fun accept(from: String, copy: StateCopy) {
         log.info("copies: {} sent what it has newer", from)
+        // Evacuations come first: a new configuration may open the instance for requests.
+        if (copy.evacuationRevision > 0) {
+            val domains = copy.evacuatedDomainsList.toSet()
+            evacuations.onPeerCopy(from, domains, copy.evacuationRevision)
+        }
         if (copy.configuration.isNotEmpty()) {
             configuration.applyIfNewer(copy.configuration, "instance $from")
         }
@@ -112,6 +151,8 @@
     private companion object {
         const val REQUEST_INTERVAL_MILLIS = 300L
         const val STORE_GRACE_MILLIS = 400L
+        /** Evacuations last for many seconds, so that a later end of one costs little. */
+        const val CHECK_INTERVAL_MILLIS = 2_000L
         val log = LoggerFactory.getLogger(PeerStateSync::class.java)
     }
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ReadinessGate.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ReadinessGate.kt
@@ -3,14 +3,15 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.withTimeoutOrNull
 
-/** Opens once a configuration and the list of backend servers are available. */
+/** Opens once a configuration, the list of backend servers and the evacuations are known. */
 internal class ReadinessGate {
     private val configuration = CompletableDeferred<Unit>()
     private val servers = CompletableDeferred<Unit>()
+    private val evacuations = CompletableDeferred<Unit>()
 
-    /** True when both are available. */
+    /** True when all are available. */
     val isOpen: Boolean
-        get() = configuration.isCompleted && servers.isCompleted
+        get() = configuration.isCompleted && servers.isCompleted && evacuations.isCompleted
 
     /** Called when a configuration is active. */
     fun onConfigurationAvailable() {
@@ -22,12 +23,17 @@
         servers.complete(Unit)
     }
 
+    /** Called when the evacuated failure domains have been read. */
+    fun onEvacuationsKnown() {
+        evacuations.complete(Unit)
+    }
+
     /** Returns how long a request that has [remainingMillis] left may wait during startup. */
     fun waitMillis(remainingMillis: Long): Long =
         (remainingMillis / WAIT_DIVISOR).coerceIn(1, MAX_WAIT_MILLIS)
 
     /**
-     * Waits until both are available, but only for a fraction of [remainingMillis]. This delays
+     * Waits until all are available, but only for a fraction of [remainingMillis]. This delays
      * requests that arrive during startup instead of rejecting them.
      */
     suspend fun await(remainingMillis: Long) {
@@ -35,6 +41,7 @@
         withTimeoutOrNull(waitMillis(remainingMillis)) {
             configuration.await()
             servers.await()
+            evacuations.await()
         }
     }
 
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestForwarder.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestForwarder.kt
@@ -3,6 +3,7 @@
 import io.lavenderhinge.core.forwarding.Admission
 import io.lavenderhinge.core.forwarding.RequestAdmission
 import io.lavenderhinge.core.forwarding.RequestDescription
+import io.lavenderhinge.core.forwarding.ServerEntry
 import io.lavenderhinge.core.forwarding.ServiceRetryBudget
 import io.lavenderhinge.http.HttpClient
 import io.lavenderhinge.http.HttpExchange
@@ -24,6 +25,8 @@
     val tokensPerEvent: (service: String) -> Int,
     val random: Random = Random.Default,
     val ignoredStatements: IgnoredStatements = IgnoredStatements(),
+    /** Returns whether a request may be sent to a server at this moment. */
+    val maySendTo: (ServerEntry) -> Boolean = { true },
 )
 
 /** Admits client requests and forwards them to backend servers. */
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
@@ -3,6 +3,7 @@
 import io.lavenderhinge.core.forwarding.DispatchEffect
 import io.lavenderhinge.core.forwarding.DispatchRequest
 import io.lavenderhinge.core.forwarding.Dispatcher
+import io.lavenderhinge.core.forwarding.EvacuationState
 import io.lavenderhinge.core.forwarding.FinishedAttempt
 import io.lavenderhinge.core.forwarding.LoadReport
 import io.lavenderhinge.core.forwarding.RateLimitChange
@@ -128,6 +129,18 @@
         decide { dispatcher.onServers(servers, loop.nowMillis()) }
     }
 
+    /** Uses [evacuations], which may change at any time, to choose servers. */
+    fun setEvacuations(evacuations: () -> EvacuationState) {
+        dispatcher.evacuations = evacuations
+    }
+
+    /** Decides on the queued requests again after a change of the evacuations. */
+    fun onEvacuationsChanged() = decide { dispatcher.serveQueues(loop.nowMillis()) }
+
+    /** Returns the requests of this instance that are in flight in each of [failureDomains]. */
+    fun inFlightIn(failureDomains: Set<String>): Map<String, Int> =
+        failureDomains.associateWith(dispatcher::inFlightIn)
+
     /** Applies the load report of a peer. */
     fun onPeerReport(peer: String, report: LoadReport) = decide {
         dispatcher.onPeerReport(peer, report, loop.nowMillis())
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/StoreSubscription.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/StoreSubscription.kt
@@ -7,6 +7,7 @@
 
 /** The receivers of what the store holds, by kind of key. */
 internal class StoreListeners(
+    val evacuations: StoreListener,
     val operator: StoreListener,
     val rolloutStatus: StoreListener,
     val servers: ServerRegistry,
@@ -33,8 +34,8 @@
     private fun watcherOfAllKeys(): StoreWatcher {
         val listener =
             PrefixRoutingListener(
+                operatorListeners() +
                 mapOf(
-                    PlatformKeys.OPERATOR_PREFIX to listeners.operator,
                     PlatformKeys.ROLLOUT_STATUS_PREFIX to listeners.rolloutStatus,
                     PlatformKeys.SERVER_PREFIX to listeners.servers,
                     PlatformKeys.MEMBER_PREFIX to listeners.members,
@@ -44,8 +45,15 @@
     }
 
     private fun watcherOfOperatorKeys(): StoreWatcher {
-        val operator = mapOf(PlatformKeys.OPERATOR_PREFIX to listeners.operator)
-        val listener = FollowerListener(PrefixRoutingListener(operator), listeners.servers)
+        val operator = PrefixRoutingListener(operatorListeners())
+        val listener = FollowerListener(operator, listeners.servers)
         return StoreWatcher(store, PlatformKeys.OPERATOR_PREFIX, listener, pacing)
     }
+
+    // Evacuations come first: a new configuration may open the instance for requests.
+    private fun operatorListeners(): Map<String, StoreListener> =
+        mapOf(
+            PlatformKeys.EVACUATION_PREFIX to listeners.evacuations,
+            PlatformKeys.OPERATOR_PREFIX to listeners.operator,
+        )
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
@@ -39,6 +39,8 @@
     replacement: ServerReplacement,
     private val turn: AttemptTurn,
     private val ignoredStatements: IgnoredStatements,
+    /** Returns false if the request must not be written to the server any more. */
+    private val maySend: () -> Boolean,
 ) {
     private val server: ServerEntry = slot.grant.server
     private val promptTokens = slot.grant.uncachedTokens
@@ -68,6 +70,7 @@
     /** The unusual responses on the connection, complete when [run] has returned. */
     val responses = ResponseObservation()
     private var isReplaced = false
+    private var isWithheld = false
     private var outcome: ServerOutcome = ServerOutcome.Inconclusive
 
     /**
@@ -102,7 +105,9 @@
             response = received
             return readResponse(received, relay)
         } catch (e: HttpCallException.NotSent) {
-            outcome = ServerOutcome.Unreachable
+            // It says nothing about the server that its failure domain was evacuated meanwhile.
+            outcome =
+                if (isWithheld) ServerOutcome.Inconclusive else ServerOutcome.Unreachable
             return AttemptResult.NotExecuted(e.message.orEmpty(), wasSent = false)
         } catch (e: HttpCallException.OutcomeUnknown) {
             outcome = lossOutcome(e.reason)
@@ -149,6 +154,7 @@
                 // Without an id, only the first response on a connection can be attributed.
                 reuseConnection = !id.isNullOrEmpty() && server.run !in allocator.unidentifiedRuns,
                 matcher = RequestIdMatcher(id, responses),
+                isAllowed = { maySend().also { isWithheld = !it } },
                 onSent = turn::onSent,
             )
         if (!id.isNullOrEmpty()) recordIdentification(response)
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/GatewayHarness.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/GatewayHarness.kt
@@ -55,6 +55,7 @@
         loop.execute {
             allocator.onServers(entries)
             gate.onServersAvailable()
+            gate.onEvacuationsKnown()
         }
     }
 
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/PeerStateSyncTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/PeerStateSyncTest.kt
@@ -144,6 +144,7 @@
             RecordingLinks(requested),
             ConfigurationHolder(ReadinessGate(), confirmationValidMillis = 3_000),
             servers,
+            EvacuationRegistry { nowMillis },
             watchPauseMillis = 250,
             nowMillis = { nowMillis },
             serverSources = { sources },
