Return an evacuated domain's load gradually and test its failures

With 61 instances at twice the capacity, all sent to the same newly opened slot before the first report of it: 29 requests at half of the ramp where 24 slots were to open by its end. Slots now open at times that follow from the servers' ids, shifted by each instance over a fifth of the ramp.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -33,7 +33,7 @@
 
     /** Returns the newest evacuations of failure domains; call [serveQueues] after a change. */
     var evacuations: () -> EvacuationState = { EvacuationState() }
-    private val domainEvacuations = DomainEvacuations { evacuations() }
+    private val domainEvacuations = DomainEvacuations(random) { evacuations() }
 
     /** Called when a server that was in use is ejected. */
     var onEjection: (ServerEjection) -> Unit = {}
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DomainEvacuations.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DomainEvacuations.kt
@@ -1,10 +1,21 @@
 package io.lavenderhinge.core.forwarding
 
-/** Applies the evacuations of failure domains to the servers of a pool. */
+import kotlin.random.Random
+
+/**
+ * Applies the evacuations of failure domains to the servers of a pool.
+ *
+ * The slots of a domain that returns open one after another, at times that follow from the ids of
+ * the servers. Each instance shifts these times at random, because all instances of a large fleet
+ * would otherwise send to the same new slot before the first report of it.
+ */
 internal class DomainEvacuations(
+    random: Random,
     /** Returns the newest state; it may change at any time. */
-    private val state: () -> EvacuationState
+    private val state: () -> EvacuationState,
 ) {
+    private val salt by lazy(LazyThreadSafetyMode.NONE) { random.nextLong().toULong() }
+
     /**
      * Returns those of [servers] that are in no evacuated domain. Of a domain that returns, the
      * servers that have no open slot yet are left out unless there are no others.
@@ -31,8 +42,6 @@
         else openSlots(record, slots, state, nowMillis).coerceAtLeast(1)
     }
 
-    // The hash of a server shifts the times at which its slots open, so that the slots of the
-    // domain open one after another and every instance opens the same ones.
     private fun openSlots(
         record: ServerRecord,
         slots: Int,
@@ -41,14 +50,32 @@
     ): Int {
         val share = state.usableShare(record.entry.failureDomain, nowMillis)
         if (share >= 1) return slots
-        val offset = ((record.idHash shr HASH_SHIFT).toDouble() + 1) / HASH_RANGE
-        return (share * slots + 1 - offset).toInt().coerceIn(0, slots)
+        val serverOffset = fraction(record.idHash)
+        return (0 until slots).count { slot ->
+            val opensAt = (slot + serverOffset) / slots * (1 - SPREAD_FRACTION)
+            val shift = fraction(mix(record.idHash xor salt, slot)) * SPREAD_FRACTION
+            opensAt + shift <= share
+        }
     }
 
+    // Spreads the bits of values that differ in few of them.
+    private fun mix(hash: ULong, slot: Int): ULong {
+        val product = (hash + slot.toULong()) * GOLDEN_RATIO
+        return (product xor (product shr MIX_SHIFT)) * GOLDEN_RATIO
+    }
+
+    // In (0, 1], so that no slot is open at the end of an evacuation.
+    private fun fraction(hash: ULong): Double =
+        ((hash shr HASH_SHIFT).toDouble() + 1) / HASH_RANGE
+
     private fun ServerRecord.isEvacuated(state: EvacuationState, nowMillis: Long): Boolean =
         state.isEvacuated(entry.failureDomain, nowMillis)
 
     private companion object {
+        /** Share of the ramp over which instances open the same slot. */
+        const val SPREAD_FRACTION = 0.2
+        const val GOLDEN_RATIO = 0x9E3779B97F4A7C15uL
+        const val MIX_SHIFT = 32
         /** The upper bits of a hash that a double holds exactly. */
         const val HASH_SHIFT = 11
         const val HASH_RANGE = (1L shl (Long.SIZE_BITS - HASH_SHIFT)).toDouble()
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerCapacity.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerCapacity.kt
@@ -1,11 +1,13 @@
 package io.lavenderhinge.core.forwarding
 
+import kotlin.random.Random
+
 /** What servers take at a time: their slots and the limits and pauses that they state. */
 internal class ServerCapacity(
     private val rateLimits: ServerRateLimits,
     private val statements: ServerStatements,
     private val ejections: EjectionComparison,
-    private val evacuations: DomainEvacuations = DomainEvacuations { EvacuationState() },
+    private val evacuations: DomainEvacuations = DomainEvacuations(Random.Default) { EvacuationState() },
 ) {
     /**
      * Returns the [servers] that take requests; those that are leaving only if there is no other.
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/DispatcherEvacuationTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/DispatcherEvacuationTest.kt
@@ -85,7 +85,7 @@
         test("given a domain returns, then its slots open one after another over the ramp") {
             val servers = List(50) { ServerRecord(server("i-$it", slots = 4)) }
             val state = evacuations(0, "d").after(EvacuationRead(emptySet(), 2, 2), nowMillis = 0)
-            val evacuations = DomainEvacuations { state }
+            val evacuations = DomainEvacuations(Random(1)) { state }
 
             fun openServers(nowMillis: Long) = evacuations.reachable(servers, nowMillis)
             fun openSlots(nowMillis: Long) =
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/LoadSimulation.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/LoadSimulation.kt
@@ -3,7 +3,12 @@
 import kotlin.random.Random
 
 /** A server with [slots] slots that takes [slowness] times as long as a fast one. */
-internal class SimulatedServer(val id: String, val slots: Int, val slowness: Double) {
+internal class SimulatedServer(
+    val id: String,
+    val slots: Int,
+    val slowness: Double,
+    val failureDomain: String = "d",
+) {
     private val freeAtMillis = LongArray(slots)
 
     /** Runs a request that arrives at [nowMillis] and returns its start and end times. */
@@ -21,6 +26,16 @@
     val firstEventMillis: Long?,
     /** Time that the request spent in the queue. */
     val queuedMillis: Long,
+    /** Where and when the request was sent; null when it was rejected. */
+    val send: SimulatedSend? = null,
+)
+
+/** A request that [instance] sent to a server of [failureDomain]. */
+internal class SimulatedSend(
+    val instance: Int,
+    val failureDomain: String,
+    val sentMillis: Long,
+    val endMillis: Long,
 )
 
 /** The work and the times of a kind of request, on a server of slowness 1. */
@@ -72,7 +87,10 @@
     private val time = VirtualTime()
     private val openRequests = HashMap<Long, PendingRequest>()
     private val results = mutableListOf<SimulatedResult>()
-    private val entries = servers.map { server(it.id, slots = it.slots) }
+    private val entries =
+        servers.map {
+            server(it.id, slots = it.slots).copy(failureDomain = it.failureDomain)
+        }
     private val dispatchers =
         List(instanceCount) { number ->
             Dispatcher("d", random = Random(number)).apply { onServers(entries, nowMillis = 0) }
@@ -80,6 +98,14 @@
     private val reporters = List(instanceCount) { ChangeReporter() }
     private var lastRequestId = 0L
 
+    /** Lets [instance] learn at [atMillis] that the domains in [read] are evacuated. */
+    fun evacuate(instance: Int, atMillis: Long, read: EvacuationRead) =
+        time.at(atMillis) { nowMillis ->
+            val state = dispatchers[instance].evacuations().after(read, nowMillis)
+            dispatchers[instance].evacuations = { state }
+            apply(dispatchers[instance].serveQueues(nowMillis), nowMillis)
+        }
+
     private class ChangeReporter {
         var lastSentMillis = 0L
         var isScheduled = false
@@ -165,6 +191,7 @@
                 pending.request.priority,
                 firstMillis - pending.request.arrivedMillis,
                 nowMillis - pending.request.arrivedMillis,
+                SimulatedSend(pending.traffic.instance, server.failureDomain, nowMillis, run.last),
             )
         time.at(run.last) { finishRequest(pending, entry, nowMillis, firstMillis, it) }
     }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/EvacuationRegistry.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/EvacuationRegistry.kt
@@ -106,21 +106,26 @@
 
     private fun logChange(before: EvacuationState, after: EvacuationState, source: String) {
         (after.domains - before.domains).forEach {
-            log.info("evacuation: {} from {} at revision {}: no requests", it, source, after.revision)
+            log.info(
+                "evacuation: domain {} gets no requests, by {} at revision {}",
+                it,
+                source,
+                after.revision,
+            )
         }
         (before.domains - after.domains).forEach {
             if (after.isEvacuated(it, nowMillis())) {
                 log.warn(
-                    "evacuation: {} is not listed by the restored store, it is kept for {} ms",
+                    "evacuation: domain {} is missing in the restored store, it is kept out for {} ms",
                     it,
                     EvacuationState.HOLD_MILLIS,
                 )
             } else {
-                log.info("evacuation: {} ended by {}: its load returns", it, source)
+                log.info("evacuation: domain {} is taken back, by {}", it, source)
             }
         }
         if (!before.isKnown) {
-            log.info("evacuation: {} requested, known from {}", after.domains, source)
+            log.info("evacuation: known from {}, domains {}", source, after.domains)
         }
     }
 
@@ -130,7 +135,7 @@
         unusedDomains.retainAll(requested)
         requested
             .filter { it !in used && unusedDomains.add(it) }
-            .forEach { log.warn("evacuation: no server is in {}, check the name of the key", it) }
+            .forEach { log.warn("evacuation: no server is in domain {}, check the name of the key", it) }
     }
 
     private fun domainsOf(values: List<VersionedValue>): Set<String> =
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/GatewayHarness.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/GatewayHarness.kt
@@ -5,6 +5,8 @@
 import io.lavenderhinge.core.forwarding.RequestAdmission
 import io.lavenderhinge.core.forwarding.ServerEntry
 import io.lavenderhinge.core.forwarding.ServiceRetryBudget
+import io.lavenderhinge.core.port.Snapshot
+import io.lavenderhinge.core.port.VersionedValue
 import io.lavenderhinge.http.HttpClient
 import io.lavenderhinge.http.HttpRequest
 import io.lavenderhinge.http.HttpResponse
@@ -14,6 +16,7 @@
 import io.netty.channel.nio.NioIoHandler
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import java.net.InetSocketAddress
+import kotlinx.collections.immutable.toImmutableList
 
 /**
  * Runs a request forwarder for one host with the given servers as service `s`. [quota] holds the
@@ -24,6 +27,10 @@
     retryBudget: ServiceRetryBudget = ServiceRetryBudget(ratio = 0.5, fleetSlack = 20.0),
     private val quotas: QuotaLimiter = QuotaLimiter(QuotaTolerance(8_000, 0.0, 0.0)),
     quota: String = "",
+    /** Failure domains of the servers in their order; `d`, that of the gateway, if not listed. */
+    private val failureDomains: List<String> = emptyList(),
+    /** Returns whether a request may still be written to a server that was chosen for it. */
+    maySendTo: (ServerEntry) -> Boolean = { true },
 ) : AutoCloseable {
     private val loop = TrafficLoop()
     private val control = ControlThread()
@@ -32,6 +39,8 @@
     private val gate = ReadinessGate()
     private val configuration = ConfigurationHolder(gate, confirmationValidMillis = 3_000)
     private val allocator = SlotAllocator("d", loop)
+    private val evacuations = EvacuationRegistry()
+    private var storeRevision = 0L
     private val server: HttpServer
 
     init {
@@ -47,11 +56,14 @@
                 RequestLog(configuration::version, GatewayMetrics(control)),
                 instanceCount = { 1 },
                 tokensPerEvent = { 1 },
+                maySendTo = { evacuations.allows(it) && maySendTo(it) },
             )
+        allocator.setEvacuations(evacuations::state)
+        evacuations.onChange = { loop.execute(allocator::onEvacuationsChanged) }
         val admission = RequestAdmission(quotas)
         val forwarder = RequestForwarder(context, configuration, admission, gate)
         server = HttpServer(loop.group, forwarder).start(InetSocketAddress("127.0.0.1", 0))
-        val entries = servers.mapIndexed { index, backend -> entry("i-$index", backend.port) }
+        val entries = servers.mapIndexed { index, backend -> entry(index, backend.port) }
         loop.execute {
             allocator.onServers(entries)
             gate.onServersAvailable()
@@ -94,6 +106,13 @@
             quotas.tick(emptySet(), workspaces, loop.nowMillis())
         }
 
+    /** Lets the store list the requests to evacuate [domains], and no others. */
+    fun evacuate(vararg domains: String) {
+        val revision = ++storeRevision
+        val values = domains.map { VersionedValue("op/evacuate/$it", "{}", revision) }
+        evacuations.onSnapshot(Snapshot(values.toImmutableList(), revision))
+    }
+
     override fun close() {
         server.close()
         client.close()
@@ -102,13 +121,13 @@
         control.close()
     }
 
-    private fun entry(id: String, port: Int) =
+    private fun entry(index: Int, port: Int) =
         ServerEntry(
-            id = id,
+            id = "i-$index",
             service = "s",
             ip = "127.0.0.1",
             port = port,
-            failureDomain = "d",
+            failureDomain = failureDomains.getOrElse(index) { "d" },
             softwareVersion = "v1",
             slots = 4,
             acceptsWork = true,
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/PeerStateSyncTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/PeerStateSyncTest.kt
@@ -8,6 +8,7 @@
 import io.lavenderhinge.core.forwarding.StoreContact
 import io.lavenderhinge.core.port.Snapshot
 import io.lavenderhinge.core.port.StoreFault
+import io.lavenderhinge.core.port.VersionedValue
 import io.lavenderhinge.core.port.WatchResult
 import io.lavenderhinge.instance.control.ControlThread
 import io.lavenderhinge.instance.peer.FrameReceiver
@@ -15,6 +16,7 @@
 import io.lavenderhinge.protocol.v1.Frame
 import io.lavenderhinge.protocol.v1.LoadReport
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toImmutableList
 
 /** Guards against opening links to peers for changes that the store is about to deliver. */
 class PeerStateSyncTest :
@@ -112,6 +114,80 @@
             fixture.servers.isStoreLost shouldBe true
         }
 
+        // Guards against an instance that keeps sending to a domain because only its peers learn
+        // of the request.
+        test("an instance that has lost the store takes the evacuations from a peer at once") {
+            val peer = StateSyncFixture()
+            peer.evacuations.onSnapshot(evacuations(revision = 9, "a"))
+            val cutOff = StateSyncFixture()
+            cutOff.evacuations.onSnapshot(evacuations(revision = 5))
+            cutOff.evacuations.onStoreUnavailable(StoreFault.Unavailable("refused"))
+
+            cutOff.exchangeWith(peer, atMillis = 1_000)
+
+            cutOff.evacuations.state.domains shouldContainExactly setOf("a")
+            cutOff.evacuations.state.revision shouldBe 9
+        }
+
+        test("an instance whose store answers leaves it time to deliver the evacuations") {
+            val peer = StateSyncFixture()
+            peer.evacuations.onSnapshot(evacuations(revision = 9, "a"))
+            val connected = StateSyncFixture()
+            connected.evacuations.onSnapshot(evacuations(revision = 5))
+
+            connected.exchangeWith(peer, atMillis = 1_000)
+            connected.requested.shouldBeEmpty()
+            connected.exchangeWith(peer, atMillis = 1_400)
+
+            connected.evacuations.state.domains shouldContainExactly setOf("a")
+        }
+
+        test("a starting instance without the store takes the evacuations from a peer") {
+            val peer = StateSyncFixture()
+            peer.evacuations.onSnapshot(evacuations(revision = 9))
+            val starting = StateSyncFixture()
+            starting.evacuations.onStoreUnavailable(StoreFault.Unavailable("refused"))
+
+            starting.exchangeWith(peer, atMillis = 1_000)
+
+            starting.evacuations.state.isKnown shouldBe true
+        }
+
+        // Guards against a domain that stays empty because all peers started after its return.
+        test("an instance cut off during an evacuation learns of its end from a younger peer") {
+            val peer = StateSyncFixture()
+            peer.evacuations.onSnapshot(evacuations(revision = 50))
+            val cutOff = StateSyncFixture()
+            cutOff.evacuations.onSnapshot(evacuations(revision = 9, "a"))
+            cutOff.evacuations.onStoreUnavailable(StoreFault.Unavailable("refused"))
+
+            cutOff.exchangeWith(peer, atMillis = 3_000)
+
+            cutOff.evacuations.state.domains shouldBe emptySet()
+        }
+
+        test("an instance cut off from the store and all peers keeps the evacuations") {
+            val cutOff = StateSyncFixture()
+            cutOff.evacuations.onSnapshot(evacuations(revision = 9, "a"))
+
+            cutOff.failCall(atMillis = 600_000)
+            cutOff.evacuations.onStoreUnavailable(StoreFault.Unavailable("refused"))
+
+            cutOff.evacuations.state.isEvacuated("a", nowMillis = 600_000) shouldBe true
+        }
+
+        test("a peer that does not know the evacuations yet changes nothing") {
+            val peer = StateSyncFixture()
+            val cutOff = StateSyncFixture()
+            cutOff.evacuations.onSnapshot(evacuations(revision = 9, "a"))
+            cutOff.evacuations.onStoreUnavailable(StoreFault.Unavailable("refused"))
+
+            cutOff.exchangeWith(peer, atMillis = 3_000)
+
+            cutOff.requested.shouldBeEmpty()
+            cutOff.evacuations.state.domains shouldContainExactly setOf("a")
+        }
+
         // Guards against copies between watchers that know the same list by different revisions.
         test("a watcher that has read past the revision of a peer does not ask it") {
             val fixture = StateSyncFixture(ListSources(persistentListOf("w1")))
@@ -134,17 +210,25 @@
         .setServerRevision(serverRevision)
         .build()
 
+private fun evacuations(revision: Long, vararg domains: String) =
+    Snapshot(
+        domains.map { VersionedValue("op/evacuate/$it", "{}", revision) }.toImmutableList(),
+        revision,
+    )
+
 private class StateSyncFixture(sources: ListSources = ListSources()) {
     val requested = mutableListOf<String>()
     private var nowMillis = 0L
     val servers =
         ServerRegistry(ControlThread(), StoreContact(staleAfterMillis = 3_000), { nowMillis }) {}
+    val evacuations = EvacuationRegistry { nowMillis }
+    private val links = RecordingLinks(requested)
     private val stateSync =
         PeerStateSync(
-            RecordingLinks(requested),
+            links,
             ConfigurationHolder(ReadinessGate(), confirmationValidMillis = 3_000),
             servers,
-            EvacuationRegistry { nowMillis },
+            evacuations,
             watchPauseMillis = 250,
             nowMillis = { nowMillis },
             serverSources = { sources },
@@ -172,6 +256,18 @@
         servers.onStoreUnavailable(StoreFault.Unavailable("refused"))
     }
 
+    /** Receives a report of [peer] and its answer to the request, if there is one. */
+    fun exchangeWith(peer: StateSyncFixture, atMillis: Long) {
+        val revision = peer.evacuations.state.revision
+        val report = report("peer-1").toBuilder().setEvacuationRevision(revision).build()
+        val sentBefore = links.sent.size
+        if (stateSync.isConcernedBy(report)) receive(report, atMillis)
+        links.sent.drop(sentBefore).forEach { request ->
+            peer.links.receiver.receive("self", request)
+            links.receiver.receive("peer-1", peer.links.sent.last())
+        }
+    }
+
     fun receive(report: LoadReport, atMillis: Long) {
         nowMillis = atMillis
         stateSync.onReport(report)
@@ -180,10 +276,17 @@
 
 private class RecordingLinks(private val requested: MutableList<String>) : PeerLinks {
     override val selfId = "self"
+    val sent = mutableListOf<Frame>()
+    lateinit var receiver: FrameReceiver
 
-    override fun send(instanceId: String, frame: Frame): Boolean = requested.add(instanceId)
+    override fun send(instanceId: String, frame: Frame): Boolean {
+        sent += frame
+        return requested.add(instanceId)
+    }
 
-    override fun onFrame(receiver: FrameReceiver) = Unit
+    override fun onFrame(receiver: FrameReceiver) {
+        this.receiver = receiver
+    }
 
     override fun onLinkLost(listener: (instanceId: String) -> Unit) = Unit
 }
