Keep requests in the regions that their route or tenant allows

A route or a tenant may have allowed_regions; both lists bind. Servers outside are left out where a request gets its server, for placements, retries, replacements and resumed streams alike, and the pace of the queue counts the servers inside only. The region of a failure domain comes from the settings ([instance] regions); a domain without one gets no such request. If no server is left, the request is refused with 503, reason NO_ALLOWED_REGION. Instances pass no bodies to each other.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
@@ -34,6 +34,8 @@
     val digest: RequestDigest? = null,
     /** Name of the workspace; null if the request needs no credential. */
     val workspace: String? = null,
+    /** Regions whose servers may get the request; null if all. */
+    val allowedRegions: PersistentSet<String>? = null,
 )
 
 /** The end of an attempt that the [Dispatcher] assigned to [server]. */
@@ -92,6 +94,8 @@
     QUARANTINED,
     /** All servers that are left are in failure domains that the operator evacuates. */
     EVACUATED,
+    /** No server that is left is in a region in which the request may run. */
+    NO_ALLOWED_REGION,
     /** The request, or a part of its prompt, may have crashed the server that it lost. */
     SUSPECTED,
 }
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -31,9 +31,13 @@
     private val rateLimits = ServerRateLimits(random)
     private val statements = ServerStatements(drainMillis)
 
+    private val domainRules = DomainRules(DomainEvacuations(random) { evacuations() })
+
     /** Returns the newest evacuations of failure domains; call [serveQueues] after a change. */
     var evacuations: () -> EvacuationState = { EvacuationState() }
-    private val domainEvacuations = DomainEvacuations(random) { evacuations() }
+
+    /** The regions of failure domains. */
+    var regions: RegionTable by domainRules::regions
 
     /** Called when a server that was in use is ejected. */
     var onEjection: (ServerEjection) -> Unit = {}
@@ -61,7 +65,7 @@
                     statements,
                     PoolFeatures(features),
                     random,
-                    domainEvacuations,
+                    domainRules,
                 )
                 .also {
                     it.onEjection = { ejection -> onEjection(ejection) }
@@ -267,7 +271,8 @@
         nowMillis: Long,
     ): DispatchEffect.Refuse? {
         val reopenMillis =
-            pool.reopenMillis(nowMillis) ?: return refuseWithoutServer(request, pool, nowMillis)
+            pool.reopenMillis(request, nowMillis)
+                ?: return refuseWithoutServer(request, pool, nowMillis)
         if (reopenMillis + pool.firstEventMillis(request) <= request.targetMillis) return null
         return DispatchEffect.Refuse(
             request.id,
@@ -282,14 +287,23 @@
         pool: ServerPool,
         nowMillis: Long,
     ): DispatchEffect.Refuse =
-        if (!pool.isEvacuatedFor(request, nowMillis)) refuseWithoutServer(request)
-        else
-            DispatchEffect.Refuse(
-                request.id,
-                DispatchRefusal.EVACUATED,
-                EVACUATED_RETRY_MILLIS,
-                "all servers left are in evacuated failure domains",
-            )
+        when {
+            pool.isEvacuatedFor(request, nowMillis) ->
+                DispatchEffect.Refuse(
+                    request.id,
+                    DispatchRefusal.EVACUATED,
+                    OUT_OF_REACH_RETRY_MILLIS,
+                    "all servers left are in evacuated failure domains",
+                )
+            pool.isOutsideRegions(request) ->
+                DispatchEffect.Refuse(
+                    request.id,
+                    DispatchRefusal.NO_ALLOWED_REGION,
+                    OUT_OF_REACH_RETRY_MILLIS,
+                    "no server left is in the allowed regions ${request.allowedRegions}",
+                )
+            else -> refuseWithoutServer(request)
+        }
 
     private fun refuseWithoutServer(request: DispatchRequest) =
         DispatchEffect.Refuse(request.id, DispatchRefusal.NO_SERVER, NO_SERVER_RETRY_MILLIS)
@@ -299,7 +313,10 @@
         /** Drain time of a deployment that sets none. */
         const val DEFAULT_DRAIN_MILLIS = 2_000L
         private const val NO_SERVER_RETRY_MILLIS = 300L
-        /** Evacuations last for seconds, and a client that returns at once is refused again. */
-        private const val EVACUATED_RETRY_MILLIS = 1_000L
+        /**
+         * It takes seconds until an evacuation ends or servers come to a region, and a client that
+         * returns at once is refused again.
+         */
+        private const val OUT_OF_REACH_RETRY_MILLIS = 1_000L
     }
 }
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ForwardingConfig.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ForwardingConfig.kt
@@ -36,6 +36,8 @@
     /** Maximum number of backend servers to which one request may be sent. */
     val maxServers: Int,
     val allowsAnonymous: Boolean,
+    /** Regions whose servers may get its requests; null if all. */
+    val allowedRegions: ImmutableSet<String>? = null,
 ) {
     /**
      * How long clients wait for the first event of a stream; null if responses are unary. They
@@ -96,6 +98,8 @@
     val credentials: ImmutableSet<String>,
     val priority: Int?,
     val quota: WorkspaceQuota?,
+    /** Regions whose servers may get its requests; null if all. */
+    val allowedRegions: ImmutableSet<String>? = null,
 )
 
 /** Limits on the size and timing of client requests. */
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PlacementRound.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PlacementRound.kt
@@ -30,15 +30,22 @@
     private data class Eligibility(
         val excludedServers: PersistentSet<String>,
         val usesTargetVersion: Boolean,
+        val allowedRegions: PersistentSet<String>?,
+    )
+
+    /** The properties of a request that determine how often a slot becomes free for it. */
+    private data class SlotGroup(
+        val usesTargetVersion: Boolean,
+        val allowedRegions: PersistentSet<String>?,
     )
 
     private val loads = HashMap<ServerRecord, ServerLoad>()
     private val eligible = HashMap<Eligibility, EligibleServers>()
-    private val slotIntervals = HashMap<Boolean, Double>()
+    private val slotIntervals = HashMap<SlotGroup, Double>()
 
     /** Returns the servers that may get [request]. */
     fun eligible(request: DispatchRequest): EligibleServers =
-        eligible.getOrPut(Eligibility(request.excludedServers, request.usesTargetVersion)) {
+        eligible.getOrPut(eligibility(request)) {
             val records = eligibleServers(request)
             EligibleServers(records.map { loads.getOrPut(it) { loadOf(it) } }, failureDomain)
         }
@@ -58,5 +65,10 @@
 
     /** Returns the mean time between two slots becoming free for requests like [request]. */
     fun slotIntervalMillis(request: DispatchRequest): Double =
-        slotIntervals.getOrPut(request.usesTargetVersion) { slotInterval(request) }
+        slotIntervals.getOrPut(SlotGroup(request.usesTargetVersion, request.allowedRegions)) {
+            slotInterval(request)
+        }
+
+    private fun eligibility(request: DispatchRequest) =
+        Eligibility(request.excludedServers, request.usesTargetVersion, request.allowedRegions)
 }
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -26,7 +26,7 @@
     /** The optional decisions that are in force in this pool. */
     val features: PoolFeatures,
     random: Random,
-    evacuations: DomainEvacuations,
+    private val domainRules: DomainRules,
 ) {
     private val records = LinkedHashMap<String, ServerRecord>()
     private var servedMillis = Long.MIN_VALUE / 2
@@ -34,7 +34,7 @@
     private val affinity = PrefixAffinity()
     private val averages = PoolAverages(records.values)
     private val ejections = EjectionComparison(records.values, averages)
-    private val capacity = ServerCapacity(rateLimits, statements, ejections, evacuations)
+    private val capacity = ServerCapacity(rateLimits, statements, ejections, domainRules.evacuations)
     private val chooser =
         ServerChooser(
             affinity,
@@ -118,22 +118,27 @@
     }
 
     /**
-     * Returns when the first server takes requests again, if all of them want a pause; otherwise
-     * null.
+     * Returns when the first server takes requests again, if all that may get [request] want a
+     * pause; otherwise null.
      */
-    fun reopenMillis(nowMillis: Long): Long? {
-        val listed = records.values.filter { it.entry.acceptsWork }
-        return capacity.reopenMillis(listed, nowMillis)
-    }
+    fun reopenMillis(request: DispatchRequest, nowMillis: Long): Long? =
+        capacity.reopenMillis(accepting(request), nowMillis)
 
     /** Returns true if a server could take [request] if its domain were not evacuated. */
     fun isEvacuatedFor(request: DispatchRequest, nowMillis: Long): Boolean =
         capacity.hasEvacuated(listed(request), nowMillis)
 
+    /** Returns true if a server could take [request] if it were in an allowed region. */
+    fun isOutsideRegions(request: DispatchRequest): Boolean =
+        request.allowedRegions != null &&
+            listed(request).isEmpty() &&
+            listed(request.copy(allowedRegions = null)).isNotEmpty()
+
     private fun listed(request: DispatchRequest): List<ServerRecord> =
-        records.values.filter {
-            it.entry.acceptsWork && it.entry.id !in request.excludedServers
-        }
+        accepting(request).filter { it.entry.id !in request.excludedServers }
+
+    private fun accepting(request: DispatchRequest): List<ServerRecord> =
+        domainRules.inAllowedRegions(records.values, request).filter { it.entry.acceptsWork }
 
     private fun isClosed(record: ServerRecord, nowMillis: Long): Boolean =
         record.isFull(nowMillis) || record.isBackingOff(nowMillis) && ejections.isInForce(record)
@@ -151,7 +156,7 @@
         val slotsPerMillis =
             rollouts
                 .select(
-                    capacity.accessible(records.values.filter { it.entry.acceptsWork }, nowMillis),
+                    capacity.accessible(accepting(request), nowMillis),
                     request,
                 )
                 .filterNot { isClosed(it, nowMillis) }
--- a/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySchema.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySchema.kt
@@ -11,6 +11,9 @@
     val domain = SettingKey("failure-domain", platformName, "failure domain", required = true)
     val region = SettingKey("region", platformName, "region", required = true)
 
+    val regions =
+        SettingKey("regions", RegionTableType, "region of each failure domain", "")
+
     val caller = BootstrapSchema.caller
     val ready = SettingKey("ready", AddressType, "listener for readiness checks", required = true)
     val peer = BootstrapSchema.peer
@@ -124,7 +127,7 @@
 
     val sections =
         listOf(
-            SectionSchema("instance", named = false, required = true, listOf(id, domain, region)),
+            SectionSchema("instance", named = false, required = true, listOf(id, domain, region, regions)),
             SectionSchema(
                 "listen",
                 named = false,
--- a/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySettings.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySettings.kt
@@ -2,6 +2,7 @@
 
 import io.lavenderhinge.core.forwarding.PropagationBounds
 import io.lavenderhinge.core.forwarding.QuotaTolerance
+import io.lavenderhinge.core.forwarding.RegionTable
 import io.lavenderhinge.core.forwarding.SchedulingFeatures
 import kotlinx.collections.immutable.ImmutableList
 
@@ -31,6 +32,8 @@
 /** Settings that a gateway reads from its local file at startup. */
 data class GatewaySettings(
     val identity: InstanceIdentity,
+    /** Regions of the failure domains. */
+    val regions: RegionTable,
     val listen: GatewayListeners,
     /** The platform's metadata store. */
     val store: Address,
--- a/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySettingsParser.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySettingsParser.kt
@@ -5,8 +5,10 @@
 import io.lavenderhinge.core.forwarding.FeatureMode
 import io.lavenderhinge.core.forwarding.PropagationBounds
 import io.lavenderhinge.core.forwarding.QuotaTolerance
+import io.lavenderhinge.core.forwarding.RegionTable
 import io.lavenderhinge.core.forwarding.SchedulingFeatures
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
 
 /** Parses the settings file of a gateway. */
 object GatewaySettingsParser {
@@ -18,6 +20,7 @@
         parseSettings(text, file, GatewaySchema.sections) { document ->
             GatewaySettings(
                 identity(document.single("instance")),
+                regions(document.single("instance")),
                 listen(document.single("listen")),
                 document.single("platform").value(GatewaySchema.store) ?: unsetAddress,
                 bounds(document.single("bounds")),
@@ -33,6 +36,9 @@
             section.value(GatewaySchema.region).orEmpty(),
         )
 
+    private fun regions(section: SectionReader) =
+        RegionTable(section.value(GatewaySchema.regions) ?: persistentMapOf())
+
     private fun listen(section: SectionReader) =
         GatewayListeners(
             section.value(GatewaySchema.caller) ?: unsetAddress,
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/WatchPacingTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/WatchPacingTest.kt
@@ -30,6 +30,14 @@
             }
         }
 
+        // Guards against a call that hangs for longer than an evacuation may take.
+        test("given a short bound for evacuations, then calls and pauses stay within it") {
+            val pacing = WatchPacing.of(PropagationBounds(60_000, 10_000, 60_000, 2_000))
+
+            pacing.waitMillis + WatchPacing.RESPONSE_MILLIS shouldBeLessThan 2_000
+            pacing.pauseMillis shouldBeLessThanOrEqual 250
+        }
+
         // Guards against a burst of changes that makes every instance call for each of them.
         test("given long bounds, then the pause stays below the age at which entries go unused") {
             WatchPacing.of(bounds(600_000, 3_000, 600_000)).pauseMillis shouldBe 500
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
@@ -5,6 +5,7 @@
 import io.lavenderhinge.core.forwarding.DispatchRefusal
 import io.lavenderhinge.core.forwarding.DispatchRequest
 import io.lavenderhinge.core.forwarding.ForwardingTable
+import io.lavenderhinge.core.forwarding.RegionTable
 import io.lavenderhinge.core.forwarding.RequestDeadline
 import io.lavenderhinge.core.forwarding.RequestLimit
 import io.lavenderhinge.core.forwarding.RequestTiming
@@ -301,6 +302,7 @@
             hasLostServer = history.hasLostServer,
             digest = digest,
             workspace = admitted.workspace?.name,
+            allowedRegions = RegionTable.allowedRegions(route, admitted.workspace),
         )
 
     private fun expectedEvents(service: String): Double {
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
@@ -145,6 +145,7 @@
             configuration,
             servers,
             gate,
+            settings.regions,
             EvacuationStatus(evacuations, allocator),
             loadReports::peerIds,
             forwarder::inFlightCount,
@@ -171,6 +172,7 @@
         isStarted = true
         operatorServer.start(socketAddress(settings.listen.operator))
         allocator.setEvacuations(evacuations::state)
+        allocator.setRegions(settings.regions)
         evacuations.onChange = ::onEvacuationsChanged
         control.scope.launch { storeSubscription.run() }
         servers.start()
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/GatewayStatus.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/GatewayStatus.kt
@@ -1,5 +1,6 @@
 package io.lavenderhinge.instance.gateway
 
+import io.lavenderhinge.core.forwarding.RegionTable
 import io.lavenderhinge.instance.operator.OperatorDataSource
 
 /** Readiness, status and route explanations that a gateway serves on its operator port. */
@@ -8,6 +9,7 @@
     private val configuration: ConfigurationHolder,
     private val servers: ServerRegistry,
     private val gate: ReadinessGate,
+    private val regions: RegionTable,
     private val evacuations: EvacuationStatus,
     private val peerIds: () -> Set<String>,
     private val inFlight: () -> Int,
@@ -41,6 +43,7 @@
                     "known" to servers.ids,
                 ),
             "evacuations" to evacuations.fields(),
+            "regions" to regions.entries,
             "peers" to peerIds().toList(),
             "quarantinedPromptParts" to quarantinedParts(),
             "quarantinedRequests" to quarantinedRequests(),
@@ -56,6 +59,7 @@
             "host" to route.host,
             "pathPrefix" to route.pathPrefix,
             "destinations" to route.destinations.associate { it.service to it.weight },
+            "allowedRegions" to route.allowedRegions,
             "maxServers" to route.maxServers,
             "repeatable" to route.isRetryable,
         )
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
@@ -7,6 +7,7 @@
 import io.lavenderhinge.core.forwarding.FinishedAttempt
 import io.lavenderhinge.core.forwarding.LoadReport
 import io.lavenderhinge.core.forwarding.RateLimitChange
+import io.lavenderhinge.core.forwarding.RegionTable
 import io.lavenderhinge.core.forwarding.RolloutTracker
 import io.lavenderhinge.core.forwarding.SchedulingFeatures
 import io.lavenderhinge.core.forwarding.ServerEjection
@@ -134,6 +135,11 @@
         dispatcher.evacuations = evacuations
     }
 
+    /** Uses [regions] for requests that must stay in some of them. */
+    fun setRegions(regions: RegionTable) {
+        dispatcher.regions = regions
+    }
+
     /** Decides on the queued requests again after a change of the evacuations. */
     fun onEvacuationsChanged() = decide { dispatcher.serveQueues(loop.nowMillis()) }
 
