--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
@@ -34,6 +34,8 @@
     val digest: RequestDigest? = null,
     /** Name of the workspace; null if the request needs no credential. */
     val workspace: String? = null,
+    /** Regions whose servers may get the request; null if all. */
+    val allowedRegions: PersistentSet<String>? = null,
 ) {
     /** [promptParts] with the hashes by which instances know them. */
     internal val promptChain: PromptChain by
@@ -96,6 +98,10 @@
     PAUSED,
     /** A part of the prompt, or the request as a whole, crashes the servers that answer it. */
     QUARANTINED,
+    /** All servers that are left are in failure domains that the operator evacuates. */
+    EVACUATED,
+    /** No server that is left is in a region in which the request may run. */
+    NO_ALLOWED_REGION,
     /** The request, or a part of its prompt, may have crashed the server that it lost. */
     SUSPECTED,
 }
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -33,6 +33,14 @@
     private val rateLimits = ServerRateLimits(random)
     private val statements = ServerStatements(drainMillis)
 
+    private val domainRules = DomainRules(DomainEvacuations(random) { evacuations() })
+
+    /** Returns the newest evacuations of failure domains; call [serveQueues] after a change. */
+    var evacuations: () -> EvacuationState = { EvacuationState() }
+
+    /** The regions of failure domains. */
+    var regions: RegionTable by domainRules::regions
+
     /** Called when a server that was in use is ejected. */
     var onEjection: (ServerEjection) -> Unit = {}
 
@@ -53,7 +61,14 @@
 
     private fun poolOf(service: String): ServerPool =
         pools.getOrPut(service) {
-            ServerPool(rollouts, rateLimits, statements, PoolFeatures(features), random) {
+            ServerPool(
+                    rollouts,
+                    rateLimits,
+                    statements,
+                    PoolFeatures(features),
+                    random,
+                    domainRules,
+                ) {
                     cacheTokens(service)
                 }
                 .also {
@@ -167,6 +182,9 @@
     val hasWaiting: Boolean
         get() = queues.values.any { it.isNotEmpty() }
 
+    /** Returns how many requests of this instance are in flight in [failureDomain]. */
+    fun inFlightIn(failureDomain: String): Int = pools.values.sumOf { it.inFlightIn(failureDomain) }
+
     /** Returns the load report for the peers. */
     fun report(nowMillis: Long): LoadReport =
         LoadReport(
@@ -259,7 +277,9 @@
         pool: ServerPool,
         nowMillis: Long,
     ): DispatchEffect.Refuse? {
-        val reopenMillis = pool.reopenMillis(nowMillis) ?: return refuseWithoutServer(request)
+        val reopenMillis =
+            pool.reopenMillis(request, nowMillis)
+                ?: return refuseWithoutServer(request, pool, nowMillis)
         if (reopenMillis + pool.firstEventMillis(request) <= request.targetMillis) return null
         return DispatchEffect.Refuse(
             request.id,
@@ -269,6 +289,29 @@
         )
     }
 
+    private fun refuseWithoutServer(
+        request: DispatchRequest,
+        pool: ServerPool,
+        nowMillis: Long,
+    ): DispatchEffect.Refuse =
+        when {
+            pool.isEvacuatedFor(request, nowMillis) ->
+                DispatchEffect.Refuse(
+                    request.id,
+                    DispatchRefusal.EVACUATED,
+                    OUT_OF_REACH_RETRY_MILLIS,
+                    "all servers left are in evacuated failure domains",
+                )
+            pool.isOutsideRegions(request) ->
+                DispatchEffect.Refuse(
+                    request.id,
+                    DispatchRefusal.NO_ALLOWED_REGION,
+                    OUT_OF_REACH_RETRY_MILLIS,
+                    "no server left is in the allowed regions ${request.allowedRegions}",
+                )
+            else -> refuseWithoutServer(request)
+        }
+
     private fun refuseWithoutServer(request: DispatchRequest) =
         DispatchEffect.Refuse(request.id, DispatchRefusal.NO_SERVER, NO_SERVER_RETRY_MILLIS)
 
@@ -277,5 +320,10 @@
         /** Drain time of a deployment that sets none. */
         const val DEFAULT_DRAIN_MILLIS = 2_000L
         private const val NO_SERVER_RETRY_MILLIS = 300L
+        /**
+         * It takes seconds until an evacuation ends or servers come to a region, and a client that
+         * returns at once is refused again.
+         */
+        private const val OUT_OF_REACH_RETRY_MILLIS = 1_000L
     }
 }
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -26,6 +26,7 @@
     /** The optional decisions that are in force in this pool. */
     val features: PoolFeatures,
     random: Random,
+    private val domainRules: DomainRules,
     /** Size in tokens of the cache of each server, if known. */
     private val cacheTokens: () -> Long? = { null },
 ) {
@@ -35,7 +36,7 @@
     private val affinity = PrefixAffinity()
     private val averages = PoolAverages(records.values)
     private val ejections = EjectionComparison(records.values, averages)
-    private val capacity = ServerCapacity(rateLimits, statements, ejections)
+    private val capacity = ServerCapacity(rateLimits, statements, ejections, domainRules.evacuations)
     private val sampler = CandidateSampler(random)
     private val estimator = ServerEstimator(model, ejections, ::expectedHoldMillis)
     private val chooser = ServerChooser(affinity, sampler, estimator)
@@ -66,6 +67,9 @@
         averages.onChange()
     }
 
+    fun inFlightIn(failureDomain: String): Int =
+        records.values.sumOf { if (it.entry.failureDomain == failureDomain) it.inFlight else 0 }
+
     fun usage(): List<Pair<String, ServerUse>> =
         records.values
             .filter { it.inFlight > 0 }
@@ -121,24 +125,35 @@
      * used anyway, because it is unlikely that every server of a pool has failed.
      */
     private fun eligibleServers(request: DispatchRequest, nowMillis: Long): List<ServerRecord> {
-        val listed =
-            records.values.filter {
-                it.entry.acceptsWork && it.entry.id !in request.excludedServers
-            }
-        val accepting = rollouts.select(capacity.accessible(listed, nowMillis), request)
+        val accessible = capacity.accessible(listed(request), nowMillis)
+        val accepting = rollouts.select(accessible, request)
         return accepting
             .filterNot { isClosed(it, nowMillis) || isSilent(it, nowMillis) }
             .ifEmpty { accepting }
     }
 
     /**
-     * Returns when the first server takes requests again, if all of them want a pause; otherwise
-     * null.
+     * Returns when the first server takes requests again, if all that may get [request] want a
+     * pause; otherwise null.
      */
-    fun reopenMillis(nowMillis: Long): Long? {
-        val listed = records.values.filter { it.entry.acceptsWork }
-        return capacity.reopenMillis(listed, nowMillis)
-    }
+    fun reopenMillis(request: DispatchRequest, nowMillis: Long): Long? =
+        capacity.reopenMillis(accepting(request), nowMillis)
+
+    /** Returns true if a server could take [request] if its domain were not evacuated. */
+    fun isEvacuatedFor(request: DispatchRequest, nowMillis: Long): Boolean =
+        capacity.hasEvacuated(listed(request), nowMillis)
+
+    /** Returns true if a server could take [request] if it were in an allowed region. */
+    fun isOutsideRegions(request: DispatchRequest): Boolean =
+        request.allowedRegions != null &&
+            listed(request).isEmpty() &&
+            listed(request.copy(allowedRegions = null)).isNotEmpty()
+
+    private fun listed(request: DispatchRequest): List<ServerRecord> =
+        accepting(request).filter { it.entry.id !in request.excludedServers }
+
+    private fun accepting(request: DispatchRequest): List<ServerRecord> =
+        domainRules.inAllowedRegions(records.values, request).filter { it.entry.acceptsWork }
 
     private fun isClosed(record: ServerRecord, nowMillis: Long): Boolean =
         record.isFull(nowMillis) || record.isBackingOff(nowMillis) && ejections.isInForce(record)
@@ -156,11 +171,11 @@
         val slotsPerMillis =
             rollouts
                 .select(
-                    capacity.accessible(records.values.filter { it.entry.acceptsWork }, nowMillis),
+                    capacity.accessible(accepting(request), nowMillis),
                     request,
                 )
                 .filterNot { isClosed(it, nowMillis) }
-                .sumOf { capacity.slotsPerMillis(it, expectedHoldMillis(it)) }
+                .sumOf { capacity.slotsPerMillis(it, expectedHoldMillis(it), nowMillis) }
         return if (slotsPerMillis <= 0) MIN_HOLD_MILLIS else 1 / slotsPerMillis
     }
 
--- a/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySchema.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySchema.kt
@@ -11,6 +11,9 @@
     val domain = SettingKey("failure-domain", platformName, "failure domain", required = true)
     val region = SettingKey("region", platformName, "region", required = true)
 
+    val regions =
+        SettingKey("regions", RegionTableType, "region of each failure domain", "")
+
     val caller = BootstrapSchema.caller
     val ready = SettingKey("ready", AddressType, "listener for readiness checks", required = true)
     val peer = BootstrapSchema.peer
@@ -41,6 +44,13 @@
             "time until a leaving backend server gets no more requests",
             "2s",
         )
+    val evacuation =
+        SettingKey(
+            "evacuation",
+            DurationType("100ms", "10m"),
+            "time until an evacuated failure domain gets no more requests",
+            "5s",
+        )
     val repeatRatio =
         SettingKey(
             "repeat-ratio",
@@ -107,6 +117,7 @@
             configurationApply,
             contactTimeout,
             drain,
+            evacuation,
             repeatRatio,
             repeatSlack,
             quotaWindow,
@@ -116,7 +127,7 @@
 
     val sections =
         listOf(
-            SectionSchema("instance", named = false, required = true, listOf(id, domain, region)),
+            SectionSchema("instance", named = false, required = true, listOf(id, domain, region, regions)),
             SectionSchema(
                 "listen",
                 named = false,
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
@@ -5,6 +5,7 @@
 import io.lavenderhinge.core.forwarding.DispatchRefusal
 import io.lavenderhinge.core.forwarding.DispatchRequest
 import io.lavenderhinge.core.forwarding.ForwardingTable
+import io.lavenderhinge.core.forwarding.RegionTable
 import io.lavenderhinge.core.forwarding.RequestDeadline
 import io.lavenderhinge.core.forwarding.RequestLimit
 import io.lavenderhinge.core.forwarding.RequestTiming
@@ -191,6 +192,7 @@
                 replacement,
                 turn,
                 context.ignoredStatements,
+                maySend = { context.maySendTo(slot.grant.server) },
             )
         try {
             return attempt.run(upstreamRequest(exchange.request, fields), relay)
@@ -300,6 +302,7 @@
             hasLostServer = history.hasLostServer,
             digest = digest,
             workspace = admitted.workspace?.name,
+            allowedRegions = RegionTable.allowedRegions(route, admitted.workspace),
         )
 
     private fun expectedEvents(service: String): Double {
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/GatewayStatus.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/GatewayStatus.kt
@@ -1,5 +1,6 @@
 package io.lavenderhinge.instance.gateway
 
+import io.lavenderhinge.core.forwarding.RegionTable
 import io.lavenderhinge.instance.operator.OperatorDataSource
 
 /** Readiness, status and route explanations that a gateway serves on its operator port. */
@@ -8,6 +9,8 @@
     private val configuration: ConfigurationHolder,
     private val servers: ServerRegistry,
     private val gate: ReadinessGate,
+    private val regions: RegionTable,
+    private val evacuations: EvacuationStatus,
     private val peerIds: () -> Set<String>,
     private val inFlight: () -> Int,
     private val quarantinedParts: () -> List<String>,
@@ -22,7 +25,7 @@
         )
 
     private fun notReadyReason(): String? =
-        if (gate.isOpen) null else "no configuration or no list of backend servers is known yet"
+        if (gate.isOpen) null else "no configuration, list of backend servers or evacuation is known yet"
 
     private fun status(): Map<String, Any?> =
         mapOf(
@@ -39,6 +42,8 @@
                     "stale" to (servers.isStoreLost && !servers.isFollowingPeers),
                     "known" to servers.ids,
                 ),
+            "evacuations" to evacuations.fields(),
+            "regions" to regions.entries,
             "peers" to peerIds().toList(),
             "quarantinedPromptParts" to quarantinedParts(),
             "quarantinedRequests" to quarantinedRequests(),
@@ -54,6 +59,7 @@
             "host" to route.host,
             "pathPrefix" to route.pathPrefix,
             "destinations" to route.destinations.associate { it.service to it.weight },
+            "allowedRegions" to route.allowedRegions,
             "maxServers" to route.maxServers,
             "repeatable" to route.isRetryable,
         )
