Use the load that servers state in the estimate

A sixth of the servers takes 2.5 times its usual time, and which ones changes every 600 ms, because servers share their machines. Latencies of single requests show that too late.

Each record now keeps the time factors that its run states, from its own answers and from the load reports of peers. The estimate, the hold time and the silence limits use them with a weight that falls to zero after 600 ms. Latency factor, hold time and event interval are learned relative to them. Requests that a server states and no instance reports count as busy slots. A figure that is stuck or missing is ignored and counted.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
@@ -115,4 +115,6 @@
     /** Null if nothing about crashes of servers has to be reported now. */
     val quarantine: QuarantineReport? = null,
     val rateLimits: List<RateLimitReport> = emptyList(),
+    /** The newest loads that servers have stated to the reporting instance. */
+    val statedLoads: List<StatedLoadReport> = emptyList(),
 )
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -31,6 +31,9 @@
     private val rateLimits = ServerRateLimits(random)
     private val statements = ServerStatements(drainMillis)
 
+    /** Called with each figure of a stated load that is ignored. */
+    var onIgnoredLoad: (IgnoredStatedLoad) -> Unit = {}
+
     /** Called when a server that was in use is ejected. */
     var onEjection: (ServerEjection) -> Unit = {}
 
@@ -53,6 +56,7 @@
         pools.getOrPut(service) {
             ServerPool(rollouts, rateLimits, statements, PoolFeatures(features), random).also {
                 it.onEjection = { ejection -> onEjection(ejection) }
+                it.statedLoads.onIgnored = { ignored -> onIgnoredLoad(ignored) }
                 policies[service] = QueuePolicy(it)
             }
         }
@@ -100,7 +104,9 @@
     /** Records what a response of [server] states about it, except for its limit. */
     fun onStatement(server: ServerEntry, statement: ServerStatement, nowMillis: Long) {
         statements.onStated(server.run, statement, nowMillis)
-        statement.load?.let { pools[server.service]?.features?.onStated(it) }
+        statement.load?.let {
+            pools[server.service]?.onStatedLoad(server.run, it, peers, nowMillis)
+        }
     }
 
     /** Calls [listener] with each change of what servers state about themselves. */
@@ -140,6 +146,9 @@
     fun onPeerReport(peer: String, report: LoadReport, nowMillis: Long): List<DispatchEffect> {
         peers.update(peer, report, nowMillis)
         rateLimits.onPeerReport(peer, report.rateLimits, nowMillis)
+        report.statedLoads.forEach { load ->
+            pools.values.forEach { it.statedLoads.onPeerReport(load, nowMillis) }
+        }
         report.quarantine?.let { quarantine.onPeerReport(it, nowMillis) }
         return serveQueues(nowMillis) { !it.wasJustServed(nowMillis) }
     }
@@ -171,6 +180,10 @@
                 .mapValues { (_, requests) -> queueState(requests, nowMillis) },
             quarantine.report(nowMillis),
             rateLimits.reports(nowMillis),
+            pools.values
+                .flatMap { it.statedLoads.reports(nowMillis) }
+                .sortedBy { it.ageMillis }
+                .take(PoolStatedLoads.MAX_REPORTED),
         )
 
     private fun queueState(requests: List<DispatchRequest>, nowMillis: Long): QueueState {
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PoolAverages.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PoolAverages.kt
@@ -35,8 +35,12 @@
     private fun compute(): Values {
         val known = records.filter { it.holdMillis > 0 }
         return Values(
-            knownHoldMillis = if (known.isEmpty()) null else known.map { it.holdMillis }.average(),
-            latencyFactor = if (known.isEmpty()) 1.0 else known.map { it.latencyFactor }.average(),
+            knownHoldMillis =
+                if (known.isEmpty()) null
+                else known.map { it.holdMillis * it.workTime.usualFactor }.average(),
+            latencyFactor =
+                if (known.isEmpty()) 1.0
+                else known.map { it.latencyFactor * it.workTime.usualFactor }.average(),
             failureFractionSum = records.sumOf { it.failureRate.fraction(expected = 0.0) },
         )
     }
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerEstimator.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerEstimator.kt
@@ -8,8 +8,8 @@
 internal class ServerEstimator(
     private val model: FirstEventModel,
     private val ejections: EjectionComparison,
-    /** Expected time that a request occupies a slot of the server. */
-    private val expectedHoldMillis: (ServerRecord) -> Double,
+    /** Expected time that a request occupies a slot of the server from now on. */
+    private val expectedHoldMillis: (ServerRecord, nowMillis: Long) -> Double,
 ) {
     /** Returns the estimate for [request], of which [uncachedTokens] have to be read. */
     fun estimate(
@@ -25,19 +25,21 @@
         val unloadedMillis = model.predictMillis(uncachedTokens + load.pendingTokens)
         val loadFactor = 1 + SLOWDOWN_PER_REQUEST * busy
         val releaseWaitMillis =
-            if (busy < slots) 0.0 else expectedHoldMillis(record) * (busy - slots + 1) / slots
+            if (busy < slots) 0.0
+            else expectedHoldMillis(record, nowMillis) * (busy - slots + 1) / slots
         val slotWaitMillis = maxOf(releaseWaitMillis, load.limitWaitMillis)
         val expectedAttempts = expectedAttempts(record)
         val domainPenaltyMillis =
             if (record.entry.failureDomain == failureDomain) 0.0 else CROSS_DOMAIN_PENALTY_MILLIS
-        val firstEventMillis = record.latencyFactor * unloadedMillis * loadFactor
+        val latencyFactor = record.latencyFactor * load.workTimeFactor
+        val firstEventMillis = latencyFactor * unloadedMillis * loadFactor
         val delayOfOthersMillis =
-            record.latencyFactor * model.millisPerToken * uncachedTokens * busy * DELAY_FRACTION
+            latencyFactor * model.millisPerToken * uncachedTokens * busy * DELAY_FRACTION
         val leftMillis = request.deadlineMillis - nowMillis
         val overrunMillis =
             slotWaitMillis +
                 firstEventMillis +
-                request.expectedEvents * record.eventIntervalMillis -
+                request.expectedEvents * record.eventIntervalMillis * load.workTimeFactor -
                 leftMillis * USABLE_TIME_FRACTION
         val expectedMillis =
             (firstEventMillis + slotWaitMillis) * expectedAttempts * expectedAttempts +
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerLoad.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerLoad.kt
@@ -9,6 +9,10 @@
     private val peerUse: ServerUse,
     /** Number of requests that the server takes at a time. */
     val slots: Int,
+    /** Expected time of work, relative to the usual time on the machine of the server. */
+    val workTimeFactor: Double = 1.0,
+    /** Requests that the server has stated and no instance reports. */
+    private val unreportedRequests: Int = 0,
     /** How long this instance has to wait because of a limit that the server states. */
     private val limitWait: () -> Double,
 ) {
@@ -17,7 +21,7 @@
 
     /** Requests in flight and reserved slots. */
     val busy: Int
-        get() = record.inFlight + peerUse.inFlight + reservedSlots
+        get() = record.inFlight + peerUse.inFlight + unreportedRequests + reservedSlots
 
     /** Prompt tokens that the server has to read. */
     val pendingTokens: Double
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -1,5 +1,6 @@
 package io.lavenderhinge.core.forwarding
 
+import io.lavenderhinge.core.ServerRun
 import kotlin.random.Random
 
 /** The result of placing a request. */
@@ -41,6 +42,9 @@
             ServerEstimator(model, ejections, ::expectedHoldMillis),
         )
 
+    /** The loads that the servers state. */
+    val statedLoads = PoolStatedLoads(records, features)
+
     /** Called when a server that was in use is ejected. */
     var onEjection: (ServerEjection) -> Unit = {}
 
@@ -85,6 +89,12 @@
         minimumShare.onStarted(request.priority)
     }
 
+    /** Records that a response of [run] states [load]. */
+    fun onStatedLoad(run: ServerRun, load: StatedLoad, peers: PeerLoads, nowMillis: Long) {
+        val peerUse = currentLoads(peers, nowMillis).useOf(run.serverId)
+        statedLoads.onStated(run, load, peerUse.inFlight, nowMillis)
+    }
+
     fun onFinished(attempt: FinishedAttempt, nowMillis: Long) {
         val outcome = attempt.outcome
         if (outcome is ServerOutcome.Answered) {
@@ -96,7 +106,8 @@
         val pendingTokens = if (attempt.isPromptPending) attempt.promptTokens else 0.0
         record.pendingTokens = (record.pendingTokens - pendingTokens).coerceAtLeast(0.0)
         val wasEjected = record.isHalfOpen
-        record.observe(outcome, model, nowMillis)
+        val work = statedLoads.workTimeOf(record, outcome, attempt.sentMillis)
+        statedLoads.checked(record) { record.observe(outcome, model, nowMillis, work) }
         averages.onChange()
         if (record.isHalfOpen && !wasEjected) onEjection(ejections.describe(record))
     }
@@ -130,8 +141,9 @@
 
     private fun isSilent(record: ServerRecord, nowMillis: Long): Boolean {
         val expectedMillis = record.latencyFactor * model.predictMillis(record.pendingTokens)
+        val factor = statedLoads.factor(record, durationMillis = 0.0, nowMillis).coerceAtLeast(1.0)
         return record.isSilent(
-            maxOf(MIN_SILENCE_MILLIS, SILENCE_FACTOR * expectedMillis),
+            factor * maxOf(MIN_SILENCE_MILLIS, SILENCE_FACTOR * expectedMillis),
             nowMillis,
         )
     }
@@ -145,7 +157,7 @@
                     request,
                 )
                 .filterNot { isClosed(it, nowMillis) }
-                .sumOf { capacity.slotsPerMillis(it, expectedHoldMillis(it)) }
+                .sumOf { capacity.slotsPerMillis(it, expectedHoldMillis(it, nowMillis)) }
         return if (slotsPerMillis <= 0) MIN_HOLD_MILLIS else 1 / slotsPerMillis
     }
 
@@ -191,13 +203,21 @@
         )
     }
 
-    private fun loadOf(record: ServerRecord, loads: PeerLoads.Current, nowMillis: Long) =
-        ServerLoad(
+    private fun loadOf(
+        record: ServerRecord,
+        loads: PeerLoads.Current,
+        nowMillis: Long,
+    ): ServerLoad {
+        val peerUse = loads.useOf(record.entry.id)
+        return ServerLoad(
             record,
-            loads.useOf(record.entry.id),
+            peerUse,
             capacity.usableSlots(record, nowMillis),
+            statedLoads.factor(record, record.latencyFactor * model.baseMillis, nowMillis),
+            statedLoads.unreportedRequests(record, peerUse.inFlight, nowMillis),
             limitWait = { capacity.limitWaitMillis(record, loads.peerCount, nowMillis) },
         )
+    }
 
     /**
      * Assigns [request] to a server, or reserves the slot that it waits for in [round].
@@ -240,9 +260,10 @@
 
     // A server without samples is assumed to be average. With a shorter default, requests would
     // wait for it while other servers are free.
-    private fun expectedHoldMillis(record: ServerRecord): Double {
-        if (record.holdMillis > 0) return record.holdMillis.coerceAtLeast(MIN_HOLD_MILLIS)
-        return meanHoldMillis()
+    private fun expectedHoldMillis(record: ServerRecord, nowMillis: Long): Double {
+        if (record.holdMillis <= 0) return meanHoldMillis()
+        val factor = statedLoads.factor(record, record.holdMillis, nowMillis)
+        return (record.holdMillis * factor).coerceAtLeast(MIN_HOLD_MILLIS)
     }
 
     private fun currentLoads(peers: PeerLoads, nowMillis: Long): PeerLoads.Current =
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerRecord.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerRecord.kt
@@ -47,15 +47,34 @@
     /** Prompt parts that this instance sent to the server. */
     val sentParts = PrefixAffinity.SentParts()
 
-    /** Latency relative to the average of the pool for the same work. */
+    /** How long work takes on the machine of the server, as it states. */
+    val workTime = ServerWorkTime()
+
+    /** The last load that the server stated to this instance; null if there is none. */
+    var ownStatement: OwnStatement? = null
+
+    /** True if [latencyFactor] rests on several requests. */
+    val isLatencyKnown: Boolean
+        get() = sampleCount >= MIN_LATENCY_SAMPLES
+
+    /**
+     * Latency relative to the average of the pool for the same work, at the usual speed of the
+     * machine if the server states its speed.
+     */
     var latencyFactor = 1.0
         private set
 
-    /** Moving average of the time between two events of a stream; 0 without samples. */
+    /**
+     * Moving average of the time between two events of a stream, at the usual speed of the machine;
+     * 0 without samples.
+     */
     var eventIntervalMillis = 0.0
         private set
 
-    /** Moving average of how long a request occupies its slot; 0 without samples. */
+    /**
+     * Moving average of how long a request occupies its slot, at the usual speed of the machine; 0
+     * without samples.
+     */
     var holdMillis = 0.0
         private set
 
@@ -103,9 +122,15 @@
     val isHalfOpen: Boolean
         get() = ejectionCount > 0
 
-    fun observe(outcome: ServerOutcome, model: FirstEventModel, nowMillis: Long) {
+    /** Learns from [outcome], in whose time the speed of the machine was that of [work]. */
+    fun observe(
+        outcome: ServerOutcome,
+        model: FirstEventModel,
+        nowMillis: Long,
+        work: ObservedWork = ObservedWork(),
+    ) {
         when (outcome) {
-            is ServerOutcome.Answered -> recordAnswer(outcome, model)
+            is ServerOutcome.Answered -> recordAnswer(outcome, model, work, nowMillis)
             is ServerOutcome.Failed -> {
                 failureRate.record(isFailure = true)
                 recordFailure(nowMillis, CONSECUTIVE_FAILURES_TO_EJECT, isAnswer = true)
@@ -122,6 +147,8 @@
     /** Clears the statistics after a restart of the server. */
     fun reset() {
         sentParts.clear()
+        workTime.clear()
+        ownStatement = null
         latencyFactor = 1.0
         holdMillis = 0.0
         eventIntervalMillis = 0.0
@@ -135,7 +162,12 @@
         failureRate.clear()
     }
 
-    private fun recordAnswer(outcome: ServerOutcome.Answered, model: FirstEventModel) {
+    private fun recordAnswer(
+        outcome: ServerOutcome.Answered,
+        model: FirstEventModel,
+        work: ObservedWork,
+        nowMillis: Long,
+    ) {
         consecutiveFailures = 0
         failureRate.record(isFailure = false)
         failureFraction *= 1 - FAILURE_WEIGHT
@@ -144,19 +176,28 @@
             isEjectedByFailures = false
         }
         val predicted = model.predictMillis(outcome.promptTokens).coerceAtLeast(1.0)
+        val statedRatio = outcome.firstEventMillis / predicted
         val ratio =
-            (outcome.firstEventMillis / predicted).coerceIn(MIN_LATENCY_FACTOR, MAX_LATENCY_FACTOR)
+            (statedRatio / work.firstEventFactor).coerceIn(MIN_LATENCY_FACTOR, MAX_LATENCY_FACTOR)
         sampleCount++
         val weight = maxOf(1.0 / sampleCount, SAMPLE_WEIGHT)
         latencyFactor += (ratio - latencyFactor) * weight
-        holdMillis += (outcome.holdMillis - holdMillis) * weight
+        workTime
+            .onObserved(statedRatio.coerceIn(MIN_LATENCY_FACTOR, MAX_LATENCY_FACTOR), nowMillis)
+            ?.let { latencyFactor = it }
+        holdMillis += (outcome.holdMillis / work.holdFactor - holdMillis) * weight
         if (outcome.events > MIN_EVENTS) {
             val intervalMillis =
-                (outcome.holdMillis - outcome.firstEventMillis) / (outcome.events - 1)
+                (outcome.holdMillis - outcome.firstEventMillis) /
+                    (outcome.events - 1) /
+                    work.eventFactor
             val intervalWeight = if (eventIntervalMillis == 0.0) 1.0 else SAMPLE_WEIGHT
             eventIntervalMillis += (intervalMillis - eventIntervalMillis) * intervalWeight
         }
-        model.observe(outcome.promptTokens, outcome.firstEventMillis / latencyFactor)
+        model.observe(
+            outcome.promptTokens,
+            outcome.firstEventMillis / latencyFactor / work.firstEventFactor,
+        )
     }
 
     private fun recordFailure(nowMillis: Long, failureLimit: Int, isAnswer: Boolean = false) {
@@ -173,6 +214,7 @@
     private companion object {
         /** Streams with fewer events give no reliable event interval. */
         const val MIN_EVENTS = 3
+        const val MIN_LATENCY_SAMPLES = 5
         const val SAMPLE_WEIGHT = 0.1
         const val MIN_LATENCY_FACTOR = 0.1
         const val MAX_LATENCY_FACTOR = 20.0
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ServerEstimatorTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ServerEstimatorTest.kt
@@ -30,7 +30,7 @@
                     capacity.limitWaitMillis(record, peerCount = 0, nowMillis = 0)
                 }
             load.reservedSlots = reservedSlots
-            return ServerEstimator(FirstEventModel(), ejections) { 400.0 }
+            return ServerEstimator(FirstEventModel(), ejections) { _, _ -> 400.0 }
                 .estimate(load, request, 1_000.0, failureDomain, 0)
         }
 
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
@@ -113,6 +113,7 @@
             ),
         )
     private val metrics = GatewayMetrics(control)
+    private val ignoredStatements = IgnoredStatements(metrics::statementIgnored)
     private val forwardingContext =
         ForwardingContext(
             loop,
@@ -125,6 +126,7 @@
             RequestLog(configuration::version, metrics),
             instanceCount = { loadReports.peerIds.size + 1 },
             tokensPerEvent = { configuration.table?.service(it)?.tokensPerEvent ?: 1 },
+            ignoredStatements = ignoredStatements,
         )
     private val forwarder =
         RequestForwarder(forwardingContext, configuration, RequestAdmission(quotas), gate)
@@ -172,6 +174,7 @@
             allocator.onRateLimitChange {
                 log.info("limit: {} takes {} requests per second", it.run, it.limitPerSecond)
             }
+            allocator.onIgnoredLoad(ignoredStatements::onIgnored)
             allocator.onEjection(ejectionLog::onEjection)
         }
         loadReports.start()
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/GatewayMetrics.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/GatewayMetrics.kt
@@ -45,6 +45,10 @@
             }
         }
 
+    /** Records that a statement of a server was ignored for [reason]. */
+    fun statementIgnored(reason: String) =
+        control.execute { requests.recordIgnoredStatement(reason) }
+
     /** Records that a server of [service] was ejected. */
     fun serverEjected(service: String) = control.execute { requests.recordEjection(service) }
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportProtoConverters.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportProtoConverters.kt
@@ -5,6 +5,8 @@
 import io.lavenderhinge.core.forwarding.QueueState
 import io.lavenderhinge.core.forwarding.RateLimitReport
 import io.lavenderhinge.core.forwarding.ServerUse
+import io.lavenderhinge.core.forwarding.StatedLoad
+import io.lavenderhinge.core.forwarding.StatedLoadReport
 import io.lavenderhinge.instance.quarantine.toMessage
 import io.lavenderhinge.instance.quarantine.toReport
 import io.lavenderhinge.instance.quarantine.toRun
@@ -12,7 +14,9 @@
 import io.lavenderhinge.protocol.v1.QueueLength
 import io.lavenderhinge.protocol.v1.ServerRateLimit
 import io.lavenderhinge.protocol.v1.ServerUse as ServerUseMessage
+import io.lavenderhinge.protocol.v1.StatedLoad as StatedLoadMessage
 import io.lavenderhinge.protocol.v1.WorkspaceSpending
+import kotlin.math.roundToInt
 
 /** Adds [report] and the cost per workspace in [spending] to the message. */
 internal fun LoadReportMessage.Builder.addLoad(
@@ -39,6 +43,7 @@
     }
     report.quarantine?.let { setCrashObservations(it.toMessage()) }
     report.rateLimits.forEach { addRateLimits(it.toMessage()) }
+    report.statedLoads.forEach { addStatedLoads(it.toMessage()) }
     spending.forEach { (workspace, cost) ->
         addWorkspaces(WorkspaceSpending.newBuilder().setWorkspace(workspace).setTotalCost(cost))
     }
@@ -55,6 +60,7 @@
         },
         if (hasCrashObservations()) crashObservations.toReport() else null,
         rateLimitsList.map { it.toReport() },
+        statedLoadsList.map { it.toReport() },
     )
 
 /** Reads the total cost per workspace that the sender admitted. */
@@ -78,3 +84,27 @@
         ageMillis,
         sentCount,
     )
+
+private fun StatedLoadReport.toMessage(): StatedLoadMessage =
+    StatedLoadMessage.newBuilder()
+        .setRun(run.toMessage())
+        .setRunning(load.running)
+        .setWaiting(load.waiting)
+        .setSlots(load.slots)
+        .setWorkTimePercent(((load.workTimeFactor ?: 0.0) * USUAL_PERCENT).roundToInt())
+        .setAgeMillis(ageMillis)
+        .build()
+
+private fun StatedLoadMessage.toReport() =
+    StatedLoadReport(
+        run.toRun(),
+        StatedLoad(
+            running,
+            waiting,
+            slots,
+            workTimePercent.takeIf { it > 0 }?.let { it / USUAL_PERCENT },
+        ),
+        ageMillis,
+    )
+
+private const val USUAL_PERCENT = 100.0
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
@@ -4,6 +4,7 @@
 import io.lavenderhinge.core.forwarding.DispatchRequest
 import io.lavenderhinge.core.forwarding.Dispatcher
 import io.lavenderhinge.core.forwarding.FinishedAttempt
+import io.lavenderhinge.core.forwarding.IgnoredStatedLoad
 import io.lavenderhinge.core.forwarding.LoadReport
 import io.lavenderhinge.core.forwarding.RateLimitChange
 import io.lavenderhinge.core.forwarding.RolloutTracker
@@ -83,6 +84,11 @@
     fun onStatementChange(listener: (ServerStatementChange) -> Unit) =
         dispatcher.onStatementChange(listener)
 
+    /** Calls [listener] with each figure of a stated load that is ignored. */
+    fun onIgnoredLoad(listener: (IgnoredStatedLoad) -> Unit) {
+        dispatcher.onIgnoredLoad = listener
+    }
+
     /** Calls [listener] when a server that was in use is ejected. */
     fun onEjection(listener: (ServerEjection) -> Unit) {
         dispatcher.onEjection = listener
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/metrics/RequestMetrics.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/metrics/RequestMetrics.kt
@@ -80,6 +80,10 @@
     fun recordGatewayRejection(reason: String) =
         registry.counter("lavenderhinge.gateway.rejections", "reason", reason).increment()
 
+    /** Counts a statement of a backend server that was ignored for [reason]. */
+    fun recordIgnoredStatement(reason: String) =
+        registry.counter("lavenderhinge.gateway.ignored.statements", "reason", reason).increment()
+
     /** Counts an ejection of a backend server of [service] from its pool. */
     fun recordEjection(service: String) =
         registry.counter("lavenderhinge.gateway.ejections", "service", service).increment()
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/LoadReportProtoConvertersTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/LoadReportProtoConvertersTest.kt
@@ -8,6 +8,8 @@
 import io.lavenderhinge.core.forwarding.QueueState
 import io.lavenderhinge.core.forwarding.RateLimitReport
 import io.lavenderhinge.core.forwarding.ServerUse
+import io.lavenderhinge.core.forwarding.StatedLoad
+import io.lavenderhinge.core.forwarding.StatedLoadReport
 import io.lavenderhinge.core.quarantine.CrashReport
 import io.lavenderhinge.core.quarantine.QuarantineReport
 import io.lavenderhinge.core.quarantine.SuspectKey
@@ -38,6 +40,10 @@
                         RateLimitReport(run, limitPerSecond = 2.5, ageMillis = 14, sentCount = 15),
                         RateLimitReport(run, limitPerSecond = null, ageMillis = 16, sentCount = 17),
                     ),
+                    listOf(
+                        StatedLoadReport(run, StatedLoad(1, 2, 3, workTimeFactor = 2.5), 18),
+                        StatedLoadReport(run, StatedLoad(4, 5, 6, workTimeFactor = null), 19),
+                    ),
                 )
 
             roundTrip(report) shouldBe report
