--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
@@ -129,4 +129,6 @@
     val rateLimits: List<RateLimitReport> = emptyList(),
     /** The servers to which prompt parts were sent lately. */
     val promptHolders: List<PromptHolderReport> = emptyList(),
+    /** The newest loads that servers have stated to the reporting instance. */
+    val statedLoads: List<StatedLoadReport> = emptyList(),
 )
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -40,6 +40,8 @@
 
     /** The regions of failure domains. */
     var regions: RegionTable by domainRules::regions
+    /** Called with each figure of a stated load that is ignored. */
+    var onIgnoredLoad: (IgnoredStatedLoad) -> Unit = {}
 
     /** Called when a server that was in use is ejected. */
     var onEjection: (ServerEjection) -> Unit = {}
@@ -73,6 +75,7 @@
                 }
                 .also {
                     it.onEjection = { ejection -> onEjection(ejection) }
+                    it.statedLoads.onIgnored = { ignored -> onIgnoredLoad(ignored) }
                     policies[service] = QueuePolicy(it)
                 }
         }
@@ -120,7 +123,9 @@
     /** Records what a response of [server] states about it, except for its limit. */
     fun onStatement(server: ServerEntry, statement: ServerStatement, nowMillis: Long) {
         statements.onStated(server.run, statement, nowMillis)
-        statement.load?.let { pools[server.service]?.features?.onStated(it) }
+        statement.load?.let {
+            pools[server.service]?.onStatedLoad(server.run, it, peers, nowMillis)
+        }
     }
 
     /** Calls [listener] with each change of what servers state about themselves. */
@@ -160,6 +165,9 @@
     fun onPeerReport(peer: String, report: LoadReport, nowMillis: Long): List<DispatchEffect> {
         peers.update(peer, report, nowMillis)
         rateLimits.onPeerReport(peer, report.rateLimits, nowMillis)
+        report.statedLoads.forEach { load ->
+            pools.values.forEach { it.statedLoads.onPeerReport(load, nowMillis) }
+        }
         report.quarantine?.let { quarantine.onPeerReport(it, nowMillis) }
         pools.values.forEach { it.onHoldersReported(report.promptHolders, nowMillis) }
         return serveQueues(nowMillis) { !it.wasJustServed(nowMillis) }
@@ -196,6 +204,10 @@
             quarantine.report(nowMillis),
             rateLimits.reports(nowMillis),
             pools.values.flatMap { it.holderReports(nowMillis) },
+            pools.values
+                .flatMap { it.statedLoads.reports(nowMillis) }
+                .sortedBy { it.ageMillis }
+                .take(PoolStatedLoads.MAX_REPORTED),
         )
 
     private fun queueState(requests: List<DispatchRequest>, nowMillis: Long): QueueState {
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
@@ -118,6 +118,7 @@
             ),
         )
     private val metrics = GatewayMetrics(control, evacuations::state)
+    private val ignoredStatements = IgnoredStatements(metrics::statementIgnored)
     private val forwardingContext =
         ForwardingContext(
             loop,
@@ -131,6 +132,7 @@
             instanceCount = { loadReports.peerIds.size + 1 },
             tokensPerEvent = { configuration.table?.service(it)?.tokensPerEvent ?: 1 },
             maySendTo = evacuations::allows,
+            ignoredStatements = ignoredStatements,
         )
     private val forwarder =
         RequestForwarder(forwardingContext, configuration, RequestAdmission(quotas), gate)
@@ -185,6 +187,7 @@
             allocator.onRateLimitChange {
                 log.info("limit: {} takes {} requests per second", it.run, it.limitPerSecond)
             }
+            allocator.onIgnoredLoad(ignoredStatements::onIgnored)
             allocator.onEjection(ejectionLog::onEjection)
         }
         loadReports.start()
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/LoadReportProtoConvertersTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/LoadReportProtoConvertersTest.kt
@@ -9,6 +9,8 @@
 import io.lavenderhinge.core.forwarding.QueueState
 import io.lavenderhinge.core.forwarding.RateLimitReport
 import io.lavenderhinge.core.forwarding.ServerUse
+import io.lavenderhinge.core.forwarding.StatedLoad
+import io.lavenderhinge.core.forwarding.StatedLoadReport
 import io.lavenderhinge.core.quarantine.CrashReport
 import io.lavenderhinge.core.quarantine.QuarantineReport
 import io.lavenderhinge.core.quarantine.SuspectKey
@@ -40,6 +42,10 @@
                         RateLimitReport(run, limitPerSecond = null, ageMillis = 16, sentCount = 17),
                     ),
                     listOf(PromptHolderReport(part = -18, "i-2", ageMillis = 19)),
+                    listOf(
+                        StatedLoadReport(run, StatedLoad(1, 2, 3, workTimeFactor = 2.5), 18),
+                        StatedLoadReport(run, StatedLoad(4, 5, 6, workTimeFactor = null), 19),
+                    ),
                 )
 
             roundTrip(report) shouldBe report
