Share the slots of a full pool among workspaces

One workspace at several times its usual load took the slots and the queue of all others, since the queue knows only priority, lateness and arrival.

While requests wait, slot time is charged to workspaces over all instances, and requests on time go in the order of start-time fair queueing. The expected wait by which a request is refused counts only what is ahead in that order.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
@@ -49,6 +49,8 @@
     val sentMillis: Long,
     /** [DispatchRequest.digest] of the request. */
     val digest: RequestDigest? = null,
+    /** [DispatchRequest.workspace] of the request. */
+    val workspace: String? = null,
 )
 
 /** An action that the caller of the [Dispatcher] carries out for a queued request. */
@@ -115,4 +117,5 @@
     /** Null if nothing about crashes of servers has to be reported now. */
     val quarantine: QuarantineReport? = null,
     val rateLimits: List<RateLimitReport> = emptyList(),
+    val workspaceUses: Map<WorkspaceKey, WorkspaceUse> = emptyMap(),
 )
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -28,6 +28,7 @@
     private val policies = HashMap<String, QueuePolicy>()
     private val queues = HashMap<String, MutableList<DispatchRequest>>()
     private val peers = PeerLoads()
+    private val peerUses = PeerWorkspaceUses()
     private val rateLimits = ServerRateLimits(random)
     private val statements = ServerStatements(drainMillis)
 
@@ -51,10 +52,11 @@
 
     private fun poolOf(service: String): ServerPool =
         pools.getOrPut(service) {
-            ServerPool(rollouts, rateLimits, statements, PoolFeatures(features), random).also {
-                it.onEjection = { ejection -> onEjection(ejection) }
-                policies[service] = QueuePolicy(it)
-            }
+            ServerPool(service, rollouts, rateLimits, statements, PoolFeatures(features), random)
+                .also {
+                    it.onEjection = { ejection -> onEjection(ejection) }
+                    policies[service] = QueuePolicy(it)
+                }
         }
 
     /** Requests a slot. The effect for [request] is returned here or by a later call. */
@@ -65,7 +67,7 @@
         val pool = pools[request.service]
         if (pool == null) return listOf(refuseWithoutServer(request))
         val queue = queues.getOrPut(request.service, ::mutableListOf)
-        val round = startRound(pool, nowMillis)
+        val round = startRound(pool, queue, nowMillis)
         if (round.eligible(request).loads.isEmpty()) {
             val refusal = onNoServer(request, pool, nowMillis)
             if (refusal == null) queue.add(request)
@@ -130,7 +132,7 @@
         pool.onFinished(attempt, nowMillis)
         val refusals = quarantineGate.refuseQueued(queues.values)
         val queue = queues[service] ?: return refusals
-        return refusals + serve(pool, queue, startRound(pool, nowMillis))
+        return refusals + serve(pool, queue, startRound(pool, queue, nowMillis))
     }
 
     /**
@@ -139,6 +141,12 @@
      */
     fun onPeerReport(peer: String, report: LoadReport, nowMillis: Long): List<DispatchEffect> {
         peers.update(peer, report, nowMillis)
+        peerUses.onReport(peer, report.workspaceUses, nowMillis) { key, slotMillis ->
+            pools[key.service]
+                ?.takeIf { it.features.hasFairShares }
+                ?.accounts
+                ?.onPeerCharge(key.priority, key.workspace, slotMillis, nowMillis)
+        }
         rateLimits.onPeerReport(peer, report.rateLimits, nowMillis)
         report.quarantine?.let { quarantine.onPeerReport(it, nowMillis) }
         return serveQueues(nowMillis) { !it.wasJustServed(nowMillis) }
@@ -153,7 +161,7 @@
             queues.flatMap { (service, queue) ->
                 val pool = pools[service]
                 if (queue.isEmpty() || pool == null || !isDue(pool)) emptyList()
-                else serve(pool, queue, startRound(pool, nowMillis))
+                else serve(pool, queue, startRound(pool, queue, nowMillis))
             }
     }
 
@@ -171,11 +179,32 @@
                 .mapValues { (_, requests) -> queueState(requests, nowMillis) },
             quarantine.report(nowMillis),
             rateLimits.reports(nowMillis),
+            workspaceUses(nowMillis),
         )
 
+    private fun workspaceUses(nowMillis: Long): Map<WorkspaceKey, WorkspaceUse> =
+        pools
+            .filterValues { it.features.hasFairShares }
+            .flatMap { (service, pool) ->
+                val policy = policies.getValue(service)
+                val waiting =
+                    queues[service]
+                        .orEmpty()
+                        .filterNot { policy.isLate(it, nowMillis) }
+                        .groupingBy { WorkspaceKey(service, it.priority, it.chargedWorkspace) }
+                        .eachCount()
+                val ownMillis = pool.accounts.ownMillis(service, nowMillis)
+                (ownMillis.keys + waiting.keys).map {
+                    it to WorkspaceUse(ownMillis[it] ?: 0.0, waiting[it] ?: 0)
+                }
+            }
+            .toMap()
+
     private fun queueState(requests: List<DispatchRequest>, nowMillis: Long): QueueState {
-        val policy = policies.getValue(requests.first().service)
-        val head = policy.ordered(requests, nowMillis).others.first()
+        val service = requests.first().service
+        val policy = policies.getValue(service)
+        val round = startRound(pools.getValue(service), requests, nowMillis)
+        val head = policy.ordered(requests, round).others.first()
         return QueueState(
             requests.size,
             nowMillis - head.arrivedMillis,
@@ -183,8 +212,21 @@
         )
     }
 
-    private fun startRound(pool: ServerPool, nowMillis: Long): PlacementRound =
-        pool.startRound(peers, failureDomain, nowMillis)
+    private fun startRound(
+        pool: ServerPool,
+        queue: Collection<DispatchRequest>,
+        nowMillis: Long,
+    ): PlacementRound {
+        val round = pool.startRound(peers, failureDomain, nowMillis)
+        if (pool.features.hasFairShares) {
+            val policy = policies.getValue(pool.service)
+            round.shares =
+                ShareRound(pool.service, pool.accounts, round.peers, queue, nowMillis) {
+                    policy.isLate(it, nowMillis)
+                }
+        }
+        return round
+    }
 
     private fun serve(
         pool: ServerPool,
@@ -201,10 +243,13 @@
             val placement = pool.place(request, aheadAtPeers, round)
             val effect = effectOf(placement, request, pool, nowMillis)
             if (effect == null) waiting += request else effects += effect
+            if (effect is DispatchEffect.Assign) round.shares?.onStarted(request)
         }
-        val order = policy.ordered(queue, nowMillis)
+        val order = policy.ordered(queue, round)
         order.owed.forEach { place(it, aheadAtPeers = 0) }
-        order.others.forEach { place(it, round.peers.countAhead(it, policy.isLate(it, nowMillis))) }
+        order.others.forEach {
+            place(it, round.peers.countAhead(it, policy.isLate(it, nowMillis), round.shares))
+        }
         queue.clear()
         queue.addAll(waiting)
         waiting
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PeerLoads.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PeerLoads.kt
@@ -9,11 +9,33 @@
  * reports in between.
  */
 internal class PeerLoads {
-    private class ReceivedReport(val report: LoadReport, val receivedMillis: Long)
+    private class ReceivedReport(val report: LoadReport, val receivedMillis: Long) {
+        /** The waiting requests of each queue by workspace; read by many passes. */
+        private val waitingByQueue by
+            lazy(LazyThreadSafetyMode.NONE) {
+                report.workspaceUses.entries
+                    .filter { it.value.waiting > 0 }
+                    .groupBy({ QueueKey(it.key.service, it.key.priority) }) {
+                        WaitingWorkspace(it.key.workspace, it.value.waiting)
+                    }
+            }
+
+        fun waiting(key: QueueKey): List<WaitingWorkspace> = waitingByQueue[key].orEmpty()
+    }
 
     private class ReceivedUse(val use: ServerUse, val receivedMillis: Long)
 
-    private class ReceivedQueue(val state: QueueState, val receivedMillis: Long)
+    private class ReceivedQueue(
+        val state: QueueState,
+        val receivedMillis: Long,
+        /** The requests of the queue that can still be on time. */
+        val waiting: List<WaitingWorkspace>,
+    ) {
+        private var isWithinShare: Boolean? = null
+
+        fun isWithinShare(priority: Int, shares: ShareRound): Boolean =
+            isWithinShare ?: shares.isAnyWithinShare(priority, waiting).also { isWithinShare = it }
+    }
 
     /** The queues of one service and priority at all peers. */
     private class PeerQueues {
@@ -21,8 +43,8 @@
         var waiting = 0
             private set
 
-        fun add(state: QueueState, receivedMillis: Long) {
-            heads += ReceivedQueue(state, receivedMillis)
+        fun add(key: QueueKey, state: QueueState, received: ReceivedReport) {
+            heads += ReceivedQueue(state, received.receivedMillis, received.waiting(key))
             waiting += state.count
         }
     }
@@ -75,18 +97,37 @@
         fun waitingAt(service: String, priority: Int): Int =
             queues[QueueKey(service, priority)]?.waiting ?: 0
 
+        /** Returns the number of requests on time that are queued at peers for each workspace. */
+        fun waitingByWorkspace(service: String, priority: Int): Map<String, Int> {
+            val waiting = HashMap<String, Int>()
+            queues[QueueKey(service, priority)]?.heads?.forEach { head ->
+                head.waiting.forEach { waiting.merge(it.workspace, it.count, Int::plus) }
+            }
+            return waiting
+        }
+
         /**
          * Returns the number of requests at peers that take precedence over [request]: all that are
          * more urgent, and the head of each peer's queue of the same priority if it has waited
          * clearly longer. [isLate] is true if [request] can no longer be on time. Without the
          * second part, an instance that holds slots would reuse them for its own requests and
-         * starve those of other instances.
+         * starve those of other instances. With [shares], the heads of workspaces within their
+         * share precede a request above its share, and not the other way round.
          */
-        fun countAhead(request: DispatchRequest, isLate: Boolean): Int =
-            waiting(request.service, request.priority - 1) +
+        fun countAhead(request: DispatchRequest, isLate: Boolean, shares: ShareRound?): Int {
+            val isWithinShare = shares?.isWithinShare(request) ?: true
+            return waiting(request.service, request.priority - 1) +
                 headsOf(request).count { head ->
-                    precedes(head.state, head.receivedMillis, request, isLate, nowMillis)
+                    val isHeadWithinShare =
+                        shares == null || head.isWithinShare(request.priority, shares)
+                    if (isLate || head.state.isHeadLate || isHeadWithinShare == isWithinShare)
+                        precedes(head.state, head.receivedMillis, request, isLate, nowMillis)
+                    else isHeadWithinShare && hasWaited(head)
                 }
+        }
+
+        private fun hasWaited(head: ReceivedQueue): Boolean =
+            head.state.headWaitMillis + nowMillis - head.receivedMillis > MIN_EXTRA_WAIT_MILLIS
 
         private fun headsOf(request: DispatchRequest): List<ReceivedQueue> =
             queues[QueueKey(request.service, request.priority)]?.heads.orEmpty()
@@ -97,7 +138,7 @@
                 .filter { describes(it.receivedMillis) }
                 .forEach { received ->
                     received.report.waiting.forEach { (key, state) ->
-                        byKey.getOrPut(key, ::PeerQueues).add(state, received.receivedMillis)
+                        byKey.getOrPut(key, ::PeerQueues).add(key, state, received)
                     }
                 }
             return byKey
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PlacementRound.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PlacementRound.kt
@@ -26,6 +26,9 @@
     private val loadOf: (ServerRecord) -> ServerLoad,
     private val slotInterval: (DispatchRequest) -> Double,
 ) {
+    /** The fair shares of workspaces; null if they are not in force. */
+    var shares: ShareRound? = null
+
     /** The properties of a request that determine which servers may get it. */
     private data class Eligibility(
         val excludedServers: PersistentSet<String>,
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QueuePolicy.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QueuePolicy.kt
@@ -29,8 +29,8 @@
     }
 
     /** Returns [queue] in the order in which slots are assigned. */
-    fun ordered(queue: Collection<DispatchRequest>, nowMillis: Long): QueueOrder {
-        val sorted = queue.sortedWith(order(nowMillis))
+    fun ordered(queue: Collection<DispatchRequest>, round: PlacementRound): QueueOrder {
+        val sorted = round.shares?.ordered(queue) ?: queue.sortedWith(order(round.nowMillis))
         val owed =
             sorted
                 .distinctBy { it.priority }
@@ -96,7 +96,11 @@
         val intervalMillis = round.slotIntervalMillis(request)
         val ahead = queue.count { it.id != request.id && it.priority <= request.priority }
         val aheadAtPeers = round.peers.waiting(request.service, request.priority)
-        val waitMillis = (ahead + aheadAtPeers) * intervalMillis
+        val shares = round.shares
+        val waitMillis =
+            if (shares == null || isLate(request, round.nowMillis))
+                (ahead + aheadAtPeers) * intervalMillis
+            else shares.expectedSlots(request) * intervalMillis
         val share = pool.minimumShare
         if (!share.isOwed(request.priority)) return waitMillis
         // A priority below its share waits only for its own requests, at the pace of that share.
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -20,6 +20,7 @@
 
 /** The backend servers of one service and their statistics. */
 internal class ServerPool(
+    val service: String,
     private val rollouts: RolloutTracker,
     private val rateLimits: ServerRateLimits,
     statements: ServerStatements,
@@ -47,6 +48,9 @@
     /** Slot time that less urgent requests are guaranteed. */
     val minimumShare = MinimumShare(::meanHoldMillis)
 
+    /** Slot time that each workspace took while requests were waiting. */
+    val accounts = WorkspaceAccounts(minimumShare::holdMillis)
+
     fun record(serverId: String): ServerRecord? = records[serverId]
 
     fun update(entries: List<ServerEntry>) {
@@ -89,6 +93,7 @@
         val outcome = attempt.outcome
         if (outcome is ServerOutcome.Answered) {
             minimumShare.onFinished(attempt.priority, outcome.holdMillis)
+            accounts.onFinished(attempt.priority, attempt.workspace.orEmpty(), outcome.holdMillis)
         }
         val record = records[attempt.server.id] ?: return
         record.inFlight = (record.inFlight - 1).coerceAtLeast(0)
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/DecisionCostTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/DecisionCostTest.kt
@@ -10,6 +10,8 @@
 private const val PEERS = 60
 private const val SERVERS = 62
 private const val SLOTS = 5
+private const val WORKSPACES = 16
+private const val USES = 100
 private const val REPORT_INTERVAL_MILLIS = 3L
 private const val TICK_MILLIS = 10L
 private const val ARRIVAL_INTERVAL_MILLIS = 50L
@@ -23,11 +25,15 @@
 /**
  * One instance of a large fleet in a burst, with as many reports of peers as such a fleet sends.
  */
-private class InstanceInBurst(seed: Int) {
+private class InstanceInBurst(seed: Int, private val hasShares: Boolean) {
     private val random = Random(seed)
     private val time = VirtualTime()
-    private val dispatcher = Dispatcher("d", random = random)
+    private val features =
+        SchedulingFeatures(fairShares = if (hasShares) FeatureMode.ON else FeatureMode.OFF)
+    private val dispatcher = Dispatcher("d", random = random, features = features)
     private val requests = HashMap<Long, DispatchRequest>()
+    /** What the reports state one after the other. */
+    private val workspaceUses = List(USES) { if (hasShares) usesOf(it * 18.0) else emptyMap() }
     private var lastRequestId = 0L
 
     /**
@@ -48,6 +54,12 @@
         return TimeUnit.NANOSECONDS.toMillis(windowEnds.zipWithNext { from, to -> to - from }.min())
     }
 
+    private fun usesOf(slotMillis: Double): Map<WorkspaceKey, WorkspaceUse> =
+        (0..2)
+            .flatMap { priority -> List(WORKSPACES) { WorkspaceKey("s", priority, "w$it") } }
+            .withIndex()
+            .associate { (index, key) -> key to WorkspaceUse(slotMillis, waiting = index % 4 / 3) }
+
     private fun threadCpuNanos() = ManagementFactory.getThreadMXBean().currentThreadCpuTime
 
     private fun receiveReport(nowMillis: Long) {
@@ -59,14 +71,19 @@
                     QueueState(2, headWaitMillis = 200, isHeadLate = random.nextBoolean())
             }
         val peer = "p${nowMillis / REPORT_INTERVAL_MILLIS % PEERS}"
-        apply(dispatcher.onPeerReport(peer, LoadReport(servers, queues), nowMillis), nowMillis)
+        val uses = workspaceUses[(nowMillis / REPORT_INTERVAL_MILLIS / PEERS % USES).toInt()]
+        val report = LoadReport(servers, queues, workspaceUses = uses)
+        apply(dispatcher.onPeerReport(peer, report, nowMillis), nowMillis)
     }
 
     private fun arrive(nowMillis: Long) {
         val parts = listOf("route", "session${random.nextInt(100)}", "own$lastRequestId")
         val request =
             request(++lastRequestId, priority = random.nextInt(3), arrivedMillis = nowMillis)
-                .copy(promptParts = parts.map { PromptPart(it, tokens = 300) }.toImmutableList())
+                .copy(
+                    promptParts = parts.map { PromptPart(it, tokens = 300) }.toImmutableList(),
+                    workspace = "w${random.nextInt(WORKSPACES)}",
+                )
         requests[request.id] = request
         apply(dispatcher.submit(request, nowMillis), nowMillis)
     }
@@ -99,7 +116,12 @@
         // have left.
         (1..3).forEach { seed ->
             test("given a burst in a large fleet, then decisions are cheap, seed $seed") {
-                InstanceInBurst(seed).cpuMillis() shouldBeLessThan MAX_CPU_MILLIS
+                InstanceInBurst(seed, hasShares = false).cpuMillis() shouldBeLessThan MAX_CPU_MILLIS
+            }
+
+            // Guards against shares whose cost grows with the queues of all peers.
+            test("given a burst with fair shares, then decisions are cheap, seed $seed") {
+                InstanceInBurst(seed, hasShares = true).cpuMillis() shouldBeLessThan MAX_CPU_MILLIS
             }
         }
     })
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ForwardingFixture.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ForwardingFixture.kt
@@ -102,6 +102,7 @@
         request.promptParts,
         sentMillis,
         request.digest,
+        request.workspace,
     )
 
 internal val noTolerance = QuotaTolerance(windowMillis = 8_000, overageFraction = 0.0, slack = 0.0)
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/LoadSimulation.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/LoadSimulation.kt
@@ -21,6 +21,10 @@
     val firstEventMillis: Long?,
     /** Time that the request spent in the queue. */
     val queuedMillis: Long,
+    val workspace: String? = null,
+    val arrivedMillis: Long = 0,
+    /** Slot time that the request used; 0 if it was rejected. */
+    val slotMillis: Long = 0,
 )
 
 /** The work and the times of a kind of request, on a server of slowness 1. */
@@ -41,6 +45,7 @@
     val fromMillis: Long,
     val untilMillis: Long,
     val work: SimulatedWork = SimulatedWork(),
+    val workspace: String? = null,
 )
 
 /** When instances report their load and how late the reports arrive. */
@@ -66,6 +71,9 @@
     instanceCount: Int,
     private val servers: List<SimulatedServer>,
     private val reports: SimulatedReports = SimulatedReports.Periodic(20),
+    private val features: SchedulingFeatures = SchedulingFeatures(),
+    /** Whether a report that is sent at a time between two instances arrives. */
+    private val isDelivered: (from: Int, to: Int, nowMillis: Long) -> Boolean = { _, _, _ -> true },
 ) {
     private class PendingRequest(val request: DispatchRequest, val traffic: SimulatedTraffic)
 
@@ -73,13 +81,22 @@
     private val openRequests = HashMap<Long, PendingRequest>()
     private val results = mutableListOf<SimulatedResult>()
     private val entries = servers.map { server(it.id, slots = it.slots) }
-    private val dispatchers =
-        List(instanceCount) { number ->
-            Dispatcher("d", random = Random(number)).apply { onServers(entries, nowMillis = 0) }
-        }
+    private val dispatchers = MutableList(instanceCount) { startDispatcher(it, nowMillis = 0) }
     private val reporters = List(instanceCount) { ChangeReporter() }
     private var lastRequestId = 0L
 
+    private fun startDispatcher(number: Int, nowMillis: Long) =
+        Dispatcher("d", random = Random(number), features = features).apply {
+            onServers(entries, nowMillis)
+        }
+
+    /** Restarts an instance at [millis]; its queued requests and its state are lost. */
+    fun restartAt(millis: Long, instance: Int) =
+        time.at(millis) { nowMillis ->
+            openRequests.values.removeIf { it.traffic.instance == instance }
+            dispatchers[instance] = startDispatcher(instance, nowMillis)
+        }
+
     private class ChangeReporter {
         var lastSentMillis = 0L
         var isScheduled = false
@@ -114,7 +131,7 @@
 
     private fun report(instance: Int, nowMillis: Long) {
         reporters[instance].lastSentMillis = nowMillis
-        time.sendReport(dispatchers, instance, reports.delayMillis, nowMillis, ::apply)
+        time.sendReport(dispatchers, instance, reports.delayMillis, nowMillis, ::apply, isDelivered)
     }
 
     private fun onChange(instance: Int, nowMillis: Long) {
@@ -138,7 +155,10 @@
                     targetMillis = nowMillis + work.targetMillis,
                     deadlineMillis = nowMillis + work.deadlineMillis,
                 )
-                .copy(firstEventDeadlineMillis = nowMillis + work.patienceMillis)
+                .copy(
+                    firstEventDeadlineMillis = nowMillis + work.patienceMillis,
+                    workspace = traffic.workspace,
+                )
         openRequests[request.id] = PendingRequest(request, traffic)
         apply(dispatchers[traffic.instance].submit(request, nowMillis), nowMillis)
         onChange(traffic.instance, nowMillis)
@@ -150,7 +170,14 @@
             val queuedMillis = nowMillis - pending.request.arrivedMillis
             when (effect) {
                 is DispatchEffect.Refuse ->
-                    results += SimulatedResult(pending.request.priority, null, queuedMillis)
+                    results +=
+                        SimulatedResult(
+                            pending.request.priority,
+                            null,
+                            queuedMillis,
+                            pending.request.workspace,
+                            pending.request.arrivedMillis,
+                        )
                 is DispatchEffect.Assign -> startRequest(pending, effect.server, nowMillis)
             }
         }
@@ -165,6 +192,9 @@
                 pending.request.priority,
                 firstMillis - pending.request.arrivedMillis,
                 nowMillis - pending.request.arrivedMillis,
+                pending.request.workspace,
+                pending.request.arrivedMillis,
+                run.last - run.first,
             )
         time.at(run.last) { finishRequest(pending, entry, nowMillis, firstMillis, it) }
     }
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/VirtualTime.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/VirtualTime.kt
@@ -42,18 +42,20 @@
         apply: (effects: List<DispatchEffect>, nowMillis: Long) -> Unit,
     ) = dispatchers.indices.forEach { sendReport(dispatchers, it, delayMillis, nowMillis, apply) }
 
-    /** Sends the report of the dispatcher with index [from] to the others. */
+    /** Sends the report of the dispatcher with index [from] to those it [isDelivered] to. */
     fun sendReport(
         dispatchers: List<Dispatcher>,
         from: Int,
         delayMillis: Long,
         nowMillis: Long,
         apply: (effects: List<DispatchEffect>, nowMillis: Long) -> Unit,
+        isDelivered: (from: Int, to: Int, nowMillis: Long) -> Boolean = { _, _, _ -> true },
     ) {
         val report = dispatchers[from].report(nowMillis)
         at(nowMillis + delayMillis) { millis ->
             dispatchers.forEachIndexed { to, peer ->
-                if (to != from) apply(peer.onPeerReport("$from", report, millis), millis)
+                if (to != from && isDelivered(from, to, nowMillis))
+                    apply(peer.onPeerReport("$from", report, millis), millis)
             }
         }
     }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportProtoConverters.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportProtoConverters.kt
@@ -5,6 +5,8 @@
 import io.lavenderhinge.core.forwarding.QueueState
 import io.lavenderhinge.core.forwarding.RateLimitReport
 import io.lavenderhinge.core.forwarding.ServerUse
+import io.lavenderhinge.core.forwarding.WorkspaceKey
+import io.lavenderhinge.core.forwarding.WorkspaceUse
 import io.lavenderhinge.instance.quarantine.toMessage
 import io.lavenderhinge.instance.quarantine.toReport
 import io.lavenderhinge.instance.quarantine.toRun
@@ -13,6 +15,7 @@
 import io.lavenderhinge.protocol.v1.ServerRateLimit
 import io.lavenderhinge.protocol.v1.ServerUse as ServerUseMessage
 import io.lavenderhinge.protocol.v1.WorkspaceSpending
+import io.lavenderhinge.protocol.v1.WorkspaceUse as WorkspaceUseMessage
 
 /** Adds [report] and the cost per workspace in [spending] to the message. */
 internal fun LoadReportMessage.Builder.addLoad(
@@ -39,6 +42,7 @@
     }
     report.quarantine?.let { setCrashObservations(it.toMessage()) }
     report.rateLimits.forEach { addRateLimits(it.toMessage()) }
+    report.workspaceUses.forEach { (key, use) -> addWorkspaceUses(use.toMessage(key)) }
     spending.forEach { (workspace, cost) ->
         addWorkspaces(WorkspaceSpending.newBuilder().setWorkspace(workspace).setTotalCost(cost))
     }
@@ -55,12 +59,24 @@
         },
         if (hasCrashObservations()) crashObservations.toReport() else null,
         rateLimitsList.map { it.toReport() },
+        workspaceUsesList.associate {
+            WorkspaceKey(it.service, it.priority, it.workspace) to
+                WorkspaceUse(it.slotMillis, it.waiting)
+        },
     )
 
 /** Reads the total cost per workspace that the sender admitted. */
 internal fun LoadReportMessage.toSpending(): Map<String, Double> =
     workspacesList.associate { it.workspace to it.totalCost }
 
+private fun WorkspaceUse.toMessage(key: WorkspaceKey) =
+    WorkspaceUseMessage.newBuilder()
+        .setService(key.service)
+        .setPriority(key.priority)
+        .setWorkspace(key.workspace)
+        .setSlotMillis(slotMillis)
+        .setWaiting(waiting)
+
 private fun RateLimitReport.toMessage(): ServerRateLimit {
     val message =
         ServerRateLimit.newBuilder()
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
@@ -119,6 +119,7 @@
                 request.priority,
                 request.promptParts,
                 sentMillis = loop.nowMillis(),
+                workspace = request.workspace,
             )
         )
 
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
@@ -136,6 +136,7 @@
             slot.request.promptParts,
             sentMillis,
             slot.request.digest,
+            slot.request.workspace,
         )
 
     private suspend fun sendRequest(upstreamRequest: HttpRequest): ClientResponse {
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/LoadReportProtoConvertersTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/LoadReportProtoConvertersTest.kt
@@ -8,6 +8,8 @@
 import io.lavenderhinge.core.forwarding.QueueState
 import io.lavenderhinge.core.forwarding.RateLimitReport
 import io.lavenderhinge.core.forwarding.ServerUse
+import io.lavenderhinge.core.forwarding.WorkspaceKey
+import io.lavenderhinge.core.forwarding.WorkspaceUse
 import io.lavenderhinge.core.quarantine.CrashReport
 import io.lavenderhinge.core.quarantine.QuarantineReport
 import io.lavenderhinge.core.quarantine.SuspectKey
@@ -38,6 +40,7 @@
                         RateLimitReport(run, limitPerSecond = 2.5, ageMillis = 14, sentCount = 15),
                         RateLimitReport(run, limitPerSecond = null, ageMillis = 16, sentCount = 17),
                     ),
+                    mapOf(WorkspaceKey("s", 1, "w") to WorkspaceUse(slotMillis = 18.5, 19)),
                 )
 
             roundTrip(report) shouldBe report
