--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
@@ -55,6 +55,8 @@
     val sentMillis: Long,
     /** [DispatchRequest.digest] of the request. */
     val digest: RequestDigest? = null,
+    /** [DispatchRequest.workspace] of the request. */
+    val workspace: String? = null,
 )
 
 /** An action that the caller of the [Dispatcher] carries out for a queued request. */
@@ -131,4 +133,5 @@
     val promptHolders: List<PromptHolderReport> = emptyList(),
     /** The newest loads that servers have stated to the reporting instance. */
     val statedLoads: List<StatedLoadReport> = emptyList(),
+    val workspaceUses: Map<WorkspaceKey, WorkspaceUse> = emptyMap(),
 )
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportProtoConverters.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportProtoConverters.kt
@@ -8,6 +8,8 @@
 import io.lavenderhinge.core.forwarding.ServerUse
 import io.lavenderhinge.core.forwarding.StatedLoad
 import io.lavenderhinge.core.forwarding.StatedLoadReport
+import io.lavenderhinge.core.forwarding.WorkspaceKey
+import io.lavenderhinge.core.forwarding.WorkspaceUse
 import io.lavenderhinge.instance.quarantine.toMessage
 import io.lavenderhinge.instance.quarantine.toReport
 import io.lavenderhinge.instance.quarantine.toRun
@@ -19,6 +21,7 @@
 import io.lavenderhinge.protocol.v1.StatedLoad as StatedLoadMessage
 import io.lavenderhinge.protocol.v1.WorkspaceSpending
 import kotlin.math.roundToInt
+import io.lavenderhinge.protocol.v1.WorkspaceUse as WorkspaceUseMessage
 
 /** Adds [report] and the cost per workspace in [spending] to the message. */
 internal fun LoadReportMessage.Builder.addLoad(
@@ -47,6 +50,7 @@
     report.rateLimits.forEach { addRateLimits(it.toMessage()) }
     report.promptHolders.forEach { addPromptHolders(it.toMessage()) }
     report.statedLoads.forEach { addStatedLoads(it.toMessage()) }
+    report.workspaceUses.forEach { (key, use) -> addWorkspaceUses(use.toMessage(key)) }
     spending.forEach { (workspace, cost) ->
         addWorkspaces(WorkspaceSpending.newBuilder().setWorkspace(workspace).setTotalCost(cost))
     }
@@ -65,6 +69,10 @@
         rateLimitsList.map { it.toReport() },
         promptHoldersList.map { PromptHolderReport(it.part, it.serverId, it.ageMillis) },
         statedLoadsList.map { it.toReport() },
+        workspaceUsesList.associate {
+            WorkspaceKey(it.service, it.priority, it.workspace) to
+                WorkspaceUse(it.slotMillis, it.waiting)
+        },
     )
 
 /** Reads the total cost per workspace that the sender admitted. */
@@ -73,6 +81,13 @@
 
 private fun PromptHolderReport.toMessage(): PromptHolder =
     PromptHolder.newBuilder().setPart(part).setServerId(serverId).setAgeMillis(ageMillis).build()
+private fun WorkspaceUse.toMessage(key: WorkspaceKey) =
+    WorkspaceUseMessage.newBuilder()
+        .setService(key.service)
+        .setPriority(key.priority)
+        .setWorkspace(key.workspace)
+        .setSlotMillis(slotMillis)
+        .setWaiting(waiting)
 
 private fun RateLimitReport.toMessage(): ServerRateLimit {
     val message =
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
@@ -135,6 +135,7 @@
                 request.priority,
                 request.promptParts,
                 sentMillis = loop.nowMillis(),
+                workspace = request.workspace,
             )
         )
 
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/LoadReportProtoConvertersTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/LoadReportProtoConvertersTest.kt
@@ -11,6 +11,8 @@
 import io.lavenderhinge.core.forwarding.ServerUse
 import io.lavenderhinge.core.forwarding.StatedLoad
 import io.lavenderhinge.core.forwarding.StatedLoadReport
+import io.lavenderhinge.core.forwarding.WorkspaceKey
+import io.lavenderhinge.core.forwarding.WorkspaceUse
 import io.lavenderhinge.core.quarantine.CrashReport
 import io.lavenderhinge.core.quarantine.QuarantineReport
 import io.lavenderhinge.core.quarantine.SuspectKey
@@ -46,6 +48,7 @@
                         StatedLoadReport(run, StatedLoad(1, 2, 3, workTimeFactor = 2.5), 18),
                         StatedLoadReport(run, StatedLoad(4, 5, 6, workTimeFactor = null), 19),
                     ),
+                    mapOf(WorkspaceKey("s", 1, "w") to WorkspaceUse(slotMillis = 18.5, 19)),
                 )
 
             roundTrip(report) shouldBe report
