--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -272,7 +272,7 @@
     ): DispatchEffect.Refuse? {
         val reopenMillis =
             pool.reopenMillis(request, nowMillis)
-                ?: return refuseWithoutServer(request, pool, nowMillis)
+                ?: return pool.domainRefusal(request, nowMillis) ?: refuseWithoutServer(request)
         if (reopenMillis + pool.firstEventMillis(request) <= request.targetMillis) return null
         return DispatchEffect.Refuse(
             request.id,
@@ -282,29 +282,6 @@
         )
     }
 
-    private fun refuseWithoutServer(
-        request: DispatchRequest,
-        pool: ServerPool,
-        nowMillis: Long,
-    ): DispatchEffect.Refuse =
-        when {
-            pool.isEvacuatedFor(request, nowMillis) ->
-                DispatchEffect.Refuse(
-                    request.id,
-                    DispatchRefusal.EVACUATED,
-                    OUT_OF_REACH_RETRY_MILLIS,
-                    "all servers left are in evacuated failure domains",
-                )
-            pool.isOutsideRegions(request) ->
-                DispatchEffect.Refuse(
-                    request.id,
-                    DispatchRefusal.NO_ALLOWED_REGION,
-                    OUT_OF_REACH_RETRY_MILLIS,
-                    "no server left is in the allowed regions ${request.allowedRegions}",
-                )
-            else -> refuseWithoutServer(request)
-        }
-
     private fun refuseWithoutServer(request: DispatchRequest) =
         DispatchEffect.Refuse(request.id, DispatchRefusal.NO_SERVER, NO_SERVER_RETRY_MILLIS)
 
@@ -313,10 +290,5 @@
         /** Drain time of a deployment that sets none. */
         const val DEFAULT_DRAIN_MILLIS = 2_000L
         private const val NO_SERVER_RETRY_MILLIS = 300L
-        /**
-         * It takes seconds until an evacuation ends or servers come to a region, and a client that
-         * returns at once is refused again.
-         */
-        private const val OUT_OF_REACH_RETRY_MILLIS = 1_000L
     }
 }
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DomainEvacuations.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DomainEvacuations.kt
@@ -65,8 +65,7 @@
     }
 
     // In (0, 1], so that no slot is open at the end of an evacuation.
-    private fun fraction(hash: ULong): Double =
-        ((hash shr HASH_SHIFT).toDouble() + 1) / HASH_RANGE
+    private fun fraction(hash: ULong): Double = ((hash shr HASH_SHIFT).toDouble() + 1) / HASH_RANGE
 
     private fun ServerRecord.isEvacuated(state: EvacuationState, nowMillis: Long): Boolean =
         state.isEvacuated(entry.failureDomain, nowMillis)
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerCapacity.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerCapacity.kt
@@ -7,7 +7,8 @@
     private val rateLimits: ServerRateLimits,
     private val statements: ServerStatements,
     private val ejections: EjectionComparison,
-    private val evacuations: DomainEvacuations = DomainEvacuations(Random.Default) { EvacuationState() },
+    private val evacuations: DomainEvacuations =
+        DomainEvacuations(Random.Default) { EvacuationState() },
 ) {
     /**
      * Returns the [servers] that take requests; those that are leaving only if there is no other.
@@ -38,10 +39,6 @@
             .minOrNull()
     }
 
-    /** Returns true if any of [servers] is in an evacuated domain. */
-    fun hasEvacuated(servers: List<ServerRecord>, nowMillis: Long): Boolean =
-        evacuations.hasEvacuated(servers, nowMillis)
-
     /** Returns how many requests the server takes at a time. */
     fun usableSlots(record: ServerRecord, nowMillis: Long): Int =
         if (ejections.isInForce(record)) 1
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -34,7 +34,8 @@
     private val affinity = PrefixAffinity()
     private val averages = PoolAverages(records.values)
     private val ejections = EjectionComparison(records.values, averages)
-    private val capacity = ServerCapacity(rateLimits, statements, ejections, domainRules.evacuations)
+    private val capacity =
+        ServerCapacity(rateLimits, statements, ejections, domainRules.evacuations)
     private val chooser =
         ServerChooser(
             affinity,
@@ -110,7 +111,8 @@
      * used anyway, because it is unlikely that every server of a pool has failed.
      */
     private fun eligibleServers(request: DispatchRequest, nowMillis: Long): List<ServerRecord> {
-        val accessible = capacity.accessible(listed(request), nowMillis)
+        val accessible =
+            capacity.accessible(domainRules.untried(records.values, request), nowMillis)
         val accepting = rollouts.select(accessible, request)
         return accepting
             .filterNot { isClosed(it, nowMillis) || isSilent(it, nowMillis) }
@@ -122,23 +124,11 @@
      * pause; otherwise null.
      */
     fun reopenMillis(request: DispatchRequest, nowMillis: Long): Long? =
-        capacity.reopenMillis(accepting(request), nowMillis)
+        capacity.reopenMillis(domainRules.accepting(records.values, request), nowMillis)
 
-    /** Returns true if a server could take [request] if its domain were not evacuated. */
-    fun isEvacuatedFor(request: DispatchRequest, nowMillis: Long): Boolean =
-        capacity.hasEvacuated(listed(request), nowMillis)
-
-    /** Returns true if a server could take [request] if it were in an allowed region. */
-    fun isOutsideRegions(request: DispatchRequest): Boolean =
-        request.allowedRegions != null &&
-            listed(request).isEmpty() &&
-            listed(request.copy(allowedRegions = null)).isNotEmpty()
-
-    private fun listed(request: DispatchRequest): List<ServerRecord> =
-        accepting(request).filter { it.entry.id !in request.excludedServers }
-
-    private fun accepting(request: DispatchRequest): List<ServerRecord> =
-        domainRules.inAllowedRegions(records.values, request).filter { it.entry.acceptsWork }
+    /** Returns the refusal of [request] if rules for failure domains leave no server for it. */
+    fun domainRefusal(request: DispatchRequest, nowMillis: Long): DispatchEffect.Refuse? =
+        domainRules.refusal(records.values, request, nowMillis)
 
     private fun isClosed(record: ServerRecord, nowMillis: Long): Boolean =
         record.isFull(nowMillis) || record.isBackingOff(nowMillis) && ejections.isInForce(record)
@@ -156,7 +146,7 @@
         val slotsPerMillis =
             rollouts
                 .select(
-                    capacity.accessible(accepting(request), nowMillis),
+                    capacity.accessible(domainRules.accepting(records.values, request), nowMillis),
                     request,
                 )
                 .filterNot { isClosed(it, nowMillis) }
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/WatchPacing.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/WatchPacing.kt
@@ -49,8 +49,12 @@
 
         /** Returns the pace for [bounds]. */
         fun of(bounds: PropagationBounds): WatchPacing {
-            // A request to evacuate that a lost connection delays has to arrive in time as well.
-            val contactMillis = minOf(bounds.contactTimeoutMillis, bounds.evacuationMillis)
+            // A request to evacuate arrives in time even if two calls in a row get no answer.
+            val contactMillis =
+                minOf(
+                    bounds.contactTimeoutMillis,
+                    bounds.evacuationMillis - RESPONSE_MILLIS - RECONNECT_MILLIS,
+                )
             val waitMillis = contactMillis - RESPONSE_MILLIS - RECONNECT_MILLIS
             val changeMillis =
                 minOf(bounds.configurationApplyMillis, bounds.drainMillis, bounds.evacuationMillis)
--- a/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySchema.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySchema.kt
@@ -11,8 +11,7 @@
     val domain = SettingKey("failure-domain", platformName, "failure domain", required = true)
     val region = SettingKey("region", platformName, "region", required = true)
 
-    val regions =
-        SettingKey("regions", RegionTableType, "region of each failure domain", "")
+    val regions = SettingKey("regions", RegionTableType, "region of each failure domain", "")
 
     val caller = BootstrapSchema.caller
     val ready = SettingKey("ready", AddressType, "listener for readiness checks", required = true)
@@ -127,7 +126,12 @@
 
     val sections =
         listOf(
-            SectionSchema("instance", named = false, required = true, listOf(id, domain, region, regions)),
+            SectionSchema(
+                "instance",
+                named = false,
+                required = true,
+                listOf(id, domain, region, regions),
+            ),
             SectionSchema(
                 "listen",
                 named = false,
--- a/http/src/main/kotlin/io/lavenderhinge/http/HttpClient.kt
+++ b/http/src/main/kotlin/io/lavenderhinge/http/HttpClient.kt
@@ -65,8 +65,8 @@
      * Pass `reuseConnection = false` to open a new connection, because a pooled connection that is
      * no longer reachable would leave the outcome unknown. Pass a [matcher] if servers may send
      * late responses to earlier requests. [isAllowed] is called immediately before the request is
-     * written, on the thread of the connection; if it returns false, nothing is written.
-     * [onSent] is called once the request has been sent.
+     * written, on the thread of the connection; if it returns false, nothing is written. [onSent]
+     * is called once the request has been sent.
      */
     suspend fun send(
         address: InetSocketAddress,
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/EvacuationRegistry.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/EvacuationRegistry.kt
@@ -34,13 +34,11 @@
     @Volatile var onChange: () -> Unit = {}
 
     /** Returns true if requests may be sent to [server] now. */
-    fun allows(server: ServerEntry): Boolean =
-        !state.isEvacuated(server.failureDomain, nowMillis())
+    fun allows(server: ServerEntry): Boolean = !state.isEvacuated(server.failureDomain, nowMillis())
 
     override fun onSnapshot(snapshot: Snapshot) {
         isStoreLost = false
-        val isRestored =
-            StoreRevision.isRestoredBetween(state.readRevision, snapshot.revision)
+        val isRestored = StoreRevision.isRestoredBetween(state.readRevision, snapshot.revision)
         val newestWrite = snapshot.values.maxOfOrNull { it.version } ?: 0
         apply(
             EvacuationRead(
@@ -116,7 +114,7 @@
         (before.domains - after.domains).forEach {
             if (after.isEvacuated(it, nowMillis())) {
                 log.warn(
-                    "evacuation: domain {} is missing in the restored store, it is kept out for {} ms",
+                    "evacuation: the restored store lacks domain {}, it is kept out for {} ms",
                     it,
                     EvacuationState.HOLD_MILLIS,
                 )
@@ -135,7 +133,9 @@
         unusedDomains.retainAll(requested)
         requested
             .filter { it !in used && unusedDomains.add(it) }
-            .forEach { log.warn("evacuation: no server is in domain {}, check the name of the key", it) }
+            .forEach {
+                log.warn("evacuation: no server is in domain {}, check the name of the key", it)
+            }
     }
 
     private fun domainsOf(values: List<VersionedValue>): Set<String> =
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
@@ -167,12 +167,12 @@
      * available. [prebound] holds client connections that were opened during startup.
      */
     fun start(prebound: PreboundListener? = null) {
+        allocator.setEvacuations(evacuations::state)
+        allocator.setRegions(settings.regions)
         readinessServer.start(socketAddress(settings.listen.ready))
         startClientServer(prebound)
         isStarted = true
         operatorServer.start(socketAddress(settings.listen.operator))
-        allocator.setEvacuations(evacuations::state)
-        allocator.setRegions(settings.regions)
         evacuations.onChange = ::onEvacuationsChanged
         control.scope.launch { storeSubscription.run() }
         servers.start()
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/GatewayStatus.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/GatewayStatus.kt
@@ -25,7 +25,8 @@
         )
 
     private fun notReadyReason(): String? =
-        if (gate.isOpen) null else "no configuration, list of backend servers or evacuation is known yet"
+        if (gate.isOpen) null
+        else "no configuration, list of backend servers or evacuation is known yet"
 
     private fun status(): Map<String, Any?> =
         mapOf(
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/PeerStateSync.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/PeerStateSync.kt
@@ -43,8 +43,7 @@
     fun isConcernedBy(report: LoadReport): Boolean =
         report.configurationVersion > configuration.version ||
             report.serverRevision > servers.readRevision ||
-            report.evacuationRevision > evacuations.state.readRevision ||
-            isCheckUseful(report)
+            isConcernedByEvacuations(report)
 
     /**
      * Requests newer state from the sender of [report] if this instance has been behind for
@@ -55,7 +54,8 @@
         val needsConfiguration = needsConfigurationOf(report, nowMillis)
         val needsServers = needsServersOf(report, nowMillis)
         val needsEvacuations = needsEvacuationsOf(report, nowMillis)
-        if (!isStarted || !(needsConfiguration || needsServers || needsEvacuations)) return
+        val needsAny = needsConfiguration || needsServers || needsEvacuations
+        if (!isStarted || !needsAny) return
         if (nowMillis - lastRequestMillis < REQUEST_INTERVAL_MILLIS) return
         lastRequestMillis = nowMillis
         lastEvacuationCheckMillis = nowMillis
@@ -93,6 +93,9 @@
         return isCheckUseful(report) && nowMillis - checkedMillis >= CHECK_INTERVAL_MILLIS
     }
 
+    private fun isConcernedByEvacuations(report: LoadReport): Boolean =
+        report.evacuationRevision > evacuations.state.readRevision || isCheckUseful(report)
+
     // A peer that has started after the end of an evacuation does not report that change, since the
     // store keeps no trace of it.
     private fun isCheckUseful(report: LoadReport): Boolean =
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/StoreSubscription.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/StoreSubscription.kt
@@ -35,11 +35,11 @@
         val listener =
             PrefixRoutingListener(
                 operatorListeners() +
-                mapOf(
-                    PlatformKeys.ROLLOUT_STATUS_PREFIX to listeners.rolloutStatus,
-                    PlatformKeys.SERVER_PREFIX to listeners.servers,
-                    PlatformKeys.MEMBER_PREFIX to listeners.members,
-                )
+                    mapOf(
+                        PlatformKeys.ROLLOUT_STATUS_PREFIX to listeners.rolloutStatus,
+                        PlatformKeys.SERVER_PREFIX to listeners.servers,
+                        PlatformKeys.MEMBER_PREFIX to listeners.members,
+                    )
             )
         return StoreWatcher(store, PlatformKeys.ALL_PREFIX, listener, pacing)
     }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/UpstreamAttempt.kt
@@ -106,8 +106,7 @@
             return readResponse(received, relay)
         } catch (e: HttpCallException.NotSent) {
             // It says nothing about the server that its failure domain was evacuated meanwhile.
-            outcome =
-                if (isWithheld) ServerOutcome.Inconclusive else ServerOutcome.Unreachable
+            outcome = if (isWithheld) ServerOutcome.Inconclusive else ServerOutcome.Unreachable
             return AttemptResult.NotExecuted(e.message.orEmpty(), wasSent = false)
         } catch (e: HttpCallException.OutcomeUnknown) {
             outcome = lossOutcome(e.reason)
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ConfigurationHolderTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ConfigurationHolderTest.kt
@@ -29,6 +29,18 @@
             holder.text shouldBe text(7)
         }
 
+        // Guards against requests that leave their region because a list cannot be read.
+        test("given an active version, when a list of regions is empty, then it stays active") {
+            val holder = ConfigurationHolder(ReadinessGate(), confirmationValidMillis = 3_000)
+            holder.applyIfNewer(text(7), "the store")
+            val tenants = """[{"name":"t","api_keys":["k"],"allowed_regions":[]}]"""
+            val invalid = text(8).replace("}", ",\"tenants\":$tenants}")
+
+            holder.applyIfNewer(invalid, "the store") shouldBe false
+
+            holder.version shouldBe 7
+        }
+
         test("given no answer from the store, then the configuration is not confirmed") {
             val holder = ConfigurationHolder(ReadinessGate(), confirmationValidMillis = 3_000)
             holder.applyIfNewer(text(7), "a peer")
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/GatewayHarness.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/GatewayHarness.kt
@@ -2,6 +2,7 @@
 
 import io.lavenderhinge.core.forwarding.QuotaLimiter
 import io.lavenderhinge.core.forwarding.QuotaTolerance
+import io.lavenderhinge.core.forwarding.RegionTable
 import io.lavenderhinge.core.forwarding.RequestAdmission
 import io.lavenderhinge.core.forwarding.ServerEntry
 import io.lavenderhinge.core.forwarding.ServiceRetryBudget
@@ -29,6 +30,7 @@
     quota: String = "",
     /** Failure domains of the servers in their order; `d`, that of the gateway, if not listed. */
     private val failureDomains: List<String> = emptyList(),
+    regions: RegionTable = RegionTable(),
     /** Returns whether a request may still be written to a server that was chosen for it. */
     maySendTo: (ServerEntry) -> Boolean = { true },
 ) : AutoCloseable {
@@ -58,6 +60,7 @@
                 tokensPerEvent = { 1 },
                 maySendTo = { evacuations.allows(it) && maySendTo(it) },
             )
+        allocator.setRegions(regions)
         allocator.setEvacuations(evacuations::state)
         evacuations.onChange = { loop.execute(allocator::onEvacuationsChanged) }
         val admission = RequestAdmission(quotas)
