Limit the requests of all instances to cold servers

A server that is cold after a start crashes if it gets much more requests than it takes, and 30 % of the servers may be cold at once. The remaining time of a server was used for rollouts only.

Each whole request per second of a cold server now belongs to one instance, by rendezvous hashing over the instances that the store last listed, so that the limit holds without contact. The limit is part of ServerRateLimits. Cold time is taken from the entries, from answers and from peers; a server that is cold again is published. Its slowness is not learned and does not eject it, and its slots return gradually.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
@@ -117,4 +117,6 @@
     val rateLimits: List<RateLimitReport> = emptyList(),
     /** The newest loads that servers have stated to the reporting instance. */
     val statedLoads: List<StatedLoadReport> = emptyList(),
+    /** Cold servers and the requests that the reporting instance has sent to them. */
+    val coldLimits: List<RateLimitReport> = emptyList(),
 )
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -23,12 +23,15 @@
     /** Time until a server that says that it is leaving must not get requests any more. */
     drainMillis: Long = DEFAULT_DRAIN_MILLIS,
     private val features: SchedulingFeatures = SchedulingFeatures(),
+    coldTolerance: ColdTolerance = ColdTolerance(),
 ) {
     private val pools = HashMap<String, ServerPool>()
     private val policies = HashMap<String, QueuePolicy>()
     private val queues = HashMap<String, MutableList<DispatchRequest>>()
     private val peers = PeerLoads()
-    private val rateLimits = ServerRateLimits(random)
+    private val members = FleetMembers()
+    private val cold = ColdServers(members, coldTolerance)
+    private val rateLimits = ServerRateLimits(random, cold)
     private val statements = ServerStatements(drainMillis)
 
     /** Called with each figure of a stated load that is ignored. */
@@ -45,6 +48,7 @@
     fun onServers(servers: Collection<ServerEntry>, nowMillis: Long): List<DispatchEffect> {
         rollouts.onServers(servers, nowMillis)
         rateLimits.retain(servers.mapTo(HashSet()) { it.run })
+        cold.onServers(servers, nowMillis)
         val byService = servers.groupBy { it.service }
         (pools.keys + byService.keys).toSet().forEach { service ->
             poolOf(service).update(byService[service].orEmpty())
@@ -104,6 +108,7 @@
     /** Records what a response of [server] states about it, except for its limit. */
     fun onStatement(server: ServerEntry, statement: ServerStatement, nowMillis: Long) {
         statements.onStated(server.run, statement, nowMillis)
+        statement.coldRemainingMillis?.let { cold.onStated(server.run, it, nowMillis) }
         statement.load?.let {
             pools[server.service]?.onStatedLoad(server.run, it, peers, nowMillis)
         }
@@ -114,6 +119,18 @@
         statements.onChange = listener
     }
 
+    /** Records that the store lists the instances [selfId], which is this one, and [others]. */
+    fun onMembers(selfId: String, others: Set<String>, nowMillis: Long) =
+        members.onListed(selfId, others, nowMillis)
+
+    /**
+     * Takes the limits of cold servers from [ruleOf] and calls [listener] when one becomes cold.
+     */
+    fun limitColdServers(ruleOf: (service: String) -> ColdRule?, listener: (ColdServer) -> Unit) {
+        cold.ruleOf = ruleOf
+        cold.onCold = listener
+    }
+
     /** Calls [listener] with each change of the limit that a server states. */
     fun onRateLimitChange(listener: (RateLimitChange) -> Unit) {
         rateLimits.onChange = listener
@@ -132,7 +149,9 @@
         val pool = pools[service] ?: return emptyList()
         val isServerSilent =
             pool.record(attempt.server.id)?.hasBeenSilentSince(attempt.sentMillis) ?: true
-        quarantineGate.onFinished(attempt, isServerSilent, nowMillis)
+        // A cold server is slow and may be silent without having crashed.
+        val isSilent = isServerSilent && !pool.isColdDuring(attempt)
+        quarantineGate.onFinished(attempt, isSilent, nowMillis)
         pool.onFinished(attempt, nowMillis)
         val refusals = quarantineGate.refuseQueued(queues.values)
         val queue = queues[service] ?: return refusals
@@ -146,6 +165,7 @@
     fun onPeerReport(peer: String, report: LoadReport, nowMillis: Long): List<DispatchEffect> {
         peers.update(peer, report, nowMillis)
         rateLimits.onPeerReport(peer, report.rateLimits, nowMillis)
+        cold.onPeerReport(peer, report.coldLimits, nowMillis)
         report.statedLoads.forEach { load ->
             pools.values.forEach { it.statedLoads.onPeerReport(load, nowMillis) }
         }
@@ -184,6 +204,7 @@
                 .flatMap { it.statedLoads.reports(nowMillis) }
                 .sortedBy { it.ageMillis }
                 .take(PoolStatedLoads.MAX_REPORTED),
+            cold.reports(nowMillis),
         )
 
     private fun queueState(requests: List<DispatchRequest>, nowMillis: Long): QueueState {
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ForwardingConfig.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ForwardingConfig.kt
@@ -76,6 +76,8 @@
     val name: String,
     /** Number of output tokens in one event of a stream. */
     val tokensPerEvent: Int,
+    /** Limit of servers that are cold; null if the service has none. */
+    val coldRule: ColdRule? = null,
 )
 
 /**
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerCapacity.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerCapacity.kt
@@ -35,7 +35,11 @@
     /** Returns how many requests the server takes at a time. */
     fun usableSlots(record: ServerRecord, nowMillis: Long): Int =
         if (ejections.isInForce(record)) 1
-        else statements.usableSlots(record.entry.run, record.entry.slots, nowMillis)
+        else
+            minOf(
+                statements.usableSlots(record.entry.run, record.entry.slots, nowMillis),
+                rateLimits.cold.usableSlots(record.entry.run, record.entry.slots, nowMillis),
+            )
 
     /** Returns how long this instance has to wait because of the limit that the server states. */
     fun limitWaitMillis(record: ServerRecord, peerCount: Int, nowMillis: Long): Double =
@@ -43,10 +47,11 @@
         else rateLimits.waitMillis(record.entry.run, peerCount + 1, nowMillis)
 
     /** Returns how often a slot of the server becomes free if each is used for [holdMillis]. */
-    fun slotsPerMillis(record: ServerRecord, holdMillis: Double): Double {
+    fun slotsPerMillis(record: ServerRecord, holdMillis: Double, nowMillis: Long): Double {
         val byDuration = record.entry.slots / holdMillis
-        val statedPerSecond = rateLimits.perSecond(record.entry.run) ?: return byDuration
-        return minOf(byDuration, statedPerSecond / MILLIS_PER_SECOND)
+        if (rateLimits.isEmpty) return byDuration
+        val limitPerSecond = rateLimits.perSecond(record.entry.run, nowMillis) ?: return byDuration
+        return minOf(byDuration, limitPerSecond / MILLIS_PER_SECOND)
     }
 
     private companion object {
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -83,7 +83,7 @@
         record.sentParts.add(request.promptParts, nowMillis)
         affinity.onSent(request.promptParts)
         if (record.inFlight == 0) record.onActivity(nowMillis)
-        rateLimits.onSent(record.entry.run)
+        rateLimits.onSent(record.entry.run, nowMillis)
         record.inFlight++
         record.pendingTokens += uncachedTokens
         minimumShare.onStarted(request.priority)
@@ -107,11 +107,36 @@
         record.pendingTokens = (record.pendingTokens - pendingTokens).coerceAtLeast(0.0)
         val wasEjected = record.isHalfOpen
         val work = statedLoads.workTimeOf(record, outcome, attempt.sentMillis)
-        statedLoads.checked(record) { record.observe(outcome, model, nowMillis, work) }
+        if (isColdDuring(attempt)) observeCold(record, outcome, work, nowMillis)
+        else statedLoads.checked(record) { record.observe(outcome, model, nowMillis, work) }
         averages.onChange()
         if (record.isHalfOpen && !wasEjected) onEjection(ejections.describe(record))
     }
 
+    /** Returns true if the server of [attempt] was cold at any time of it. */
+    fun isColdDuring(attempt: FinishedAttempt): Boolean =
+        rateLimits.cold.wasColdSince(attempt.server.run, attempt.sentMillis)
+
+    private fun observeCold(
+        record: ServerRecord,
+        outcome: ServerOutcome,
+        work: ObservedWork,
+        nowMillis: Long,
+    ) {
+        record.observeCold(outcome, model, nowMillis)
+        if (outcome !is ServerOutcome.Answered) return
+        val warmMillis = record.latencyFactor * model.predictMillis(outcome.promptTokens)
+        rateLimits.cold.onObserved(
+            record.entry.run,
+            outcome.firstEventMillis / (warmMillis * work.firstEventFactor),
+        )
+    }
+
+    /** Returns the expected time of work at the server, relative to that when it is usual. */
+    private fun workFactor(record: ServerRecord, durationMillis: Double, nowMillis: Long): Double =
+        statedLoads.factor(record, durationMillis, nowMillis) *
+            rateLimits.cold.latencyFactor(record.entry.run, nowMillis)
+
     /**
      * Returns the servers that may get [request]. If all of them are ejected or silent, they are
      * used anyway, because it is unlikely that every server of a pool has failed.
@@ -141,7 +166,7 @@
 
     private fun isSilent(record: ServerRecord, nowMillis: Long): Boolean {
         val expectedMillis = record.latencyFactor * model.predictMillis(record.pendingTokens)
-        val factor = statedLoads.factor(record, durationMillis = 0.0, nowMillis).coerceAtLeast(1.0)
+        val factor = workFactor(record, durationMillis = 0.0, nowMillis).coerceAtLeast(1.0)
         return record.isSilent(
             factor * maxOf(MIN_SILENCE_MILLIS, SILENCE_FACTOR * expectedMillis),
             nowMillis,
@@ -157,7 +182,7 @@
                     request,
                 )
                 .filterNot { isClosed(it, nowMillis) }
-                .sumOf { capacity.slotsPerMillis(it, expectedHoldMillis(it, nowMillis)) }
+                .sumOf { capacity.slotsPerMillis(it, expectedHoldMillis(it, nowMillis), nowMillis) }
         return if (slotsPerMillis <= 0) MIN_HOLD_MILLIS else 1 / slotsPerMillis
     }
 
@@ -213,7 +238,7 @@
             record,
             peerUse,
             capacity.usableSlots(record, nowMillis),
-            statedLoads.factor(record, record.latencyFactor * model.baseMillis, nowMillis),
+            workFactor(record, record.latencyFactor * model.baseMillis, nowMillis),
             statedLoads.unreportedRequests(record, peerUse.inFlight, nowMillis),
             limitWait = { capacity.limitWaitMillis(record, loads.peerCount, nowMillis) },
         )
@@ -262,7 +287,7 @@
     // wait for it while other servers are free.
     private fun expectedHoldMillis(record: ServerRecord, nowMillis: Long): Double {
         if (record.holdMillis <= 0) return meanHoldMillis()
-        val factor = statedLoads.factor(record, record.holdMillis, nowMillis)
+        val factor = workFactor(record, record.holdMillis, nowMillis)
         return (record.holdMillis * factor).coerceAtLeast(MIN_HOLD_MILLIS)
     }
 
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerRateLimits.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerRateLimits.kt
@@ -30,7 +30,11 @@
  * random level, so that the instances do not send their first requests at once. Not thread-safe.
  * Times are milliseconds on the monotonic clock.
  */
-internal class ServerRateLimits(private val random: Random) {
+internal class ServerRateLimits(
+    private val random: Random,
+    /** The limits of servers that are cold. */
+    val cold: ColdServers = ColdServers(FleetMembers(), ColdTolerance()),
+) {
     private class Limit(
         var perSecond: Double?,
         var statedMillis: Long,
@@ -44,9 +48,9 @@
     private val limits = LinkedHashMap<ServerRun, Limit>()
     private var reportOffset = 0
 
-    /** True if no server has stated a limit, as nearly always. */
+    /** True if no server is limited, as nearly always. */
     val isEmpty: Boolean
-        get() = limits.isEmpty()
+        get() = limits.isEmpty() && cold.isEmpty
 
     /** Called with each change of a stated limit, for the log. */
     var onChange: (RateLimitChange) -> Unit = {}
@@ -54,6 +58,10 @@
     /** Returns the stated limit of [run], or null if there is none. */
     fun perSecond(run: ServerRun): Double? = limits[run]?.perSecond
 
+    /** Returns the limit of [run] by what it states or because it is cold, or null. */
+    fun perSecond(run: ServerRun, nowMillis: Long): Double? =
+        listOfNotNull(perSecond(run), cold.perSecond(run, nowMillis)).minOrNull()
+
     /** Records that a response of [run] states [perSecond], or no limit if it is null. */
     fun onStated(run: ServerRun, perSecond: Double?, nowMillis: Long) {
         val limit = limits[run]
@@ -79,7 +87,8 @@
     }
 
     /** Charges a request that this instance sends to [run]. */
-    fun onSent(run: ServerRun) {
+    fun onSent(run: ServerRun, nowMillis: Long) {
+        cold.onSent(run, nowMillis)
         val limit = limits[run] ?: return
         limit.sentCount++
         limit.shared.take()
@@ -87,7 +96,10 @@
     }
 
     /** Returns how long this instance, one of [instanceCount], has to wait for the next request. */
-    fun waitMillis(run: ServerRun, instanceCount: Int, nowMillis: Long): Double {
+    fun waitMillis(run: ServerRun, instanceCount: Int, nowMillis: Long): Double =
+        maxOf(statedWaitMillis(run, instanceCount, nowMillis), cold.waitMillis(run, nowMillis))
+
+    private fun statedWaitMillis(run: ServerRun, instanceCount: Int, nowMillis: Long): Double {
         val limit = limits[run] ?: return 0.0
         val perSecond = limit.perSecond?.coerceAtLeast(MIN_LIMIT_PER_SECOND) ?: return 0.0
         limit.shared.refill(perSecond, burst(perSecond), nowMillis)
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerRecord.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerRecord.kt
@@ -144,6 +144,16 @@
         }
     }
 
+    /** Learns from [outcome] of a cold server, whose slowness is neither usual nor a failure. */
+    fun observeCold(outcome: ServerOutcome, model: FirstEventModel, nowMillis: Long) {
+        when (outcome) {
+            is ServerOutcome.Answered -> recordSuccess()
+            is ServerOutcome.Stalled,
+            is ServerOutcome.Unresponsive -> Unit
+            else -> observe(outcome, model, nowMillis)
+        }
+    }
+
     /** Clears the statistics after a restart of the server. */
     fun reset() {
         sentParts.clear()
@@ -168,13 +178,7 @@
         work: ObservedWork,
         nowMillis: Long,
     ) {
-        consecutiveFailures = 0
-        failureRate.record(isFailure = false)
-        failureFraction *= 1 - FAILURE_WEIGHT
-        if (failureFraction < RECOVERED_FRACTION) {
-            ejectionCount = 0
-            isEjectedByFailures = false
-        }
+        recordSuccess()
         val predicted = model.predictMillis(outcome.promptTokens).coerceAtLeast(1.0)
         val statedRatio = outcome.firstEventMillis / predicted
         val ratio =
@@ -200,6 +204,16 @@
         )
     }
 
+    private fun recordSuccess() {
+        consecutiveFailures = 0
+        failureRate.record(isFailure = false)
+        failureFraction *= 1 - FAILURE_WEIGHT
+        if (failureFraction < RECOVERED_FRACTION) {
+            ejectionCount = 0
+            isEjectedByFailures = false
+        }
+    }
+
     private fun recordFailure(nowMillis: Long, failureLimit: Int, isAnswer: Boolean = false) {
         consecutiveFailures++
         failureFraction += (1 - failureFraction) * FAILURE_WEIGHT
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerStatement.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerStatement.kt
@@ -12,6 +12,8 @@
     val limitPerSecond: Double? = null,
     /** Null if the response states no load. */
     val load: StatedLoad? = null,
+    /** Time for which the server is still cold; null if the response states none. */
+    val coldRemainingMillis: Long? = null,
 )
 
 /** A change of what is known from the statements of a server, for the log. */
--- a/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySchema.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySchema.kt
@@ -77,6 +77,21 @@
             "0",
         )
 
+    val coldOverage =
+        SettingKey(
+            "cold-overage",
+            NumberType(minimum = 1.0, maximum = 100.0),
+            "tolerated multiple of the limit of a cold backend server in any second",
+            "1",
+        )
+    val coldSlack =
+        SettingKey(
+            "cold-slack",
+            NumberType(minimum = 0.0, maximum = 100_000.0),
+            "tolerated requests above that in any second",
+            "0",
+        )
+
     val seeds =
         SettingKey(
             "instances",
@@ -112,6 +127,8 @@
             quotaWindow,
             quotaOverage,
             quotaSlack,
+            coldOverage,
+            coldSlack,
         )
 
     val sections =
--- a/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySettings.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySettings.kt
@@ -1,5 +1,6 @@
 package io.lavenderhinge.core.settings
 
+import io.lavenderhinge.core.forwarding.ColdTolerance
 import io.lavenderhinge.core.forwarding.PropagationBounds
 import io.lavenderhinge.core.forwarding.QuotaTolerance
 import io.lavenderhinge.core.forwarding.SchedulingFeatures
@@ -26,6 +27,8 @@
     /** Additional retries of the whole fleet in each window. */
     val repeatSlack: Double,
     val quotaTolerance: QuotaTolerance,
+    /** Requests to a cold server that are tolerated above its limit. */
+    val coldTolerance: ColdTolerance,
 )
 
 /** Settings that a gateway reads from its local file at startup. */
--- a/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySettingsParser.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySettingsParser.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import arrow.core.NonEmptyList
+import io.lavenderhinge.core.forwarding.ColdTolerance
 import io.lavenderhinge.core.forwarding.FeatureMode
 import io.lavenderhinge.core.forwarding.PropagationBounds
 import io.lavenderhinge.core.forwarding.QuotaTolerance
@@ -56,6 +57,10 @@
                 section.value(GatewaySchema.quotaOverage) ?: 0.0,
                 section.value(GatewaySchema.quotaSlack) ?: 0.0,
             ),
+            ColdTolerance(
+                section.value(GatewaySchema.coldOverage) ?: 1.0,
+                section.value(GatewaySchema.coldSlack) ?: 0.0,
+            ),
         )
 
     private fun scheduling(section: SectionReader): SchedulingFeatures {
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ServerEstimatorTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ServerEstimatorTest.kt
@@ -78,7 +78,7 @@
         test("given a stated limit that is used up, then no slot is free") {
             val limited = record("limited")
             rateLimits.onStated(limited.entry.run, perSecond = 1.0, nowMillis = 0)
-            repeat(10) { rateLimits.onSent(limited.entry.run) }
+            repeat(10) { rateLimits.onSent(limited.entry.run, nowMillis = 0) }
 
             estimate(limited).load.freeSlots shouldBe 0
         }
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ServerRateLimitsTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ServerRateLimitsTest.kt
@@ -40,7 +40,7 @@
                 if (now in idleMillis) return@arrivals
                 val instance = random.nextInt(instances)
                 if (fleet[instance].waitMillis(run, instances, now) > 0) return@arrivals
-                fleet[instance].onSent(run)
+                fleet[instance].onSent(run, now)
                 val known = knownSince[instance]
                 if (known != null && now - known >= KNOWN_MILLIS) add(now)
                 time.at(now + RESPONSE_MILLIS) {
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import arrow.core.NonEmptyList
+import io.lavenderhinge.core.forwarding.ColdServer
 import io.lavenderhinge.core.forwarding.QuotaLimiter
 import io.lavenderhinge.core.forwarding.QuotaStart
 import io.lavenderhinge.core.forwarding.QuotaStartEnd
@@ -51,6 +52,7 @@
             loop,
             drainMillis = settings.bounds.propagation.drainMillis,
             features = settings.scheduling,
+            coldTolerance = settings.bounds.coldTolerance,
         )
     private val servers =
         ServerRegistry(control, StoreContact(watchPacing.staleAfterMillis), publish = ::publish)
@@ -87,7 +89,7 @@
             settings.listen.peer,
             store,
             control,
-            onMembers = { loop.execute { loadReports.onMembers(it) } },
+            onMembers = { loop.execute { onMembersListed(it) } },
             onListed = { loop.execute(::onSelfListed) },
         )
     private val rollouts =
@@ -168,6 +170,10 @@
         servers.start()
         loop.execute { loadReports.onReport = ::onPeerReport }
         loop.execute { quotaStart.onEnd = ::onQuotaStartEnded }
+        loop.execute {
+            val ruleOf = { service: String -> configuration.table?.service(service)?.coldRule }
+            allocator.limitColdServers(ruleOf, ::onColdServer)
+        }
         loop.execute {
             allocator.quarantine.onChange = quarantineLog::onChange
             allocator.onStatementChange { log.info("server: {} states {}", it.run, it) }
@@ -245,6 +251,21 @@
         Thread.sleep(DRAIN_POLL_MILLIS)
     }
 
+    private fun onMembersListed(members: Map<String, Address>) {
+        loadReports.onMembers(members)
+        allocator.onMembers(identity.id, members.keys)
+    }
+
+    private fun onColdServer(cold: ColdServer) {
+        log.info(
+            "server: {} is cold for {} ms, {} requests per second",
+            cold.run,
+            cold.remainingMillis,
+            cold.perSecond,
+        )
+        metrics.serverCold()
+    }
+
     private fun onPeerReport(report: LoadReport) {
         watcherRole.onReport(report, loop.nowMillis())
         if (stateSync.isConcernedBy(report)) control.execute { stateSync.onReport(report) }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/GatewayMetrics.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/GatewayMetrics.kt
@@ -49,6 +49,9 @@
     fun statementIgnored(reason: String) =
         control.execute { requests.recordIgnoredStatement(reason) }
 
+    /** Records that a server has become cold. */
+    fun serverCold() = control.execute { requests.recordColdServer() }
+
     /** Records that a server of [service] was ejected. */
     fun serverEjected(service: String) = control.execute { requests.recordEjection(service) }
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportProtoConverters.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportProtoConverters.kt
@@ -43,6 +43,7 @@
     }
     report.quarantine?.let { setCrashObservations(it.toMessage()) }
     report.rateLimits.forEach { addRateLimits(it.toMessage()) }
+    report.coldLimits.forEach { addColdLimits(it.toMessage()) }
     report.statedLoads.forEach { addStatedLoads(it.toMessage()) }
     spending.forEach { (workspace, cost) ->
         addWorkspaces(WorkspaceSpending.newBuilder().setWorkspace(workspace).setTotalCost(cost))
@@ -61,6 +62,7 @@
         if (hasCrashObservations()) crashObservations.toReport() else null,
         rateLimitsList.map { it.toReport() },
         statedLoadsList.map { it.toReport() },
+        coldLimitsList.map { it.toReport() },
     )
 
 /** Reads the total cost per workspace that the sender admitted. */
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ServerRegistry.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ServerRegistry.kt
@@ -3,6 +3,7 @@
 import io.lavenderhinge.core.forwarding.ServerDirectory
 import io.lavenderhinge.core.forwarding.ServerEntry
 import io.lavenderhinge.core.forwarding.StoreContact
+import io.lavenderhinge.core.forwarding.WarmUpProgress
 import io.lavenderhinge.core.port.Snapshot
 import io.lavenderhinge.core.port.StoreFault
 import io.lavenderhinge.core.port.VersionedValue
@@ -22,6 +23,7 @@
 ) : StoreListener {
     private val directory = ServerDirectory()
     private val storedValues = HashMap<String, String>()
+    private val warmUp = WarmUpProgress()
     @Volatile private var published: List<ServerEntry> = emptyList()
 
     /** Store revision up to which this instance knows all changes of servers. */
@@ -143,10 +145,14 @@
             .getOrNull()
 
     // Returns whether the list has changed. Servers write their entries periodically to show that
-    // they are alive, which is no change, and neither is the progress of their warm-up.
+    // they are alive, which is no change, and neither is the progress of their warm-up. A server
+    // that is cold again has to be known at once.
     private fun publishChanges(): Boolean {
         val servers = directory.servers
-        if (servers.map(::withoutProgress) == published.map(::withoutProgress)) return false
+        val isColdAgain = warmUp.isColdAgain(servers)
+        if (!isColdAgain && servers.map(::withoutProgress) == published.map(::withoutProgress)) {
+            return false
+        }
         val before = published.associateBy { it.id }
         val added = servers.filter { it.id !in before }.map { it.id }
         val left = (before.keys - servers.map { it.id }.toSet())
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
@@ -1,5 +1,8 @@
 package io.lavenderhinge.instance.gateway
 
+import io.lavenderhinge.core.forwarding.ColdRule
+import io.lavenderhinge.core.forwarding.ColdServer
+import io.lavenderhinge.core.forwarding.ColdTolerance
 import io.lavenderhinge.core.forwarding.DispatchEffect
 import io.lavenderhinge.core.forwarding.DispatchRequest
 import io.lavenderhinge.core.forwarding.Dispatcher
@@ -31,9 +34,16 @@
     /** Time until a server that says that it is leaving must not get requests any more. */
     drainMillis: Long = Dispatcher.DEFAULT_DRAIN_MILLIS,
     features: SchedulingFeatures = SchedulingFeatures(),
+    coldTolerance: ColdTolerance = ColdTolerance(),
 ) {
     private val dispatcher =
-        Dispatcher(failureDomain, rollouts, drainMillis = drainMillis, features = features)
+        Dispatcher(
+            failureDomain,
+            rollouts,
+            drainMillis = drainMillis,
+            features = features,
+            coldTolerance = coldTolerance,
+        )
 
     /** Prompt parts that are kept away from the servers. */
     val quarantine: RequestQuarantine
@@ -84,6 +94,16 @@
     fun onStatementChange(listener: (ServerStatementChange) -> Unit) =
         dispatcher.onStatementChange(listener)
 
+    /** Records that the store lists the instances [selfId], which is this one, and [others]. */
+    fun onMembers(selfId: String, others: Set<String>) =
+        dispatcher.onMembers(selfId, others, loop.nowMillis())
+
+    /**
+     * Takes the limits of cold servers from [ruleOf] and calls [listener] when one becomes cold.
+     */
+    fun limitColdServers(ruleOf: (service: String) -> ColdRule?, listener: (ColdServer) -> Unit) =
+        dispatcher.limitColdServers(ruleOf, listener)
+
     /** Calls [listener] with each figure of a stated load that is ignored. */
     fun onIgnoredLoad(listener: (IgnoredStatedLoad) -> Unit) {
         dispatcher.onIgnoredLoad = listener
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/metrics/RequestMetrics.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/metrics/RequestMetrics.kt
@@ -84,6 +84,9 @@
     fun recordIgnoredStatement(reason: String) =
         registry.counter("lavenderhinge.gateway.ignored.statements", "reason", reason).increment()
 
+    /** Counts a backend server that has become cold. */
+    fun recordColdServer() = registry.counter("lavenderhinge.gateway.cold.servers").increment()
+
     /** Counts an ejection of a backend server of [service] from its pool. */
     fun recordEjection(service: String) =
         registry.counter("lavenderhinge.gateway.ejections", "service", service).increment()
