--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
@@ -134,4 +134,6 @@
     /** The newest loads that servers have stated to the reporting instance. */
     val statedLoads: List<StatedLoadReport> = emptyList(),
     val workspaceUses: Map<WorkspaceKey, WorkspaceUse> = emptyMap(),
+    /** Cold servers and the requests that the reporting instance has sent to them. */
+    val coldLimits: List<RateLimitReport> = emptyList(),
 )
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ForwardingConfig.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ForwardingConfig.kt
@@ -80,6 +80,8 @@
     val tokensPerEvent: Int,
     /** Prompt tokens that each server keeps in its cache; null if not configured. */
     val cacheTokens: Long? = null,
+    /** Limit of servers that are cold; null if the service has none. */
+    val coldRule: ColdRule? = null,
 )
 
 /**
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerCapacity.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerCapacity.kt
@@ -46,6 +46,7 @@
             minOf(
                 statements.usableSlots(record.entry.run, record.entry.slots, nowMillis),
                 evacuations.usableSlots(record, record.entry.slots, nowMillis),
+                rateLimits.cold.usableSlots(record.entry.run, record.entry.slots, nowMillis),
             )
 
     /** Returns how long this instance has to wait because of the limit that the server states. */
@@ -57,8 +58,9 @@
     fun slotsPerMillis(record: ServerRecord, holdMillis: Double, nowMillis: Long): Double {
         val slots = evacuations.usableSlots(record, record.entry.slots, nowMillis)
         val byDuration = slots / holdMillis
-        val statedPerSecond = rateLimits.perSecond(record.entry.run) ?: return byDuration
-        return minOf(byDuration, statedPerSecond / MILLIS_PER_SECOND)
+        if (rateLimits.isEmpty) return byDuration
+        val limitPerSecond = rateLimits.perSecond(record.entry.run, nowMillis) ?: return byDuration
+        return minOf(byDuration, limitPerSecond / MILLIS_PER_SECOND)
     }
 
     private companion object {
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/VirtualTime.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/VirtualTime.kt
@@ -40,7 +40,10 @@
         delayMillis: Long,
         nowMillis: Long,
         apply: (effects: List<DispatchEffect>, nowMillis: Long) -> Unit,
-    ) = dispatchers.indices.forEach { sendReport(dispatchers, it, delayMillis, nowMillis, apply = apply) }
+    ) =
+        dispatchers.indices.forEach {
+            sendReport(dispatchers, it, delayMillis, nowMillis, apply = apply)
+        }
 
     /** Sends the report of the dispatcher with index [from] to those it [isDelivered] to. */
     fun sendReport(
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportProtoConverters.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportProtoConverters.kt
@@ -20,8 +20,8 @@
 import io.lavenderhinge.protocol.v1.ServerUse as ServerUseMessage
 import io.lavenderhinge.protocol.v1.StatedLoad as StatedLoadMessage
 import io.lavenderhinge.protocol.v1.WorkspaceSpending
-import kotlin.math.roundToInt
 import io.lavenderhinge.protocol.v1.WorkspaceUse as WorkspaceUseMessage
+import kotlin.math.roundToInt
 
 /** Adds [report] and the cost per workspace in [spending] to the message. */
 internal fun LoadReportMessage.Builder.addLoad(
@@ -49,6 +49,7 @@
     report.quarantine?.let { setCrashObservations(it.toMessage()) }
     report.rateLimits.forEach { addRateLimits(it.toMessage()) }
     report.promptHolders.forEach { addPromptHolders(it.toMessage()) }
+    report.coldLimits.forEach { addColdLimits(it.toMessage()) }
     report.statedLoads.forEach { addStatedLoads(it.toMessage()) }
     report.workspaceUses.forEach { (key, use) -> addWorkspaceUses(use.toMessage(key)) }
     spending.forEach { (workspace, cost) ->
@@ -73,6 +74,7 @@
             WorkspaceKey(it.service, it.priority, it.workspace) to
                 WorkspaceUse(it.slotMillis, it.waiting)
         },
+        coldLimitsList.map { it.toReport() },
     )
 
 /** Reads the total cost per workspace that the sender admitted. */
@@ -81,6 +83,7 @@
 
 private fun PromptHolderReport.toMessage(): PromptHolder =
     PromptHolder.newBuilder().setPart(part).setServerId(serverId).setAgeMillis(ageMillis).build()
+
 private fun WorkspaceUse.toMessage(key: WorkspaceKey) =
     WorkspaceUseMessage.newBuilder()
         .setService(key.service)
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
@@ -1,5 +1,8 @@
 package io.lavenderhinge.instance.gateway
 
+import io.lavenderhinge.core.forwarding.ColdRule
+import io.lavenderhinge.core.forwarding.ColdServer
+import io.lavenderhinge.core.forwarding.ColdTolerance
 import io.lavenderhinge.core.forwarding.DispatchEffect
 import io.lavenderhinge.core.forwarding.DispatchRequest
 import io.lavenderhinge.core.forwarding.Dispatcher
@@ -35,6 +38,7 @@
     features: SchedulingFeatures = SchedulingFeatures(),
     /** Returns the size in tokens of the cache of each server of a service, if known. */
     cacheTokens: (service: String) -> Long? = { null },
+    coldTolerance: ColdTolerance = ColdTolerance(),
 ) {
     private val dispatcher =
         Dispatcher(
@@ -43,6 +47,7 @@
             drainMillis = drainMillis,
             features = features,
             cacheTokens = cacheTokens,
+            coldTolerance = coldTolerance,
         )
 
     /** Prompt parts that are kept away from the servers. */
@@ -94,6 +99,16 @@
     fun onStatementChange(listener: (ServerStatementChange) -> Unit) =
         dispatcher.onStatementChange(listener)
 
+    /** Records that the store lists the instances [selfId], which is this one, and [others]. */
+    fun onMembers(selfId: String, others: Set<String>) =
+        dispatcher.onMembers(selfId, others, loop.nowMillis())
+
+    /**
+     * Takes the limits of cold servers from [ruleOf] and calls [listener] when one becomes cold.
+     */
+    fun limitColdServers(ruleOf: (service: String) -> ColdRule?, listener: (ColdServer) -> Unit) =
+        dispatcher.limitColdServers(ruleOf, listener)
+
     /** Calls [listener] with each figure of a stated load that is ignored. */
     fun onIgnoredLoad(listener: (IgnoredStatedLoad) -> Unit) {
         dispatcher.onIgnoredLoad = listener
