Weigh leaving a failure domain, and charge quotas for what runs

Cause: one constant of 8 ms decided whether a request leaves its failure domain. Quotas were charged on admission, so that requests refused with 503 used them up.

Change: where domain spillover is in force, each instance computes from load reports how much its domain lacks and how much room others have, and moves its share in small steps towards that and towards its neighbours. A request leaves if it gains clearly more than its bytes cost. Reports carry the failure domain, its wait and the share; queues of other domains are no longer ahead of a request. Where quota refunds are in force, a request that no server may have run returns its cost once, at this instance and, by cumulative sums, at the peers; a sum over the window bounds what runs.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
@@ -115,4 +115,7 @@
     /** Null if nothing about crashes of servers has to be reported now. */
     val quarantine: QuarantineReport? = null,
     val rateLimits: List<RateLimitReport> = emptyList(),
+    /** Failure domain of the sender; empty if it does not state it. */
+    val failureDomain: String = "",
+    val domainLoads: List<DomainLoadReport> = emptyList(),
 )
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -30,10 +30,14 @@
     private val peers = PeerLoads()
     private val rateLimits = ServerRateLimits(random)
     private val statements = ServerStatements(drainMillis)
+    private val domainDemands = DomainDemands()
 
     /** Called when a server that was in use is ejected. */
     var onEjection: (ServerEjection) -> Unit = {}
 
+    /** Called with changes of the traffic between failure domains. */
+    var onSpillover: (SpilloverEvent) -> Unit = {}
+
     /** Prompt parts that are kept away from the servers. */
     val quarantine = RequestQuarantine(random)
     private val quarantineGate = QuarantineGate(quarantine)
@@ -41,6 +45,7 @@
     /** Replaces the set of known servers. Servers that remain keep their statistics. */
     fun onServers(servers: Collection<ServerEntry>, nowMillis: Long): List<DispatchEffect> {
         rollouts.onServers(servers, nowMillis)
+        domainDemands.onServers(servers)
         rateLimits.retain(servers.mapTo(HashSet()) { it.run })
         val byService = servers.groupBy { it.service }
         (pools.keys + byService.keys).toSet().forEach { service ->
@@ -51,10 +56,12 @@
 
     private fun poolOf(service: String): ServerPool =
         pools.getOrPut(service) {
-            ServerPool(rollouts, rateLimits, statements, PoolFeatures(features), random).also {
-                it.onEjection = { ejection -> onEjection(ejection) }
-                policies[service] = QueuePolicy(it)
-            }
+            val spillover = DomainSpillover(service, failureDomain, random) { onSpillover(it) }
+            ServerPool(rollouts, rateLimits, statements, PoolFeatures(features), random, spillover)
+                .also {
+                    it.onEjection = { ejection -> onEjection(ejection) }
+                    policies[service] = QueuePolicy(it)
+                }
         }
 
     /** Requests a slot. The effect for [request] is returned here or by a later call. */
@@ -76,6 +83,7 @@
             return listOf(it)
         }
         queue.add(request)
+        pool.onArrived()
         return serve(pool, queue, round)
     }
 
@@ -139,6 +147,7 @@
      */
     fun onPeerReport(peer: String, report: LoadReport, nowMillis: Long): List<DispatchEffect> {
         peers.update(peer, report, nowMillis)
+        domainDemands.onPeerReport(peer, report, nowMillis)
         rateLimits.onPeerReport(peer, report.rateLimits, nowMillis)
         report.quarantine?.let { quarantine.onPeerReport(it, nowMillis) }
         return serveQueues(nowMillis) { !it.wasJustServed(nowMillis) }
@@ -157,13 +166,18 @@
             }
     }
 
+    /** Returns true if the quota of requests for [service] is charged only for what runs. */
+    fun hasQuotaRefunds(service: String): Boolean =
+        pools[service]?.features?.hasQuotaRefunds ?: false
+
     /** True when any request is queued. */
     val hasWaiting: Boolean
         get() = queues.values.any { it.isNotEmpty() }
 
     /** Returns the load report for the peers. */
-    fun report(nowMillis: Long): LoadReport =
-        LoadReport(
+    fun report(nowMillis: Long): LoadReport {
+        pools.values.forEach { updateSpillover(it, nowMillis) }
+        return LoadReport(
             pools.values.flatMap { it.usage() }.toMap(),
             queues.values
                 .flatten()
@@ -171,7 +185,13 @@
                 .mapValues { (_, requests) -> queueState(requests, nowMillis) },
             quarantine.report(nowMillis),
             rateLimits.reports(nowMillis),
+            failureDomain,
+            pools.values.mapNotNull { it.domainLoad() },
         )
+    }
+
+    private fun updateSpillover(pool: ServerPool, nowMillis: Long) =
+        pool.updateSpillover(domainDemands, queues[pool.service]?.size ?: 0, nowMillis)
 
     private fun queueState(requests: List<DispatchRequest>, nowMillis: Long): QueueState {
         val policy = policies.getValue(requests.first().service)
@@ -183,8 +203,10 @@
         )
     }
 
-    private fun startRound(pool: ServerPool, nowMillis: Long): PlacementRound =
-        pool.startRound(peers, failureDomain, nowMillis)
+    private fun startRound(pool: ServerPool, nowMillis: Long): PlacementRound {
+        updateSpillover(pool, nowMillis)
+        return pool.startRound(peers, failureDomain, nowMillis)
+    }
 
     private fun serve(
         pool: ServerPool,
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PeerLoads.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PeerLoads.kt
@@ -37,11 +37,19 @@
     val count: Int
         get() = reports.size
 
-    /** Returns the loads at [nowMillis] of a service whose requests take [holdMillis]. */
-    fun at(nowMillis: Long, holdMillis: Double): Current = Current(nowMillis, holdMillis)
+    /**
+     * Returns the loads at [nowMillis] of a service whose requests take [holdMillis]. Only queues
+     * of peers in [queueDomain] count if it is given, and those of peers that do not state theirs.
+     */
+    fun at(nowMillis: Long, holdMillis: Double, queueDomain: String? = null): Current =
+        Current(nowMillis, holdMillis, queueDomain)
 
     /** The loads of one service by the reports that still describe it. */
-    inner class Current(private val nowMillis: Long, private val holdMillis: Double) {
+    inner class Current(
+        private val nowMillis: Long,
+        private val holdMillis: Double,
+        private val queueDomain: String?,
+    ) {
         private val pauseMillis = ReportPacing.pauseMillis(count) + DELIVERY_MILLIS
         private val queues by lazy(LazyThreadSafetyMode.NONE) { currentQueues() }
 
@@ -94,7 +102,7 @@
         private fun currentQueues(): Map<QueueKey, PeerQueues> {
             val byKey = HashMap<QueueKey, PeerQueues>()
             queueingPeers.values
-                .filter { describes(it.receivedMillis) }
+                .filter { describes(it.receivedMillis) && isInQueueDomain(it.report) }
                 .forEach { received ->
                     received.report.waiting.forEach { (key, state) ->
                         byKey.getOrPut(key, ::PeerQueues).add(state, received.receivedMillis)
@@ -103,6 +111,11 @@
             return byKey
         }
 
+        private fun isInQueueDomain(report: LoadReport): Boolean =
+            queueDomain == null ||
+                report.failureDomain.isEmpty() ||
+                report.failureDomain == queueDomain
+
         private fun describes(receivedMillis: Long): Boolean {
             val ageMillis = nowMillis - receivedMillis
             return ageMillis <= holdMillis || ageMillis > pauseMillis
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PlacementRound.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PlacementRound.kt
@@ -4,7 +4,12 @@
 import kotlinx.collections.immutable.persistentSetOf
 
 /** The servers that may get a request. */
-internal class EligibleServers(val loads: List<ServerLoad>, failureDomain: String) {
+internal class EligibleServers(
+    val loads: List<ServerLoad>,
+    failureDomain: String,
+    /** Those that only a request gets that leaves its failure domain; null if there are none. */
+    val away: EligibleServers? = null,
+) {
     /** Those in the own failure domain, or all if there are none. */
     val near: List<ServerRecord> by
         lazy(LazyThreadSafetyMode.NONE) {
@@ -25,6 +30,8 @@
     private val eligibleServers: (DispatchRequest) -> List<ServerRecord>,
     private val loadOf: (ServerRecord) -> ServerLoad,
     private val slotInterval: (DispatchRequest) -> Double,
+    /** Decides which requests leave the failure domain; null if each may go to any server. */
+    private val spillover: DomainSpillover? = null,
 ) {
     /** The properties of a request that determine which servers may get it. */
     private data class Eligibility(
@@ -35,14 +42,36 @@
     private val loads = HashMap<ServerRecord, ServerLoad>()
     private val eligible = HashMap<Eligibility, EligibleServers>()
     private val slotIntervals = HashMap<Boolean, Double>()
+    private var leavingTries = 0
 
     /** Returns the servers that may get [request]. */
     fun eligible(request: DispatchRequest): EligibleServers =
         eligible.getOrPut(Eligibility(request.excludedServers, request.usesTargetVersion)) {
             val records = eligibleServers(request)
-            EligibleServers(records.map { loads.getOrPut(it) { loadOf(it) } }, failureDomain)
+            byDomain(records.map { loads.getOrPut(it) { loadOf(it) } })
         }
 
+    private fun byDomain(all: List<ServerLoad>): EligibleServers {
+        val near = all.filter { it.record.entry.failureDomain == failureDomain }
+        // Without a server at home, there is nothing to weigh.
+        if (spillover == null || near.isEmpty()) return EligibleServers(all, failureDomain)
+        val away = all.filter { it.record.entry.failureDomain in spillover.targets }
+        return EligibleServers(
+            near,
+            failureDomain,
+            if (away.isEmpty()) null else EligibleServers(away, failureDomain),
+        )
+    }
+
+    /**
+     * Returns true if it may be weighed whether a request leaves for one of the [away] servers.
+     * Limited for each pass, since it takes two choices of a server.
+     */
+    fun tryLeaving(away: EligibleServers): Boolean =
+        spillover?.mayLeave == true &&
+            leavingTries < MAX_LEAVING_TRIES &&
+            away.loads.any { it.freeSlots > 0 }.also { if (it) leavingTries++ }
+
     /** Returns true if a server can take [request] at once. */
     fun hasFreeSlot(request: DispatchRequest): Boolean =
         eligible(request).loads.any { it.freeSlots > 0 }
@@ -59,4 +88,8 @@
     /** Returns the mean time between two slots becoming free for requests like [request]. */
     fun slotIntervalMillis(request: DispatchRequest): Double =
         slotIntervals.getOrPut(request.usesTargetVersion) { slotInterval(request) }
+
+    private companion object {
+        const val MAX_LEAVING_TRIES = 8
+    }
 }
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QuotaLimiter.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QuotaLimiter.kt
@@ -1,6 +1,5 @@
 package io.lavenderhinge.core.forwarding
 
-import io.lavenderhinge.core.limit.TokenBucket
 import kotlin.random.Random
 
 /** Usage above the quotas that the deployment tolerates, summed over all instances. */
@@ -42,8 +41,9 @@
     private val start: QuotaStart = QuotaStart(),
     random: Random = Random.Default,
 ) {
-    private val buckets = HashMap<String, TokenBucket>()
+    private val buckets = HashMap<String, QuotaBucket>()
     private val admittedCost = HashMap<String, Double>()
+    private val returnedCost = HashMap<String, Double>()
     private val peers = QuotaPeers(tolerance.windowMillis)
     private val slices = QuotaSlices(random)
     private var lastTickMillis = 0L
@@ -52,6 +52,10 @@
     val totals: Map<String, Double>
         get() = admittedCost
 
+    /** Part of [totals] that was given back because the requests did not run. */
+    val returned: Map<String, Double>
+        get() = returnedCost
+
     /**
      * Decides whether [cost] is within the quota of [workspace] and charges it if it is. [isHeld]
      * is true if the request has waited for a configuration or for an earlier decision.
@@ -69,7 +73,7 @@
             return if (isAdmitted) QuotaDecision.ADMITTED else QuotaDecision.OVER_QUOTA
         }
         val bucket = refill(workspace.name, quota, nowMillis)
-        if (start.isFleetKnown && bucket.level <= 0) {
+        if (start.isFleetKnown && (bucket.level <= 0 || !isInWindow(bucket, quota))) {
             // Reports may replace what is assumed of peers by less.
             val mayRise = start.isOngoing && peers.hasUnreported
             return if (mayRise) QuotaDecision.UNDECIDED else QuotaDecision.OVER_QUOTA
@@ -92,15 +96,35 @@
         return true
     }
 
-    private fun charge(bucket: TokenBucket, workspace: String, cost: Double) {
+    /**
+     * Gives back what a request was charged that has ended and that no server may have run. Returns
+     * false if nothing is given back, since the charge was returned before or is too old.
+     */
+    fun giveBack(charge: QuotaCharge, nowMillis: Long): Boolean {
+        if (!charge.tryReturn()) return false
+        if (nowMillis - charge.chargedMillis > QuotaBucket.MAX_RETURN_MILLIS) return false
+        returnedCost.merge(charge.workspace, charge.cost, Double::plus)
+        buckets[charge.workspace]?.giveBack(charge.cost, charge.chargedMillis)
+        return true
+    }
+
+    private fun charge(bucket: QuotaBucket, workspace: String, cost: Double) {
         bucket.take(cost)
         admittedCost.merge(workspace, cost, Double::plus)
     }
 
     // A request may take the bucket below zero, by which each instance may exceed the quota once.
     // While the usage of peers is unknown, all instances of a large fleet could do so together.
-    private fun allows(bucket: TokenBucket, quota: WorkspaceQuota, cost: Double): Boolean =
-        if (peers.hasUnreported) bucket.level >= minOf(cost, quota.burst) else bucket.level > 0
+    private fun allows(bucket: QuotaBucket, quota: WorkspaceQuota, cost: Double): Boolean =
+        isInWindow(bucket, quota) &&
+            if (peers.hasUnreported) bucket.level >= minOf(cost, quota.burst) else bucket.level > 0
+
+    // Without returns, the bucket alone ensures this.
+    private fun isInWindow(bucket: QuotaBucket, quota: WorkspaceQuota): Boolean =
+        !bucket.hasReturns || bucket.windowCost < windowCost(quota) + quota.burst
+
+    private fun windowCost(quota: WorkspaceQuota): Double =
+        effectiveRate(quota) * tolerance.windowMillis / MILLIS_PER_SECOND
 
     /** Returns the current level of the bucket of [workspace]; negative after a burst. */
     fun level(workspace: String): Double = buckets[workspace]?.level ?: 0.0
@@ -115,8 +139,10 @@
     /** Charges what [peer] has admitted since its last report. */
     fun onPeerReport(peer: String, report: QuotaReport, nowMillis: Long) {
         start.onPeerReport(report)
-        peers.onReport(peer, report, nowMillis).forEach { (workspace, cost) ->
-            buckets[workspace]?.take(cost)
+        val reported = peers.onReport(peer, report, nowMillis)
+        reported.charged.forEach { (workspace, cost) -> buckets[workspace]?.take(cost) }
+        reported.returned.forEach { (workspace, cost) ->
+            buckets[workspace]?.giveBack(cost, takenMillis = null)
         }
     }
 
@@ -164,11 +190,13 @@
         return tolerated * (1 - USED_TOLERANCE_FRACTION)
     }
 
-    private fun refill(name: String, quota: WorkspaceQuota, nowMillis: Long): TokenBucket {
-        val bucket = buckets.getOrPut(name) { TokenBucket(quota.burst, nowMillis) }
+    private fun refill(name: String, quota: WorkspaceQuota, nowMillis: Long): QuotaBucket {
+        val bucket =
+            buckets.getOrPut(name) { QuotaBucket(quota.burst, nowMillis, tolerance.windowMillis) }
         // Forgetting debt within the window would admit more in it than the quota allows.
-        val floor = -effectiveRate(quota) * tolerance.windowMillis / MILLIS_PER_SECOND
-        bucket.refill(ownRate(quota), capacity = maxOf(quota.burst, 1.0), nowMillis, floor)
+        val floor = -windowCost(quota)
+        val capacity = maxOf(quota.burst, 1.0)
+        bucket.refill(ownRate(quota), capacity, nowMillis, floor)
         return bucket
     }
 
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QuotaPeers.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QuotaPeers.kt
@@ -5,6 +5,7 @@
     private var incarnation: Long? = null
     private val reported = HashMap<String, Double>()
     private val assumed = HashMap<String, Double>()
+    private var returns: PeerReturns? = null
 
     /** Time of the last report; null before the first one. */
     var lastReportMillis: Long? = null
@@ -15,27 +16,31 @@
         assumed.merge(workspace, cost, Double::plus)
     }
 
-    /** Returns the cost of each workspace that [report] adds to what was reported or assumed. */
-    fun onReport(report: QuotaReport, windowMillis: Long, nowMillis: Long): Map<String, Double> {
-        if (incarnation != report.incarnation) startIncarnation(report, windowMillis)
+    /** Returns what [report] adds to what was reported or assumed. */
+    fun onReport(report: QuotaReport, windowMillis: Long, nowMillis: Long): ReportedCost {
+        if (incarnation != report.incarnation) startIncarnation(report, windowMillis, nowMillis)
         lastReportMillis = nowMillis
         val added = HashMap<String, Double>()
         report.totals.forEach { (workspace, total) ->
-            val previous = reported.put(workspace, total) ?: 0.0
+            val previous = reported[workspace] ?: 0.0
+            reported[workspace] = maxOf(previous, total)
             added[workspace] = (total - previous).coerceAtLeast(0.0)
         }
         assumed.forEach { (workspace, cost) -> added.merge(workspace, -cost, Double::plus) }
         assumed.clear()
-        return added
+        val returned = returns?.onReport(report.returned, report.totals, nowMillis)
+        return ReportedCost(added, returned.orEmpty())
     }
 
     // Most usage of a long-running peer before its first report is old and is not charged. All
     // usage of a peer that has just started is recent and is charged; otherwise instances that
     // start one after the other would each admit the full burst.
-    private fun startIncarnation(report: QuotaReport, windowMillis: Long) {
+    private fun startIncarnation(report: QuotaReport, windowMillis: Long, nowMillis: Long) {
         incarnation = report.incarnation
+        val isComplete = report.peerAgeMillis <= windowMillis
+        returns = PeerReturns(nowMillis, isComplete)
         reported.clear()
-        if (report.peerAgeMillis > windowMillis) reported.putAll(report.totals)
+        if (!isComplete) reported.putAll(report.totals)
     }
 }
 
@@ -45,6 +50,15 @@
     /** Time since the peer started. */
     val peerAgeMillis: Long,
     val totals: Map<String, Double>,
+    /** Part of [totals] that was given back because the requests did not run. */
+    val returned: Map<String, Double> = emptyMap(),
+)
+
+/** What a report of a peer adds to the known usage of each workspace. */
+internal class ReportedCost(
+    val charged: Map<String, Double>,
+    /** Cost that was charged before and is given back. */
+    val returned: Map<String, Double>,
 )
 
 /** The quota usage of the other instances. */
@@ -77,8 +91,8 @@
     fun oldestReportMillis(nowMillis: Long): Long? =
         usages.values.mapNotNull { it.lastReportMillis }.minOrNull()?.let { nowMillis - it }
 
-    /** Returns the cost of each workspace to charge for the report of [peer]. */
-    fun onReport(peer: String, report: QuotaReport, nowMillis: Long): Map<String, Double> =
+    /** Returns the cost of each workspace to charge and to give back for the report of [peer]. */
+    fun onReport(peer: String, report: QuotaReport, nowMillis: Long): ReportedCost =
         usages.getOrPut(peer) { PeerUsage() }.onReport(report, windowMillis, nowMillis)
 
     /** Assumes that each silent peer used its share of [cost] since the last [update]. */
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/RequestAdmission.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/RequestAdmission.kt
@@ -25,6 +25,8 @@
         val workspace: ForwardWorkspace?,
         /** Priority across all routes and workspaces; 0 is the most urgent. */
         val priority: Int,
+        /** What [workspace] was charged; null if it has no quota. */
+        val charge: QuotaCharge? = null,
     ) : Admission
 
     /** The request is rejected without contacting a backend server. */
@@ -74,8 +76,14 @@
         }
         val admitted = Admission.Admitted(route, workspace, combinedPriority(route, workspace))
         if (workspace == null) return admitted
-        return when (quotas.decide(workspace, cost(workspace, request), nowMillis, isHeld)) {
-            QuotaDecision.ADMITTED -> admitted
+        val cost = cost(workspace, request)
+        return when (quotas.decide(workspace, cost, nowMillis, isHeld)) {
+            QuotaDecision.ADMITTED ->
+                if (workspace.hasLimit) {
+                    admitted.copy(charge = QuotaCharge(workspace.name, cost, nowMillis))
+                } else {
+                    admitted
+                }
             QuotaDecision.OVER_QUOTA -> overQuota(workspace, request)
             QuotaDecision.UNDECIDED -> {
                 val rejected = overQuota(workspace, request)
@@ -85,6 +93,9 @@
         }
     }
 
+    private val ForwardWorkspace.hasLimit: Boolean
+        get() = (quota?.ratePerSecond ?: 0.0) > 0
+
     // Workspace priority takes precedence; route priority orders requests within it.
     private fun combinedPriority(route: ForwardRoute, workspace: ForwardWorkspace?): Int {
         val routePriority = route.priority.coerceIn(0, ROUTE_PRIORITIES - 1)
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -26,6 +26,8 @@
     /** The optional decisions that are in force in this pool. */
     val features: PoolFeatures,
     random: Random,
+    /** Decides which requests leave the failure domain where [features] call for it. */
+    private val spillover: DomainSpillover,
 ) {
     private val records = LinkedHashMap<String, ServerRecord>()
     private var servedMillis = Long.MIN_VALUE / 2
@@ -41,6 +43,9 @@
             ServerEstimator(model, ejections, ::expectedHoldMillis),
         )
 
+    val service: String
+        get() = spillover.service
+
     /** Called when a server that was in use is ejected. */
     var onEjection: (ServerEjection) -> Unit = {}
 
@@ -76,6 +81,7 @@
         nowMillis: Long,
     ) {
         val record = records[serverId] ?: return
+        spilloverInForce?.onSent(request, record.entry.failureDomain)
         record.sentParts.add(request.promptParts, nowMillis)
         affinity.onSent(request.promptParts)
         if (record.inFlight == 0) record.onActivity(nowMillis)
@@ -138,17 +144,50 @@
 
     /** Returns the mean time between two slots becoming free in the pool. */
     private fun slotIntervalMillis(request: DispatchRequest, nowMillis: Long): Double {
-        val slotsPerMillis =
+        val open =
             rollouts
                 .select(
                     capacity.accessible(records.values.filter { it.entry.acceptsWork }, nowMillis),
                     request,
                 )
                 .filterNot { isClosed(it, nowMillis) }
-                .sumOf { capacity.slotsPerMillis(it, expectedHoldMillis(it)) }
-        return if (slotsPerMillis <= 0) MIN_HOLD_MILLIS else 1 / slotsPerMillis
+        val near = spilloverInForce?.let { open.filter(it::isHome) }.orEmpty()
+        val slotsPerMillis =
+            near.ifEmpty { open }.sumOf { capacity.slotsPerMillis(it, expectedHoldMillis(it)) }
+        if (slotsPerMillis <= 0) return MIN_HOLD_MILLIS
+        return (if (near.isEmpty()) 1.0 else spillover.stayingFraction) / slotsPerMillis
+    }
+
+    private val spilloverInForce: DomainSpillover?
+        get() = spillover.takeIf { features.hasDomainSpillover }
+
+    /** Adapts the share of the requests that leave the failure domain to [demands]. */
+    fun updateSpillover(demands: DomainDemands, waiting: Int, nowMillis: Long) {
+        if (!features.hasDomainSpillover || !spillover.isDue(nowMillis)) return
+        val open =
+            capacity
+                .accessible(records.values.filter { it.entry.acceptsWork }, nowMillis)
+                .filterNot { isClosed(it, nowMillis) || isSilent(it, nowMillis) }
+        val slots =
+            open.groupBy { it.entry.failureDomain }.mapValues { slotsOf(it.value, nowMillis) }
+        val running = records.values.sumOf { it.inFlight }
+        val byDomain = demands.of(spillover.service, meanHoldMillis(), nowMillis)
+        val runningAtHome = records.values.filter(spillover::isHome).sumOf { it.inFlight }
+        spillover.update(slots, byDomain, running, runningAtHome, waiting, nowMillis)
     }
 
+    private fun slotsOf(servers: List<ServerRecord>, nowMillis: Long) =
+        DomainSlots(
+            servers.sumOf { capacity.usableSlots(it, nowMillis) },
+            servers.sumOf { capacity.slotsPerMillis(it, expectedHoldMillis(it)) },
+        )
+
+    /** Records that a request has arrived and is not refused at once. */
+    fun onArrived() = spillover.onArrived()
+
+    /** Returns the state of the failure domain for the peers; null if spillover is not in force. */
+    fun domainLoad(): DomainLoadReport? = spilloverInForce?.report()
+
     /**
      * Returns the expected time from the send of [request] to its first event. The model is fitted
      * to latencies that are divided by the servers' factors, so their mean may differ from 1.
@@ -180,7 +219,8 @@
 
     /** Begins a pass over the queue of the pool. */
     fun startRound(peers: PeerLoads, failureDomain: String, nowMillis: Long): PlacementRound {
-        val loads = currentLoads(peers, nowMillis)
+        val queueDomain = failureDomain.takeIf { features.hasDomainSpillover }
+        val loads = peers.at(nowMillis, meanHoldMillis(), queueDomain)
         return PlacementRound(
             loads,
             failureDomain,
@@ -188,6 +228,7 @@
             eligibleServers = { eligibleServers(it, nowMillis) },
             loadOf = { loadOf(it, loads, nowMillis) },
             slotInterval = { slotIntervalMillis(it, nowMillis) },
+            spillover = spilloverInForce,
         )
     }
 
@@ -206,6 +247,9 @@
     fun place(request: DispatchRequest, aheadAtPeers: Int, round: PlacementRound): Placement {
         val eligible = round.eligible(request)
         if (eligible.loads.isEmpty()) return Placement.NoServer
+        leave(eligible, request, round)?.let {
+            return it
+        }
         // No request of the queue can be sent, so nothing has to be reserved.
         if (round.isFull(request)) return Placement.Wait
         val freeSlots = eligible.loads.sumOf { it.freeSlots.coerceAtLeast(0) }
@@ -223,6 +267,27 @@
         return Placement.Wait
     }
 
+    // Sends the request to another failure domain if it may leave and gains enough by it.
+    private fun leave(
+        eligible: EligibleServers,
+        request: DispatchRequest,
+        round: PlacementRound,
+    ): Placement.Send? {
+        val away = eligible.away ?: return null
+        if (!round.tryLeaving(away)) return null
+        val best = chooser.best(away, request, round)
+        if (best.load.freeSlots <= 0) return null
+        val homeMillis = chooser.best(eligible, request, round).expectedMillis
+        if (!spillover.isWorthLeaving(request, homeMillis, best.expectedMillis)) return null
+        spillover.onLeft()
+        return send(
+            best,
+            away.loads.size,
+            capacity.inaccessibleCount(records.values, round.nowMillis),
+            round.peers.peerCount,
+        )
+    }
+
     private fun send(
         best: ServerEstimate,
         eligibleCount: Int,
@@ -245,9 +310,6 @@
         return meanHoldMillis()
     }
 
-    private fun currentLoads(peers: PeerLoads, nowMillis: Long): PeerLoads.Current =
-        peers.at(nowMillis, meanHoldMillis())
-
     private companion object {
         /**
          * Pause between passes of a pool whose requests take [MIN_HOLD_TO_PAUSE_MILLIS] or more.
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
@@ -58,6 +58,10 @@
     private val hasBegun: Boolean
         get() = relay?.isStarted == true
 
+    private val chargeReturn =
+        ChargeReturn(admitted.charge) { charge ->
+            trace.service?.let { context.returnCharge(it, charge) } ?: false
+        }
     private var isAnswered = false
     private var usesTargetVersion = false
     private val trace =
@@ -75,6 +79,7 @@
         try {
             if (!forwardInTime()) fail(failureOf(deadline.limit), HttpStatus.GATEWAY_TIMEOUT)
         } finally {
+            chargeReturn.onEnd()
             trace.eventCount = relay?.eventCount ?: 0
             context.requestLog.ended(trace, loop.nowMillis())
         }
@@ -174,6 +179,7 @@
         turn: AttemptTurn,
     ): AttemptResult {
         trace.attemptStarted(slot.grant, loop.nowMillis())
+        chargeReturn.onAttempt()
         val fields =
             UpstreamFields(
                 slot.grant.server,
@@ -193,7 +199,9 @@
                 context.ignoredStatements,
             )
         try {
-            return attempt.run(upstreamRequest(exchange.request, fields), relay)
+            return attempt
+                .run(upstreamRequest(exchange.request, fields), relay)
+                .also(chargeReturn::onResult)
         } finally {
             trace.responsesObserved(attempt.responses)
         }
@@ -273,6 +281,8 @@
         retryAfterMillis: Long,
         spreadMillis: Long = retryAfterMillis,
     ) {
+        // The client may come back at once.
+        chargeReturn.onEnd()
         val spreadRetryMillis = withJitter(retryAfterMillis, spreadMillis)
         respond(emptyResponse(HttpStatus.UNAVAILABLE, spreadRetryMillis))
     }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
@@ -125,11 +125,15 @@
             RequestLog(configuration::version, metrics),
             instanceCount = { loadReports.peerIds.size + 1 },
             tokensPerEvent = { configuration.table?.service(it)?.tokensPerEvent ?: 1 },
+            returnCharge = { service, charge ->
+                allocator.hasQuotaRefunds(service) && quotas.giveBack(charge, loop.nowMillis())
+            },
         )
     private val forwarder =
         RequestForwarder(forwardingContext, configuration, RequestAdmission(quotas), gate)
     private val quarantineLog = QuarantineLog()
     private val ejectionLog = EjectionLog(metrics)
+    private val spilloverLog = SpilloverLog(metrics)
     private val loopDelay = LoopDelayMonitor(loop, metrics, forwarder::inFlightCount)
     private val clientServer = HttpServer(loop.group, forwarder, CLIENT_LIMITS)
     private val readinessServer =
@@ -173,6 +177,7 @@
                 log.info("limit: {} takes {} requests per second", it.run, it.limitPerSecond)
             }
             allocator.onEjection(ejectionLog::onEjection)
+            allocator.onSpillover(spilloverLog::onEvent)
         }
         loadReports.start()
         loop.every(QUOTA_INTERVAL_MILLIS, ::tickQuotas)
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/GatewayMetrics.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/GatewayMetrics.kt
@@ -3,6 +3,7 @@
 import io.lavenderhinge.core.forwarding.Rejection
 import io.lavenderhinge.instance.control.ControlThread
 import io.lavenderhinge.instance.metrics.RequestMetrics
+import io.lavenderhinge.instance.metrics.SpilloverMetrics
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 
@@ -16,6 +17,7 @@
         PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     }
     private val requests by lazy { RequestMetrics(registry) }
+    private val spillover by lazy { SpilloverMetrics(registry) }
 
     /** Records the end of an admitted request. */
     fun requestEnded(trace: RequestTrace, nowMillis: Long) {
@@ -45,6 +47,14 @@
             }
         }
 
+    /** Records the share of the requests for [service] that leave the failure domain. */
+    fun spilloverShare(service: String, shareFraction: Double) =
+        control.execute { spillover.recordShare(service, shareFraction) }
+
+    /** Records that a request is sent to [failureDomain]. */
+    fun requestSent(service: String, failureDomain: String, sizeBytes: Double) =
+        control.execute { spillover.recordSent(service, failureDomain, sizeBytes) }
+
     /** Records that a server of [service] was ejected. */
     fun serverEjected(service: String) = control.execute { requests.recordEjection(service) }
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportExchange.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportExchange.kt
@@ -123,7 +123,7 @@
                 .setConfigurationVersion(versions.configuration())
                 .setServerRevision(versions.servers())
                 .setWatchesServers(versions.isWatchingServers())
-                .addLoad(allocator.report(), quotas.totals)
+                .addLoad(allocator.report(), quotas.totals, quotas.returned)
         if (lastSentMillis - rolloutsLastSentMillis >= ROLLOUT_REPORT_INTERVAL_MILLIS) {
             rolloutsLastSentMillis = lastSentMillis
             allocator.rollouts.reports(lastSentMillis).forEach {
@@ -145,7 +145,8 @@
         if (report.instanceId == self.id || !peers.onReport(report, nowMillis)) return
         // Clock skew between machines is small compared to the quota window.
         val ageMillis = System.currentTimeMillis() - report.incarnation
-        val quotaReport = QuotaReport(report.incarnation, ageMillis, report.toSpending())
+        val quotaReport =
+            QuotaReport(report.incarnation, ageMillis, report.toSpending(), report.toReturned())
         quotas.onPeerReport(report.instanceId, quotaReport, nowMillis)
         allocator.onPeerReport(report.instanceId, report.toReport())
         allocator.rollouts.onPeerReport(report.instanceId, report.toRollouts(), nowMillis)
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportProtoConverters.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportProtoConverters.kt
@@ -1,5 +1,6 @@
 package io.lavenderhinge.instance.gateway
 
+import io.lavenderhinge.core.forwarding.DomainLoadReport
 import io.lavenderhinge.core.forwarding.LoadReport
 import io.lavenderhinge.core.forwarding.QueueKey
 import io.lavenderhinge.core.forwarding.QueueState
@@ -8,16 +9,18 @@
 import io.lavenderhinge.instance.quarantine.toMessage
 import io.lavenderhinge.instance.quarantine.toReport
 import io.lavenderhinge.instance.quarantine.toRun
+import io.lavenderhinge.protocol.v1.DomainLoad
 import io.lavenderhinge.protocol.v1.LoadReport as LoadReportMessage
 import io.lavenderhinge.protocol.v1.QueueLength
 import io.lavenderhinge.protocol.v1.ServerRateLimit
 import io.lavenderhinge.protocol.v1.ServerUse as ServerUseMessage
 import io.lavenderhinge.protocol.v1.WorkspaceSpending
 
-/** Adds [report] and the cost per workspace in [spending] to the message. */
+/** Adds [report] and the cost per workspace that was charged and [returned] to the message. */
 internal fun LoadReportMessage.Builder.addLoad(
     report: LoadReport,
     spending: Map<String, Double>,
+    returned: Map<String, Double> = emptyMap(),
 ): LoadReportMessage.Builder {
     report.servers.forEach { (id, use) ->
         addServers(
@@ -39,8 +42,15 @@
     }
     report.quarantine?.let { setCrashObservations(it.toMessage()) }
     report.rateLimits.forEach { addRateLimits(it.toMessage()) }
+    setFailureDomain(report.failureDomain)
+    report.domainLoads.forEach { addDomainLoads(it.toMessage()) }
     spending.forEach { (workspace, cost) ->
-        addWorkspaces(WorkspaceSpending.newBuilder().setWorkspace(workspace).setTotalCost(cost))
+        addWorkspaces(
+            WorkspaceSpending.newBuilder()
+                .setWorkspace(workspace)
+                .setTotalCost(cost)
+                .setReturnedCost(returned[workspace] ?: 0.0)
+        )
     }
     return this
 }
@@ -55,12 +65,25 @@
         },
         if (hasCrashObservations()) crashObservations.toReport() else null,
         rateLimitsList.map { it.toReport() },
+        failureDomain,
+        domainLoadsList.map { DomainLoadReport(it.service, it.waitMillis, it.spilledShare) },
     )
 
 /** Reads the total cost per workspace that the sender admitted. */
 internal fun LoadReportMessage.toSpending(): Map<String, Double> =
     workspacesList.associate { it.workspace to it.totalCost }
 
+/** Reads the part of [toSpending] that the sender has given back. */
+internal fun LoadReportMessage.toReturned(): Map<String, Double> =
+    workspacesList.filter { it.returnedCost > 0 }.associate { it.workspace to it.returnedCost }
+
+private fun DomainLoadReport.toMessage() =
+    DomainLoad.newBuilder()
+        .setService(service)
+        .setWaitMillis(waitMillis)
+        .setSpilledShare(shareFraction)
+        .build()
+
 private fun RateLimitReport.toMessage(): ServerRateLimit {
     val message =
         ServerRateLimit.newBuilder()
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestForwarder.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RequestForwarder.kt
@@ -1,6 +1,7 @@
 package io.lavenderhinge.instance.gateway
 
 import io.lavenderhinge.core.forwarding.Admission
+import io.lavenderhinge.core.forwarding.QuotaCharge
 import io.lavenderhinge.core.forwarding.RequestAdmission
 import io.lavenderhinge.core.forwarding.RequestDescription
 import io.lavenderhinge.core.forwarding.ServiceRetryBudget
@@ -24,6 +25,8 @@
     val tokensPerEvent: (service: String) -> Int,
     val random: Random = Random.Default,
     val ignoredStatements: IgnoredStatements = IgnoredStatements(),
+    /** Returns what a request for a service was charged, unless quotas count all requests. */
+    val returnCharge: (service: String, charge: QuotaCharge) -> Boolean = { _, _ -> false },
 )
 
 /** Admits client requests and forwards them to backend servers. */
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
@@ -13,6 +13,7 @@
 import io.lavenderhinge.core.forwarding.ServerOutcome
 import io.lavenderhinge.core.forwarding.ServerStatement
 import io.lavenderhinge.core.forwarding.ServerStatementChange
+import io.lavenderhinge.core.forwarding.SpilloverEvent
 import io.lavenderhinge.core.forwarding.UnidentifiedRuns
 import io.lavenderhinge.core.quarantine.RequestQuarantine
 import kotlinx.coroutines.CancellationException
@@ -88,6 +89,14 @@
         dispatcher.onEjection = listener
     }
 
+    /** Calls [listener] with changes of the traffic between failure domains. */
+    fun onSpillover(listener: (SpilloverEvent) -> Unit) {
+        dispatcher.onSpillover = listener
+    }
+
+    /** Returns true if the quota of requests for [service] is charged only for what runs. */
+    fun hasQuotaRefunds(service: String): Boolean = dispatcher.hasQuotaRefunds(service)
+
     /** Records the limit, if any, that a response of [server] states. */
     fun onRateLimit(server: ServerEntry, limitPerSecond: Double?) =
         dispatcher.onRateLimit(server, limitPerSecond, loop.nowMillis())
