--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
@@ -136,4 +136,7 @@
     val workspaceUses: Map<WorkspaceKey, WorkspaceUse> = emptyMap(),
     /** Cold servers and the requests that the reporting instance has sent to them. */
     val coldLimits: List<RateLimitReport> = emptyList(),
+    /** Failure domain of the sender; empty if it does not state it. */
+    val failureDomain: String = "",
+    val domainLoads: List<DomainLoadReport> = emptyList(),
 )
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -36,6 +36,7 @@
     private val cold = ColdServers(members, coldTolerance)
     private val rateLimits = ServerRateLimits(random, cold)
     private val statements = ServerStatements(drainMillis)
+    private val domainDemands = DomainDemands()
 
     private val domainRules = DomainRules(DomainEvacuations(random) { evacuations() })
 
@@ -50,6 +51,9 @@
     /** Called when a server that was in use is ejected. */
     var onEjection: (ServerEjection) -> Unit = {}
 
+    /** Called with changes of the traffic between failure domains. */
+    var onSpillover: (SpilloverEvent) -> Unit = {}
+
     /** Prompt parts that are kept away from the servers. */
     val quarantine = RequestQuarantine(random)
     private val quarantineGate = QuarantineGate(quarantine)
@@ -57,6 +61,7 @@
     /** Replaces the set of known servers. Servers that remain keep their statistics. */
     fun onServers(servers: Collection<ServerEntry>, nowMillis: Long): List<DispatchEffect> {
         rollouts.onServers(servers, nowMillis)
+        domainDemands.onServers(servers)
         rateLimits.retain(servers.mapTo(HashSet()) { it.run })
         cold.onServers(servers, nowMillis)
         val byService = servers.groupBy { it.service }
@@ -68,13 +73,14 @@
 
     private fun poolOf(service: String): ServerPool =
         pools.getOrPut(service) {
+            val spillover = DomainSpillover(service, failureDomain, random) { onSpillover(it) }
             ServerPool(
-                    service,
                     rollouts,
                     rateLimits,
                     statements,
                     PoolFeatures(features),
                     random,
+                    spillover,
                     domainRules,
                 ) {
                     cacheTokens(service)
@@ -105,6 +111,7 @@
             return listOf(it)
         }
         queue.add(request)
+        pool.onArrived()
         return serve(pool, queue, round)
     }
 
@@ -191,6 +198,7 @@
                 ?.accounts
                 ?.onPeerCharge(key.priority, key.workspace, slotMillis, nowMillis)
         }
+        domainDemands.onPeerReport(peer, report, nowMillis)
         rateLimits.onPeerReport(peer, report.rateLimits, nowMillis)
         cold.onPeerReport(peer, report.coldLimits, nowMillis)
         report.statedLoads.forEach { load ->
@@ -214,6 +222,10 @@
             }
     }
 
+    /** Returns true if the quota of requests for [service] is charged only for what runs. */
+    fun hasQuotaRefunds(service: String): Boolean =
+        pools[service]?.features?.hasQuotaRefunds ?: false
+
     /** True when any request is queued. */
     val hasWaiting: Boolean
         get() = queues.values.any { it.isNotEmpty() }
@@ -222,8 +234,9 @@
     fun inFlightIn(failureDomain: String): Int = pools.values.sumOf { it.inFlightIn(failureDomain) }
 
     /** Returns the load report for the peers. */
-    fun report(nowMillis: Long): LoadReport =
-        LoadReport(
+    fun report(nowMillis: Long): LoadReport {
+        pools.values.forEach { updateSpillover(it, nowMillis) }
+        return LoadReport(
             pools.values.flatMap { it.usage() }.toMap(),
             queues.values
                 .flatten()
@@ -238,7 +251,13 @@
                 .take(PoolStatedLoads.MAX_REPORTED),
             workspaceUses(nowMillis),
             cold.reports(nowMillis),
+            failureDomain,
+            pools.values.mapNotNull { it.domainLoad() },
         )
+    }
+
+    private fun updateSpillover(pool: ServerPool, nowMillis: Long) =
+        pool.updateSpillover(domainDemands, queues[pool.service]?.size ?: 0, nowMillis)
 
     private fun workspaceUses(nowMillis: Long): Map<WorkspaceKey, WorkspaceUse> =
         pools
@@ -275,6 +294,7 @@
         queue: Collection<DispatchRequest>,
         nowMillis: Long,
     ): PlacementRound {
+        updateSpillover(pool, nowMillis)
         val round = pool.startRound(peers, failureDomain, nowMillis)
         if (pool.features.hasFairShares) {
             val policy = policies.getValue(pool.service)
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -21,13 +21,14 @@
 
 /** The backend servers of one service and their statistics. */
 internal class ServerPool(
-    val service: String,
     private val rollouts: RolloutTracker,
     private val rateLimits: ServerRateLimits,
     statements: ServerStatements,
     /** The optional decisions that are in force in this pool. */
     val features: PoolFeatures,
     random: Random,
+    /** Decides which requests leave the failure domain where [features] call for it. */
+    private val spillover: DomainSpillover,
     private val domainRules: DomainRules,
     /** Size in tokens of the cache of each server, if known. */
     private val cacheTokens: () -> Long? = { null },
@@ -50,6 +51,9 @@
     /** The loads that the servers state. */
     val statedLoads = PoolStatedLoads(records, features)
 
+    val service: String
+        get() = spillover.service
+
     /** Called when a server that was in use is ejected. */
     var onEjection: (ServerEjection) -> Unit = {}
 
@@ -91,6 +95,7 @@
         nowMillis: Long,
     ) {
         val record = records[serverId] ?: return
+        spilloverInForce?.onSent(request, record.entry.failureDomain)
         record.sentParts.add(request.promptParts, nowMillis)
         affinity.onSent(request.promptParts)
         if (features.hasPromptMatching) promptMatching.onSent(request, record, nowMillis)
@@ -115,7 +120,7 @@
 
     /** Records that a response of [run] states [load]. */
     fun onStatedLoad(run: ServerRun, load: StatedLoad, peers: PeerLoads, nowMillis: Long) {
-        val peerUse = currentLoads(peers, nowMillis).useOf(run.serverId)
+        val peerUse = peers.at(nowMillis, meanHoldMillis()).useOf(run.serverId)
         statedLoads.onStated(run, load, peerUse.inFlight, nowMillis)
     }
 
@@ -200,17 +205,54 @@
 
     /** Returns the mean time between two slots becoming free in the pool. */
     private fun slotIntervalMillis(request: DispatchRequest, nowMillis: Long): Double {
-        val slotsPerMillis =
+        val open =
             rollouts
                 .select(
                     capacity.accessible(domainRules.accepting(records.values, request), nowMillis),
                     request,
                 )
                 .filterNot { isClosed(it, nowMillis) }
+        val near = spilloverInForce?.let { open.filter(it::isHome) }.orEmpty()
+        val slotsPerMillis =
+            near
+                .ifEmpty { open }
                 .sumOf { capacity.slotsPerMillis(it, expectedHoldMillis(it, nowMillis), nowMillis) }
-        return if (slotsPerMillis <= 0) MIN_HOLD_MILLIS else 1 / slotsPerMillis
+        if (slotsPerMillis <= 0) return MIN_HOLD_MILLIS
+        return (if (near.isEmpty()) 1.0 else spillover.stayingFraction) / slotsPerMillis
+    }
+
+    private val spilloverInForce: DomainSpillover?
+        get() = spillover.takeIf { features.hasDomainSpillover }
+
+    /** Adapts the share of the requests that leave the failure domain to [demands]. */
+    fun updateSpillover(demands: DomainDemands, waiting: Int, nowMillis: Long) {
+        if (!features.hasDomainSpillover || !spillover.isDue(nowMillis)) return
+        val open =
+            capacity
+                .accessible(records.values.filter { it.entry.acceptsWork }, nowMillis)
+                .filterNot { isClosed(it, nowMillis) || isSilent(it, nowMillis) }
+        val slots =
+            open.groupBy { it.entry.failureDomain }.mapValues { slotsOf(it.value, nowMillis) }
+        val running = records.values.sumOf { it.inFlight }
+        val byDomain = demands.of(spillover.service, meanHoldMillis(), nowMillis)
+        val runningAtHome = records.values.filter(spillover::isHome).sumOf { it.inFlight }
+        spillover.update(slots, byDomain, running, runningAtHome, waiting, nowMillis)
     }
 
+    private fun slotsOf(servers: List<ServerRecord>, nowMillis: Long) =
+        DomainSlots(
+            servers.sumOf { capacity.usableSlots(it, nowMillis) },
+            servers.sumOf {
+                capacity.slotsPerMillis(it, expectedHoldMillis(it, nowMillis), nowMillis)
+            },
+        )
+
+    /** Records that a request has arrived and is not refused at once. */
+    fun onArrived() = spillover.onArrived()
+
+    /** Returns the state of the failure domain for the peers; null if spillover is not in force. */
+    fun domainLoad(): DomainLoadReport? = spilloverInForce?.report()
+
     /**
      * Returns the expected time from the send of [request] to its first event. The model is fitted
      * to latencies that are divided by the servers' factors, so their mean may differ from 1.
@@ -242,7 +284,8 @@
 
     /** Begins a pass over the queue of the pool. */
     fun startRound(peers: PeerLoads, failureDomain: String, nowMillis: Long): PlacementRound {
-        val loads = currentLoads(peers, nowMillis)
+        val queueDomain = failureDomain.takeIf { features.hasDomainSpillover }
+        val loads = peers.at(nowMillis, meanHoldMillis(), queueDomain)
         return PlacementRound(
             loads,
             failureDomain,
@@ -250,6 +293,7 @@
             eligibleServers = { eligibleServers(it, nowMillis) },
             loadOf = { loadOf(it, loads, nowMillis) },
             slotInterval = { slotIntervalMillis(it, nowMillis) },
+            spillover = spilloverInForce,
         )
     }
 
@@ -276,6 +320,9 @@
     fun place(request: DispatchRequest, aheadAtPeers: Int, round: PlacementRound): Placement {
         val eligible = round.eligible(request)
         if (eligible.loads.isEmpty()) return Placement.NoServer
+        leave(eligible, request, round)?.let {
+            return it
+        }
         // No request of the queue can be sent, so nothing has to be reserved.
         if (round.isFull(request)) return Placement.Wait
         val freeSlots = eligible.loads.sumOf { it.freeSlots.coerceAtLeast(0) }
@@ -305,6 +352,28 @@
         return promptMatching.best(eligible, request, round)
     }
 
+    // Sends the request to another failure domain if it may leave and gains enough by it.
+    private fun leave(
+        eligible: EligibleServers,
+        request: DispatchRequest,
+        round: PlacementRound,
+    ): Placement.Send? {
+        val away = eligible.away ?: return null
+        if (!round.tryLeaving(away)) return null
+        val best = best(away, request, round)
+        if (best.load.freeSlots <= 0) return null
+        val homeMillis = best(eligible, request, round).expectedMillis
+        if (!spillover.isWorthLeaving(request, homeMillis, best.expectedMillis)) return null
+        spillover.onLeft()
+        return send(
+            best,
+            request.promptTokens,
+            away.loads.size,
+            capacity.inaccessibleCount(records.values, round.nowMillis),
+            round.peers.peerCount,
+        )
+    }
+
     private fun send(
         best: ServerEstimate,
         promptTokens: Double,
@@ -334,9 +403,6 @@
         return (record.holdMillis * factor).coerceAtLeast(MIN_HOLD_MILLIS)
     }
 
-    private fun currentLoads(peers: PeerLoads, nowMillis: Long): PeerLoads.Current =
-        peers.at(nowMillis, meanHoldMillis())
-
     private companion object {
         /**
          * Pause between passes of a pool whose requests take [MIN_HOLD_TO_PAUSE_MILLIS] or more.
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
@@ -135,11 +135,15 @@
             tokensPerEvent = { configuration.table?.service(it)?.tokensPerEvent ?: 1 },
             maySendTo = evacuations::allows,
             ignoredStatements = ignoredStatements,
+            returnCharge = { service, charge ->
+                allocator.hasQuotaRefunds(service) && quotas.giveBack(charge, loop.nowMillis())
+            },
         )
     private val forwarder =
         RequestForwarder(forwardingContext, configuration, RequestAdmission(quotas), gate)
     private val quarantineLog = QuarantineLog()
     private val ejectionLog = EjectionLog(metrics)
+    private val spilloverLog = SpilloverLog(metrics)
     private val loopDelay = LoopDelayMonitor(loop, metrics, forwarder::inFlightCount)
     private val clientServer = HttpServer(loop.group, forwarder, CLIENT_LIMITS)
     private val readinessServer =
@@ -195,6 +199,7 @@
             }
             allocator.onIgnoredLoad(ignoredStatements::onIgnored)
             allocator.onEjection(ejectionLog::onEjection)
+            allocator.onSpillover(spilloverLog::onEvent)
         }
         loadReports.start()
         loop.every(QUOTA_INTERVAL_MILLIS, ::tickQuotas)
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/GatewayMetrics.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/GatewayMetrics.kt
@@ -4,6 +4,7 @@
 import io.lavenderhinge.core.forwarding.Rejection
 import io.lavenderhinge.instance.control.ControlThread
 import io.lavenderhinge.instance.metrics.RequestMetrics
+import io.lavenderhinge.instance.metrics.SpilloverMetrics
 import io.micrometer.core.instrument.Gauge
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
@@ -21,6 +22,7 @@
         PrometheusMeterRegistry(PrometheusConfig.DEFAULT).also(::registerEvacuations)
     }
     private val requests by lazy { RequestMetrics(registry) }
+    private val spillover by lazy { SpilloverMetrics(registry) }
 
     /** Records the end of an admitted request. */
     fun requestEnded(trace: RequestTrace, nowMillis: Long) {
@@ -68,6 +70,14 @@
     /** Records that a server has become cold. */
     fun serverCold() = control.execute { requests.recordColdServer() }
 
+    /** Records the share of the requests for [service] that leave the failure domain. */
+    fun spilloverShare(service: String, shareFraction: Double) =
+        control.execute { spillover.recordShare(service, shareFraction) }
+
+    /** Records that a request is sent to [failureDomain]. */
+    fun requestSent(service: String, failureDomain: String, sizeBytes: Double) =
+        control.execute { spillover.recordSent(service, failureDomain, sizeBytes) }
+
     /** Records that a server of [service] was ejected. */
     fun serverEjected(service: String) = control.execute { requests.recordEjection(service) }
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportExchange.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportExchange.kt
@@ -137,7 +137,7 @@
                 .setServerRevision(versions.servers())
                 .setEvacuationRevision(versions.evacuations())
                 .setWatchesServers(versions.isWatchingServers())
-                .addLoad(allocator.report(), quotas.totals)
+                .addLoad(allocator.report(), quotas.totals, quotas.returned)
         if (lastSentMillis - rolloutsLastSentMillis >= ROLLOUT_REPORT_INTERVAL_MILLIS) {
             rolloutsLastSentMillis = lastSentMillis
             allocator.rollouts.reports(lastSentMillis).forEach {
@@ -159,7 +159,8 @@
         if (report.instanceId == self.id || !peers.onReport(report, nowMillis)) return
         // Clock skew between machines is small compared to the quota window.
         val ageMillis = System.currentTimeMillis() - report.incarnation
-        val quotaReport = QuotaReport(report.incarnation, ageMillis, report.toSpending())
+        val quotaReport =
+            QuotaReport(report.incarnation, ageMillis, report.toSpending(), report.toReturned())
         quotas.onPeerReport(report.instanceId, quotaReport, nowMillis)
         allocator.onPeerReport(report.instanceId, report.toReport())
         allocator.rollouts.onPeerReport(report.instanceId, report.toRollouts(), nowMillis)
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportProtoConverters.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportProtoConverters.kt
@@ -1,5 +1,6 @@
 package io.lavenderhinge.instance.gateway
 
+import io.lavenderhinge.core.forwarding.DomainLoadReport
 import io.lavenderhinge.core.forwarding.LoadReport
 import io.lavenderhinge.core.forwarding.PromptHolderReport
 import io.lavenderhinge.core.forwarding.QueueKey
@@ -13,6 +14,7 @@
 import io.lavenderhinge.instance.quarantine.toMessage
 import io.lavenderhinge.instance.quarantine.toReport
 import io.lavenderhinge.instance.quarantine.toRun
+import io.lavenderhinge.protocol.v1.DomainLoad
 import io.lavenderhinge.protocol.v1.LoadReport as LoadReportMessage
 import io.lavenderhinge.protocol.v1.PromptHolder
 import io.lavenderhinge.protocol.v1.QueueLength
@@ -23,10 +25,11 @@
 import io.lavenderhinge.protocol.v1.WorkspaceUse as WorkspaceUseMessage
 import kotlin.math.roundToInt
 
-/** Adds [report] and the cost per workspace in [spending] to the message. */
+/** Adds [report] and the cost per workspace that was charged and [returned] to the message. */
 internal fun LoadReportMessage.Builder.addLoad(
     report: LoadReport,
     spending: Map<String, Double>,
+    returned: Map<String, Double> = emptyMap(),
 ): LoadReportMessage.Builder {
     report.servers.forEach { (id, use) ->
         addServers(
@@ -52,8 +55,15 @@
     report.coldLimits.forEach { addColdLimits(it.toMessage()) }
     report.statedLoads.forEach { addStatedLoads(it.toMessage()) }
     report.workspaceUses.forEach { (key, use) -> addWorkspaceUses(use.toMessage(key)) }
+    setFailureDomain(report.failureDomain)
+    report.domainLoads.forEach { addDomainLoads(it.toMessage()) }
     spending.forEach { (workspace, cost) ->
-        addWorkspaces(WorkspaceSpending.newBuilder().setWorkspace(workspace).setTotalCost(cost))
+        addWorkspaces(
+            WorkspaceSpending.newBuilder()
+                .setWorkspace(workspace)
+                .setTotalCost(cost)
+                .setReturnedCost(returned[workspace] ?: 0.0)
+        )
     }
     return this
 }
@@ -75,6 +85,8 @@
                 WorkspaceUse(it.slotMillis, it.waiting)
         },
         coldLimitsList.map { it.toReport() },
+        failureDomain,
+        domainLoadsList.map { DomainLoadReport(it.service, it.waitMillis, it.spilledShare) },
     )
 
 /** Reads the total cost per workspace that the sender admitted. */
@@ -92,6 +104,17 @@
         .setSlotMillis(slotMillis)
         .setWaiting(waiting)
 
+/** Reads the part of [toSpending] that the sender has given back. */
+internal fun LoadReportMessage.toReturned(): Map<String, Double> =
+    workspacesList.filter { it.returnedCost > 0 }.associate { it.workspace to it.returnedCost }
+
+private fun DomainLoadReport.toMessage() =
+    DomainLoad.newBuilder()
+        .setService(service)
+        .setWaitMillis(waitMillis)
+        .setSpilledShare(shareFraction)
+        .build()
+
 private fun RateLimitReport.toMessage(): ServerRateLimit {
     val message =
         ServerRateLimit.newBuilder()
