Check configurations for entries that never match and contradictions

Operators learn of a route that another one hides, or of a target above its timeout, only from what requests do. Instances log at most five findings of a version that they put in force; the version is used as before.

--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ConfigurationHolder.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ConfigurationHolder.kt
@@ -1,6 +1,8 @@
 package io.lavenderhinge.instance.gateway
 
+import io.lavenderhinge.core.forwarding.ConfigurationCheck
 import io.lavenderhinge.core.forwarding.ConfigurationView
+import io.lavenderhinge.core.forwarding.ForwardingConfig
 import io.lavenderhinge.core.forwarding.ForwardingTable
 import io.lavenderhinge.platform.ConfigurationDecoder
 import java.util.concurrent.TimeUnit
@@ -50,6 +52,7 @@
         active = ActiveConfiguration(table, text)
         gate.onConfigurationAvailable()
         log.info("configuration: version {} from {} is in force", config.version, source)
+        logFindings(config)
         onChange(table)
         return true
     }
@@ -67,7 +70,19 @@
         return ConfigurationView(table, isConfirmed)
     }
 
+    private fun logFindings(config: ForwardingConfig) {
+        val findings = ConfigurationCheck.findings(config)
+        findings.take(MAX_LOGGED_FINDINGS).forEach {
+            log.warn("configuration: version {}: {}", config.version, it.message)
+        }
+        val omittedCount = findings.size - MAX_LOGGED_FINDINGS
+        if (omittedCount > 0)
+            log.warn("configuration: version {}: {} more findings", config.version, omittedCount)
+    }
+
     private companion object {
+        /** Every instance logs them for each version; `lavenderhingectl check` names all. */
+        const val MAX_LOGGED_FINDINGS = 5
         val log = LoggerFactory.getLogger(ConfigurationHolder::class.java)
     }
 }
