--- a/ctl/src/main/kotlin/io/lavenderhinge/ctl/CtlCommand.kt
+++ b/ctl/src/main/kotlin/io/lavenderhinge/ctl/CtlCommand.kt
@@ -19,7 +19,10 @@
 
     override fun help(context: Context): String = help
 
-    override fun run() = runBlocking { execute() }.printAndExit(this, output)
+    override fun run() = runBlocking { execute() }.printAndExit(this, format())
+
+    /** The output format that the options name. */
+    protected open fun format(): Output = output
 
     /** Runs the command and returns its report. */
     protected abstract suspend fun execute(): Report
--- a/ctl/src/main/kotlin/io/lavenderhinge/ctl/Environment.kt
+++ b/ctl/src/main/kotlin/io/lavenderhinge/ctl/Environment.kt
@@ -2,6 +2,7 @@
 
 import io.lavenderhinge.core.port.KeyValueStore
 import io.lavenderhinge.core.settings.Address
+import java.io.InputStream
 
 /** Response of an operator port; [body] is JSON. */
 data class OperatorResponse(val status: Int, val body: String)
@@ -21,6 +22,9 @@
     /** Wall-clock time in epoch milliseconds. */
     fun nowMillis(): Long
 
+    /** Standard input of the process. */
+    fun standardInput(): InputStream
+
     /** Author of a revision if the command line names none. */
     fun userName(): String
 }
--- a/ctl/src/main/kotlin/io/lavenderhinge/ctl/Main.kt
+++ b/ctl/src/main/kotlin/io/lavenderhinge/ctl/Main.kt
@@ -15,6 +15,7 @@
             HistoryCommand(environment),
             StatusCommand(environment),
             ExplainCommand(environment),
+            CheckCommand(environment),
         )
 
 fun main(arguments: Array<String>) {
--- a/ctl/src/main/kotlin/io/lavenderhinge/ctl/RootCommand.kt
+++ b/ctl/src/main/kotlin/io/lavenderhinge/ctl/RootCommand.kt
@@ -8,7 +8,7 @@
     override fun help(context: Context): String =
         "Checks, applies and explains the settings of lavenderhinge. DIR contains one TEAM.ini " +
             "per team. Usual order: show --save DIR, edit, validate DIR, diff DIR, apply DIR, " +
-            "status."
+            "status. check reads the operator's configuration of the platform instead."
 
     override fun helpEpilog(context: Context): String =
         "Exit codes: " + ExitCode.entries.joinToString("; ") { "${it.code} ${it.meaning}" } + "."
--- a/ctl/src/main/kotlin/io/lavenderhinge/ctl/SystemEnvironment.kt
+++ b/ctl/src/main/kotlin/io/lavenderhinge/ctl/SystemEnvironment.kt
@@ -11,6 +11,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import io.netty.handler.codec.http.DefaultHttpHeaders
+import java.io.InputStream
 import java.net.InetSocketAddress
 
 /** [Environment] of the running process; all HTTP calls share one event loop thread. */
@@ -44,6 +45,8 @@
 
     override fun nowMillis(): Long = System.currentTimeMillis()
 
+    override fun standardInput(): InputStream = System.`in`
+
     override fun userName(): String = System.getProperty("user.name").orEmpty()
 
     override fun close() {
--- a/ctl/src/test/kotlin/io/lavenderhinge/ctl/FakeEnvironment.kt
+++ b/ctl/src/test/kotlin/io/lavenderhinge/ctl/FakeEnvironment.kt
@@ -78,6 +78,7 @@
 
 internal class FakeEnvironment(val store: FakeStore = FakeStore()) : Environment {
     val operators = mutableMapOf<String, OperatorResponse>()
+    var input = ""
     var nowMillis = 1_796_000_000_000L
 
     override fun store(address: Address): KeyValueStore = store
@@ -87,6 +88,8 @@
 
     override fun nowMillis(): Long = nowMillis
 
+    override fun standardInput() = input.byteInputStream()
+
     override fun userName(): String = "anna"
 
     /** Runs the command line [arguments], in which `DIR` stands for [directory]. */
