--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ConfigurationCheckTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ConfigurationCheckTest.kt
@@ -9,20 +9,12 @@
 import kotlinx.collections.immutable.toImmutableSet
 
 private val soundRoute =
-    ForwardRoute(
-        name = "r",
-        host = "h",
-        pathPrefix = "/a/",
-        kind = RouteKind.Streaming(resumable = true, targetGapMillis = 300),
-        timeoutMillis = 2_000,
-        targetLatencyMillis = 500,
-        priority = 0,
-        destinations = persistentListOf(WeightedService("s", 1.0)),
-        maxServers = 2,
-        allowsAnonymous = false,
-    )
+    route(kind = RouteKind.Streaming(resumable = true, targetGapMillis = 300))
+        .copy(name = "r", timeoutMillis = 2_000)
+
+private val soundQuota = tokenQuota(ratePerSecond = 10.0, burst = 200.0)
 
-private val soundQuota = WorkspaceQuota(10.0, 200.0, countsTokens = true, defaultTokens = 200.0)
+private val negativeSplit = persistentListOf(WeightedService("s", 1.0), WeightedService("s", -1.0))
 
 private val smallBurst = soundQuota.copy(burst = 9.0)
 
@@ -49,86 +41,37 @@
             ConfigurationCheck.findings(config(), mapOf("s" to 2)).shouldBeEmpty()
         }
 
-        data class Case(val name: String, val config: ForwardingConfig, val finding: String)
-
         // Guards against entries without effect and limits that cannot hold.
         context("given a fault, then it is the only finding") {
             withData(
-                nameFn = { it.name },
-                Case(
-                    "a route with the host and prefix of another one",
+                nameFn = { it.first },
+                "routes[1] (q): is shadowed by routes[0] (r), which has the same host and prefix" to
                     config(soundRoute, soundRoute.copy(name = "q", host = "H")),
-                    "routes[1] (q): is shadowed by routes[0] (r), which has the same host and " +
-                        "prefix",
-                ),
-                Case(
-                    "a prefix without a slash",
+                "routes[0] (r): no path starts with the prefix `a/`" to
                     config(soundRoute.copy(pathPrefix = "a/")),
-                    "routes[0] (r): no path starts with the prefix `a/`",
-                ),
-                Case(
-                    "a route name that stands twice",
+                "routes[1] (r): has the same name as routes[0] (r)" to
                     config(soundRoute, soundRoute.copy(pathPrefix = "/b/")),
-                    "routes[1] (r): has the same name as routes[0] (r)",
-                ),
-                Case(
-                    "a negative weight",
-                    config(
-                        soundRoute.copy(
-                            destinations =
-                                persistentListOf(
-                                    WeightedService("s", 1.0),
-                                    WeightedService("s", -1.0),
-                                )
-                        )
-                    ),
-                    "routes[0] (r): a weight of the traffic split is negative",
-                ),
-                Case(
-                    "a target above the timeout",
+                "routes[0] (r): a weight of the traffic split is negative" to
+                    config(soundRoute.copy(destinations = negativeSplit)),
+                "routes[0] (r): the target of 3000 ms is above the timeout of 2000 ms" to
                     config(soundRoute.copy(targetLatencyMillis = 3_000)),
-                    "routes[0] (r): the target of 3000 ms is above the timeout of 2000 ms",
-                ),
-                Case(
-                    "a target between events above the timeout",
-                    config(soundRoute.copy(kind = RouteKind.Streaming(false, 2_500))),
-                    "routes[0] (r): the target of 2500 ms between events is above the timeout of " +
-                        "2000 ms",
-                ),
-                Case(
-                    "no attempt",
+                "routes[0] (r): the target of 2500 ms between events is above the timeout of " +
+                    "2000 ms" to config(soundRoute.copy(kind = RouteKind.Streaming(false, 2_500))),
+                "routes[0] (r): 0 attempts do not include the first one" to
                     config(soundRoute.copy(maxServers = 0)),
-                    "routes[0] (r): 0 attempts do not include the first one",
-                ),
-                Case(
-                    "more attempts than servers",
+                "routes[0] (r): 3 attempts are more than the 2 servers of s" to
                     config(soundRoute.copy(maxServers = 3)),
-                    "routes[0] (r): 3 attempts are more than the 2 servers of s",
-                ),
-                Case(
-                    "a tenant without a key",
+                "tenants[0] (w): has no key, so no request can be its own" to
                     config(workspaces = listOf(tenant("w"))),
-                    "tenants[0] (w): has no key, so no request can be its own",
-                ),
-                Case(
-                    "a key of two tenants",
+                "tenants[0] (v): has a key of tenants[1] (w), which gets its requests" to
                     config(workspaces = listOf(tenant("v", "k", "l"), tenant("w", "k"))),
-                    "tenants[0] (v): has a key of tenants[1] (w), which gets its requests",
-                ),
-                Case(
-                    "a burst below one request",
+                "tenants[0] (w): the burst of 9.0 is below the cost of one request, 200.0" to
                     config(workspaces = listOf(tenant("w", "k", quota = smallBurst))),
-                    "tenants[0] (w): the burst of 9.0 is below the cost of one request, 200.0",
-                ),
-                Case(
-                    "no version",
-                    config(version = 0),
-                    "version: version 0 never replaces another one",
-                ),
-            ) { case ->
-                val findings = ConfigurationCheck.findings(case.config, mapOf("s" to 2))
+                "version: version 0 never replaces another one" to config(version = 0),
+            ) { (finding, config) ->
+                val findings = ConfigurationCheck.findings(config, mapOf("s" to 2))
 
-                findings.map { "${it.location}: ${it.reason}" } shouldBe listOf(case.finding)
+                findings.map { "${it.location}: ${it.reason}" } shouldBe listOf(finding)
             }
         }
 
--- a/ctl/src/test/kotlin/io/lavenderhinge/ctl/CheckCommandTest.kt
+++ b/ctl/src/test/kotlin/io/lavenderhinge/ctl/CheckCommandTest.kt
@@ -26,33 +26,29 @@
             result.statusCode shouldBe 0
         }
 
-        data class Case(val name: String, val from: String, val to: String, val finding: String)
+        data class Case(val from: String, val to: String, val finding: String)
 
         // Guards against a fault that the operator learns of only once it is in force.
         context("given a fault, when checked, then it is named with its location and remedy") {
             withData(
-                nameFn = { it.name },
+                nameFn = { it.finding },
                 Case(
-                    "a missing field",
                     "\"host\":\"h\",",
                     "",
                     "routes[0].host: is missing or has the wrong type; correct",
                 ),
                 Case(
-                    "a field that stands twice",
                     "\"host\":\"h\",",
                     "\"host\":\"h\",\"host\":\"g\",",
                     "line 2, column 70: Duplicate field 'host'; remove",
                 ),
-                Case("text after the configuration", "150}]}", "150}]} {}", "; remove it there"),
+                Case("150}]}", "150}]} {}", "; remove it there"),
                 Case(
-                    "a service without a route",
                     "{\"name\":\"s\"}",
                     "{\"name\":\"s\"},{\"name\":\"u\"}",
                     "services[1] (u): no route leads to the service; add a route or remove",
                 ),
                 Case(
-                    "attempts above the servers",
                     "\"attempts\":2",
                     "\"attempts\":4",
                     "routes[0] (look): 4 attempts are more than the 3 servers of s; lower",
