Give freed slots to requests whose prompts their servers hold

In overload, a waiting request took the first slot that became free anywhere, so that prompts were read again on one server after the other.

Neighbours of equal rank in a queue (QueuePolicy.rank) get free slots by what the free servers hold, also before heads of peers that still have time. A part in demand gets more agreed places, fewer again when its demand falls. A refused request (421) takes back its holder.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -146,7 +146,9 @@
         peers.update(peer, report, nowMillis)
         rateLimits.onPeerReport(peer, report.rateLimits, nowMillis)
         report.quarantine?.let { quarantine.onPeerReport(it, nowMillis) }
-        pools.values.forEach { it.onHoldersReported(report.promptHolders, nowMillis) }
+        pools.values.forEach { pool ->
+            pool.promptMatching.onReported(report.promptHolders, pool::record, nowMillis)
+        }
         return serveQueues(nowMillis) { !it.wasJustServed(nowMillis) }
     }
 
@@ -177,7 +179,7 @@
                 .mapValues { (_, requests) -> queueState(requests, nowMillis) },
             quarantine.report(nowMillis),
             rateLimits.reports(nowMillis),
-            pools.values.flatMap { it.holderReports(nowMillis) },
+            pools.values.flatMap { it.promptMatching.reports(nowMillis) },
         )
 
     private fun queueState(requests: List<DispatchRequest>, nowMillis: Long): QueueState {
@@ -211,7 +213,8 @@
         }
         val order = policy.ordered(queue, nowMillis)
         order.owed.forEach { place(it, aheadAtPeers = 0) }
-        order.others.forEach { place(it, round.peers.countAhead(it, policy.isLate(it, nowMillis))) }
+        val others = pool.promptMatching.ordered(order.others, round) { policy.rank(it, nowMillis) }
+        others.forEach { place(it, round.peers.countAhead(it, policy.isLate(it, nowMillis))) }
         queue.clear()
         queue.addAll(waiting)
         waiting
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PeerLoads.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PeerLoads.kt
@@ -80,14 +80,23 @@
          * more urgent, and the head of each peer's queue of the same priority if it has waited
          * clearly longer. [isLate] is true if [request] can no longer be on time. Without the
          * second part, an instance that holds slots would reuse them for its own requests and
-         * starve those of other instances.
+         * starve those of other instances. Heads that have waited for less than [minHeadWaitMillis]
+         * do not count.
          */
-        fun countAhead(request: DispatchRequest, isLate: Boolean): Int =
+        fun countAhead(
+            request: DispatchRequest,
+            isLate: Boolean,
+            minHeadWaitMillis: Long = 0,
+        ): Int =
             waiting(request.service, request.priority - 1) +
                 headsOf(request).count { head ->
-                    precedes(head.state, head.receivedMillis, request, isLate, nowMillis)
+                    headWaitMillis(head) >= minHeadWaitMillis &&
+                        precedes(head, request, isLate, nowMillis)
                 }
 
+        private fun headWaitMillis(head: ReceivedQueue): Long =
+            head.state.headWaitMillis + nowMillis - head.receivedMillis
+
         private fun headsOf(request: DispatchRequest): List<ReceivedQueue> =
             queues[QueueKey(request.service, request.priority)]?.heads.orEmpty()
 
@@ -110,14 +119,13 @@
     }
 
     private fun precedes(
-        head: QueueState,
-        receivedMillis: Long,
+        head: ReceivedQueue,
         request: DispatchRequest,
         isLate: Boolean,
         nowMillis: Long,
     ): Boolean {
-        if (head.isHeadLate != isLate) return isLate
-        val headWaitMillis = head.headWaitMillis + nowMillis - receivedMillis
+        if (head.state.isHeadLate != isLate) return isLate
+        val headWaitMillis = head.state.headWaitMillis + nowMillis - head.receivedMillis
         return headWaitMillis > nowMillis - request.arrivedMillis + MIN_EXTRA_WAIT_MILLIS
     }
 
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PromptCache.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PromptCache.kt
@@ -5,7 +5,7 @@
  * the least recently used parts once the cache is full.
  */
 internal class PromptCache {
-    private class HeldPart(val tokens: Int, val usedMillis: Long)
+    private class HeldPart(val tokens: Int, val usedMillis: Long, val uses: Int)
 
     // In the order of use; a part is inserted again when it is used.
     private val parts = LinkedHashMap<Long, HeldPart>()
@@ -24,7 +24,7 @@
         // A late report does not make a part older.
         if (known != null && known.usedMillis > usedMillis) return
         parts.remove(hash)
-        parts[hash] = HeldPart(tokens, usedMillis)
+        parts[hash] = HeldPart(tokens, usedMillis, uses = (known?.uses ?: 0) + 1)
         totalTokens += tokens - (known?.tokens ?: 0)
         evict(limits)
     }
@@ -44,6 +44,14 @@
         return nowMillis - part.usedMillis <= limits.ageMillis
     }
 
+    /** Takes back a use of the part [hash], because the server has not run the request. */
+    fun onNotRun(hash: Long) {
+        val part = parts[hash] ?: return
+        if (part.uses > 1) return
+        parts.remove(hash)
+        totalTokens -= part.tokens
+    }
+
     /** Forgets all parts, because the server has started again. */
     fun clear() {
         parts.clear()
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PromptDemand.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PromptDemand.kt
@@ -44,10 +44,13 @@
     fun isLastRecurring(chain: PromptChain): Boolean =
         recurringFraction(chain) >= MIN_RECURRING_FRACTION
 
-    /** Returns the share of the requests of the last seconds whose prompts contain [part]. */
-    fun share(part: Long, nowMillis: Long): Double {
+    /**
+     * Returns the share of the requests of the last seconds whose prompts contain [part]; null if
+     * there were too few requests to tell.
+     */
+    fun share(part: Long, nowMillis: Long): Double? {
         val all = total.at(nowMillis)
-        if (all < MIN_REQUESTS) return 1.0
+        if (all < MIN_REQUESTS) return null
         val count = counts[part]?.at(nowMillis) ?: 0.0
         // A single request says nothing about the demand for its parts.
         return (count - 1).coerceAtLeast(0.0) / all
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PromptHolders.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PromptHolders.kt
@@ -57,6 +57,14 @@
             Announcement(PromptHolderReport(part, key.serverId, ageMillis = 0), nowMillis)
     }
 
+    /** Records that [record] has not run a request with [chain]. */
+    fun onNotRun(chain: PromptChain, record: ServerRecord) {
+        for (index in 0 until chain.size) {
+            record.promptCache.onNotRun(chain.hash(index))
+            announcements.remove(PlacedPart(chain.hash(index), record.entry.id))
+        }
+    }
+
     /** Records that a peer has sent [part] to [record]. */
     fun onReported(part: Long, record: ServerRecord, ageMillis: Long, nowMillis: Long) =
         add(part, partSize.mean, record, nowMillis - ageMillis.coerceIn(0, limits.ageMillis))
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PromptPlaces.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PromptPlaces.kt
@@ -16,7 +16,21 @@
  * held by more servers. Slow servers get a smaller share of the prompts.
  */
 internal class PromptPlaces(private val demand: PromptDemand, private val speeds: SpeedClasses) {
-    private class Ranking(val servers: List<ServerRecord>, val endMillis: Long)
+    /** The agreed servers for the first [parts] parts of a prompt. */
+    class Ranking(
+        /** In the order of preference. */
+        val servers: List<ServerRecord>,
+        /** How many of the first servers should hold the prompt. */
+        val wanted: Int,
+        val parts: Int,
+        /** End of the time in which the ranking is used. */
+        val endMillis: Long,
+    ) {
+        companion object {
+            /** The ranking of a prompt that is not shared. */
+            val NONE = Ranking(emptyList(), wanted = 0, parts = 0, endMillis = 0)
+        }
+    }
 
     private val rankings = LruMap<ULong, Ranking>(MAX_RANKINGS)
 
@@ -30,16 +44,11 @@
         servers: List<ServerRecord>,
         setHash: ULong,
         nowMillis: Long,
-    ): List<ServerRecord> {
+    ): Ranking {
         val key = RendezvousHash.weight(chain.hash(count - 1).toULong(), setHash)
-        rankings[key]
-            ?.takeIf { nowMillis < it.endMillis }
-            ?.let {
-                return it.servers
-            }
-        val ranked = rank(chain, count, servers, nowMillis)
-        rankings[key] = Ranking(ranked, nowMillis + VALID_MILLIS)
-        return ranked
+        val known = rankings[key]
+        if (known != null && nowMillis < known.endMillis) return known
+        return rank(chain, count, servers, nowMillis).also { rankings[key] = it }
     }
 
     /** Has to be called after a change of the speed classes. */
@@ -50,22 +59,27 @@
         count: Int,
         servers: List<ServerRecord>,
         nowMillis: Long,
-    ): List<ServerRecord> {
+    ): Ranking {
         var selected = servers
         for (index in 0 until count - 1) {
-            val size = holderCount(chain.hash(index), servers.size, nowMillis)
+            val size = holderCount(chain.hash(index), servers.size, nowMillis) ?: servers.size
             if (size < selected.size) selected = highest(chain.hash(index), selected, size)
         }
-        val first = highest(chain.hash(count - 1), selected, RANKED)
-        if (first.size == RANKED || count == 1) return first
+        val wanted = holderCount(chain.hash(count - 1), servers.size, nowMillis) ?: 1
+        val ranked = wanted.coerceIn(MIN_RANKED, MAX_RANKED)
+        val first = highest(chain.hash(count - 1), selected, ranked)
         // If the places are full, all continuations of a part share the next ones as well.
-        val next = highest(chain.hash(count - 2), servers, RANKED + first.size)
-        return (first + next).distinct().take(RANKED)
+        val next =
+            if (first.size == ranked || count == 1) emptyList()
+            else highest(chain.hash(count - 2), servers, ranked + first.size)
+        val agreed = (first + next).distinct().take(ranked)
+        return Ranking(agreed, wanted, count, nowMillis + VALID_MILLIS)
     }
 
-    /** Returns how many of [serverCount] servers should hold [part]. */
-    fun holderCount(part: Long, serverCount: Int, nowMillis: Long): Int {
-        val wanted = HOLDERS_PER_SHARE * demand.share(part, nowMillis) * serverCount
+    /** Returns how many of [serverCount] servers should hold [part]; null if that is unknown. */
+    private fun holderCount(part: Long, serverCount: Int, nowMillis: Long): Int? {
+        val share = demand.share(part, nowMillis) ?: return null
+        val wanted = HOLDERS_PER_SHARE * share * serverCount
         // Instances measure the demand separately; they agree on a power of two more often.
         val count = ceil(wanted).toInt().coerceIn(1, serverCount.coerceAtLeast(1))
         val power = Integer.highestOneBit(count)
@@ -93,7 +107,11 @@
         /** Bounds how long a change of the demand has no effect. */
         const val VALID_MILLIS = 1_000L
         /** More places than a request compares, since some are full or must not be used. */
-        const val RANKED = 4
+        const val MIN_RANKED = 4
+        /**
+         * Bounds the cost of a decision; a part that more servers should hold is on most of them.
+         */
+        const val MAX_RANKED = 8
         /** Leaves room for the uneven load of servers that hashing selects. */
         const val HOLDERS_PER_SHARE = 1.5
     }
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QueuePolicy.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QueuePolicy.kt
@@ -7,6 +7,9 @@
     val others: List<DispatchRequest>,
 )
 
+/** Requests of equal rank may change places in a queue where they are neighbours. */
+internal data class QueueRank(val priority: Int, val isLate: Boolean)
+
 /**
  * Decides the order of queued requests and which of them are rejected, for a pool that is asked for
  * more than it can serve: bursts of a few seconds at up to three times its capacity.
@@ -39,6 +42,10 @@
         return QueueOrder(owed, if (owed.isEmpty()) sorted else sorted - owed.toSet())
     }
 
+    /** Returns what decides the place of [request] before its arrival does. */
+    fun rank(request: DispatchRequest, nowMillis: Long) =
+        QueueRank(request.priority, isLate(request, nowMillis))
+
     private fun order(nowMillis: Long): Comparator<DispatchRequest> =
         compareBy<DispatchRequest> { it.priority }
             .thenBy { isLate(it, nowMillis) }
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -41,7 +41,7 @@
     private val chooser = ServerChooser(affinity, sampler, estimator)
 
     /** Which servers hold which prompts, and the choice by it. */
-    val promptMatching = PromptMatching(sampler, estimator, model)
+    val promptMatching = PromptMatching(features, sampler, estimator, model)
 
     /** Called when a server that was in use is ejected. */
     var onEjection: (ServerEjection) -> Unit = {}
@@ -80,7 +80,7 @@
         val record = records[serverId] ?: return
         record.sentParts.add(request.promptParts, nowMillis)
         affinity.onSent(request.promptParts)
-        if (features.hasPromptMatching) promptMatching.onSent(request, record, nowMillis)
+        promptMatching.onSent(request, record, nowMillis)
         if (record.inFlight == 0) record.onActivity(nowMillis)
         rateLimits.onSent(record.entry.run)
         record.inFlight++
@@ -88,18 +88,6 @@
         minimumShare.onStarted(request.priority)
     }
 
-    /** Records which servers of this pool hold prompt parts, as a peer reports it. */
-    fun onHoldersReported(reports: List<PromptHolderReport>, nowMillis: Long) {
-        if (!features.hasPromptMatching) return
-        reports.forEach { report ->
-            records[report.serverId]?.let { promptMatching.onReported(report, it, nowMillis) }
-        }
-    }
-
-    /** Returns which servers hold the prompt parts that were sent lately. */
-    fun holderReports(nowMillis: Long): List<PromptHolderReport> =
-        if (features.hasPromptMatching) promptMatching.reports(nowMillis) else emptyList()
-
     fun onFinished(attempt: FinishedAttempt, nowMillis: Long) {
         val outcome = attempt.outcome
         if (outcome is ServerOutcome.Answered) {
@@ -110,6 +98,9 @@
         if (outcome is ServerOutcome.Answered) record.onActivity(nowMillis)
         val pendingTokens = if (attempt.isPromptPending) attempt.promptTokens else 0.0
         record.pendingTokens = (record.pendingTokens - pendingTokens).coerceAtLeast(0.0)
+        if (outcome is ServerOutcome.Full || outcome is ServerOutcome.Unreachable) {
+            promptMatching.onNotRun(attempt.promptParts, record)
+        }
         val wasEjected = record.isHalfOpen
         record.observe(outcome, model, nowMillis)
         averages.onChange()
@@ -225,7 +216,8 @@
         if (round.isFull(request)) return Placement.Wait
         val freeSlots = eligible.loads.sumOf { it.freeSlots.coerceAtLeast(0) }
         val best = best(eligible, request, round)
-        if (best.load.freeSlots > 0 && freeSlots > aheadAtPeers) {
+        val ahead = promptMatching.countAhead(request, best, aheadAtPeers, round)
+        if (best.load.freeSlots > 0 && freeSlots > ahead) {
             return send(
                 best,
                 request.promptTokens,
@@ -244,8 +236,7 @@
         request: DispatchRequest,
         round: PlacementRound,
     ): ServerEstimate {
-        val isMatched = features.hasPromptMatching && request.promptParts.isNotEmpty()
-        if (!isMatched) return chooser.best(eligible, request, round)
+        if (!promptMatching.concerns(request)) return chooser.best(eligible, request, round)
         promptMatching.refresh(records.values, cacheTokens(), round.nowMillis)
         return promptMatching.best(eligible, request, round)
     }
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/DecisionCostTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/DecisionCostTest.kt
@@ -23,10 +23,14 @@
 /**
  * One instance of a large fleet in a burst, with as many reports of peers as such a fleet sends.
  */
-private class InstanceInBurst(seed: Int) {
+private class InstanceInBurst(
+    seed: Int,
+    features: SchedulingFeatures = SchedulingFeatures(),
+    private val peers: Int = PEERS,
+) {
     private val random = Random(seed)
     private val time = VirtualTime()
-    private val dispatcher = Dispatcher("d", random = random)
+    private val dispatcher = Dispatcher("d", random = random, features = features)
     private val requests = HashMap<Long, DispatchRequest>()
     private var lastRequestId = 0L
 
@@ -58,8 +62,13 @@
                 QueueKey("s", priority) to
                     QueueState(2, headWaitMillis = 200, isHeadLate = random.nextBoolean())
             }
-        val peer = "p${nowMillis / REPORT_INTERVAL_MILLIS % PEERS}"
-        apply(dispatcher.onPeerReport(peer, LoadReport(servers, queues), nowMillis), nowMillis)
+        val holders =
+            List(SLOTS) {
+                PromptHolderReport(random.nextLong(), "s${random.nextInt(SERVERS)}", ageMillis = 5)
+            }
+        val peer = "p${nowMillis / REPORT_INTERVAL_MILLIS % peers}"
+        val report = LoadReport(servers, queues, promptHolders = holders)
+        apply(dispatcher.onPeerReport(peer, report, nowMillis), nowMillis)
     }
 
     private fun arrive(nowMillis: Long) {
@@ -102,4 +111,13 @@
                 InstanceInBurst(seed).cpuMillis() shouldBeLessThan MAX_CPU_MILLIS
             }
         }
+
+        // Guards against a search for prompts in the caches of all servers for each request.
+        listOf(6, 60, 324).forEach { peers ->
+            test("given prompt matching and $peers peers, then decisions are cheap") {
+                val features = SchedulingFeatures(promptMatching = FeatureMode.ON)
+
+                InstanceInBurst(1, features, peers).cpuMillis() shouldBeLessThan MAX_CPU_MILLIS
+            }
+        }
     })
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/PromptMatchingLoadTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/PromptMatchingLoadTest.kt
@@ -53,34 +53,60 @@
     mode: FeatureMode,
     instances: Int,
     perSecond: Double,
-    seed: Int,
     tokensPerMillis: Double,
     work: (Random) -> PromptWork,
+    lossFraction: Double = 0.0,
 ): PromptResult {
-    val load = PromptLoad(perSecond, durationMillis = 20_000, targetMillis = 610, work)
-    return PromptSimulation(instances, servers(seed, tokensPerMillis), mode, CACHE_TOKENS.toLong())
+    val seed = 1
+    val load = PromptLoad(perSecond, durationMillis = 14_000, targetMillis = 610, work)
+    val losses = Random(seed)
+    return PromptSimulation(
+            instances,
+            servers(seed, tokensPerMillis),
+            mode,
+            CACHE_TOKENS.toLong(),
+            isLost = { _, _, _ -> losses.nextDouble() < lossFraction },
+        )
         .run(load, seed, warmUpMillis = 4_000)
-        .also { println("$mode, $instances instances, $perSecond/s, seed $seed: $it") }
+        .also { println("prompt-matching $mode, $instances instances, $perSecond/s: $it") }
 }
 
 class PromptMatchingLoadTest :
     FunSpec({
         // Guards against reading a subject on one server after the other, because the instance
         // that gets a request does not know what another one has just sent.
-        test("given subjects that recur at any instance, then few are read again") {
-            val off = simulate(FeatureMode.OFF, 17, 200.0, 1, 30.0, ::subjectWork)
-            val on = simulate(FeatureMode.ON, 17, 200.0, 1, 30.0, ::subjectWork)
+        test("given subjects at 0.6 of the capacity, then few are read again") {
+            val off = simulate(FeatureMode.OFF, 17, 200.0, 30.0, ::subjectWork)
+            val on = simulate(FeatureMode.ON, 17, 200.0, 30.0, ::subjectWork)
 
-            on.tokens.repeated shouldBeLessThan off.tokens.repeated / 2
+            on.tokens.repeated shouldBeLessThan off.tokens.repeated / 4
             on.onTime shouldBeGreaterThan off.onTime
         }
 
-        // Guards against a long part that each of its continuations takes to another server.
-        test("given long parts whose continuations are new, then few are read again") {
-            val off = simulate(FeatureMode.OFF, 17, 200.0, 1, 93.0, ::familyWork)
-            val on = simulate(FeatureMode.ON, 17, 200.0, 1, 93.0, ::familyWork)
+        // Guards against agreed places and holders that depend on each report.
+        test("given that half of the reports are lost, then few subjects are read again") {
+            val off = simulate(FeatureMode.OFF, 17, 200.0, 30.0, ::subjectWork, lossFraction = 0.5)
+            val on = simulate(FeatureMode.ON, 17, 200.0, 30.0, ::subjectWork, lossFraction = 0.5)
+
+            on.tokens.repeated shouldBeLessThan off.tokens.repeated / 4
+        }
+
+        // Guards against a freed slot that takes the oldest request wherever its prompt is held,
+        // and against a long part that each of its continuations takes to another server.
+        test("given long parts at twice the capacity, then a quarter is read again") {
+            val off = simulate(FeatureMode.OFF, 17, 350.0, 93.0, ::familyWork)
+            val on = simulate(FeatureMode.ON, 17, 350.0, 93.0, ::familyWork)
 
-            on.tokens.repeated shouldBeLessThan off.tokens.repeated / 3
+            on.tokens.repeated shouldBeLessThan off.tokens.repeated / 4
+            on.onTime shouldBeGreaterThan off.onTime * 3 / 2
+        }
+
+        // Guards against matching that works only if reports come often.
+        test("given 61 instances and subjects in overload, then more requests are on time") {
+            val off = simulate(FeatureMode.OFF, 61, 350.0, 30.0, ::subjectWork)
+            val on = simulate(FeatureMode.ON, 61, 350.0, 30.0, ::subjectWork)
+
+            on.tokens.repeated shouldBeLessThan off.tokens.repeated / 2
             on.onTime shouldBeGreaterThan off.onTime
         }
     })
