--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -205,7 +205,9 @@
             pools.values.forEach { it.statedLoads.onPeerReport(load, nowMillis) }
         }
         report.quarantine?.let { quarantine.onPeerReport(it, nowMillis) }
-        pools.values.forEach { it.onHoldersReported(report.promptHolders, nowMillis) }
+        pools.values.forEach { pool ->
+            pool.promptMatching.onReported(report.promptHolders, pool::record, nowMillis)
+        }
         return serveQueues(nowMillis) { !it.wasJustServed(nowMillis) }
     }
 
@@ -244,7 +246,7 @@
                 .mapValues { (_, requests) -> queueState(requests, nowMillis) },
             quarantine.report(nowMillis),
             rateLimits.reports(nowMillis),
-            pools.values.flatMap { it.holderReports(nowMillis) },
+            pools.values.flatMap { it.promptMatching.reports(nowMillis) },
             pools.values
                 .flatMap { it.statedLoads.reports(nowMillis) }
                 .sortedBy { it.ageMillis }
@@ -325,7 +327,8 @@
         }
         val order = policy.ordered(queue, round)
         order.owed.forEach { place(it, aheadAtPeers = 0) }
-        order.others.forEach {
+        val others = pool.promptMatching.ordered(order.others, round) { policy.rank(it, round) }
+        others.forEach {
             place(it, round.peers.countAhead(it, policy.isLate(it, nowMillis), round.shares))
         }
         queue.clear()
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PeerLoads.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/PeerLoads.kt
@@ -120,22 +120,38 @@
          * clearly longer. [isLate] is true if [request] can no longer be on time. Without the
          * second part, an instance that holds slots would reuse them for its own requests and
          * starve those of other instances. With [shares], the heads of workspaces within their
-         * share precede a request above its share, and not the other way round.
+         * share precede a request above its share, and not the other way round. Heads that have
+         * waited for less than [minHeadWaitMillis] do not count.
          */
-        fun countAhead(request: DispatchRequest, isLate: Boolean, shares: ShareRound?): Int {
+        fun countAhead(
+            request: DispatchRequest,
+            isLate: Boolean,
+            shares: ShareRound?,
+            minHeadWaitMillis: Long = 0,
+        ): Int {
             val isWithinShare = shares?.isWithinShare(request) ?: true
             return waiting(request.service, request.priority - 1) +
                 headsOf(request).count { head ->
-                    val isHeadWithinShare =
-                        shares == null || head.isWithinShare(request.priority, shares)
-                    if (isLate || head.state.isHeadLate || isHeadWithinShare == isWithinShare)
-                        precedes(head.state, head.receivedMillis, request, isLate, nowMillis)
-                    else isHeadWithinShare && hasWaited(head)
+                    headWaitMillis(head) >= minHeadWaitMillis &&
+                        isAhead(head, request, isLate, isWithinShare, shares)
                 }
         }
 
-        private fun hasWaited(head: ReceivedQueue): Boolean =
-            head.state.headWaitMillis + nowMillis - head.receivedMillis > MIN_EXTRA_WAIT_MILLIS
+        private fun isAhead(
+            head: ReceivedQueue,
+            request: DispatchRequest,
+            isLate: Boolean,
+            isWithinShare: Boolean,
+            shares: ShareRound?,
+        ): Boolean {
+            val isHeadWithinShare = shares == null || head.isWithinShare(request.priority, shares)
+            return if (isLate || head.state.isHeadLate || isHeadWithinShare == isWithinShare)
+                precedes(head, request, isLate, nowMillis)
+            else isHeadWithinShare && headWaitMillis(head) > MIN_EXTRA_WAIT_MILLIS
+        }
+
+        private fun headWaitMillis(head: ReceivedQueue): Long =
+            head.state.headWaitMillis + nowMillis - head.receivedMillis
 
         private fun headsOf(request: DispatchRequest): List<ReceivedQueue> =
             queues[QueueKey(request.service, request.priority)]?.heads.orEmpty()
@@ -164,14 +180,13 @@
     }
 
     private fun precedes(
-        head: QueueState,
-        receivedMillis: Long,
+        head: ReceivedQueue,
         request: DispatchRequest,
         isLate: Boolean,
         nowMillis: Long,
     ): Boolean {
-        if (head.isHeadLate != isLate) return isLate
-        val headWaitMillis = head.headWaitMillis + nowMillis - receivedMillis
+        if (head.state.isHeadLate != isLate) return isLate
+        val headWaitMillis = head.state.headWaitMillis + nowMillis - head.receivedMillis
         return headWaitMillis > nowMillis - request.arrivedMillis + MIN_EXTRA_WAIT_MILLIS
     }
 
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/DecisionCostTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/DecisionCostTest.kt
@@ -25,11 +25,14 @@
 /**
  * One instance of a large fleet in a burst, with as many reports of peers as such a fleet sends.
  */
-private class InstanceInBurst(seed: Int, private val hasShares: Boolean) {
+private class InstanceInBurst(
+    seed: Int,
+    features: SchedulingFeatures = SchedulingFeatures(),
+    private val peers: Int = PEERS,
+) {
+    private val hasShares = features.fairShares == FeatureMode.ON
     private val random = Random(seed)
     private val time = VirtualTime()
-    private val features =
-        SchedulingFeatures(fairShares = if (hasShares) FeatureMode.ON else FeatureMode.OFF)
     private val dispatcher = Dispatcher("d", random = random, features = features)
     private val requests = HashMap<Long, DispatchRequest>()
     /** What the reports state one after the other. */
@@ -70,9 +73,13 @@
                 QueueKey("s", priority) to
                     QueueState(2, headWaitMillis = 200, isHeadLate = random.nextBoolean())
             }
-        val peer = "p${nowMillis / REPORT_INTERVAL_MILLIS % PEERS}"
-        val uses = workspaceUses[(nowMillis / REPORT_INTERVAL_MILLIS / PEERS % USES).toInt()]
-        val report = LoadReport(servers, queues, workspaceUses = uses)
+        val holders =
+            List(SLOTS) {
+                PromptHolderReport(random.nextLong(), "s${random.nextInt(SERVERS)}", ageMillis = 5)
+            }
+        val peer = "p${nowMillis / REPORT_INTERVAL_MILLIS % peers}"
+        val uses = workspaceUses[(nowMillis / REPORT_INTERVAL_MILLIS / peers % USES).toInt()]
+        val report = LoadReport(servers, queues, promptHolders = holders, workspaceUses = uses)
         apply(dispatcher.onPeerReport(peer, report, nowMillis), nowMillis)
     }
 
@@ -116,12 +123,23 @@
         // have left.
         (1..3).forEach { seed ->
             test("given a burst in a large fleet, then decisions are cheap, seed $seed") {
-                InstanceInBurst(seed, hasShares = false).cpuMillis() shouldBeLessThan MAX_CPU_MILLIS
+                InstanceInBurst(seed).cpuMillis() shouldBeLessThan MAX_CPU_MILLIS
             }
 
             // Guards against shares whose cost grows with the queues of all peers.
             test("given a burst with fair shares, then decisions are cheap, seed $seed") {
-                InstanceInBurst(seed, hasShares = true).cpuMillis() shouldBeLessThan MAX_CPU_MILLIS
+                val features = SchedulingFeatures(fairShares = FeatureMode.ON)
+
+                InstanceInBurst(seed, features).cpuMillis() shouldBeLessThan MAX_CPU_MILLIS
+            }
+        }
+
+        // Guards against a search for prompts in the caches of all servers for each request.
+        listOf(6, 60, 324).forEach { peers ->
+            test("given prompt matching and $peers peers, then decisions are cheap") {
+                val features = SchedulingFeatures(promptMatching = FeatureMode.ON)
+
+                InstanceInBurst(1, features, peers).cpuMillis() shouldBeLessThan MAX_CPU_MILLIS
             }
         }
     })
