Pace the return of rejected callers

A caller that waited as told competed with new requests at whichever instance it came back to, and more than half of the returns were refused again.

The time to return now follows from the digest of the request and a clock that all instances share, so that each instance recognises those that waited as told without memory or messages, and lets them go before new requests of their priority and share. Each instance promises returns for half of its part of the slots; callers beyond that are told a time that is too late for them.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
@@ -34,6 +34,8 @@
     val digest: RequestDigest? = null,
     /** Name of the workspace; null if the request needs no credential. */
     val workspace: String? = null,
+    /** True if the request was probably rejected before and returns when it was told to. */
+    val isReturn: Boolean = false,
 )
 
 /** The end of an attempt that the [Dispatcher] assigned to [server]. */
@@ -77,6 +79,8 @@
         val retryAfterMillis: Long,
         /** The values that led to the decision, for the log. */
         val inputs: String = "",
+        /** True if returns are spread already, so that [retryAfterMillis] must not be changed. */
+        val isPaced: Boolean = false,
     ) : DispatchEffect
 }
 
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -23,6 +23,8 @@
     /** Time until a server that says that it is leaving must not get requests any more. */
     drainMillis: Long = DEFAULT_DRAIN_MILLIS,
     private val features: SchedulingFeatures = SchedulingFeatures(),
+    /** Converts a time to that of a clock that all instances share. */
+    private val toFleetMillis: (nowMillis: Long) -> Long = { it },
 ) {
     private val pools = HashMap<String, ServerPool>()
     private val policies = HashMap<String, QueuePolicy>()
@@ -55,7 +57,7 @@
             ServerPool(service, rollouts, rateLimits, statements, PoolFeatures(features), random)
                 .also {
                     it.onEjection = { ejection -> onEjection(ejection) }
-                    policies[service] = QueuePolicy(it)
+                    policies[service] = QueuePolicy(it, ReturnSchedule(toFleetMillis))
                 }
         }
 
@@ -74,10 +76,16 @@
             return listOfNotNull(refusal)
         }
         val policy = policies.getValue(request.service)
-        policy.rejectionOnArrival(request, queue, round)?.let {
+        // The digest is read only if requests have to wait.
+        val mayWait =
+            queue.isNotEmpty() ||
+                !round.hasFreeSlot(request) ||
+                round.peers.waiting(request.service, request.priority) > 0
+        val arrived = if (mayWait) policy.withReturn(request) else request
+        policy.rejectionOnArrival(arrived, queue, round)?.let {
             return listOf(it)
         }
-        queue.add(request)
+        queue.add(arrived)
         return serve(pool, queue, round)
     }
 
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QueuePolicy.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QueuePolicy.kt
@@ -16,7 +16,16 @@
  * compared to the time for which their client waits. The others are rejected at once, so that the
  * client can return after the burst instead of waiting for a response that does not come.
  */
-internal class QueuePolicy(private val pool: ServerPool) {
+internal class QueuePolicy(
+    private val pool: ServerPool,
+    private val returns: ReturnSchedule = ReturnSchedule { it },
+) {
+    /** Returns [request], marked if its caller was probably rejected before and waited as told. */
+    fun withReturn(request: DispatchRequest): DispatchRequest =
+        if (pool.features.hasPacedReturns && returns.isReturn(request))
+            request.copy(isReturn = true)
+        else request
+
     /**
      * Returns true if the first event of [request] will probably come after its target. During the
      * first half of its target time, no request is late; a long prompt would otherwise be late on
@@ -42,6 +51,7 @@
     private fun order(nowMillis: Long): Comparator<DispatchRequest> =
         compareBy<DispatchRequest> { it.priority }
             .thenBy { isLate(it, nowMillis) }
+            .thenBy { !it.isReturn }
             .thenBy { it.arrivedMillis }
 
     /**
@@ -77,10 +87,16 @@
         if (nowMillis + waitMillis + firstEventMillis <= request.targetMillis) return null
         val patienceMillis = request.firstEventDeadlineMillis - nowMillis - firstEventMillis
         if (waitMillis <= patienceMillis * MAX_LATE_WAIT_FRACTION) return null
+        val isPaced = pool.features.hasPacedReturns
+        val retryAfterMillis =
+            if (isPaced) pacedRetryMillis(request, waitMillis, round)
+            else retryAfterMillis(waitMillis, request.deadlineMillis - nowMillis)
         return DispatchEffect.Refuse(
             request.id,
             DispatchRefusal.OVERLOAD,
-            retryAfterMillis(waitMillis, request.deadlineMillis - nowMillis),
+            retryAfterMillis,
+            round.shares?.describe(request).orEmpty(),
+            isPaced,
         )
     }
 
@@ -94,13 +110,11 @@
         round: PlacementRound,
     ): Double {
         val intervalMillis = round.slotIntervalMillis(request)
-        val ahead = queue.count { it.id != request.id && it.priority <= request.priority }
-        val aheadAtPeers = round.peers.waiting(request.service, request.priority)
-        val shares = round.shares
-        val waitMillis =
-            if (shares == null || isLate(request, round.nowMillis))
-                (ahead + aheadAtPeers) * intervalMillis
-            else shares.expectedSlots(request) * intervalMillis
+        val moreUrgent =
+            queue.count { it.priority < request.priority } +
+                round.peers.waiting(request.service, request.priority - 1)
+        val slots = moreUrgent + slotsOfPriority(request, queue, round)
+        val waitMillis = slots * intervalMillis
         val share = pool.minimumShare
         if (!share.isOwed(request.priority)) return waitMillis
         // A priority below its share waits only for its own requests, at the pace of that share.
@@ -112,6 +126,33 @@
         return minOf(waitMillis, ownAhead * ownIntervalMillis)
     }
 
+    private fun pacedRetryMillis(
+        request: DispatchRequest,
+        waitMillis: Double,
+        round: PlacementRound,
+    ): Long {
+        val instances = round.peers.peerCount + 1
+        val intervalMillis = round.slotIntervalMillis(request) * instances / MAX_RETURN_FRACTION
+        return returns.retryAfterMillis(request, waitMillis, intervalMillis, round.nowMillis)
+    }
+
+    /** Returns how many slots go to requests of the same priority before [request] gets one. */
+    private fun slotsOfPriority(
+        request: DispatchRequest,
+        queue: Collection<DispatchRequest>,
+        round: PlacementRound,
+    ): Double {
+        val same = queue.filter { it.id != request.id && it.priority == request.priority }
+        val isLate = isLate(request, round.nowMillis)
+        val shares = round.shares
+        val slots =
+            if (shares != null && !isLate) shares.expectedSlots(request)
+            else (same.size + round.peers.waitingAt(request.service, request.priority)).toDouble()
+        if (isLate || !request.isReturn) return slots
+        // Callers that return go before new ones; at peers, as many return as here.
+        return slots * same.count { it.isReturn } / maxOf(1, same.size)
+    }
+
     // A client that returns while the burst lasts is rejected again, and most return only once.
     private fun retryAfterMillis(waitMillis: Double, leftMillis: Long): Long =
         maxOf(waitMillis, leftMillis * MIN_RETRY_FRACTION).toLong()
@@ -124,6 +165,8 @@
         /** Reserves most of the time for which a client waits for the work on its request. */
         const val MAX_LATE_WAIT_FRACTION = 0.3
         const val MIN_RETRY_FRACTION = 0.15
+        /** Leaves room for new requests, which would otherwise all be late. */
+        const val MAX_RETURN_FRACTION = 0.5
         /** A request with less time left cannot be started before its client gives up. */
         const val MIN_SERVICE_MILLIS = 30L
     }
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ShareRound.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ShareRound.kt
@@ -56,7 +56,9 @@
         val indexes = HashMap<String, Int>()
         return requests
             .map { it to isLate(it) }
-            .sortedWith(compareBy({ it.second }, { it.first.arrivedMillis }))
+            .sortedWith(
+                compareBy({ it.second }, { !it.first.isReturn }, { it.first.arrivedMillis })
+            )
             .map { (request, isLate) ->
                 val name = request.chargedWorkspace
                 val index = indexes.merge(name, 1, Int::plus)!! - 1
@@ -84,8 +86,8 @@
     }
 
     /**
-     * Returns the expected wait of [request], which can still be on time, in slots of the pool that
-     * become free.
+     * Returns how many slots go to requests of the same priority before [request], which can still
+     * be on time, gets one.
      */
     fun expectedSlots(request: DispatchRequest): Double {
         val shares = shares(request.priority)
@@ -95,12 +97,17 @@
         val isWithin = startMillis < levelMillis
         val limitMillis = if (isWithin) levelMillis else startMillis
         val ahead = shares.workspaces.values.sumOf { it.waitingBefore(limitMillis) }
-        val moreUrgent =
-            queue.count { it.priority < request.priority } +
-                peers.waiting(service, request.priority - 1)
-        val slots = (ahead + moreUrgent).toDouble()
         // Those that arrive later within their shares overtake a request above its share.
-        return if (isWithin) slots else maxOf(slots, own.waiting / shares.level.shareFraction)
+        return if (isWithin) ahead.toDouble()
+        else maxOf(ahead.toDouble(), own.waiting / shares.level.shareFraction)
+    }
+
+    /** Returns the share of the workspace of [request], for the log. */
+    fun describe(request: DispatchRequest): String {
+        val shares = shares(request.priority)
+        val own = workspace(shares, request)
+        return "workspace charged ${own.chargedMillis.toInt()} ms, " +
+            "share ${shares.level.levelMillis.toInt()} ms, ${own.waiting} waiting"
     }
 
     /** Charges [request], which has got a slot, to its workspace if others are waiting. */
@@ -142,6 +149,7 @@
             compareBy<Standing> { it.isLate }
                 .thenBy { !it.isWithin }
                 .thenBy { if (it.isWithin && !it.isLate) 0.0 else it.startMillis }
+                .thenBy { !it.request.isReturn }
                 .thenBy { it.request.arrivedMillis }
     }
 }
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/FairSharesTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/FairSharesTest.kt
@@ -60,7 +60,7 @@
                     delayMillis = 3,
                 )
             val features = SchedulingFeatures(fairShares = mode)
-            return LoadSimulation(instances, servers, reports, features, isDelivered)
+            return LoadSimulation(instances, servers, reports, features, isDelivered = isDelivered)
                 .also(prepare)
                 .run(traffic(instances), END_MILLIS + 3_000, seed = 1)
                 .filter { it.arrivedMillis in FLOOD_FROM_MILLIS + 500..FLOOD_UNTIL_MILLIS }
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/LoadSimulation.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/LoadSimulation.kt
@@ -1,5 +1,6 @@
 package io.lavenderhinge.core.forwarding
 
+import io.lavenderhinge.core.quarantine.RequestDigest
 import kotlin.random.Random
 
 /** A server with [slots] slots that takes [slowness] times as long as a fast one. */
@@ -25,6 +26,14 @@
     val arrivedMillis: Long = 0,
     /** Slot time that the request used; 0 if it was rejected. */
     val slotMillis: Long = 0,
+    /** True if the client came back after it was rejected and had waited as told. */
+    val isReturn: Boolean = false,
+)
+
+/** How clients that were rejected come back. */
+internal class SimulatedRetries(
+    /** Fraction of the clients that retry at once, and up to three times. */
+    val impatientFraction: Double
 )
 
 /** The work and the times of a kind of request, on a server of slowness 1. */
@@ -38,7 +47,7 @@
 )
 
 /** A request rate of one priority at one instance during a time interval. */
-internal class SimulatedTraffic(
+internal data class SimulatedTraffic(
     val instance: Int,
     val priority: Int,
     val perSecond: Double,
@@ -73,9 +82,20 @@
     private val reports: SimulatedReports = SimulatedReports.Periodic(20),
     private val features: SchedulingFeatures = SchedulingFeatures(),
     /** Whether a report that is sent at a time between two instances arrives. */
+    private val retries: SimulatedRetries? = null,
     private val isDelivered: (from: Int, to: Int, nowMillis: Long) -> Boolean = { _, _, _ -> true },
 ) {
-    private class PendingRequest(val request: DispatchRequest, val traffic: SimulatedTraffic)
+    private class PendingRequest(
+        val request: DispatchRequest,
+        val traffic: SimulatedTraffic,
+        val retryCount: Int,
+        val isImpatient: Boolean,
+    ) {
+        val isReturn: Boolean
+            get() = retryCount > 0 && !isImpatient
+    }
+
+    private val clientRandom = Random(0)
 
     private val time = VirtualTime()
     private val openRequests = HashMap<Long, PendingRequest>()
@@ -147,6 +167,7 @@
 
     private fun arrive(traffic: SimulatedTraffic, nowMillis: Long) {
         val work = traffic.work
+        val id = lastRequestId + 1
         val request =
             request(
                     ++lastRequestId,
@@ -158,8 +179,16 @@
                 .copy(
                     firstEventDeadlineMillis = nowMillis + work.patienceMillis,
                     workspace = traffic.workspace,
+                    digest = RequestDigest(null, "POST", "/$id", ByteArray(0)),
                 )
-        openRequests[request.id] = PendingRequest(request, traffic)
+        val isImpatient = retries != null && clientRandom.nextDouble() < retries.impatientFraction
+        submit(PendingRequest(request, traffic, retryCount = 0, isImpatient), nowMillis)
+    }
+
+    private fun submit(pending: PendingRequest, nowMillis: Long) {
+        val request = pending.request
+        val traffic = pending.traffic
+        openRequests[request.id] = pending
         apply(dispatchers[traffic.instance].submit(request, nowMillis), nowMillis)
         onChange(traffic.instance, nowMillis)
     }
@@ -169,7 +198,7 @@
             val pending = openRequests.remove(effect.requestId) ?: return@forEach
             val queuedMillis = nowMillis - pending.request.arrivedMillis
             when (effect) {
-                is DispatchEffect.Refuse ->
+                is DispatchEffect.Refuse -> {
                     results +=
                         SimulatedResult(
                             pending.request.priority,
@@ -177,11 +206,41 @@
                             queuedMillis,
                             pending.request.workspace,
                             pending.request.arrivedMillis,
+                            isReturn = pending.isReturn,
                         )
+                    if (retries != null) retry(pending, effect, nowMillis)
+                }
                 is DispatchEffect.Assign -> startRequest(pending, effect.server, nowMillis)
             }
         }
 
+    /** Lets the client come back at any instance, with another id and the same deadline. */
+    private fun retry(pending: PendingRequest, refusal: DispatchEffect.Refuse, nowMillis: Long) {
+        val maxRetries = if (pending.isImpatient) IMPATIENT_RETRIES else 1
+        if (pending.retryCount >= maxRetries) return
+        val jitter = if (refusal.isPaced) 1.0 else 1 + clientRandom.nextDouble()
+        val delayMillis =
+            if (pending.isImpatient) 0 else (refusal.retryAfterMillis * jitter).toLong()
+        val old = pending.request
+        if (delayMillis > (old.deadlineMillis - nowMillis) / 3) return
+        val work = pending.traffic.work
+        time.at(nowMillis + delayMillis + ROUND_TRIP_MILLIS) { millis ->
+            val request =
+                old.copy(
+                    id = ++lastRequestId,
+                    arrivedMillis = millis,
+                    targetMillis = millis + work.targetMillis,
+                    firstEventDeadlineMillis =
+                        minOf(millis + work.patienceMillis, old.deadlineMillis),
+                )
+            val traffic = pending.traffic.copy(instance = clientRandom.nextInt(dispatchers.size))
+            submit(
+                PendingRequest(request, traffic, pending.retryCount + 1, pending.isImpatient),
+                millis,
+            )
+        }
+    }
+
     private fun startRequest(pending: PendingRequest, entry: ServerEntry, nowMillis: Long) {
         val server = servers.first { it.id == entry.id }
         val work = pending.traffic.work
@@ -195,6 +254,7 @@
                 pending.request.workspace,
                 pending.request.arrivedMillis,
                 run.last - run.first,
+                pending.isReturn,
             )
         time.at(run.last) { finishRequest(pending, entry, nowMillis, firstMillis, it) }
     }
@@ -232,6 +292,8 @@
 
     companion object {
         const val TICK_MILLIS = 10L
+        const val ROUND_TRIP_MILLIS = 6L
+        const val IMPATIENT_RETRIES = 3
         const val HEARTBEAT_MILLIS = 250L
     }
 }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ForwardedRequest.kt
@@ -250,6 +250,7 @@
             // The end of a pause is known, so clients need not be spread over a longer time.
             refusal.reason == DispatchRefusal.PAUSED ->
                 respondNotExecuted(refusal.retryAfterMillis, PAUSE_END_SPREAD_MILLIS)
+            refusal.isPaced -> respondNotExecuted(refusal.retryAfterMillis, spreadMillis = 0)
             else -> respondNotExecuted(refusal.retryAfterMillis)
         }
     }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
@@ -32,7 +32,13 @@
     features: SchedulingFeatures = SchedulingFeatures(),
 ) {
     private val dispatcher =
-        Dispatcher(failureDomain, rollouts, drainMillis = drainMillis, features = features)
+        Dispatcher(
+            failureDomain,
+            rollouts,
+            drainMillis = drainMillis,
+            features = features,
+            toFleetMillis = { it + System.currentTimeMillis() - loop.nowMillis() },
+        )
 
     /** Prompt parts that are kept away from the servers. */
     val quarantine: RequestQuarantine
