--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/DispatchMessages.kt
@@ -36,6 +36,8 @@
     val workspace: String? = null,
     /** Regions whose servers may get the request; null if all. */
     val allowedRegions: PersistentSet<String>? = null,
+    /** True if the request was probably rejected before and returns when it was told to. */
+    val isReturn: Boolean = false,
 ) {
     /** [promptParts] with the hashes by which instances know them. */
     internal val promptChain: PromptChain by
@@ -85,6 +87,8 @@
         val retryAfterMillis: Long,
         /** The values that led to the decision, for the log. */
         val inputs: String = "",
+        /** True if returns are spread already, so that [retryAfterMillis] must not be changed. */
+        val isPaced: Boolean = false,
     ) : DispatchEffect
 }
 
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -26,6 +26,8 @@
     /** Returns the size in tokens of the cache of each server of a service, if known. */
     private val cacheTokens: (service: String) -> Long? = { null },
     coldTolerance: ColdTolerance = ColdTolerance(),
+    /** Converts a time to that of a clock that all instances share. */
+    private val toFleetMillis: (nowMillis: Long) -> Long = { it },
 ) {
     private val pools = HashMap<String, ServerPool>()
     private val policies = HashMap<String, QueuePolicy>()
@@ -88,7 +90,7 @@
                 .also {
                     it.onEjection = { ejection -> onEjection(ejection) }
                     it.statedLoads.onIgnored = { ignored -> onIgnoredLoad(ignored) }
-                    policies[service] = QueuePolicy(it)
+                    policies[service] = QueuePolicy(it, ReturnSchedule(toFleetMillis))
                 }
         }
 
@@ -107,10 +109,16 @@
             return listOfNotNull(refusal)
         }
         val policy = policies.getValue(request.service)
-        policy.rejectionOnArrival(request, queue, round)?.let {
+        // The digest is read only if requests have to wait.
+        val mayWait =
+            queue.isNotEmpty() ||
+                !round.hasFreeSlot(request) ||
+                round.peers.waiting(request.service, request.priority) > 0
+        val arrived = if (mayWait) policy.withReturn(request) else request
+        policy.rejectionOnArrival(arrived, queue, round)?.let {
             return listOf(it)
         }
-        queue.add(request)
+        queue.add(arrived)
         pool.onArrived()
         return serve(pool, queue, round)
     }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
@@ -49,6 +49,7 @@
             features = features,
             cacheTokens = cacheTokens,
             coldTolerance = coldTolerance,
+            toFleetMillis = { it + System.currentTimeMillis() - loop.nowMillis() },
         )
 
     /** Prompt parts that are kept away from the servers. */
