Split the pool and the dispatcher by concern

Times, availability, placement, spillover and reports of a pool are classes of their own now. No behaviour changes.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/Dispatcher.kt
@@ -47,6 +47,7 @@
 
     /** The regions of failure domains. */
     var regions: RegionTable by domainRules::regions
+
     /** Called with each figure of a stated load that is ignored. */
     var onIgnoredLoad: (IgnoredStatedLoad) -> Unit = {}
 
@@ -59,6 +60,9 @@
     /** Prompt parts that are kept away from the servers. */
     val quarantine = RequestQuarantine(random)
     private val quarantineGate = QuarantineGate(quarantine)
+    private val noServer = NoServerPolicy()
+    private val reporter =
+        LoadReporter(failureDomain, pools, policies, queues, quarantine, rateLimits, ::startRound)
 
     /** Replaces the set of known servers. Servers that remain keep their statistics. */
     fun onServers(servers: Collection<ServerEntry>, nowMillis: Long): List<DispatchEffect> {
@@ -100,11 +104,11 @@
             return listOf(it)
         }
         val pool = pools[request.service]
-        if (pool == null) return listOf(refuseWithoutServer(request))
+        if (pool == null) return listOf(noServer.refuse(request))
         val queue = queues.getOrPut(request.service, ::mutableListOf)
         val round = startRound(pool, queue, nowMillis)
         if (round.eligible(request).loads.isEmpty()) {
-            val refusal = onNoServer(request, pool, nowMillis)
+            val refusal = noServer.onNoServer(request, pool, nowMillis)
             if (refusal == null) queue.add(request)
             return listOfNotNull(refusal)
         }
@@ -119,7 +123,7 @@
             return listOf(it)
         }
         queue.add(arrived)
-        pool.onArrived()
+        pool.spillover.onArrived()
         return serve(pool, queue, round)
     }
 
@@ -246,58 +250,11 @@
     /** Returns the load report for the peers. */
     fun report(nowMillis: Long): LoadReport {
         pools.values.forEach { updateSpillover(it, nowMillis) }
-        return LoadReport(
-            pools.values.flatMap { it.usage() }.toMap(),
-            queues.values
-                .flatten()
-                .groupBy { QueueKey(it.service, it.priority) }
-                .mapValues { (_, requests) -> queueState(requests, nowMillis) },
-            quarantine.report(nowMillis),
-            rateLimits.reports(nowMillis),
-            pools.values.flatMap { it.promptMatching.reports(nowMillis) },
-            pools.values
-                .flatMap { it.statedLoads.reports(nowMillis) }
-                .sortedBy { it.ageMillis }
-                .take(PoolStatedLoads.MAX_REPORTED),
-            workspaceUses(nowMillis),
-            cold.reports(nowMillis),
-            failureDomain,
-            pools.values.mapNotNull { it.domainLoad() },
-        )
+        return reporter.report(nowMillis)
     }
 
     private fun updateSpillover(pool: ServerPool, nowMillis: Long) =
-        pool.updateSpillover(domainDemands, queues[pool.service]?.size ?: 0, nowMillis)
-
-    private fun workspaceUses(nowMillis: Long): Map<WorkspaceKey, WorkspaceUse> =
-        pools
-            .filterValues { it.features.hasFairShares }
-            .flatMap { (service, pool) ->
-                val policy = policies.getValue(service)
-                val waiting =
-                    queues[service]
-                        .orEmpty()
-                        .filterNot { policy.isLate(it, nowMillis) }
-                        .groupingBy { WorkspaceKey(service, it.priority, it.chargedWorkspace) }
-                        .eachCount()
-                val ownMillis = pool.accounts.ownMillis(service, nowMillis)
-                (ownMillis.keys + waiting.keys).map {
-                    it to WorkspaceUse(ownMillis[it] ?: 0.0, waiting[it] ?: 0)
-                }
-            }
-            .toMap()
-
-    private fun queueState(requests: List<DispatchRequest>, nowMillis: Long): QueueState {
-        val service = requests.first().service
-        val policy = policies.getValue(service)
-        val round = startRound(pools.getValue(service), requests, nowMillis)
-        val head = policy.ordered(requests, round).others.first()
-        return QueueState(
-            requests.size,
-            nowMillis - head.arrivedMillis,
-            isHeadLate = policy.isLate(head, nowMillis),
-        )
-    }
+        pool.spillover.update(domainDemands, queues[pool.service]?.size ?: 0, nowMillis)
 
     private fun startRound(
         pool: ServerPool,
@@ -328,7 +285,7 @@
         val effects = mutableListOf<DispatchEffect>()
         val waiting = mutableListOf<DispatchRequest>()
         fun place(request: DispatchRequest, aheadAtPeers: Int) {
-            val placement = pool.place(request, aheadAtPeers, round)
+            val placement = pool.placer.place(request, aheadAtPeers, round)
             val effect = effectOf(placement, request, pool, nowMillis)
             if (effect == null) waiting += request else effects += effect
             if (effect is DispatchEffect.Assign) round.shares?.onStarted(request)
@@ -375,36 +332,14 @@
                     DispatchEffect.Refuse(
                         request.id,
                         DispatchRefusal.EXPIRED,
-                        NO_SERVER_RETRY_MILLIS,
+                        NoServerPolicy.RETRY_MILLIS,
                     )
-            is Placement.NoServer -> onNoServer(request, pool, nowMillis)
+            is Placement.NoServer -> noServer.onNoServer(request, pool, nowMillis)
         }
 
-    // A request waits for servers that pause if the first one is back before its target time.
-    private fun onNoServer(
-        request: DispatchRequest,
-        pool: ServerPool,
-        nowMillis: Long,
-    ): DispatchEffect.Refuse? {
-        val reopenMillis =
-            pool.reopenMillis(request, nowMillis)
-                ?: return pool.domainRefusal(request, nowMillis) ?: refuseWithoutServer(request)
-        if (reopenMillis + pool.firstEventMillis(request) <= request.targetMillis) return null
-        return DispatchEffect.Refuse(
-            request.id,
-            DispatchRefusal.PAUSED,
-            reopenMillis - nowMillis,
-            "the first server is back in ${reopenMillis - nowMillis} ms",
-        )
-    }
-
-    private fun refuseWithoutServer(request: DispatchRequest) =
-        DispatchEffect.Refuse(request.id, DispatchRefusal.NO_SERVER, NO_SERVER_RETRY_MILLIS)
-
     /** Default values. */
     companion object {
         /** Drain time of a deployment that sets none. */
         const val DEFAULT_DRAIN_MILLIS = 2_000L
-        private const val NO_SERVER_RETRY_MILLIS = 300L
     }
 }
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QueuePolicy.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/QueuePolicy.kt
@@ -40,7 +40,7 @@
      * arrival and wait behind all shorter ones.
      */
     fun isLate(request: DispatchRequest, nowMillis: Long): Boolean {
-        val neededMillis = FIRST_EVENT_MARGIN * pool.firstEventMillis(request)
+        val neededMillis = FIRST_EVENT_MARGIN * pool.times.firstEventMillis(request)
         val halfMillis = (request.targetMillis - request.arrivedMillis) / 2.0
         return nowMillis + minOf(neededMillis, halfMillis) > request.targetMillis
     }
@@ -96,10 +96,10 @@
         queue: Collection<DispatchRequest>,
         round: PlacementRound,
     ): DispatchEffect.Refuse? {
-        if (!pool.isHoldKnown) return null
+        if (!pool.times.isHoldKnown) return null
         val nowMillis = round.nowMillis
         val waitMillis = expectedWaitMillis(request, queue, round)
-        val firstEventMillis = pool.firstEventMillis(request)
+        val firstEventMillis = pool.times.firstEventMillis(request)
         if (nowMillis + waitMillis + firstEventMillis <= request.targetMillis) return null
         val patienceMillis = request.firstEventDeadlineMillis - nowMillis - firstEventMillis
         if (waitMillis <= patienceMillis * MAX_LATE_WAIT_FRACTION) return null
@@ -137,7 +137,7 @@
         val ownAhead =
             queue.count { it.id != request.id && it.priority == request.priority } +
                 round.peers.waitingAt(request.service, request.priority)
-        val relativeHold = share.holdMillis(request.priority) / pool.meanHoldMillis()
+        val relativeHold = share.holdMillis(request.priority) / pool.times.meanHoldMillis()
         val ownIntervalMillis = intervalMillis * relativeHold / share.fraction
         return minOf(waitMillis, ownAhead * ownIntervalMillis)
     }
