--- a/ctl/src/main/kotlin/io/lavenderhinge/ctl/CheckCommand.kt
+++ b/ctl/src/main/kotlin/io/lavenderhinge/ctl/CheckCommand.kt
@@ -77,6 +77,7 @@
         val kind =
             when (fault) {
                 is ConfigurationFault.NotJson,
+                is ConfigurationFault.Value,
                 is ConfigurationFault.Field -> FindingKind.INVALID_VALUE
                 is ConfigurationFault.Ambiguous -> FindingKind.DUPLICATE
             }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import arrow.core.NonEmptyList
 import io.lavenderhinge.core.forwarding.ColdServer
+import io.lavenderhinge.core.forwarding.Dispatcher
 import io.lavenderhinge.core.forwarding.QuotaLimiter
 import io.lavenderhinge.core.forwarding.QuotaStart
 import io.lavenderhinge.core.forwarding.QuotaStartEnd
@@ -176,8 +177,10 @@
      * available. [prebound] holds client connections that were opened during startup.
      */
     fun start(prebound: PreboundListener? = null) {
-        allocator.setEvacuations(evacuations::state)
-        allocator.setRegions(settings.regions)
+        allocator.configure {
+            evacuations = this@Gateway.evacuations::state
+            regions = settings.regions
+        }
         readinessServer.start(socketAddress(settings.listen.ready))
         startClientServer(prebound)
         isStarted = true
@@ -187,19 +190,9 @@
         servers.start()
         loop.execute { loadReports.onReport = ::onPeerReport }
         loop.execute { quotaStart.onEnd = ::onQuotaStartEnded }
-        loop.execute {
-            val ruleOf = { service: String -> configuration.table?.service(service)?.coldRule }
-            allocator.limitColdServers(ruleOf, ::onColdServer)
-        }
         loop.execute {
             allocator.quarantine.onChange = quarantineLog::onChange
-            allocator.onStatementChange { log.info("server: {} states {}", it.run, it) }
-            allocator.onRateLimitChange {
-                log.info("limit: {} takes {} requests per second", it.run, it.limitPerSecond)
-            }
-            allocator.onIgnoredLoad(ignoredStatements::onIgnored)
-            allocator.onEjection(ejectionLog::onEjection)
-            allocator.onSpillover(spilloverLog::onEvent)
+            allocator.configure { addListeners() }
         }
         loadReports.start()
         loop.every(QUOTA_INTERVAL_MILLIS, ::tickQuotas)
@@ -216,6 +209,17 @@
         log.info("gateway: {} listens for clients on {}", identity.id, settings.listen.caller)
     }
 
+    private fun Dispatcher.addListeners() {
+        limitColdServers({ configuration.table?.service(it)?.coldRule }, ::onColdServer)
+        onStatementChange { log.info("server: {} states {}", it.run, it) }
+        onRateLimitChange {
+            log.info("limit: {} takes {} requests per second", it.run, it.limitPerSecond)
+        }
+        onIgnoredLoad = ignoredStatements::onIgnored
+        onEjection = ejectionLog::onEjection
+        onSpillover = spilloverLog::onEvent
+    }
+
     private fun startClientServer(prebound: PreboundListener?) {
         val address = socketAddress(settings.listen.caller)
         if (prebound != null && prebound.address == address) {
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/SlotAllocator.kt
@@ -1,25 +1,16 @@
 package io.lavenderhinge.instance.gateway
 
-import io.lavenderhinge.core.forwarding.ColdRule
-import io.lavenderhinge.core.forwarding.ColdServer
 import io.lavenderhinge.core.forwarding.ColdTolerance
 import io.lavenderhinge.core.forwarding.DispatchEffect
 import io.lavenderhinge.core.forwarding.DispatchRequest
 import io.lavenderhinge.core.forwarding.Dispatcher
-import io.lavenderhinge.core.forwarding.EvacuationState
 import io.lavenderhinge.core.forwarding.FinishedAttempt
-import io.lavenderhinge.core.forwarding.IgnoredStatedLoad
 import io.lavenderhinge.core.forwarding.LoadReport
-import io.lavenderhinge.core.forwarding.RateLimitChange
-import io.lavenderhinge.core.forwarding.RegionTable
 import io.lavenderhinge.core.forwarding.RolloutTracker
 import io.lavenderhinge.core.forwarding.SchedulingFeatures
-import io.lavenderhinge.core.forwarding.ServerEjection
 import io.lavenderhinge.core.forwarding.ServerEntry
 import io.lavenderhinge.core.forwarding.ServerOutcome
 import io.lavenderhinge.core.forwarding.ServerStatement
-import io.lavenderhinge.core.forwarding.ServerStatementChange
-import io.lavenderhinge.core.forwarding.SpilloverEvent
 import io.lavenderhinge.core.forwarding.UnidentifiedRuns
 import io.lavenderhinge.core.quarantine.RequestQuarantine
 import kotlinx.coroutines.CancellationException
@@ -93,39 +84,17 @@
     fun onServerActivity(server: ServerEntry, sentMillis: Long) =
         dispatcher.onActivity(server, sentMillis, loop.nowMillis())
 
+    /** Sets the rules and listeners of the dispatcher. */
+    fun configure(setUp: Dispatcher.() -> Unit) = dispatcher.setUp()
+
     /** Records what a response of [server] states about it, except for its limit. */
     fun onStatement(server: ServerEntry, statement: ServerStatement) =
         dispatcher.onStatement(server, statement, loop.nowMillis())
 
-    /** Calls [listener] with each change of what servers state about themselves. */
-    fun onStatementChange(listener: (ServerStatementChange) -> Unit) =
-        dispatcher.onStatementChange(listener)
-
     /** Records that the store lists the instances [selfId], which is this one, and [others]. */
     fun onMembers(selfId: String, others: Set<String>) =
         dispatcher.onMembers(selfId, others, loop.nowMillis())
 
-    /**
-     * Takes the limits of cold servers from [ruleOf] and calls [listener] when one becomes cold.
-     */
-    fun limitColdServers(ruleOf: (service: String) -> ColdRule?, listener: (ColdServer) -> Unit) =
-        dispatcher.limitColdServers(ruleOf, listener)
-
-    /** Calls [listener] with each figure of a stated load that is ignored. */
-    fun onIgnoredLoad(listener: (IgnoredStatedLoad) -> Unit) {
-        dispatcher.onIgnoredLoad = listener
-    }
-
-    /** Calls [listener] when a server that was in use is ejected. */
-    fun onEjection(listener: (ServerEjection) -> Unit) {
-        dispatcher.onEjection = listener
-    }
-
-    /** Calls [listener] with changes of the traffic between failure domains. */
-    fun onSpillover(listener: (SpilloverEvent) -> Unit) {
-        dispatcher.onSpillover = listener
-    }
-
     /** Returns true if the quota of requests for [service] is charged only for what runs. */
     fun hasQuotaRefunds(service: String): Boolean = dispatcher.hasQuotaRefunds(service)
 
@@ -133,10 +102,6 @@
     fun onRateLimit(server: ServerEntry, limitPerSecond: Double?) =
         dispatcher.onRateLimit(server, limitPerSecond, loop.nowMillis())
 
-    /** Calls [listener] with each change of the limit that a server states. */
-    fun onRateLimitChange(listener: (RateLimitChange) -> Unit) =
-        dispatcher.onRateLimitChange(listener)
-
     /** Records the first event of a request. */
     fun onFirstEvent(server: ServerEntry, promptTokens: Double) {
         dispatcher.onFirstEvent(server.id, server.service, promptTokens)
@@ -170,16 +135,6 @@
         decide { dispatcher.onServers(servers, loop.nowMillis()) }
     }
 
-    /** Uses [evacuations], which may change at any time, to choose servers. */
-    fun setEvacuations(evacuations: () -> EvacuationState) {
-        dispatcher.evacuations = evacuations
-    }
-
-    /** Uses [regions] for requests that must stay in some of them. */
-    fun setRegions(regions: RegionTable) {
-        dispatcher.regions = regions
-    }
-
     /** Decides on the queued requests again after a change of the evacuations. */
     fun onEvacuationsChanged() = decide { dispatcher.serveQueues(loop.nowMillis()) }
 
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/GatewayHarness.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/GatewayHarness.kt
@@ -65,8 +65,12 @@
                 tokensPerEvent = { 1 },
                 maySendTo = { evacuations.allows(it) && maySendTo(it) },
             )
-        allocator.setRegions(regions)
-        allocator.setEvacuations(evacuations::state)
+        val evacuationState = evacuations::state
+        val regionTable = regions
+        allocator.configure {
+            this.evacuations = evacuationState
+            this.regions = regionTable
+        }
         evacuations.onChange = { loop.execute(allocator::onEvacuationsChanged) }
         val admission = RequestAdmission(quotas)
         val forwarder = RequestForwarder(context, configuration, admission, gate)
