Leave domain-spillover off unless the settings enable it

Its share follows demand and slots and does not see that home has only slow servers free, so it keeps requests at home that gain by leaving.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/SchedulingFeatures.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/SchedulingFeatures.kt
@@ -15,7 +15,7 @@
     /** A slot that becomes free takes a waiting prompt that its server holds. */
     val promptMatching: FeatureMode = FeatureMode.AUTO,
     /** A share of the requests leaves a failure domain that is short of servers. */
-    val domainSpillover: FeatureMode = FeatureMode.AUTO,
+    val domainSpillover: FeatureMode = FeatureMode.OFF,
     /** The quota of a workspace is charged only for requests that run. */
     val quotaRefunds: FeatureMode = FeatureMode.AUTO,
     /** The return of rejected callers is spread over the time in which there is room. */
--- a/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySchema.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySchema.kt
@@ -119,7 +119,7 @@
     val promptMatching =
         SettingKey("prompt-matching", featureMode, "freed slots prefer prompts they hold", "auto")
     val domainSpillover =
-        SettingKey("domain-spillover", featureMode, "share sent to other failure domains", "auto")
+        SettingKey("domain-spillover", featureMode, "share sent to other failure domains", "off")
     val quotaRefunds =
         SettingKey("quota-refunds", featureMode, "quota is charged for what runs", "auto")
     val pacedReturns =
--- a/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySettingsParser.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySettingsParser.kt
@@ -71,7 +71,7 @@
         )
 
     private fun scheduling(section: SectionReader): SchedulingFeatures {
-        fun mode(key: SettingKey<FeatureMode>) = section.value(key) ?: FeatureMode.AUTO
+        fun mode(key: SettingKey<FeatureMode>) = section.value(key) ?: FeatureMode.OFF
         return SchedulingFeatures(
             fairShares = mode(GatewaySchema.fairShares),
             promptMatching = mode(GatewaySchema.promptMatching),
