--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/StatedLoadTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/StatedLoadTest.kt
@@ -28,11 +28,16 @@
             return times
         }
 
-        listOf(7 to 0.8, 17 to 0.4, 79 to 0.8).forEach { (instances, load) ->
+        val met = listOf(7 to 0.8, 17 to 0.4, 79 to 0.8)
+        // Listed in KNOWN-RED.txt: the last percentiles are longer with stated speeds.
+        val notMet = listOf(17 to 0.8, 79 to 0.4)
+
+        (met + notMet).forEach { (instances, load) ->
+            val mark = if (instances to load in notMet) "!" else ""
             // Guards against requests that go to a machine of which it is known that it is slow.
             // About a request for each slow machine and change is needed to find out, which is
             // more than one in a hundred and bounds the gain in the last percentile.
-            test("given $instances instances at load $load, then stated speeds are used") {
+            test("${mark}given $instances instances at load $load, then stated speeds are used") {
                 val equal = listOf(1.0)
                 val learned = firstEvents(instances, StatedFigure.NONE, load, equal)
                 val stated = firstEvents(instances, StatedFigure.TRUE, load, equal)
@@ -41,7 +46,9 @@
                 stated.percentile(95) shouldBeLessThan learned.percentile(95)
                 stated.average() shouldBeLessThan learned.average()
             }
+        }
 
+        met.forEach { (instances, load) ->
             // Guards against a figure that hides the lasting differences between servers.
             test("given $instances instances at load $load and mixed servers, then as well") {
                 val mixed = listOf(0.68, 0.68, 3.0)
