Keep diagnostics and unused loads off the paths of requests

Findings of a new configuration are logged after its listeners are called: the check reads all routes, and requests under way waited for it to learn of a raised timeout. Loads without a work time are not compared with the use of peers in pools where nothing uses them. The two placements of a request share the description of its inputs.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/RequestPlacer.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/RequestPlacer.kt
@@ -42,13 +42,7 @@
         val best = best(eligible, request, round)
         val ahead = promptMatching.countAhead(request, best, aheadAtPeers, round)
         if (best.load.freeSlots > 0 && freeSlots > ahead) {
-            return send(
-                best,
-                request.promptTokens,
-                eligible.loads.size,
-                capacity.inaccessibleCount(records, round.nowMillis),
-                round.peers.peerCount,
-            )
+            return send(best, request, eligible.loads.size, round)
         }
         // Reserves a slot, so that less urgent requests do not take the one this request waits for.
         best.load.reservedSlots++
@@ -79,31 +73,26 @@
         val homeMillis = best(eligible, request, round).expectedMillis
         if (!decision.isWorthLeaving(request, homeMillis, best.expectedMillis)) return null
         decision.onLeft()
-        return send(
-            best,
-            request.promptTokens,
-            away.loads.size,
-            capacity.inaccessibleCount(records, round.nowMillis),
-            round.peers.peerCount,
-        )
+        return send(best, request, away.loads.size, round)
     }
 
     private fun send(
         best: ServerEstimate,
-        promptTokens: Double,
+        request: DispatchRequest,
         eligibleCount: Int,
-        inaccessibleCount: Int,
-        peerCount: Int,
-    ) =
-        Placement.Send(
+        round: PlacementRound,
+    ): Placement.Send {
+        val inaccessibleCount = capacity.inaccessibleCount(records, round.nowMillis)
+        return Placement.Send(
             best.load.record.entry,
             best.expectedMillis,
             best.uncachedTokens,
             "expected ${best.expectedMillis.toInt()} ms, ${best.load.freeSlots} slots free, " +
-                "$eligibleCount servers, $peerCount peers" +
-                describePrompt(promptTokens, best.uncachedTokens) +
+                "$eligibleCount servers, ${round.peers.peerCount} peers" +
+                describePrompt(request.promptTokens, best.uncachedTokens) +
                 if (inaccessibleCount == 0) "" else ", $inaccessibleCount leaving or pausing",
         )
+    }
 
     private fun describePrompt(promptTokens: Double, uncachedTokens: Double): String =
         if (promptTokens <= 0) ""
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServerPool.kt
@@ -110,8 +110,12 @@
         minimumShare.onStarted(request.priority)
     }
 
-    /** Records that a response of [run] states [load]. */
+    /**
+     * Records that a response of [run] states [load]. Nothing uses it until a server of the pool
+     * has stated its work time, so that other pools do not count the use of the server for it.
+     */
     fun onStatedLoad(run: ServerRun, load: StatedLoad, peers: PeerLoads, nowMillis: Long) {
+        if (load.workTimeFactor == null && !features.isWorkTimeStated) return
         val peerUse = peers.at(nowMillis, times.meanHoldMillis()).useOf(run.serverId)
         statedLoads.onStated(run, load, peerUse.inFlight, nowMillis)
     }
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ConfigurationHolder.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ConfigurationHolder.kt
@@ -52,8 +52,8 @@
         active = ActiveConfiguration(table, text)
         gate.onConfigurationAvailable()
         log.info("configuration: version {} from {} is in force", config.version, source)
-        logFindings(config)
         onChange(table)
+        logFindings(config)
         return true
     }
 
