Review: case 10, a version that turns bad late meets all requests

All traffic of a service moves to the new version at 0.6 of a rollout, and the rollout is completed 1.3 s later, whatever share of requests a bad version may get.

--- a/review/standins-2/Harness.java
+++ b/review/standins-2/Harness.java
@@ -403,6 +403,75 @@
         }
     }
 
+    /** Carries one machine's connections to the store, and can be cut. */
+    static final class Proxy {
+        private final Listener listener;
+        private final Store store;
+        private volatile long cutMillis = Long.MAX_VALUE;
+        private volatile boolean isCut;
+        private volatile boolean isCutDue;
+
+        Proxy(String ip, Store store) throws IOException {
+            this.store = store;
+            listener = new Listener(ip, this::serve);
+        }
+
+        String address() {
+            return listener.socket.getInetAddress().getHostAddress() + ":" + listener.port();
+        }
+
+        /**
+         * Nothing passes any more from the moment at which the machine has sent its next watch, and
+         * nothing tells either side.
+         */
+        void cutAfterWatch() {
+            isCutDue = true;
+            while (isCutDue) sleep(1);
+        }
+
+        /**
+         * New connections work again. Those that were open stay silent: what was sent on them
+         * meanwhile is sent again only after a pause that TCP has doubled several times.
+         */
+        void heal() {
+            isCut = false;
+        }
+
+        private void cut() {
+            isCut = true;
+            cutMillis = now();
+            isCutDue = false;
+        }
+
+        private void serve(Socket near) throws IOException {
+            long openedMillis = now();
+            while (isCut) sleep(5);
+            String[] target = store.address().split(":");
+            try (Socket far = new Socket(target[0], Integer.parseInt(target[1]))) {
+                far.setTcpNoDelay(true);
+                daemon(() -> pass(near, far, openedMillis));
+                pass(far, near, openedMillis);
+            }
+        }
+
+        private void pass(Socket from, Socket to, long openedMillis) {
+            byte[] bytes = new byte[65_536];
+            try {
+                while (true) {
+                    int count = from.getInputStream().read(bytes);
+                    while (isCut || openedMillis < cutMillis && cutMillis != Long.MAX_VALUE) sleep(5);
+                    if (count < 0) break;
+                    to.getOutputStream().write(bytes, 0, count);
+                    String text = new String(bytes, 0, count, StandardCharsets.ISO_8859_1);
+                    if (isCutDue && text.startsWith("GET /kv-watch")) cut();
+                }
+                to.shutdownOutput();
+            } catch (IOException e) {
+                // One side has closed the connection.
+            }
+        }
+    }
+
     static byte[] concat(byte[] a, byte[] b) {
         byte[] all = Arrays.copyOf(a, a.length + b.length);
         System.arraycopy(b, 0, all, a.length, b.length);
@@ -543,14 +612,22 @@
         final String net = network();
         final Store store;
         final List<Gateway> gateways = new ArrayList<>();
+        /** The way of each gateway to the store. */
+        final List<Proxy> proxies = new ArrayList<>();
         final Path folder;
 
         Fleet(int size) throws IOException {
+            this(size, BOUNDS);
+        }
+
+        Fleet(int size, Map<String, String> bounds) throws IOException {
             folder = Files.createTempDirectory("review");
             store = new Store(net + "1");
             int[] ports = freePorts(net + "11", 4);
             for (int i = 1; i <= size; i++) {
-                gateways.add(new Gateway(i, net, ports, store.address(), folder, BOUNDS));
+                Proxy proxy = new Proxy(net + "2", store);
+                proxies.add(proxy);
+                gateways.add(new Gateway(i, net, ports, proxy.address(), folder, bounds));
             }
             Runtime.getRuntime().addShutdownHook(new Thread(this::close));
         }
@@ -600,6 +677,7 @@
         final String id;
         final String service;
         final int slots;
+        final String version;
         final Listener listener;
         final long born = System.currentTimeMillis();
         volatile String state = "ready";
@@ -607,7 +685,13 @@
         private int sequence;
 
         Replica(Fleet fleet, String id, String service, int slots, Work work) throws IOException {
+            this(fleet, id, service, slots, "v1", work);
+        }
+
+        Replica(Fleet fleet, String id, String service, int slots, String version, Work work)
+                throws IOException {
             this.fleet = fleet;
+            this.version = version;
             this.id = id;
             this.service = service;
             this.slots = slots;
@@ -629,7 +713,7 @@
         synchronized void beat() {
             if (isGone) return;
             fleet.store.put(
-                    "servers/" + id, entry(service, address(), "v1", slots, state, born, ++sequence));
+                    "servers/" + id, entry(service, address(), version, slots, state, born, ++sequence));
         }
 
         /** Waits until the next heartbeat has been written. */
@@ -642,6 +726,12 @@
             return sequence;
         }
 
+        /** Leaves the store and goes on serving. */
+        synchronized void leave() {
+            isGone = true;
+            fleet.store.remove("servers/" + id);
+        }
+
         /** Leaves the store and closes every connection. */
         synchronized void exit() throws IOException {
             isGone = true;
