Tell a cut from the store apart from an outage, and mark kept servers in copies

Callers: an instance could not reach the store for 3.5 s and a server left meanwhile.

Cause: ServerDirectory judged by the calls of its own instance alone, and took its cut for an outage in which entries of live servers lapse. It kept the missing entry for 2.2 s. A copy of the list carried that entry like a listed one, under a newer revision, so that followers dropped what they knew and held it without its term.

Change: load reports state how long ago the store answered their sender; StoreOutages counts an answer to a peer like an own one. An instance that heard neither the store nor a peer keeps missing entries as before. Copies mark kept entries and the rest of their time; a follower that has dropped the run, or has known the store to serve since before the supposed outage, does not use them. The log names kept entries and supposed outages.

--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ServerDirectoryTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ServerDirectoryTest.kt
@@ -119,7 +119,7 @@
             directory.onStoreUnavailable()
             directory.onStoreAvailable(nowMillis = 18_000)
 
-            directory.onPeerCopy(listOf(server("b")))
+            directory.onPeerCopy(listOf(server("b")), nowMillis = 18_100)
 
             directory.ids() shouldBe listOf("b")
         }
@@ -170,4 +170,128 @@
 
             directory.ids() shouldBe listOf("b", "a")
         }
+
+        // Guards against an instance that takes its own cut from the store for an outage, and uses
+        // a
+        // server that has left meanwhile.
+        listOf(2_200L, 3_500L, 30_000L).forEach { cutMillis ->
+            test("given a cut of $cutMillis ms while peers are served, then removals count") {
+                val directory = directoryWithHeartbeats()
+                val returnMillis = 12_000 + cutMillis
+                for (atMillis in 12_000L until returnMillis step 400) {
+                    directory.onPeerAnswer(atMillis)
+                }
+                directory.onStoreUnavailable()
+                directory.onStoreAvailable(returnMillis)
+
+                directory.onSnapshot(listOf(server("b")), returnMillis)
+
+                directory.ids() shouldBe listOf("b")
+            }
+        }
+
+        // Guards against losing the servers of a failure domain that was cut off as a whole: the
+        // first that it hears of the store is that it has answered peers elsewhere all the time.
+        test("given a cut from the store and all peers, then entries that lapsed are kept") {
+            val directory = directoryWithHeartbeats()
+            directory.onPeerAnswer(answeredMillis = 12_100)
+            directory.onPeerAnswer(answeredMillis = 16_000)
+            directory.onPeerAnswer(answeredMillis = 16_400)
+            directory.onStoreUnavailable()
+            directory.onStoreAvailable(nowMillis = 16_700)
+
+            directory.onSnapshot(listOf(server("b")), nowMillis = 16_700)
+
+            directory.ids() shouldBe listOf("a", "b")
+            directory.expire(nowMillis = 18_100) shouldBe false
+            directory.expire(nowMillis = 18_200) shouldBe true
+            directory.ids() shouldBe listOf("b")
+        }
+
+        // Guards against a peer that brings back a server which has left.
+        test(
+            "given a store that has served all the time, then entries that a peer kept are dropped"
+        ) {
+            val directory = directoryWithHeartbeats()
+            directory.onStoreAvailable(nowMillis = 13_000)
+
+            directory.onPeerCopy(
+                listOf(server("b")),
+                13_500,
+                listOf(KeptServer(server("a"), 2_000)),
+            )
+
+            directory.ids() shouldBe listOf("b")
+        }
+
+        test("given a server that was dropped before, then a peer that kept it changes nothing") {
+            val directory = directoryWithHeartbeats()
+            directory.onPeerCopy(listOf(server("b")), 12_500)
+            directory.onStoreUnavailable()
+            directory.onStoreAvailable(nowMillis = 17_000)
+
+            directory.onPeerCopy(
+                listOf(server("b")),
+                17_100,
+                listOf(KeptServer(server("a"), 2_000)),
+            )
+            directory.ids() shouldBe listOf("b")
+
+            directory.onPeerCopy(listOf(server("a"), server("b")), 17_500)
+            directory.ids() shouldBe listOf("a", "b")
+        }
+
+        // Guards against followers that drop a pool whose entries lapsed in an outage, and against
+        // those that use it for longer than the instance from which they have it.
+        test("given an outage, then entries that a peer kept are used for the rest of their term") {
+            val directory = directoryWithHeartbeats()
+            directory.onStoreUnavailable()
+            directory.onStoreAvailable(nowMillis = 17_000)
+
+            directory.onPeerCopy(emptyList(), 17_400, listOf(KeptServer(server("a"), 1_800)))
+            directory.onPeerCopy(emptyList(), 17_600, listOf(KeptServer(server("a"), 2_000)))
+
+            directory.ids() shouldBe listOf("a")
+            directory.keptMillis(nowMillis = 18_000) shouldBe mapOf("a" to 1_200L)
+            directory.expire(nowMillis = 19_100) shouldBe false
+            directory.expire(nowMillis = 19_200) shouldBe true
+            directory.ids() shouldBe emptyList()
+        }
+
+        test("given an outage of which only peers know the end, then what a peer kept is used") {
+            val directory = directoryWithHeartbeats()
+            directory.onStoreUnavailable()
+            directory.onPeerAnswer(answeredMillis = 17_000)
+
+            directory.onPeerCopy(emptyList(), 17_100, listOf(KeptServer(server("a"), 2_100)))
+
+            directory.ids() shouldBe listOf("a")
+        }
+
+        // Guards against an instance that starts after an outage and finds no servers.
+        test("given an instance that has just started, then entries that a peer kept are used") {
+            val directory = ServerDirectory()
+            directory.onStoreAvailable(nowMillis = 20_000)
+            directory.onSnapshot(listOf(server("b")), nowMillis = 20_000)
+            directory.onWritten(server("b"), nowMillis = 20_100)
+            directory.onWritten(server("b"), nowMillis = 21_300)
+            directory.onStoreAvailable(nowMillis = 21_300)
+
+            directory.onPeerCopy(listOf(server("b")), 21_400, listOf(KeptServer(server("a"), 700)))
+
+            directory.ids() shouldBe listOf("b", "a")
+            directory.expire(nowMillis = 22_100) shouldBe true
+            directory.ids() shouldBe listOf("b")
+        }
+
+        // Guards against dropping servers that registered after the copy of the store was made.
+        test("given a restored store, then entries that a peer kept are used") {
+            val directory = directoryWithHeartbeats()
+            directory.onStoreAvailable(nowMillis = 13_000)
+            directory.onRestored(nowMillis = 13_400)
+
+            directory.onPeerCopy(emptyList(), 13_400, listOf(KeptServer(server("a"), 2_000)))
+
+            directory.ids() shouldBe listOf("a")
+        }
     })
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
@@ -73,6 +73,7 @@
                 servers = { servers.revision },
                 evacuations = { evacuations.state.revision },
                 isWatchingServers = { watcherRole.isWatchingAll.value && !servers.isStoreLost },
+                storeAnswerAgeMillis = servers::storeAnswerAgeMillis,
             ),
         )
     private val links =
@@ -293,6 +294,10 @@
     private fun onPeerReport(report: LoadReport) {
         watcherRole.onReport(report, loop.nowMillis())
         if (stateSync.isConcernedBy(report)) control.execute { stateSync.onReport(report) }
+        if (!report.hasStoreAnswerAgeMillis()) return
+        val answeredMillis = loop.nowMillis() - report.storeAnswerAgeMillis
+        if (!servers.isNewPeerAnswer(answeredMillis)) return
+        control.execute { servers.onPeerAnswer(answeredMillis) }
     }
 
     private fun updateWatcherRole() {
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportExchange.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/LoadReportExchange.kt
@@ -20,13 +20,15 @@
 /** Identity of this instance in its load reports. */
 internal class ReportIdentity(val id: String, val incarnation: Long, val address: Address)
 
-/** Versions of the state that this instance holds, for peers that are behind. */
+/** What this instance knows of the state in the store, for peers that know less. */
 internal class KnownVersions(
     val configuration: () -> Long,
     val servers: () -> Long,
     val evacuations: () -> Long,
     /** True if the server list is watched in the store and the store answers. */
     val isWatchingServers: () -> Boolean,
+    /** Time in milliseconds since the store answered; null if it never did. */
+    val storeAnswerAgeMillis: () -> Long?,
 )
 
 /**
@@ -138,6 +140,7 @@
                 .setEvacuationRevision(versions.evacuations())
                 .setWatchesServers(versions.isWatchingServers())
                 .addLoad(allocator.report(), quotas.totals, quotas.returned)
+        versions.storeAnswerAgeMillis()?.let(builder::setStoreAnswerAgeMillis)
         if (lastSentMillis - rolloutsLastSentMillis >= ROLLOUT_REPORT_INTERVAL_MILLIS) {
             rolloutsLastSentMillis = lastSentMillis
             allocator.rollouts.reports(lastSentMillis).forEach {
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/PeerStateSync.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/PeerStateSync.kt
@@ -118,8 +118,11 @@
         }
         if (request.serverRevision < servers.revision) {
             copy.serverRevision = servers.revision
+            val keptMillis = servers.keptMillis()
             servers.entries.forEach { (key, value) ->
-                copy.addServers(StoredValue.newBuilder().setKey(key).setValue(value))
+                val stored = StoredValue.newBuilder().setKey(key).setValue(value)
+                keptMillis[key]?.let(stored::setKeptMillis)
+                copy.addServers(stored)
             }
         }
         addEvacuations(copy, request.evacuationRevision)
@@ -147,7 +150,9 @@
         if (copy.serverRevision > 0) {
             val values =
                 copy.serversList.map { VersionedValue(it.key, it.value, copy.serverRevision) }
-            servers.onPeerCopy(values, copy.serverRevision)
+            val keptMillis =
+                copy.serversList.filter { it.hasKeptMillis() }.associate { it.key to it.keptMillis }
+            servers.onPeerCopy(values, copy.serverRevision, keptMillis)
         }
     }
 
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ServerRegistry.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/ServerRegistry.kt
@@ -1,5 +1,6 @@
 package io.lavenderhinge.instance.gateway
 
+import io.lavenderhinge.core.forwarding.KeptServer
 import io.lavenderhinge.core.forwarding.ServerDirectory
 import io.lavenderhinge.core.forwarding.ServerEntry
 import io.lavenderhinge.core.forwarding.StoreContact
@@ -34,6 +35,12 @@
     /** Revision of the last answer of the store itself; a copy of a peer may be newer. */
     private var storeRevision = 0L
 
+    /** Time of the last answer of the store to this instance; null before the first one. */
+    @Volatile private var storeAnswerMillis: Long? = null
+
+    /** Time of the last answer of the store to a peer that is taken into account. */
+    @Volatile private var peerAnswerMillis = Long.MIN_VALUE / 2
+
     /** Store revision of the last change of a server; 0 if the list has not been read. */
     @Volatile
     var revision = 0L
@@ -56,6 +63,17 @@
             return storedValues.filterKeys { it in keys }
         }
 
+    /** Returns how much longer the servers that the store does not list are used, by key. */
+    fun keptMillis(): Map<String, Long> =
+        directory.keptMillis(nowMillis()).mapKeys { PlatformKeys.SERVER_PREFIX + it.key }
+
+    /**
+     * Time since the store last answered this instance; null before the first answer. Can be read
+     * from any thread.
+     */
+    val storeAnswerAgeMillis: Long?
+        get() = storeAnswerMillis?.let { nowMillis() - it }
+
     /** True if changes in the store may not reach this instance; can be read from any thread. */
     val isStoreLost: Boolean
         get() = contact.isLost(nowMillis())
@@ -87,7 +105,24 @@
     }
 
     /** Records that the store answered a call that does not concern the list. */
-    fun onStoreReachable() = directory.onStoreAvailable(nowMillis())
+    fun onStoreReachable() {
+        storeAnswerMillis = nowMillis()
+        if (!directory.onStoreAvailable(nowMillis())) return
+        log.info("servers: the store was unavailable, entries may have lapsed")
+    }
+
+    /**
+     * Returns true if [onPeerAnswer] has to be called, as the store has answered a peer at
+     * [answeredMillis]. Can be called from any thread.
+     */
+    fun isNewPeerAnswer(answeredMillis: Long): Boolean =
+        answeredMillis - peerAnswerMillis >= PEER_ANSWER_STEP_MILLIS
+
+    /** Records that the store answered a peer at [answeredMillis]. */
+    fun onPeerAnswer(answeredMillis: Long) {
+        peerAnswerMillis = maxOf(peerAnswerMillis, answeredMillis)
+        directory.onPeerAnswer(answeredMillis)
+    }
 
     override fun onStoreUnavailable(fault: StoreFault) {
         contact.onFailedCall(nowMillis())
@@ -101,11 +136,30 @@
         contact.onOvertaken(nowMillis())
     }
 
-    /** Applies a peer's list of [revision] if it is newer and the store does not deliver it. */
-    fun onPeerCopy(values: List<VersionedValue>, revision: Long) {
+    /**
+     * Applies a peer's list of [revision] if it is newer and the store does not deliver it. The
+     * peer uses the servers under the keys of [keptMillis] for that time without an entry in the
+     * store.
+     */
+    fun onPeerCopy(
+        values: List<VersionedValue>,
+        revision: Long,
+        keptMillis: Map<String, Long> = emptyMap(),
+    ) {
         if (!(isFollowingPeers || isStoreLost) || revision <= readRevision) return
         log.info("servers: list of revision {} was taken over from a peer", revision)
-        directory.onPeerCopy(takeOver(values, revision))
+        if (StoreRevision.isRestoredBetween(readRevision, revision)) {
+            directory.onRestored(nowMillis())
+        }
+        val (kept, listed) =
+            takeOver(values, revision).partition {
+                PlatformKeys.SERVER_PREFIX + it.id in keptMillis
+            }
+        directory.onPeerCopy(
+            listed,
+            nowMillis(),
+            kept.map { KeptServer(it, keptMillis.getValue(PlatformKeys.SERVER_PREFIX + it.id)) },
+        )
         publishChanges()
     }
 
@@ -159,12 +213,13 @@
         val draining = servers.filter { !it.acceptsWork && before[it.id]?.acceptsWork != false }
         published = servers
         log.info(
-            "servers: {} known at revision {}, added {}, left {}, draining {}",
+            "servers: {} known at revision {}, added {}, left {}, draining {}, kept {}",
             servers.size,
             revision,
             added,
             left,
             draining.map { it.id },
+            directory.keptMillis(nowMillis()).keys,
         )
         publish(servers)
         return true
@@ -174,13 +229,18 @@
 
     private fun onStoreAnswered() {
         contact.onAnswer(nowMillis())
-        directory.onStoreAvailable(nowMillis())
+        onStoreReachable()
     }
 
     private fun serverId(key: String) = key.removePrefix(PlatformKeys.SERVER_PREFIX)
 
     private companion object {
         const val EXPIRE_INTERVAL_MILLIS = 200L
+        /**
+         * Skips most reports of a large fleet; small compared to the time after which entries
+         * lapse.
+         */
+        const val PEER_ANSWER_STEP_MILLIS = 200L
         val log = LoggerFactory.getLogger(ServerRegistry::class.java)
     }
 }
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/PeerStateSyncTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/PeerStateSyncTest.kt
@@ -188,6 +188,43 @@
             cutOff.evacuations.state.domains shouldContainExactly setOf("a")
         }
 
+        // Guards against followers that use a server for longer than the watcher that kept it, and
+        // against copies that cannot be told from a list of the store.
+        test("a follower uses the servers that a watcher keeps after an outage for the same time") {
+            val watcher = StateSyncFixture()
+            watcher.receiveSnapshot(revision = 5, atMillis = 1_000, "a", "b")
+            watcher.failCall(atMillis = 2_000)
+            watcher.receiveSnapshot(revision = 9, atMillis = 8_000, "b")
+            val follower = StateSyncFixture(ListSources(persistentListOf("peer-1")))
+            follower.receiveSnapshot(revision = 9, atMillis = 8_200, "b")
+            follower.servers.isFollowingPeers = true
+            watcher.receiveSnapshot(revision = 10, atMillis = 8_600, "b")
+
+            follower.exchangeWith(watcher, atMillis = 8_700)
+
+            follower.servers.ids shouldContainExactly listOf("b", "a")
+            follower.servers.keptMillis() shouldBe mapOf("servers/a" to 1_500L)
+        }
+
+        // Guards against a watcher that was cut off alone and brings back a server that has left.
+        test("a follower does not use a server that only a watcher without the store has kept") {
+            val watcher = StateSyncFixture()
+            watcher.receiveSnapshot(revision = 5, atMillis = 1_000, "a", "b")
+            watcher.failCall(atMillis = 2_000)
+            val follower = StateSyncFixture(ListSources(persistentListOf("peer-1")))
+            follower.receiveSnapshot(revision = 5, atMillis = 1_000, "a", "b")
+            follower.receiveHeartbeats(revision = 6, atMillis = 1_100, "a", "b")
+            follower.receiveHeartbeats(revision = 7, atMillis = 2_300, "a", "b")
+            follower.servers.isFollowingPeers = true
+            for (atMillis in 2_400L..8_200L step 200) follower.servers.onPeerAnswer(atMillis)
+            watcher.receiveSnapshot(revision = 9, atMillis = 8_000, "b")
+            watcher.servers.ids shouldContainExactly listOf("a", "b")
+
+            follower.exchangeWith(watcher, atMillis = 8_200)
+
+            follower.servers.ids shouldContainExactly listOf("b")
+        }
+
         // Guards against copies between watchers that know the same list by different revisions.
         test("a watcher that has read past the revision of a peer does not ask it") {
             val fixture = StateSyncFixture(ListSources(persistentListOf("w1")))
@@ -216,6 +253,10 @@
         revision,
     )
 
+private const val SERVER_ENTRY =
+    """{"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":5,
+        "state":"ready","sequence":1,"born":1700000000000}"""
+
 private class StateSyncFixture(sources: ListSources = ListSources()) {
     val requested = mutableListOf<String>()
     private var nowMillis = 0L
@@ -241,11 +282,19 @@
     fun receiveNewerConfigurationReport(atMillis: Long) =
         receive(report("peer-1", configurationVersion = 7), atMillis)
 
-    fun receiveSnapshot(revision: Long, atMillis: Long) {
+    fun receiveSnapshot(revision: Long, atMillis: Long, vararg serverIds: String) {
         nowMillis = atMillis
-        servers.onSnapshot(Snapshot(persistentListOf(), revision))
+        servers.onSnapshot(Snapshot(values(revision, serverIds), revision))
     }
 
+    fun receiveHeartbeats(revision: Long, atMillis: Long, vararg serverIds: String) {
+        nowMillis = atMillis
+        servers.onChanges(WatchResult(values(revision, serverIds), revision))
+    }
+
+    private fun values(revision: Long, serverIds: Array<out String>) =
+        serverIds.map { VersionedValue("servers/$it", SERVER_ENTRY, revision) }.toImmutableList()
+
     fun receiveNoChanges(revision: Long, atMillis: Long) {
         nowMillis = atMillis
         servers.onChanges(WatchResult(persistentListOf(), revision))
@@ -258,8 +307,13 @@
 
     /** Receives a report of [peer] and its answer to the request, if there is one. */
     fun exchangeWith(peer: StateSyncFixture, atMillis: Long) {
+        peer.nowMillis = atMillis
         val revision = peer.evacuations.state.revision
-        val report = report("peer-1").toBuilder().setEvacuationRevision(revision).build()
+        val report =
+            report("peer-1", serverRevision = peer.servers.revision)
+                .toBuilder()
+                .setEvacuationRevision(revision)
+                .build()
         val sentBefore = links.sent.size
         if (stateSync.isConcernedBy(report)) receive(report, atMillis)
         links.sent.drop(sentBefore).forEach { request ->
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ServerRegistryTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/ServerRegistryTest.kt
@@ -106,6 +106,35 @@
             }
         }
 
+        // Guards against followers that drop servers which a restored store has forgotten.
+        test("given a peer that keeps entries of a restored store, then a follower uses them") {
+            RegistryFixture().use { fixture ->
+                val registry = fixture.registry
+                registry.onSnapshot(snapshot(StoreRevision.of(3, 5), value("a"), value("new")))
+                registry.isFollowingPeers = true
+                repeat(10) {
+                    fixture.nowMillis += 400
+                    registry.onPeerAnswer(fixture.nowMillis)
+                }
+
+                val copied = listOf(value("a"), value("new"))
+                val keptMillis = mapOf("servers/new" to 2_000L)
+                registry.onPeerCopy(copied, StoreRevision.of(4, 2), keptMillis)
+
+                fixture.published shouldBe listOf("a", "new")
+            }
+        }
+
+        test("given reports of many peers, then only some of the store's answers are recorded") {
+            RegistryFixture().use { fixture ->
+                fixture.registry.isNewPeerAnswer(answeredMillis = 100) shouldBe true
+                fixture.registry.onPeerAnswer(answeredMillis = 100)
+
+                fixture.registry.isNewPeerAnswer(answeredMillis = 299) shouldBe false
+                fixture.registry.isNewPeerAnswer(answeredMillis = 300) shouldBe true
+            }
+        }
+
         test("given an entry that was removed, then peers do not get it") {
             RegistryFixture().use { fixture ->
                 fixture.registry.onSnapshot(snapshot(10, value("a"), value("b")))
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/LoadReport.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/LoadReport.java
@@ -740,6 +740,33 @@
     return coldLimits_.get(index);
   }
 
+  public static final int STORE_ANSWER_AGE_MILLIS_FIELD_NUMBER = 22;
+  private long storeAnswerAgeMillis_ = 0L;
+  /**
+   * <pre>
+   * Time since the platform's store answered the sender; absent if it never did.
+   * </pre>
+   *
+   * <code>optional int64 store_answer_age_millis = 22;</code>
+   * @return Whether the storeAnswerAgeMillis field is set.
+   */
+  @java.lang.Override
+  public boolean hasStoreAnswerAgeMillis() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * Time since the platform's store answered the sender; absent if it never did.
+   * </pre>
+   *
+   * <code>optional int64 store_answer_age_millis = 22;</code>
+   * @return The storeAnswerAgeMillis.
+   */
+  @java.lang.Override
+  public long getStoreAnswerAgeMillis() {
+    return storeAnswerAgeMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -817,6 +844,9 @@
     for (int i = 0; i < coldLimits_.size(); i++) {
       output.writeMessage(21, coldLimits_.get(i));
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeInt64(22, storeAnswerAgeMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -907,6 +937,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(21, coldLimits_.get(i));
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(22, storeAnswerAgeMillis_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -967,6 +1001,11 @@
         != other.getEvacuationRevision()) return false;
     if (!getColdLimitsList()
         .equals(other.getColdLimitsList())) return false;
+    if (hasStoreAnswerAgeMillis() != other.hasStoreAnswerAgeMillis()) return false;
+    if (hasStoreAnswerAgeMillis()) {
+      if (getStoreAnswerAgeMillis()
+          != other.getStoreAnswerAgeMillis()) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -1048,6 +1087,11 @@
       hash = (37 * hash) + COLD_LIMITS_FIELD_NUMBER;
       hash = (53 * hash) + getColdLimitsList().hashCode();
     }
+    if (hasStoreAnswerAgeMillis()) {
+      hash = (37 * hash) + STORE_ANSWER_AGE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getStoreAnswerAgeMillis());
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1285,6 +1329,7 @@
         coldLimitsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00100000);
+      storeAnswerAgeMillis_ = 0L;
       return this;
     }
 
@@ -1449,6 +1494,10 @@
       if (((from_bitField0_ & 0x00080000) != 0)) {
         result.evacuationRevision_ = evacuationRevision_;
       }
+      if (((from_bitField0_ & 0x00200000) != 0)) {
+        result.storeAnswerAgeMillis_ = storeAnswerAgeMillis_;
+        to_bitField0_ |= 0x00000002;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -1763,6 +1812,9 @@
           }
         }
       }
+      if (other.hasStoreAnswerAgeMillis()) {
+        setStoreAnswerAgeMillis(other.getStoreAnswerAgeMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1976,6 +2028,11 @@
               }
               break;
             } // case 170
+            case 176: {
+              storeAnswerAgeMillis_ = input.readInt64();
+              bitField0_ |= 0x00200000;
+              break;
+            } // case 176
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -5110,6 +5167,62 @@
       return coldLimitsBuilder_;
     }
 
+    private long storeAnswerAgeMillis_ ;
+    /**
+     * <pre>
+     * Time since the platform's store answered the sender; absent if it never did.
+     * </pre>
+     *
+     * <code>optional int64 store_answer_age_millis = 22;</code>
+     * @return Whether the storeAnswerAgeMillis field is set.
+     */
+    @java.lang.Override
+    public boolean hasStoreAnswerAgeMillis() {
+      return ((bitField0_ & 0x00200000) != 0);
+    }
+    /**
+     * <pre>
+     * Time since the platform's store answered the sender; absent if it never did.
+     * </pre>
+     *
+     * <code>optional int64 store_answer_age_millis = 22;</code>
+     * @return The storeAnswerAgeMillis.
+     */
+    @java.lang.Override
+    public long getStoreAnswerAgeMillis() {
+      return storeAnswerAgeMillis_;
+    }
+    /**
+     * <pre>
+     * Time since the platform's store answered the sender; absent if it never did.
+     * </pre>
+     *
+     * <code>optional int64 store_answer_age_millis = 22;</code>
+     * @param value The storeAnswerAgeMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStoreAnswerAgeMillis(long value) {
+
+      storeAnswerAgeMillis_ = value;
+      bitField0_ |= 0x00200000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Time since the platform's store answered the sender; absent if it never did.
+     * </pre>
+     *
+     * <code>optional int64 store_answer_age_millis = 22;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStoreAnswerAgeMillis() {
+      bitField0_ = (bitField0_ & ~0x00200000);
+      storeAnswerAgeMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:lavenderhinge.v1.LoadReport)
   }
 
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/LoadReportOrBuilder.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/LoadReportOrBuilder.java
@@ -390,4 +390,23 @@
    */
   io.lavenderhinge.protocol.v1.ServerRateLimitOrBuilder getColdLimitsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Time since the platform's store answered the sender; absent if it never did.
+   * </pre>
+   *
+   * <code>optional int64 store_answer_age_millis = 22;</code>
+   * @return Whether the storeAnswerAgeMillis field is set.
+   */
+  boolean hasStoreAnswerAgeMillis();
+  /**
+   * <pre>
+   * Time since the platform's store answered the sender; absent if it never did.
+   * </pre>
+   *
+   * <code>optional int64 store_answer_age_millis = 22;</code>
+   * @return The storeAnswerAgeMillis.
+   */
+  long getStoreAnswerAgeMillis();
 }
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/PeerOuterClass.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/PeerOuterClass.java
@@ -365,7 +365,7 @@
       "part\030\001 \001(\006\022\021\n\tserver_id\030\002 \001(\t\022\022\n\nage_mil" +
       "lis\030\003 \001(\003\"I\n\nDomainLoad\022\017\n\007service\030\001 \001(\t" +
       "\022\023\n\013wait_millis\030\002 \001(\001\022\025\n\rspilled_share\030\003" +
-      " \001(\001\"\301\006\n\nLoadReport\022\023\n\013instance_id\030\001 \001(\t" +
+      " \001(\001\"\203\007\n\nLoadReport\022\023\n\013instance_id\030\001 \001(\t" +
       "\022\023\n\013incarnation\030\002 \001(\006\022\020\n\010sequence\030\003 \001(\004\022" +
       "\n\n\002ip\030\004 \001(\t\022\021\n\tpeer_port\030\005 \001(\r\022,\n\007server" +
       "s\030\006 \003(\0132\033.lavenderhinge.v1.ServerUse\022-\n\006" +
@@ -386,78 +386,80 @@
       "\023 \003(\0132\034.lavenderhinge.v1.DomainLoad\022\033\n\023e" +
       "vacuation_revision\030\024 \001(\003\0226\n\013cold_limits\030" +
       "\025 \003(\0132!.lavenderhinge.v1.ServerRateLimit" +
-      "\"\227\001\n\017ServerRateLimit\022(\n\003run\030\001 \001(\0132\033.lave" +
-      "nderhinge.v1.ServerRun\022\035\n\020limit_per_seco" +
-      "nd\030\002 \001(\001H\000\210\001\001\022\022\n\nage_millis\030\003 \001(\003\022\022\n\nsen" +
-      "t_count\030\004 \001(\003B\023\n\021_limit_per_second\"6\n\tSe" +
-      "rverRun\022\021\n\tserver_id\030\001 \001(\t\022\026\n\016started_mi" +
-      "llis\030\002 \001(\003\"p\n\rObservedCrash\022(\n\003run\030\001 \001(\013" +
-      "2\033.lavenderhinge.v1.ServerRun\022\017\n\007service" +
-      "\030\002 \001(\t\022\022\n\nage_millis\030\003 \001(\003\022\020\n\010suspects\030\004" +
-      " \003(\006\"3\n\017PartObservation\022\014\n\004part\030\001 \001(\006\022\022\n" +
-      "\nage_millis\030\002 \001(\003\"\336\001\n\021CrashObservations\022" +
-      "0\n\007crashes\030\001 \003(\0132\037.lavenderhinge.v1.Obse" +
-      "rvedCrash\0223\n\010answered\030\002 \003(\0132!.lavenderhi" +
-      "nge.v1.PartObservation\0226\n\013quarantined\030\003 " +
-      "\003(\0132!.lavenderhinge.v1.PartObservation\022*" +
-      "\n\005alive\030\004 \003(\0132\033.lavenderhinge.v1.ServerR" +
-      "un\"\306\001\n\017RolloutProgress\022\017\n\007service\030\001 \001(\t\022" +
-      "\026\n\016order_revision\030\002 \001(\003\022-\n\005stage\030\003 \001(\0162\036" +
-      ".lavenderhinge.v1.RolloutStage\022\026\n\016elapse" +
-      "d_millis\030\004 \001(\003\022\025\n\rold_in_flight\030\005 \001(\005\022,\n" +
-      "\006routes\030\006 \003(\0132\034.lavenderhinge.v1.RouteTa" +
-      "lly\"\205\001\n\nRouteTally\022\r\n\005route\030\001 \001(\t\0223\n\013old" +
-      "_version\030\002 \001(\0132\036.lavenderhinge.v1.Versio" +
-      "nTally\0223\n\013new_version\030\003 \001(\0132\036.lavenderhi" +
-      "nge.v1.VersionTally\">\n\014VersionTally\022\020\n\010r" +
-      "equests\030\001 \001(\003\022\016\n\006errors\030\002 \001(\003\022\014\n\004slow\030\003 " +
-      "\001(\003\"c\n\014StateRequest\022\035\n\025configuration_ver" +
-      "sion\030\001 \001(\003\022\027\n\017server_revision\030\002 \001(\003\022\033\n\023e" +
-      "vacuation_revision\030\003 \001(\003\")\n\013StoredValue\022" +
-      "\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\243\001\n\tStateCop" +
-      "y\022\025\n\rconfiguration\030\001 \001(\t\022\027\n\017server_revis" +
-      "ion\030\002 \001(\003\022.\n\007servers\030\003 \003(\0132\035.lavenderhin" +
-      "ge.v1.StoredValue\022\033\n\023evacuation_revision" +
-      "\030\004 \001(\003\022\031\n\021evacuated_domains\030\005 \003(\t*U\n\004Tie" +
-      "r\022\024\n\020TIER_UNSPECIFIED\020\000\022\024\n\020TIER_INTERACT" +
-      "IVE\020\001\022\021\n\rTIER_STANDARD\020\002\022\016\n\nTIER_BATCH\020\003" +
-      "*\234\002\n\014RefuseReason\022\035\n\031REFUSE_REASON_UNSPE" +
-      "CIFIED\020\000\022\032\n\026REFUSE_REASON_NOT_HOME\020\001\022\034\n\030" +
-      "REFUSE_REASON_QUEUE_FULL\020\002\022\032\n\026REFUSE_REA" +
-      "SON_DEADLINE\020\003\022\033\n\027REFUSE_REASON_DISPLACE" +
-      "D\020\004\022\035\n\031REFUSE_REASON_TIER_CLOSED\020\005\022 \n\034RE" +
-      "FUSE_REASON_SERVER_LEAVING\020\006\022\035\n\031REFUSE_R" +
-      "EASON_SERVER_DOWN\020\007\022\032\n\026REFUSE_REASON_SHU" +
-      "TDOWN\020\010*\324\001\n\013ResultClass\022\034\n\030RESULT_CLASS_" +
-      "UNSPECIFIED\020\000\022\023\n\017RESULT_CLASS_OK\020\001\022\035\n\031RE" +
-      "SULT_CLASS_SERVER_ERROR\020\002\022\"\n\036RESULT_CLAS" +
-      "S_CONNECTION_FAILED\020\003\022\030\n\024RESULT_CLASS_TI" +
-      "MEOUT\020\004\022\032\n\026RESULT_CLASS_CANCELLED\020\005\022\031\n\025R" +
-      "ESULT_CLASS_DRAINING\020\006*\255\001\n\017LedgerOperati" +
-      "on\022 \n\034LEDGER_OPERATION_UNSPECIFIED\020\000\022\034\n\030" +
-      "LEDGER_OPERATION_RESERVE\020\001\022\035\n\031LEDGER_OPE" +
-      "RATION_COMPLETE\020\002\022\031\n\025LEDGER_OPERATION_VO" +
-      "ID\020\003\022 \n\034LEDGER_OPERATION_OWNER_QUERY\020\004*\217" +
-      "\003\n\rLedgerOutcome\022\036\n\032LEDGER_OUTCOME_UNSPE" +
-      "CIFIED\020\000\022\033\n\027LEDGER_OUTCOME_RECORDED\020\001\022\034\n" +
-      "\030LEDGER_OUTCOME_COMPLETED\020\002\022\034\n\030LEDGER_OU" +
-      "TCOME_IN_FLIGHT\020\003\022\033\n\027LEDGER_OUTCOME_IN_D" +
-      "OUBT\020\004\022\033\n\027LEDGER_OUTCOME_MISMATCH\020\005\022\032\n\026L" +
-      "EDGER_OUTCOME_TOO_OLD\020\006\022\035\n\031LEDGER_OUTCOM" +
-      "E_NOT_WRITER\020\007\022\036\n\032LEDGER_OUTCOME_UNAVAIL" +
-      "ABLE\020\010\022#\n\037LEDGER_OUTCOME_OWNER_DISPATCHE" +
-      "D\020\t\022)\n%LEDGER_OUTCOME_OWNER_NEVER_DISPAT" +
-      "CHED\020\n\022 \n\034LEDGER_OUTCOME_OWNER_UNKNOWN\020\013" +
-      "*\200\001\n\nMemberKind\022\033\n\027MEMBER_KIND_UNSPECIFI" +
-      "ED\020\000\022\030\n\024MEMBER_KIND_INSTANCE\020\001\022\034\n\030MEMBER" +
-      "_KIND_MODEL_ENGINE\020\002\022\035\n\031MEMBER_KIND_PLAI" +
-      "N_SERVICE\020\003*w\n\014RolloutStage\022\027\n\023ROLLOUT_S" +
-      "TAGE_TRIAL\020\000\022\026\n\022ROLLOUT_STAGE_RAMP\020\001\022\031\n\025" +
-      "ROLLOUT_STAGE_SHIFTED\020\002\022\033\n\027ROLLOUT_STAGE" +
-      "_WITHDRAWN\020\0032D\n\004Peer\022<\n\004Link\022\027.lavenderh" +
-      "inge.v1.Frame\032\027.lavenderhinge.v1.Frame(\001" +
-      "0\001B \n\034io.lavenderhinge.protocol.v1P\001b\006pr" +
-      "oto3"
+      "\022$\n\027store_answer_age_millis\030\026 \001(\003H\000\210\001\001B\032" +
+      "\n\030_store_answer_age_millis\"\227\001\n\017ServerRat" +
+      "eLimit\022(\n\003run\030\001 \001(\0132\033.lavenderhinge.v1.S" +
+      "erverRun\022\035\n\020limit_per_second\030\002 \001(\001H\000\210\001\001\022" +
+      "\022\n\nage_millis\030\003 \001(\003\022\022\n\nsent_count\030\004 \001(\003B" +
+      "\023\n\021_limit_per_second\"6\n\tServerRun\022\021\n\tser" +
+      "ver_id\030\001 \001(\t\022\026\n\016started_millis\030\002 \001(\003\"p\n\r" +
+      "ObservedCrash\022(\n\003run\030\001 \001(\0132\033.lavenderhin" +
+      "ge.v1.ServerRun\022\017\n\007service\030\002 \001(\t\022\022\n\nage_" +
+      "millis\030\003 \001(\003\022\020\n\010suspects\030\004 \003(\006\"3\n\017PartOb" +
+      "servation\022\014\n\004part\030\001 \001(\006\022\022\n\nage_millis\030\002 " +
+      "\001(\003\"\336\001\n\021CrashObservations\0220\n\007crashes\030\001 \003" +
+      "(\0132\037.lavenderhinge.v1.ObservedCrash\0223\n\010a" +
+      "nswered\030\002 \003(\0132!.lavenderhinge.v1.PartObs" +
+      "ervation\0226\n\013quarantined\030\003 \003(\0132!.lavender" +
+      "hinge.v1.PartObservation\022*\n\005alive\030\004 \003(\0132" +
+      "\033.lavenderhinge.v1.ServerRun\"\306\001\n\017Rollout" +
+      "Progress\022\017\n\007service\030\001 \001(\t\022\026\n\016order_revis" +
+      "ion\030\002 \001(\003\022-\n\005stage\030\003 \001(\0162\036.lavenderhinge" +
+      ".v1.RolloutStage\022\026\n\016elapsed_millis\030\004 \001(\003" +
+      "\022\025\n\rold_in_flight\030\005 \001(\005\022,\n\006routes\030\006 \003(\0132" +
+      "\034.lavenderhinge.v1.RouteTally\"\205\001\n\nRouteT" +
+      "ally\022\r\n\005route\030\001 \001(\t\0223\n\013old_version\030\002 \001(\013" +
+      "2\036.lavenderhinge.v1.VersionTally\0223\n\013new_" +
+      "version\030\003 \001(\0132\036.lavenderhinge.v1.Version" +
+      "Tally\">\n\014VersionTally\022\020\n\010requests\030\001 \001(\003\022" +
+      "\016\n\006errors\030\002 \001(\003\022\014\n\004slow\030\003 \001(\003\"c\n\014StateRe" +
+      "quest\022\035\n\025configuration_version\030\001 \001(\003\022\027\n\017" +
+      "server_revision\030\002 \001(\003\022\033\n\023evacuation_revi" +
+      "sion\030\003 \001(\003\"S\n\013StoredValue\022\013\n\003key\030\001 \001(\t\022\r" +
+      "\n\005value\030\002 \001(\t\022\030\n\013kept_millis\030\003 \001(\003H\000\210\001\001B" +
+      "\016\n\014_kept_millis\"\243\001\n\tStateCopy\022\025\n\rconfigu" +
+      "ration\030\001 \001(\t\022\027\n\017server_revision\030\002 \001(\003\022.\n" +
+      "\007servers\030\003 \003(\0132\035.lavenderhinge.v1.Stored" +
+      "Value\022\033\n\023evacuation_revision\030\004 \001(\003\022\031\n\021ev" +
+      "acuated_domains\030\005 \003(\t*U\n\004Tier\022\024\n\020TIER_UN" +
+      "SPECIFIED\020\000\022\024\n\020TIER_INTERACTIVE\020\001\022\021\n\rTIE" +
+      "R_STANDARD\020\002\022\016\n\nTIER_BATCH\020\003*\234\002\n\014RefuseR" +
+      "eason\022\035\n\031REFUSE_REASON_UNSPECIFIED\020\000\022\032\n\026" +
+      "REFUSE_REASON_NOT_HOME\020\001\022\034\n\030REFUSE_REASO" +
+      "N_QUEUE_FULL\020\002\022\032\n\026REFUSE_REASON_DEADLINE" +
+      "\020\003\022\033\n\027REFUSE_REASON_DISPLACED\020\004\022\035\n\031REFUS" +
+      "E_REASON_TIER_CLOSED\020\005\022 \n\034REFUSE_REASON_" +
+      "SERVER_LEAVING\020\006\022\035\n\031REFUSE_REASON_SERVER" +
+      "_DOWN\020\007\022\032\n\026REFUSE_REASON_SHUTDOWN\020\010*\324\001\n\013" +
+      "ResultClass\022\034\n\030RESULT_CLASS_UNSPECIFIED\020" +
+      "\000\022\023\n\017RESULT_CLASS_OK\020\001\022\035\n\031RESULT_CLASS_S" +
+      "ERVER_ERROR\020\002\022\"\n\036RESULT_CLASS_CONNECTION" +
+      "_FAILED\020\003\022\030\n\024RESULT_CLASS_TIMEOUT\020\004\022\032\n\026R" +
+      "ESULT_CLASS_CANCELLED\020\005\022\031\n\025RESULT_CLASS_" +
+      "DRAINING\020\006*\255\001\n\017LedgerOperation\022 \n\034LEDGER" +
+      "_OPERATION_UNSPECIFIED\020\000\022\034\n\030LEDGER_OPERA" +
+      "TION_RESERVE\020\001\022\035\n\031LEDGER_OPERATION_COMPL" +
+      "ETE\020\002\022\031\n\025LEDGER_OPERATION_VOID\020\003\022 \n\034LEDG" +
+      "ER_OPERATION_OWNER_QUERY\020\004*\217\003\n\rLedgerOut" +
+      "come\022\036\n\032LEDGER_OUTCOME_UNSPECIFIED\020\000\022\033\n\027" +
+      "LEDGER_OUTCOME_RECORDED\020\001\022\034\n\030LEDGER_OUTC" +
+      "OME_COMPLETED\020\002\022\034\n\030LEDGER_OUTCOME_IN_FLI" +
+      "GHT\020\003\022\033\n\027LEDGER_OUTCOME_IN_DOUBT\020\004\022\033\n\027LE" +
+      "DGER_OUTCOME_MISMATCH\020\005\022\032\n\026LEDGER_OUTCOM" +
+      "E_TOO_OLD\020\006\022\035\n\031LEDGER_OUTCOME_NOT_WRITER" +
+      "\020\007\022\036\n\032LEDGER_OUTCOME_UNAVAILABLE\020\010\022#\n\037LE" +
+      "DGER_OUTCOME_OWNER_DISPATCHED\020\t\022)\n%LEDGE" +
+      "R_OUTCOME_OWNER_NEVER_DISPATCHED\020\n\022 \n\034LE" +
+      "DGER_OUTCOME_OWNER_UNKNOWN\020\013*\200\001\n\nMemberK" +
+      "ind\022\033\n\027MEMBER_KIND_UNSPECIFIED\020\000\022\030\n\024MEMB" +
+      "ER_KIND_INSTANCE\020\001\022\034\n\030MEMBER_KIND_MODEL_" +
+      "ENGINE\020\002\022\035\n\031MEMBER_KIND_PLAIN_SERVICE\020\003*" +
+      "w\n\014RolloutStage\022\027\n\023ROLLOUT_STAGE_TRIAL\020\000" +
+      "\022\026\n\022ROLLOUT_STAGE_RAMP\020\001\022\031\n\025ROLLOUT_STAG" +
+      "E_SHIFTED\020\002\022\033\n\027ROLLOUT_STAGE_WITHDRAWN\020\003" +
+      "2D\n\004Peer\022<\n\004Link\022\027.lavenderhinge.v1.Fram" +
+      "e\032\027.lavenderhinge.v1.Frame(\0010\001B \n\034io.lav" +
+      "enderhinge.protocol.v1P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -654,7 +656,7 @@
     internal_static_lavenderhinge_v1_LoadReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_LoadReport_descriptor,
-        new java.lang.String[] { "InstanceId", "Incarnation", "Sequence", "Ip", "PeerPort", "Servers", "Queues", "Workspaces", "ConfigurationVersion", "ServerRevision", "Rollouts", "WatchesServers", "CrashObservations", "RateLimits", "WorkspaceUses", "StatedLoads", "PromptHolders", "FailureDomain", "DomainLoads", "EvacuationRevision", "ColdLimits", });
+        new java.lang.String[] { "InstanceId", "Incarnation", "Sequence", "Ip", "PeerPort", "Servers", "Queues", "Workspaces", "ConfigurationVersion", "ServerRevision", "Rollouts", "WatchesServers", "CrashObservations", "RateLimits", "WorkspaceUses", "StatedLoads", "PromptHolders", "FailureDomain", "DomainLoads", "EvacuationRevision", "ColdLimits", "StoreAnswerAgeMillis", });
     internal_static_lavenderhinge_v1_ServerRateLimit_descriptor =
       getDescriptor().getMessageType(32);
     internal_static_lavenderhinge_v1_ServerRateLimit_fieldAccessorTable = new
@@ -714,7 +716,7 @@
     internal_static_lavenderhinge_v1_StoredValue_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_StoredValue_descriptor,
-        new java.lang.String[] { "Key", "Value", });
+        new java.lang.String[] { "Key", "Value", "KeptMillis", });
     internal_static_lavenderhinge_v1_StateCopy_descriptor =
       getDescriptor().getMessageType(42);
     internal_static_lavenderhinge_v1_StateCopy_fieldAccessorTable = new
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/StoredValue.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/StoredValue.java
@@ -49,6 +49,7 @@
             io.lavenderhinge.protocol.v1.StoredValue.class, io.lavenderhinge.protocol.v1.StoredValue.Builder.class);
   }
 
+  private int bitField0_;
   public static final int KEY_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object key_ = "";
@@ -127,6 +128,33 @@
     }
   }
 
+  public static final int KEPT_MILLIS_FIELD_NUMBER = 3;
+  private long keptMillis_ = 0L;
+  /**
+   * <pre>
+   * Set if the store no longer has the value, and the sender uses it for that time after an outage.
+   * </pre>
+   *
+   * <code>optional int64 kept_millis = 3;</code>
+   * @return Whether the keptMillis field is set.
+   */
+  @java.lang.Override
+  public boolean hasKeptMillis() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * Set if the store no longer has the value, and the sender uses it for that time after an outage.
+   * </pre>
+   *
+   * <code>optional int64 kept_millis = 3;</code>
+   * @return The keptMillis.
+   */
+  @java.lang.Override
+  public long getKeptMillis() {
+    return keptMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -147,6 +175,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(value_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 2, value_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeInt64(3, keptMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -162,6 +193,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(value_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(2, value_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(3, keptMillis_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -181,6 +216,11 @@
         .equals(other.getKey())) return false;
     if (!getValue()
         .equals(other.getValue())) return false;
+    if (hasKeptMillis() != other.hasKeptMillis()) return false;
+    if (hasKeptMillis()) {
+      if (getKeptMillis()
+          != other.getKeptMillis()) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -196,6 +236,11 @@
     hash = (53 * hash) + getKey().hashCode();
     hash = (37 * hash) + VALUE_FIELD_NUMBER;
     hash = (53 * hash) + getValue().hashCode();
+    if (hasKeptMillis()) {
+      hash = (37 * hash) + KEPT_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getKeptMillis());
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -333,6 +378,7 @@
       bitField0_ = 0;
       key_ = "";
       value_ = "";
+      keptMillis_ = 0L;
       return this;
     }
 
@@ -372,6 +418,12 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.value_ = value_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.keptMillis_ = keptMillis_;
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -396,6 +448,9 @@
         bitField0_ |= 0x00000002;
         onChanged();
       }
+      if (other.hasKeptMillis()) {
+        setKeptMillis(other.getKeptMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -432,6 +487,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 18
+            case 24: {
+              keptMillis_ = input.readInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -593,6 +653,62 @@
       return this;
     }
 
+    private long keptMillis_ ;
+    /**
+     * <pre>
+     * Set if the store no longer has the value, and the sender uses it for that time after an outage.
+     * </pre>
+     *
+     * <code>optional int64 kept_millis = 3;</code>
+     * @return Whether the keptMillis field is set.
+     */
+    @java.lang.Override
+    public boolean hasKeptMillis() {
+      return ((bitField0_ & 0x00000004) != 0);
+    }
+    /**
+     * <pre>
+     * Set if the store no longer has the value, and the sender uses it for that time after an outage.
+     * </pre>
+     *
+     * <code>optional int64 kept_millis = 3;</code>
+     * @return The keptMillis.
+     */
+    @java.lang.Override
+    public long getKeptMillis() {
+      return keptMillis_;
+    }
+    /**
+     * <pre>
+     * Set if the store no longer has the value, and the sender uses it for that time after an outage.
+     * </pre>
+     *
+     * <code>optional int64 kept_millis = 3;</code>
+     * @param value The keptMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setKeptMillis(long value) {
+
+      keptMillis_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set if the store no longer has the value, and the sender uses it for that time after an outage.
+     * </pre>
+     *
+     * <code>optional int64 kept_millis = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearKeptMillis() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      keptMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:lavenderhinge.v1.StoredValue)
   }
 
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/StoredValueOrBuilder.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/StoredValueOrBuilder.java
@@ -33,4 +33,23 @@
    */
   com.google.protobuf.ByteString
       getValueBytes();
+
+  /**
+   * <pre>
+   * Set if the store no longer has the value, and the sender uses it for that time after an outage.
+   * </pre>
+   *
+   * <code>optional int64 kept_millis = 3;</code>
+   * @return Whether the keptMillis field is set.
+   */
+  boolean hasKeptMillis();
+  /**
+   * <pre>
+   * Set if the store no longer has the value, and the sender uses it for that time after an outage.
+   * </pre>
+   *
+   * <code>optional int64 kept_millis = 3;</code>
+   * @return The keptMillis.
+   */
+  long getKeptMillis();
 }
