Keep the requests of a version under rollout within an account

Callers: a version that turned bad after 0.7 of its rollout had got all requests since 0.6, and the old servers had ended.

Cause: ServiceRollout moved all traffic at 0.6 of the duration and completed a second later. The limit counts all requests of the version up to the deadline, also those from before it turned bad, so that nothing could be made good later.

Change: ExposureAccount adds up what all instances have sent, by their reports. The version gets a sample until the account bears all requests that are expected before the deadline; a burst sends requests back. `completed` is written in the last 0.4 s, and not while evidence is against the version. Silent instances keep their own part. TrialSampling gives each route its part of a smaller sample and more to a route on which the version may fail. Settings: exposure-share, exposure-slack.

The verdict of one older test is asked for at 9.7 s of 10 instead of 9 s, since no rollout is completed earlier.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/RolloutOrder.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/RolloutOrder.kt
@@ -23,9 +23,7 @@
  */
 enum class RolloutStage(val shareFraction: Double) {
     /** A small sample of requests is sent to few servers of the target version. */
-    TRIAL(0.06),
-    /** Some of the servers get enough requests to test the version at full load. */
-    RAMP(0.25),
+    TRIAL(0.02),
     /** Every new request is sent to the target version. */
     SHIFTED(1.0),
     /** The version failed and gets no further requests. */
@@ -42,6 +40,7 @@
     /** Requests in flight at servers of other versions. */
     val oldInFlight: Int,
     val countsByRoute: Map<String, RouteCounts>,
+    val sent: SentRequests = SentRequests(),
 )
 
 /** The status of a rollout as reported to the operator. */
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/RolloutTracker.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/RolloutTracker.kt
@@ -6,7 +6,7 @@
 import io.lavenderhinge.core.rollout.VersionCounts
 
 /** Tracks the active rollout orders and the observed results of old and new versions. */
-class RolloutTracker {
+class RolloutTracker(private val limit: ExposureLimit = ExposureLimit()) {
     private val rollouts = HashMap<String, ServiceRollout>()
     private val inFlight = HashMap<ServiceVersion, Int>()
     private val warmedUpMillis = HashMap<String, Long>()
@@ -17,7 +17,7 @@
     fun onOrder(order: RolloutOrder, nowMillis: Long) {
         val known = rollouts[order.service]
         if (known != null && known.order.revision >= order.revision) return
-        rollouts[order.service] = ServiceRollout(order, nowMillis) { oldInFlight(order) }
+        rollouts[order.service] = ServiceRollout(order, nowMillis, limit) { oldInFlight(order) }
     }
 
     /**
@@ -66,6 +66,8 @@
     /** Counts a request that was sent to [server]. */
     fun onRequestSent(server: ServerEntry) {
         inFlight.merge(server.serviceVersion, 1, Int::plus)
+        val rollout = rollouts[server.service] ?: return
+        rollout.onSent(isTarget = server.softwareVersion == rollout.order.targetVersion)
     }
 
     /**
@@ -177,7 +179,13 @@
             countUnjudged(rollout, nowMillis)
             rollout.advance(nowMillis)
             if (rollout.stage == before) null
-            else RolloutChange(rollout.order, rollout.stage, rollout.strongestResult?.toString())
+            else
+                RolloutChange(
+                    rollout.order,
+                    rollout.stage,
+                    rollout.strongestResult?.toString(),
+                    rollout.knownSent,
+                )
         }
 
     /** Returns the status of each order for the operator. */
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServiceRollout.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServiceRollout.kt
@@ -11,14 +11,16 @@
 /**
  * The rollout of one service as run by one instance.
  *
- * Stages follow the duration of the order, so that instances agree without coordination. The counts
- * of all instances decide whether the version is withdrawn. A version that fails only at full load
- * is thus detected after a small fraction of the requests. Not thread-safe: all calls must come
- * from one thread.
+ * The version may turn out to be faulty at any time, so the requests that it gets stay within the
+ * limit of the [ExposureAccount]. It gets a sample of the requests until the account bears all that
+ * are expected before the deadline, which leaves a small part of the duration for the judgement
+ * under full load and for the requests in flight at the old version. The counts of all instances
+ * decide whether the version is withdrawn. Not thread-safe: all calls must come from one thread.
  */
 internal class ServiceRollout(
     order: RolloutOrder,
     nowMillis: Long,
+    limit: ExposureLimit = ExposureLimit(),
     /** Requests in flight at servers of other versions, including those sent before the order. */
     private val oldInFlight: () -> Int,
 ) {
@@ -38,9 +40,12 @@
     private val baselines = HashMap<String, VersionCounts>()
     private val totalCounts = HashMap<String, RouteCounts>()
     private val peers = HashMap<String, PeerReport>()
-    private val routeSamples = HashMap<String, Sample>()
-    private val totalSample = Sample()
+    private val sampling = TrialSampling()
+    private val account = ExposureAccount(limit)
     private var firstShiftedMillis: Long? = null
+    private var isCompleted = false
+    /** True if requests went back to the old version after the shift. */
+    private var hasHeld = false
 
     /** Answers that this instance cannot judge yet. */
     val unjudgedAnswers = UnjudgedAnswers()
@@ -48,37 +53,25 @@
     var stage = RolloutStage.TRIAL
         private set
 
+    /** The requests that all instances are known to have sent since the order. */
+    val knownSent: SentRequests
+        get() = account.knownSent
+
     /** The strongest test result against the version, if any. */
     val strongestResult: TestResult?
         get() = combinedEvidence.strongest
 
-    private class Sample {
-        var requests = 0
-        var onTarget = 0
-    }
-
     /** Decides whether a request of [route] uses the target version; call it once per request. */
     fun shouldUseTarget(route: String, instanceCount: Int): Boolean {
-        val sample = routeSamples.getOrPut(route, ::Sample)
-        sample.requests++
-        totalSample.requests++
-        if (!isTargetAllowed(sample, instanceCount)) return false
-        sample.onTarget++
-        totalSample.onTarget++
-        return true
-    }
-
-    // Every route is sampled, because a version may be faulty on a single route.
-    private fun isTargetAllowed(sample: Sample, instanceCount: Int): Boolean {
-        val slack = TRIAL_SLACK_REQUESTS / instanceCount.coerceAtLeast(1)
-        return when (stage) {
-            RolloutStage.TRIAL ->
-                sample.onTarget < stage.shareFraction * sample.requests + 1 &&
-                    totalSample.onTarget < stage.shareFraction * totalSample.requests + slack
-            RolloutStage.RAMP -> sample.onTarget < stage.shareFraction * sample.requests
-            RolloutStage.SHIFTED -> true
-            RolloutStage.WITHDRAWN -> false
-        }
+        account.instanceCount = instanceCount
+        val usesTarget =
+            when (stage) {
+                RolloutStage.TRIAL -> sampling.needs(route, instanceCount)
+                RolloutStage.SHIFTED -> true
+                RolloutStage.WITHDRAWN -> false
+            }
+        sampling.add(route, usesTarget)
+        return usesTarget
     }
 
     /** Returns those of [servers] to which a request may be sent. */
@@ -87,8 +80,7 @@
         return when (stage) {
             RolloutStage.WITHDRAWN -> old
             RolloutStage.SHIFTED -> target.ifEmpty { old }
-            RolloutStage.TRIAL,
-            RolloutStage.RAMP ->
+            RolloutStage.TRIAL ->
                 if (usesTarget) canaryServers(target, entryOf).ifEmpty { old } else old
         }
     }
@@ -97,10 +89,13 @@
     private fun <T> canaryServers(target: List<T>, entryOf: (T) -> ServerEntry): List<T> =
         target.sortedBy { entryOf(it).id }.take(ceil(target.size * stage.shareFraction).toInt())
 
+    /** Counts a request that was sent to the target version or to another one. */
+    fun onSent(isTarget: Boolean) = account.onSent(isTarget)
+
     /** Adds the outcomes of requests of [route]. */
     fun count(route: String, counts: RouteCounts) {
         totalCounts.merge(route, counts, RouteCounts::plus)
-        pendingCounts.merge(route, counts, RouteCounts::plus)
+        onCounted(route, counts)
     }
 
     /** Merges the report of [peer] on this order. */
@@ -111,17 +106,26 @@
             val previous = reported[route] ?: RouteCounts()
             // A restarted peer counts from zero.
             val added = if (counts.isAtLeast(previous)) counts - previous else counts
-            pendingCounts.merge(route, added, RouteCounts::plus)
+            onCounted(route, added)
         }
+        account.onPeerReport(peer, report.sent, nowMillis)
         startedMillis = minOf(startedMillis, nowMillis - report.elapsedMillis)
         if (report.stage == RolloutStage.WITHDRAWN) stage = RolloutStage.WITHDRAWN
     }
 
+    private fun onCounted(route: String, counts: RouteCounts) {
+        sampling.onCounted(route, counts)
+        pendingCounts.merge(route, counts, RouteCounts::plus)
+    }
+
     /** Applies the final result of the order, which may predate the start of this instance. */
     fun onOrderEnded(verdict: RolloutVerdict) {
         when (verdict) {
             RolloutVerdict.IN_PROGRESS -> Unit
-            RolloutVerdict.COMPLETED -> stage = RolloutStage.SHIFTED
+            RolloutVerdict.COMPLETED -> {
+                isCompleted = true
+                stage = RolloutStage.SHIFTED
+            }
             RolloutVerdict.ROLLED_BACK -> stage = RolloutStage.WITHDRAWN
         }
     }
@@ -134,19 +138,48 @@
             stage = RolloutStage.WITHDRAWN
             return
         }
-        val elapsedFraction = elapsedFraction(nowMillis)
-        val due =
-            when {
-                elapsedFraction >= SHIFT_FRACTION -> RolloutStage.SHIFTED
-                elapsedFraction >= RAMP_FRACTION -> RolloutStage.RAMP
-                else -> RolloutStage.TRIAL
-            }
-        if (due > stage) stage = due
-        if (stage == RolloutStage.SHIFTED && firstShiftedMillis == null) {
-            firstShiftedMillis = nowMillis
+        account.advance(nowMillis)
+        sampling.advance(elapsedFraction(nowMillis), suspectedRoutes())
+        val due = dueStage(nowMillis)
+        if (due < stage) hasHeld = true
+        stage = due
+        if (stage != RolloutStage.SHIFTED) firstShiftedMillis = null
+        else if (firstShiftedMillis == null) firstShiftedMillis = nowMillis
+    }
+
+    private fun suspectedRoutes(): Set<String> =
+        combinedEvidence.routes.filterTo(HashSet()) {
+            (combinedEvidence.logEvidenceOf(it) ?: 0.0) > SUSPECT_LOG_EVIDENCE
+        }
+
+    private fun dueStage(nowMillis: Long): RolloutStage {
+        val remainingMillis = remainingMillis(nowMillis)
+        val isAllDue = isCompleted || remainingMillis <= 0
+        return when {
+            isAllDue -> RolloutStage.SHIFTED
+            elapsedFraction(nowMillis) < MIN_TRIAL_FRACTION -> RolloutStage.TRIAL
+            stage == RolloutStage.SHIFTED ->
+                if (mustHold(remainingMillis, nowMillis)) RolloutStage.TRIAL else stage
+            account.isOverdrawn(remainingMillis, nowMillis) -> RolloutStage.TRIAL
+            account.allowsAll(remainingMillis, nowMillis) -> RolloutStage.SHIFTED
+            !hasHeld && hasShiftedPeer(nowMillis) -> RolloutStage.SHIFTED
+            else -> RolloutStage.TRIAL
         }
     }
 
+    // A burst may use up the account after the shift. Once the rollout may be complete, the servers
+    // of the old version may have stopped.
+    private fun mustHold(remainingMillis: Long, nowMillis: Long): Boolean =
+        remainingMillis > completionMillis + HOLD_MARGIN_MILLIS &&
+            account.isOverdrawn(remainingMillis, nowMillis)
+
+    // Requests come unevenly, so that instances would otherwise shift at different times.
+    private fun hasShiftedPeer(nowMillis: Long): Boolean =
+        peers.values.any {
+            it.report.stage == RolloutStage.SHIFTED &&
+                nowMillis - it.receivedMillis < MAX_REPORT_AGE_MILLIS
+        }
+
     /** Returns true while the versions are compared. */
     fun isInProgress(nowMillis: Long): Boolean =
         stage != RolloutStage.WITHDRAWN && elapsedFraction(nowMillis) < 1
@@ -157,6 +190,13 @@
     private fun elapsedFraction(nowMillis: Long): Double =
         (nowMillis - startedMillis).toDouble() / order.durationMillis
 
+    private fun remainingMillis(nowMillis: Long): Long =
+        startedMillis + order.durationMillis - nowMillis
+
+    /** Time before the deadline at which the rollout may be completed. */
+    private val completionMillis: Long
+        get() = maxOf(MIN_COMPLETION_MILLIS, (COMPLETION_FRACTION * order.durationMillis).toLong())
+
     // Compares the new version with the most recent requests of the old version on the route. The
     // baseline is reused in each comparison, because the old version gets no requests after the
     // shift.
@@ -180,11 +220,17 @@
         when (stage) {
             RolloutStage.WITHDRAWN -> RolloutVerdict.ROLLED_BACK
             RolloutStage.SHIFTED ->
-                if (isDrained(peerIds, nowMillis)) RolloutVerdict.COMPLETED
+                if (isCompletionDue(nowMillis) && isDrained(peerIds, nowMillis))
+                    RolloutVerdict.COMPLETED
                 else RolloutVerdict.IN_PROGRESS
             else -> RolloutVerdict.IN_PROGRESS
         }
 
+    // A fault that shows after the completion can no longer be undone.
+    private fun isCompletionDue(nowMillis: Long): Boolean =
+        remainingMillis(nowMillis) <= completionMillis &&
+            combinedEvidence.logEvidence < DOUBT_LOG_EVIDENCE
+
     // Servers of other versions stop as soon as the rollout completes, so none may be in use.
     private fun isDrained(peerIds: Set<String>, nowMillis: Long): Boolean {
         val shiftedMillis = firstShiftedMillis ?: return false
@@ -207,23 +253,34 @@
             nowMillis - startedMillis,
             oldInFlight(),
             totalCounts.toMap(),
+            account.ownSent,
         )
 
     private companion object {
-        /** Requests that the fleet may send to the version in excess of the trial fraction. */
-        const val TRIAL_SLACK_REQUESTS = 16
+        /** Fraction of the duration for which the version gets a sample only. */
+        const val MIN_TRIAL_FRACTION = 0.6
+        const val LAST_CHECK_FRACTION = 0.5
         /**
-         * Fractions of the order's duration; the time after the shift is for requests in flight.
+         * The rollout is completed this long before its deadline, as a part of the duration and at
+         * least. Leaves time for a second instance to write the status.
          */
-        const val RAMP_FRACTION = 0.4
-        const val LAST_CHECK_FRACTION = 0.5
-        const val SHIFT_FRACTION = 0.6
+        const val COMPLETION_FRACTION = 0.02
+        const val MIN_COMPLETION_MILLIS = 400L
+        /** Difference between the instances' views of the elapsed time. */
+        const val HOLD_MARGIN_MILLIS = 200L
         /** A version as good as the old one is withdrawn in about 1 of 100 rollouts. */
         val WITHDRAWAL_LOG_EVIDENCE = ln(100.0)
+        /** Evidence of a test of one route by which the version is suspected to fail there. */
+        val SUSPECT_LOG_EVIDENCE = ln(2.0)
+        /**
+         * Evidence against the version that more answers have to refute before the completion,
+         * which cannot be undone.
+         */
+        val DOUBT_LOG_EVIDENCE = ln(4.0)
         /** Maximum number of requests of the old version that a comparison on a route uses. */
         const val MAX_BASELINE_REQUESTS = 60L
-        /** Long enough to detect faults that appear only at full load. */
-        const val MIN_SHIFTED_MILLIS = 1_000L
+        /** Time for the first answers under full load. */
+        const val MIN_SHIFTED_MILLIS = 300L
         const val MAX_REPORT_AGE_MILLIS = 1_000L
     }
 }
--- a/core/src/main/kotlin/io/lavenderhinge/core/rollout/CombinedEvidence.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/rollout/CombinedEvidence.kt
@@ -52,6 +52,10 @@
                 ?.let { TestResult(routeOf(it.key), metricOf(it.key), it.value.test.logEvidence) }
         }
 
+    /** Log evidence of the stronger test of [route] alone; null before any traffic. */
+    fun logEvidenceOf(route: String): Double? =
+        Metric.entries.mapNotNull { tests[testName(route, it)]?.test?.logEvidence }.maxOrNull()
+
     /** Adds the counts of [route] in one time interval. */
     fun observe(route: String, counts: RouteCounts, nowMillis: Long) {
         if (testName(route, Metric.ERRORS) !in tests) addRoute(route)
--- a/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySchema.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySchema.kt
@@ -101,6 +101,21 @@
             "0",
         )
 
+    val exposureShare =
+        SettingKey(
+            "exposure-share",
+            NumberType(minimum = 0.0, maximum = 0.99),
+            "share of a service's requests that a version may get until its rollout is over",
+            "0.1",
+        )
+    val exposureSlack =
+        SettingKey(
+            "exposure-slack",
+            NumberType(minimum = 0.0, maximum = 100_000.0),
+            "requests above that share",
+            "50",
+        )
+
     val seeds =
         SettingKey(
             "instances",
@@ -139,6 +154,8 @@
             quotaSlack,
             coldOverage,
             coldSlack,
+            exposureShare,
+            exposureSlack,
         )
 
     val sections =
--- a/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySettings.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySettings.kt
@@ -1,6 +1,7 @@
 package io.lavenderhinge.core.settings
 
 import io.lavenderhinge.core.forwarding.ColdTolerance
+import io.lavenderhinge.core.forwarding.ExposureLimit
 import io.lavenderhinge.core.forwarding.PropagationBounds
 import io.lavenderhinge.core.forwarding.QuotaTolerance
 import io.lavenderhinge.core.forwarding.RegionTable
@@ -30,6 +31,8 @@
     val quotaTolerance: QuotaTolerance,
     /** Requests to a cold server that are tolerated above its limit. */
     val coldTolerance: ColdTolerance,
+    /** Requests that may reach a version under rollout. */
+    val exposure: ExposureLimit,
 )
 
 /** Settings that a gateway reads from its local file at startup. */
--- a/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySettingsParser.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/settings/GatewaySettingsParser.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import arrow.core.NonEmptyList
 import io.lavenderhinge.core.forwarding.ColdTolerance
+import io.lavenderhinge.core.forwarding.ExposureLimit
 import io.lavenderhinge.core.forwarding.FeatureMode
 import io.lavenderhinge.core.forwarding.PropagationBounds
 import io.lavenderhinge.core.forwarding.QuotaTolerance
@@ -68,6 +69,10 @@
                 section.value(GatewaySchema.coldOverage) ?: 1.0,
                 section.value(GatewaySchema.coldSlack) ?: 0.0,
             ),
+            ExposureLimit(
+                section.value(GatewaySchema.exposureShare) ?: 0.0,
+                section.value(GatewaySchema.exposureSlack) ?: 0.0,
+            ),
         )
 
     private fun scheduling(section: SectionReader): SchedulingFeatures {
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
@@ -8,6 +8,7 @@
 import io.lavenderhinge.core.forwarding.QuotaStart
 import io.lavenderhinge.core.forwarding.QuotaStartEnd
 import io.lavenderhinge.core.forwarding.RequestAdmission
+import io.lavenderhinge.core.forwarding.RolloutTracker
 import io.lavenderhinge.core.forwarding.ServerEntry
 import io.lavenderhinge.core.forwarding.ServiceRetryBudget
 import io.lavenderhinge.core.forwarding.StoreContact
@@ -56,6 +57,7 @@
             features = settings.scheduling,
             cacheTokens = { configuration.table?.service(it)?.cacheTokens },
             coldTolerance = settings.bounds.coldTolerance,
+            rollouts = RolloutTracker(settings.bounds.exposure),
         )
     private val servers =
         ServerRegistry(control, StoreContact(watchPacing.staleAfterMillis), publish = ::publish)
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RolloutProtoConverters.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RolloutProtoConverters.kt
@@ -2,6 +2,7 @@
 
 import io.lavenderhinge.core.forwarding.RolloutReport
 import io.lavenderhinge.core.forwarding.RolloutStage
+import io.lavenderhinge.core.forwarding.SentRequests
 import io.lavenderhinge.core.rollout.RouteCounts
 import io.lavenderhinge.core.rollout.VersionCounts
 import io.lavenderhinge.protocol.v1.LoadReport
@@ -18,6 +19,9 @@
         .setStage(stage.toMessage())
         .setElapsedMillis(elapsedMillis)
         .setOldInFlight(oldInFlight)
+        .setSentRequests(sent.total)
+        .setSentOnTarget(sent.onTarget)
+        .setSentPerSecond(sent.perSecond)
         .addAllRoutes(
             countsByRoute.map { (route, counts) ->
                 RouteTally.newBuilder()
@@ -42,21 +46,21 @@
             message.routesList.associate {
                 it.route to RouteCounts(it.oldVersion.toCounts(), it.newVersion.toCounts())
             },
+            SentRequests(message.sentRequests, message.sentOnTarget, message.sentPerSecond),
         )
     }
 
 private fun RolloutStage.toMessage() =
     when (this) {
         RolloutStage.TRIAL -> StageMessage.ROLLOUT_STAGE_TRIAL
-        RolloutStage.RAMP -> StageMessage.ROLLOUT_STAGE_RAMP
         RolloutStage.SHIFTED -> StageMessage.ROLLOUT_STAGE_SHIFTED
         RolloutStage.WITHDRAWN -> StageMessage.ROLLOUT_STAGE_WITHDRAWN
     }
 
 private fun StageMessage.toStage() =
     when (this) {
-        StageMessage.ROLLOUT_STAGE_TRIAL -> RolloutStage.TRIAL
-        StageMessage.ROLLOUT_STAGE_RAMP -> RolloutStage.RAMP
+        StageMessage.ROLLOUT_STAGE_TRIAL,
+        StageMessage.ROLLOUT_STAGE_RAMP -> RolloutStage.TRIAL
         StageMessage.ROLLOUT_STAGE_SHIFTED -> RolloutStage.SHIFTED
         StageMessage.ROLLOUT_STAGE_WITHDRAWN -> RolloutStage.WITHDRAWN
         StageMessage.UNRECOGNIZED -> null
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RolloutRunner.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/RolloutRunner.kt
@@ -44,11 +44,13 @@
         val nowMillis = loop.nowMillis()
         tracker.advance(nowMillis).forEach { change ->
             log.info(
-                "rollout: {} to {} enters {}, evidence {}",
+                "rollout: {} to {} enters {}, evidence {}, {} of {} requests were sent to it",
                 change.order.service,
                 change.order.targetVersion,
                 change.stage,
                 change.evidence,
+                change.sent.onTarget,
+                change.sent.total,
             )
         }
         val peerIds = peerIds().toSet()
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/PeerOuterClass.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/PeerOuterClass.java
@@ -402,64 +402,66 @@
       "nswered\030\002 \003(\0132!.lavenderhinge.v1.PartObs" +
       "ervation\0226\n\013quarantined\030\003 \003(\0132!.lavender" +
       "hinge.v1.PartObservation\022*\n\005alive\030\004 \003(\0132" +
-      "\033.lavenderhinge.v1.ServerRun\"\306\001\n\017Rollout" +
+      "\033.lavenderhinge.v1.ServerRun\"\216\002\n\017Rollout" +
       "Progress\022\017\n\007service\030\001 \001(\t\022\026\n\016order_revis" +
       "ion\030\002 \001(\003\022-\n\005stage\030\003 \001(\0162\036.lavenderhinge" +
       ".v1.RolloutStage\022\026\n\016elapsed_millis\030\004 \001(\003" +
       "\022\025\n\rold_in_flight\030\005 \001(\005\022,\n\006routes\030\006 \003(\0132" +
-      "\034.lavenderhinge.v1.RouteTally\"\205\001\n\nRouteT" +
-      "ally\022\r\n\005route\030\001 \001(\t\0223\n\013old_version\030\002 \001(\013" +
-      "2\036.lavenderhinge.v1.VersionTally\0223\n\013new_" +
-      "version\030\003 \001(\0132\036.lavenderhinge.v1.Version" +
-      "Tally\">\n\014VersionTally\022\020\n\010requests\030\001 \001(\003\022" +
-      "\016\n\006errors\030\002 \001(\003\022\014\n\004slow\030\003 \001(\003\"c\n\014StateRe" +
-      "quest\022\035\n\025configuration_version\030\001 \001(\003\022\027\n\017" +
-      "server_revision\030\002 \001(\003\022\033\n\023evacuation_revi" +
-      "sion\030\003 \001(\003\"S\n\013StoredValue\022\013\n\003key\030\001 \001(\t\022\r" +
-      "\n\005value\030\002 \001(\t\022\030\n\013kept_millis\030\003 \001(\003H\000\210\001\001B" +
-      "\016\n\014_kept_millis\"\243\001\n\tStateCopy\022\025\n\rconfigu" +
-      "ration\030\001 \001(\t\022\027\n\017server_revision\030\002 \001(\003\022.\n" +
-      "\007servers\030\003 \003(\0132\035.lavenderhinge.v1.Stored" +
-      "Value\022\033\n\023evacuation_revision\030\004 \001(\003\022\031\n\021ev" +
-      "acuated_domains\030\005 \003(\t*U\n\004Tier\022\024\n\020TIER_UN" +
-      "SPECIFIED\020\000\022\024\n\020TIER_INTERACTIVE\020\001\022\021\n\rTIE" +
-      "R_STANDARD\020\002\022\016\n\nTIER_BATCH\020\003*\234\002\n\014RefuseR" +
-      "eason\022\035\n\031REFUSE_REASON_UNSPECIFIED\020\000\022\032\n\026" +
-      "REFUSE_REASON_NOT_HOME\020\001\022\034\n\030REFUSE_REASO" +
-      "N_QUEUE_FULL\020\002\022\032\n\026REFUSE_REASON_DEADLINE" +
-      "\020\003\022\033\n\027REFUSE_REASON_DISPLACED\020\004\022\035\n\031REFUS" +
-      "E_REASON_TIER_CLOSED\020\005\022 \n\034REFUSE_REASON_" +
-      "SERVER_LEAVING\020\006\022\035\n\031REFUSE_REASON_SERVER" +
-      "_DOWN\020\007\022\032\n\026REFUSE_REASON_SHUTDOWN\020\010*\324\001\n\013" +
-      "ResultClass\022\034\n\030RESULT_CLASS_UNSPECIFIED\020" +
-      "\000\022\023\n\017RESULT_CLASS_OK\020\001\022\035\n\031RESULT_CLASS_S" +
-      "ERVER_ERROR\020\002\022\"\n\036RESULT_CLASS_CONNECTION" +
-      "_FAILED\020\003\022\030\n\024RESULT_CLASS_TIMEOUT\020\004\022\032\n\026R" +
-      "ESULT_CLASS_CANCELLED\020\005\022\031\n\025RESULT_CLASS_" +
-      "DRAINING\020\006*\255\001\n\017LedgerOperation\022 \n\034LEDGER" +
-      "_OPERATION_UNSPECIFIED\020\000\022\034\n\030LEDGER_OPERA" +
-      "TION_RESERVE\020\001\022\035\n\031LEDGER_OPERATION_COMPL" +
-      "ETE\020\002\022\031\n\025LEDGER_OPERATION_VOID\020\003\022 \n\034LEDG" +
-      "ER_OPERATION_OWNER_QUERY\020\004*\217\003\n\rLedgerOut" +
-      "come\022\036\n\032LEDGER_OUTCOME_UNSPECIFIED\020\000\022\033\n\027" +
-      "LEDGER_OUTCOME_RECORDED\020\001\022\034\n\030LEDGER_OUTC" +
-      "OME_COMPLETED\020\002\022\034\n\030LEDGER_OUTCOME_IN_FLI" +
-      "GHT\020\003\022\033\n\027LEDGER_OUTCOME_IN_DOUBT\020\004\022\033\n\027LE" +
-      "DGER_OUTCOME_MISMATCH\020\005\022\032\n\026LEDGER_OUTCOM" +
-      "E_TOO_OLD\020\006\022\035\n\031LEDGER_OUTCOME_NOT_WRITER" +
-      "\020\007\022\036\n\032LEDGER_OUTCOME_UNAVAILABLE\020\010\022#\n\037LE" +
-      "DGER_OUTCOME_OWNER_DISPATCHED\020\t\022)\n%LEDGE" +
-      "R_OUTCOME_OWNER_NEVER_DISPATCHED\020\n\022 \n\034LE" +
-      "DGER_OUTCOME_OWNER_UNKNOWN\020\013*\200\001\n\nMemberK" +
-      "ind\022\033\n\027MEMBER_KIND_UNSPECIFIED\020\000\022\030\n\024MEMB" +
-      "ER_KIND_INSTANCE\020\001\022\034\n\030MEMBER_KIND_MODEL_" +
-      "ENGINE\020\002\022\035\n\031MEMBER_KIND_PLAIN_SERVICE\020\003*" +
-      "w\n\014RolloutStage\022\027\n\023ROLLOUT_STAGE_TRIAL\020\000" +
-      "\022\026\n\022ROLLOUT_STAGE_RAMP\020\001\022\031\n\025ROLLOUT_STAG" +
-      "E_SHIFTED\020\002\022\033\n\027ROLLOUT_STAGE_WITHDRAWN\020\003" +
-      "2D\n\004Peer\022<\n\004Link\022\027.lavenderhinge.v1.Fram" +
-      "e\032\027.lavenderhinge.v1.Frame(\0010\001B \n\034io.lav" +
-      "enderhinge.protocol.v1P\001b\006proto3"
+      "\034.lavenderhinge.v1.RouteTally\022\025\n\rsent_re" +
+      "quests\030\007 \001(\003\022\026\n\016sent_on_target\030\010 \001(\003\022\027\n\017" +
+      "sent_per_second\030\t \001(\001\"\205\001\n\nRouteTally\022\r\n\005" +
+      "route\030\001 \001(\t\0223\n\013old_version\030\002 \001(\0132\036.laven" +
+      "derhinge.v1.VersionTally\0223\n\013new_version\030" +
+      "\003 \001(\0132\036.lavenderhinge.v1.VersionTally\">\n" +
+      "\014VersionTally\022\020\n\010requests\030\001 \001(\003\022\016\n\006error" +
+      "s\030\002 \001(\003\022\014\n\004slow\030\003 \001(\003\"c\n\014StateRequest\022\035\n" +
+      "\025configuration_version\030\001 \001(\003\022\027\n\017server_r" +
+      "evision\030\002 \001(\003\022\033\n\023evacuation_revision\030\003 \001" +
+      "(\003\"S\n\013StoredValue\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030" +
+      "\002 \001(\t\022\030\n\013kept_millis\030\003 \001(\003H\000\210\001\001B\016\n\014_kept" +
+      "_millis\"\243\001\n\tStateCopy\022\025\n\rconfiguration\030\001" +
+      " \001(\t\022\027\n\017server_revision\030\002 \001(\003\022.\n\007servers" +
+      "\030\003 \003(\0132\035.lavenderhinge.v1.StoredValue\022\033\n" +
+      "\023evacuation_revision\030\004 \001(\003\022\031\n\021evacuated_" +
+      "domains\030\005 \003(\t*U\n\004Tier\022\024\n\020TIER_UNSPECIFIE" +
+      "D\020\000\022\024\n\020TIER_INTERACTIVE\020\001\022\021\n\rTIER_STANDA" +
+      "RD\020\002\022\016\n\nTIER_BATCH\020\003*\234\002\n\014RefuseReason\022\035\n" +
+      "\031REFUSE_REASON_UNSPECIFIED\020\000\022\032\n\026REFUSE_R" +
+      "EASON_NOT_HOME\020\001\022\034\n\030REFUSE_REASON_QUEUE_" +
+      "FULL\020\002\022\032\n\026REFUSE_REASON_DEADLINE\020\003\022\033\n\027RE" +
+      "FUSE_REASON_DISPLACED\020\004\022\035\n\031REFUSE_REASON" +
+      "_TIER_CLOSED\020\005\022 \n\034REFUSE_REASON_SERVER_L" +
+      "EAVING\020\006\022\035\n\031REFUSE_REASON_SERVER_DOWN\020\007\022" +
+      "\032\n\026REFUSE_REASON_SHUTDOWN\020\010*\324\001\n\013ResultCl" +
+      "ass\022\034\n\030RESULT_CLASS_UNSPECIFIED\020\000\022\023\n\017RES" +
+      "ULT_CLASS_OK\020\001\022\035\n\031RESULT_CLASS_SERVER_ER" +
+      "ROR\020\002\022\"\n\036RESULT_CLASS_CONNECTION_FAILED\020" +
+      "\003\022\030\n\024RESULT_CLASS_TIMEOUT\020\004\022\032\n\026RESULT_CL" +
+      "ASS_CANCELLED\020\005\022\031\n\025RESULT_CLASS_DRAINING" +
+      "\020\006*\255\001\n\017LedgerOperation\022 \n\034LEDGER_OPERATI" +
+      "ON_UNSPECIFIED\020\000\022\034\n\030LEDGER_OPERATION_RES" +
+      "ERVE\020\001\022\035\n\031LEDGER_OPERATION_COMPLETE\020\002\022\031\n" +
+      "\025LEDGER_OPERATION_VOID\020\003\022 \n\034LEDGER_OPERA" +
+      "TION_OWNER_QUERY\020\004*\217\003\n\rLedgerOutcome\022\036\n\032" +
+      "LEDGER_OUTCOME_UNSPECIFIED\020\000\022\033\n\027LEDGER_O" +
+      "UTCOME_RECORDED\020\001\022\034\n\030LEDGER_OUTCOME_COMP" +
+      "LETED\020\002\022\034\n\030LEDGER_OUTCOME_IN_FLIGHT\020\003\022\033\n" +
+      "\027LEDGER_OUTCOME_IN_DOUBT\020\004\022\033\n\027LEDGER_OUT" +
+      "COME_MISMATCH\020\005\022\032\n\026LEDGER_OUTCOME_TOO_OL" +
+      "D\020\006\022\035\n\031LEDGER_OUTCOME_NOT_WRITER\020\007\022\036\n\032LE" +
+      "DGER_OUTCOME_UNAVAILABLE\020\010\022#\n\037LEDGER_OUT" +
+      "COME_OWNER_DISPATCHED\020\t\022)\n%LEDGER_OUTCOM" +
+      "E_OWNER_NEVER_DISPATCHED\020\n\022 \n\034LEDGER_OUT" +
+      "COME_OWNER_UNKNOWN\020\013*\200\001\n\nMemberKind\022\033\n\027M" +
+      "EMBER_KIND_UNSPECIFIED\020\000\022\030\n\024MEMBER_KIND_" +
+      "INSTANCE\020\001\022\034\n\030MEMBER_KIND_MODEL_ENGINE\020\002" +
+      "\022\035\n\031MEMBER_KIND_PLAIN_SERVICE\020\003*w\n\014Rollo" +
+      "utStage\022\027\n\023ROLLOUT_STAGE_TRIAL\020\000\022\026\n\022ROLL" +
+      "OUT_STAGE_RAMP\020\001\022\031\n\025ROLLOUT_STAGE_SHIFTE" +
+      "D\020\002\022\033\n\027ROLLOUT_STAGE_WITHDRAWN\020\0032D\n\004Peer" +
+      "\022<\n\004Link\022\027.lavenderhinge.v1.Frame\032\027.lave" +
+      "nderhinge.v1.Frame(\0010\001B \n\034io.lavenderhin" +
+      "ge.protocol.v1P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -692,7 +694,7 @@
     internal_static_lavenderhinge_v1_RolloutProgress_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lavenderhinge_v1_RolloutProgress_descriptor,
-        new java.lang.String[] { "Service", "OrderRevision", "Stage", "ElapsedMillis", "OldInFlight", "Routes", });
+        new java.lang.String[] { "Service", "OrderRevision", "Stage", "ElapsedMillis", "OldInFlight", "Routes", "SentRequests", "SentOnTarget", "SentPerSecond", });
     internal_static_lavenderhinge_v1_RouteTally_descriptor =
       getDescriptor().getMessageType(38);
     internal_static_lavenderhinge_v1_RouteTally_fieldAccessorTable = new
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/RolloutProgress.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/RolloutProgress.java
@@ -181,6 +181,47 @@
     return routes_.get(index);
   }
 
+  public static final int SENT_REQUESTS_FIELD_NUMBER = 7;
+  private long sentRequests_ = 0L;
+  /**
+   * <pre>
+   * Requests to servers of the service since the order, and those to the target version.
+   * </pre>
+   *
+   * <code>int64 sent_requests = 7;</code>
+   * @return The sentRequests.
+   */
+  @java.lang.Override
+  public long getSentRequests() {
+    return sentRequests_;
+  }
+
+  public static final int SENT_ON_TARGET_FIELD_NUMBER = 8;
+  private long sentOnTarget_ = 0L;
+  /**
+   * <code>int64 sent_on_target = 8;</code>
+   * @return The sentOnTarget.
+   */
+  @java.lang.Override
+  public long getSentOnTarget() {
+    return sentOnTarget_;
+  }
+
+  public static final int SENT_PER_SECOND_FIELD_NUMBER = 9;
+  private double sentPerSecond_ = 0D;
+  /**
+   * <pre>
+   * Requests per second at present.
+   * </pre>
+   *
+   * <code>double sent_per_second = 9;</code>
+   * @return The sentPerSecond.
+   */
+  @java.lang.Override
+  public double getSentPerSecond() {
+    return sentPerSecond_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -213,6 +254,15 @@
     for (int i = 0; i < routes_.size(); i++) {
       output.writeMessage(6, routes_.get(i));
     }
+    if (sentRequests_ != 0L) {
+      output.writeInt64(7, sentRequests_);
+    }
+    if (sentOnTarget_ != 0L) {
+      output.writeInt64(8, sentOnTarget_);
+    }
+    if (java.lang.Double.doubleToRawLongBits(sentPerSecond_) != 0) {
+      output.writeDouble(9, sentPerSecond_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -245,6 +295,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(6, routes_.get(i));
     }
+    if (sentRequests_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(7, sentRequests_);
+    }
+    if (sentOnTarget_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(8, sentOnTarget_);
+    }
+    if (java.lang.Double.doubleToRawLongBits(sentPerSecond_) != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeDoubleSize(9, sentPerSecond_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -271,6 +333,13 @@
         != other.getOldInFlight()) return false;
     if (!getRoutesList()
         .equals(other.getRoutesList())) return false;
+    if (getSentRequests()
+        != other.getSentRequests()) return false;
+    if (getSentOnTarget()
+        != other.getSentOnTarget()) return false;
+    if (java.lang.Double.doubleToLongBits(getSentPerSecond())
+        != java.lang.Double.doubleToLongBits(
+            other.getSentPerSecond())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -298,6 +367,15 @@
       hash = (37 * hash) + ROUTES_FIELD_NUMBER;
       hash = (53 * hash) + getRoutesList().hashCode();
     }
+    hash = (37 * hash) + SENT_REQUESTS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getSentRequests());
+    hash = (37 * hash) + SENT_ON_TARGET_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getSentOnTarget());
+    hash = (37 * hash) + SENT_PER_SECOND_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        java.lang.Double.doubleToLongBits(getSentPerSecond()));
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -445,6 +523,9 @@
         routesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000020);
+      sentRequests_ = 0L;
+      sentOnTarget_ = 0L;
+      sentPerSecond_ = 0D;
       return this;
     }
 
@@ -506,6 +587,15 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.oldInFlight_ = oldInFlight_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.sentRequests_ = sentRequests_;
+      }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.sentOnTarget_ = sentOnTarget_;
+      }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.sentPerSecond_ = sentPerSecond_;
+      }
     }
 
     @java.lang.Override
@@ -563,6 +653,15 @@
           }
         }
       }
+      if (other.getSentRequests() != 0L) {
+        setSentRequests(other.getSentRequests());
+      }
+      if (other.getSentOnTarget() != 0L) {
+        setSentOnTarget(other.getSentOnTarget());
+      }
+      if (java.lang.Double.doubleToRawLongBits(other.getSentPerSecond()) != 0) {
+        setSentPerSecond(other.getSentPerSecond());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -627,6 +726,21 @@
               }
               break;
             } // case 50
+            case 56: {
+              sentRequests_ = input.readInt64();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
+            case 64: {
+              sentOnTarget_ = input.readInt64();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
+            case 73: {
+              sentPerSecond_ = input.readDouble();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 73
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1103,6 +1217,126 @@
       return routesBuilder_;
     }
 
+    private long sentRequests_ ;
+    /**
+     * <pre>
+     * Requests to servers of the service since the order, and those to the target version.
+     * </pre>
+     *
+     * <code>int64 sent_requests = 7;</code>
+     * @return The sentRequests.
+     */
+    @java.lang.Override
+    public long getSentRequests() {
+      return sentRequests_;
+    }
+    /**
+     * <pre>
+     * Requests to servers of the service since the order, and those to the target version.
+     * </pre>
+     *
+     * <code>int64 sent_requests = 7;</code>
+     * @param value The sentRequests to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSentRequests(long value) {
+
+      sentRequests_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Requests to servers of the service since the order, and those to the target version.
+     * </pre>
+     *
+     * <code>int64 sent_requests = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSentRequests() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      sentRequests_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long sentOnTarget_ ;
+    /**
+     * <code>int64 sent_on_target = 8;</code>
+     * @return The sentOnTarget.
+     */
+    @java.lang.Override
+    public long getSentOnTarget() {
+      return sentOnTarget_;
+    }
+    /**
+     * <code>int64 sent_on_target = 8;</code>
+     * @param value The sentOnTarget to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSentOnTarget(long value) {
+
+      sentOnTarget_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 sent_on_target = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSentOnTarget() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      sentOnTarget_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private double sentPerSecond_ ;
+    /**
+     * <pre>
+     * Requests per second at present.
+     * </pre>
+     *
+     * <code>double sent_per_second = 9;</code>
+     * @return The sentPerSecond.
+     */
+    @java.lang.Override
+    public double getSentPerSecond() {
+      return sentPerSecond_;
+    }
+    /**
+     * <pre>
+     * Requests per second at present.
+     * </pre>
+     *
+     * <code>double sent_per_second = 9;</code>
+     * @param value The sentPerSecond to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSentPerSecond(double value) {
+
+      sentPerSecond_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Requests per second at present.
+     * </pre>
+     *
+     * <code>double sent_per_second = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSentPerSecond() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      sentPerSecond_ = 0D;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:lavenderhinge.v1.RolloutProgress)
   }
 
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/RolloutProgressOrBuilder.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/RolloutProgressOrBuilder.java
@@ -74,4 +74,30 @@
    */
   io.lavenderhinge.protocol.v1.RouteTallyOrBuilder getRoutesOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Requests to servers of the service since the order, and those to the target version.
+   * </pre>
+   *
+   * <code>int64 sent_requests = 7;</code>
+   * @return The sentRequests.
+   */
+  long getSentRequests();
+
+  /**
+   * <code>int64 sent_on_target = 8;</code>
+   * @return The sentOnTarget.
+   */
+  long getSentOnTarget();
+
+  /**
+   * <pre>
+   * Requests per second at present.
+   * </pre>
+   *
+   * <code>double sent_per_second = 9;</code>
+   * @return The sentPerSecond.
+   */
+  double getSentPerSecond();
 }
--- a/protocol/src/main/java/io/lavenderhinge/protocol/v1/RolloutStage.java
+++ b/protocol/src/main/java/io/lavenderhinge/protocol/v1/RolloutStage.java
@@ -16,6 +16,10 @@
    */
   ROLLOUT_STAGE_TRIAL(0),
   /**
+   * <pre>
+   * Sent by earlier versions only.
+   * </pre>
+   *
    * <code>ROLLOUT_STAGE_RAMP = 1;</code>
    */
   ROLLOUT_STAGE_RAMP(1),
@@ -44,6 +48,10 @@
    */
   public static final int ROLLOUT_STAGE_TRIAL_VALUE = 0;
   /**
+   * <pre>
+   * Sent by earlier versions only.
+   * </pre>
+   *
    * <code>ROLLOUT_STAGE_RAMP = 1;</code>
    */
   public static final int ROLLOUT_STAGE_RAMP_VALUE = 1;
