Plan the shift of a rollout by the mean rate of requests as well

Change: the shift is allowed only if the account bears the requests at the mean rate since the order as well.

Evidence: ServiceRolloutTest and ExposureAccountTest pass.

--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ExposureAccount.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ExposureAccount.kt
@@ -48,12 +48,17 @@
     fun advance(nowMillis: Long) = own.advance(nowMillis)
 
     /**
-     * Returns true if the version may get all requests of the next [remainingMillis]. Part of the
-     * slack is left for requests that come faster than now.
+     * Returns true if the version may get all requests of the next [remainingMillis], as it comes
+     * to at the present rate and at the mean one of the [elapsedMillis] since the order. The mean
+     * is needed because this is asked often, and the present rate is low at times by chance. Part
+     * of the slack is left for requests that come faster.
      */
-    fun allowsAll(remainingMillis: Long, nowMillis: Long): Boolean =
-        costOfAll(remainingMillis, nowMillis) <=
-            balance(limit.slackRequests * PLANNED_SLACK_FRACTION, nowMillis)
+    fun allowsAll(remainingMillis: Long, elapsedMillis: Long, nowMillis: Long): Boolean {
+        val total = own.sent.total + heard(nowMillis).sumOf { it.sent.total }
+        val meanCost = cost(total * remainingMillis.toDouble() / elapsedMillis.coerceAtLeast(1))
+        val planned = balance(limit.slackRequests * PLANNED_SLACK_FRACTION, nowMillis)
+        return maxOf(meanCost, costOfAll(remainingMillis, nowMillis)) <= planned
+    }
 
     /**
      * Returns true if all requests of the next [remainingMillis] would exceed the limit, and more
@@ -64,15 +69,16 @@
         return cost - CHANCE_DEVIATIONS * sqrt(cost) > balance(limit.slackRequests, nowMillis)
     }
 
-    // Each request raises the limit as well. What a peer has sent since its last report may have
-    // gone to the version.
+    // Each request raises the limit as well.
+    private fun cost(requests: Double) = requests * (1 - limit.shareFraction)
+
+    // What a peer has sent since its last report may have gone to the version.
     private fun costOfAll(remainingMillis: Long, nowMillis: Long): Double {
         val ofPeers =
             heard(nowMillis).sumOf {
                 it.sent.perSecond * (remainingMillis + nowMillis - it.receivedMillis)
             }
-        val requests = (own.sent.perSecond * remainingMillis + ofPeers) / MILLIS_PER_SECOND
-        return requests * (1 - limit.shareFraction)
+        return cost((own.sent.perSecond * remainingMillis + ofPeers) / MILLIS_PER_SECOND)
     }
 
     private fun balance(slackRequests: Double, nowMillis: Long): Double {
--- a/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServiceRollout.kt
+++ b/core/src/main/kotlin/io/lavenderhinge/core/forwarding/ServiceRollout.kt
@@ -161,7 +161,8 @@
             stage == RolloutStage.SHIFTED ->
                 if (mustHold(remainingMillis, nowMillis)) RolloutStage.TRIAL else stage
             account.isOverdrawn(remainingMillis, nowMillis) -> RolloutStage.TRIAL
-            account.allowsAll(remainingMillis, nowMillis) -> RolloutStage.SHIFTED
+            account.allowsAll(remainingMillis, nowMillis - startedMillis, nowMillis) ->
+                RolloutStage.SHIFTED
             !hasHeld && hasShiftedPeer(nowMillis) -> RolloutStage.SHIFTED
             else -> RolloutStage.TRIAL
         }
