Open the links of followers before the first change of the server list

Cause: the record shows use without a break, not renewed use. A follower opened its first link to a watcher for the first copy of the list, and loading and starting gRPC took seconds.

Change: a follower asks its first two sources once when it enters the role. An answer without anything newer is ignored.

--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/Gateway.kt
@@ -310,6 +310,7 @@
         control.execute {
             servers.isFollowingPeers = !watchesAll
             watcherRole.enter(watchesAll)
+            if (!watchesAll) stateSync.openLinksToSources()
         }
     }
 
--- a/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/PeerStateSync.kt
+++ b/instance/src/main/kotlin/io/lavenderhinge/instance/gateway/PeerStateSync.kt
@@ -39,6 +39,17 @@
         isStarted = true
     }
 
+    /**
+     * Opens the links to the first sources of the server list by a request, so that the first
+     * change does not wait for them: that took seconds on a loaded machine.
+     */
+    fun openLinksToSources() {
+        if (!isStarted) return
+        serverSources().ranked.take(OPENED_SOURCES).forEach {
+            requestNewer(it, needsServers = true)
+        }
+    }
+
     /** Returns true if [report] concerns this object; can be called from any thread. */
     fun isConcernedBy(report: LoadReport): Boolean =
         report.configurationVersion > configuration.version ||
@@ -59,12 +70,16 @@
         if (nowMillis - lastRequestMillis < REQUEST_INTERVAL_MILLIS) return
         lastRequestMillis = nowMillis
         lastEvacuationCheckMillis = nowMillis
+        requestNewer(report.instanceId, needsServers)
+    }
+
+    private fun requestNewer(peer: String, needsServers: Boolean) {
         val request =
             StateRequest.newBuilder()
                 .setConfigurationVersion(configuration.version)
                 .setServerRevision(if (needsServers) servers.readRevision else Long.MAX_VALUE)
                 .setEvacuationRevision(evacuations.state.readRevision)
-        links.send(report.instanceId, Frame.newBuilder().setStateRequest(request).build())
+        links.send(peer, Frame.newBuilder().setStateRequest(request).build())
     }
 
     private fun needsConfigurationOf(report: LoadReport, nowMillis: Long): Boolean {
@@ -138,6 +153,7 @@
     }
 
     private fun accept(from: String, copy: StateCopy) {
+        if (copy == StateCopy.getDefaultInstance()) return
         log.info("copies: {} sent what it has newer", from)
         // Evacuations come first: a new configuration may open the instance for requests.
         if (copy.evacuationRevision > 0) {
@@ -158,6 +174,8 @@
 
     private companion object {
         const val REQUEST_INTERVAL_MILLIS = 300L
+        /** The preferred source, and the one that replaces it first. */
+        const val OPENED_SOURCES = 2
         const val STORE_GRACE_MILLIS = 400L
         /** Evacuations last for many seconds, so that a later end of one costs little. */
         const val CHECK_INTERVAL_MILLIS = 2_000L
--- a/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/PeerStateSyncTest.kt
+++ b/instance/src/test/kotlin/io/lavenderhinge/instance/gateway/PeerStateSyncTest.kt
@@ -78,6 +78,15 @@
             fixture.requested.shouldContainExactly("w1")
         }
 
+        // Guards against a server that leaves while the first link to a watcher is being opened.
+        test("a follower opens the links to its first sources before it needs them") {
+            val fixture = StateSyncFixture(ListSources(persistentListOf("w1", "w2", "w3")))
+
+            fixture.openLinks()
+
+            fixture.requested.shouldContainExactly("w1", "w2")
+        }
+
         // Guards against a server that leaves while the store turns the watchers away.
         test("a watcher whose calls fail asks a peer at once") {
             val fixture = StateSyncFixture(ListSources(persistentListOf("w1")))
@@ -300,6 +309,8 @@
         servers.onChanges(WatchResult(persistentListOf(), revision))
     }
 
+    fun openLinks() = stateSync.openLinksToSources()
+
     fun failCall(atMillis: Long) {
         nowMillis = atMillis
         servers.onStoreUnavailable(StoreFault.Unavailable("refused"))
