Name the repeated call of ExposureAccountTest, and join a broken comment

The test called allowsAll six times with the same elapsed time, and its factory had a parameter that no test used. A comment of ServerDirectoryTest was broken by the formatter. Assertions and their values are unchanged; no product code changes.

--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ExposureAccountTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ExposureAccountTest.kt
@@ -6,54 +6,36 @@
 /** Guards against instances that together send a version more requests than its limit. */
 class ExposureAccountTest :
     FunSpec({
-        fun account(total: Int, onTarget: Int, instances: Int = 1) =
+        fun account(total: Int, onTarget: Int) =
             ExposureAccount(ExposureLimit(shareFraction = 0.1, slackRequests = 0.0)).apply {
-                instanceCount = instances
                 advance(nowMillis = 0)
                 repeat(total) { onSent(isTarget = it < onTarget) }
                 advance(nowMillis = 1_000)
             }
 
+        fun ExposureAccount.allowsAllFor(remainingMillis: Long, nowMillis: Long) =
+            allowsAll(remainingMillis, elapsedMillis = 1_000, nowMillis)
+
         test("given a balance, then it bears the requests that use it up") {
             val account = account(total = 100, onTarget = 1)
 
-            account.allowsAll(
-                remainingMillis = 100,
-                elapsedMillis = 1_000,
-                nowMillis = 1_000,
-            ) shouldBe true
-            account.allowsAll(
-                remainingMillis = 101,
-                elapsedMillis = 1_000,
-                nowMillis = 1_000,
-            ) shouldBe false
+            account.allowsAllFor(100, nowMillis = 1_000) shouldBe true
+            account.allowsAllFor(101, nowMillis = 1_000) shouldBe false
         }
 
         test("given a peer that is silent, then its balance is not spent") {
             val account = account(total = 100, onTarget = 1)
             account.onPeerReport("p", SentRequests(total = 1_000), nowMillis = 0)
 
-            account.allowsAll(
-                remainingMillis = 105,
-                elapsedMillis = 1_000,
-                nowMillis = 900,
-            ) shouldBe true
-            account.allowsAll(
-                remainingMillis = 105,
-                elapsedMillis = 1_000,
-                nowMillis = 1_000,
-            ) shouldBe false
+            account.allowsAllFor(105, nowMillis = 900) shouldBe true
+            account.allowsAllFor(105, nowMillis = 1_000) shouldBe false
         }
 
         test("given a peer that has spent too much, then its debt outlasts its silence") {
             val account = account(total = 100, onTarget = 1)
             account.onPeerReport("p", SentRequests(total = 10, onTarget = 10), nowMillis = 0)
 
-            account.allowsAll(
-                remainingMillis = 50,
-                elapsedMillis = 1_000,
-                nowMillis = 2_000,
-            ) shouldBe false
+            account.allowsAllFor(50, nowMillis = 2_000) shouldBe false
         }
 
         test("given a peer that has started anew, then the debt of its earlier run remains") {
@@ -61,11 +43,7 @@
             account.onPeerReport("p", SentRequests(total = 10, onTarget = 10), nowMillis = 900)
             account.onPeerReport("p", SentRequests(), nowMillis = 1_000)
 
-            account.allowsAll(
-                remainingMillis = 50,
-                elapsedMillis = 1_000,
-                nowMillis = 1_000,
-            ) shouldBe false
+            account.allowsAllFor(50, nowMillis = 1_000) shouldBe false
         }
 
         test("given more requests than expected, then chance is told apart from a burst") {
--- a/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ServerDirectoryTest.kt
+++ b/core/src/test/kotlin/io/lavenderhinge/core/forwarding/ServerDirectoryTest.kt
@@ -171,9 +171,8 @@
             directory.ids() shouldBe listOf("b", "a")
         }
 
-        // Guards against an instance that takes its own cut from the store for an outage, and uses
-        // a
-        // server that has left meanwhile.
+        // Guards against an instance that takes its own cut from the store for an outage, and
+        // uses a server that has left meanwhile.
         listOf(2_200L, 3_500L, 30_000L).forEach { cutMillis ->
             test("given a cut of $cutMillis ms while peers are served, then removals count") {
                 val directory = directoryWithHeartbeats()
